--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# medlarhold: build, test and measure. `make help` lists the targets.
+
+GO            ?= go
+LINT_VERSION  := v2.12.2
+GOBIN         := $(shell $(GO) env GOPATH)/bin
+LINT          := $(GOBIN)/golangci-lint
+BIN           := bin
+
+.PHONY: help build fmt lint vet check test race clean
+help: ## list the targets
+	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
+
+build: ## build the programs into bin/
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+fmt: ## format the code
+	gofmt -w cmd internal
+
+$(LINT):
+	$(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+
+lint: $(LINT) ## run the linter
+	$(LINT) run ./...
+
+vet: ## run go vet
+	$(GO) vet ./...
+
+check: ## fail on code that gofmt would change
+	@out=$$(gofmt -l cmd internal); if [ -n "$$out" ]; then echo "not gofmt-clean:"; echo "$$out"; exit 1; fi
+
+test: check vet lint ## formatter, vet, linter and all tests
+	bash scripts/test.sh
+
+race: ## all tests under the race detector
+	$(GO) test -race ./...
+
+clean: ## remove what the build made
+	rm -rf $(BIN)
--- /dev/null
+++ b/internal/core/entity/peer.go
@@ -0,0 +1,82 @@
+package entity
+
+import "time"
+
+// Reservation asks the owner of endpoints for a slot on one of them. It rides
+// on the request it is for: no request, no reservation.
+type Reservation struct {
+	Work Work
+	// From is the entry instance that holds the caller's connection. It alone
+	// dispatches, once, after the owner has granted a slot.
+	From InstanceID
+	// Resume names the endpoint that holds the request's paused stream; empty
+	// for a request that was never dispatched.
+	Resume EndpointID
+}
+
+// Grant is the owner's answer "you may dispatch to this endpoint now".
+type Grant struct {
+	ID       RequestID
+	Endpoint EndpointID
+	// CachedTokens is the owner's estimate of the prompt tokens that the
+	// engine already holds.
+	CachedTokens int
+	// ImportFrom names an engine from which to move KV cache before the
+	// dispatch; empty for none.
+	ImportFrom EndpointID
+}
+
+// Refusal is the owner's answer "not here". It is also a promise: on no
+// endpoint of this owner that could serve the request does anything below
+// Floor run now, and nothing below it will be granted for FloorFor, counted
+// from when the asker sent its question.
+type Refusal struct {
+	ID         RequestID
+	Floor      Tier
+	FloorFor   time.Duration
+	RetryAfter time.Duration
+	// Infeasible says that the deadline could not be met even with no one else here.
+	Infeasible bool
+}
+
+// Preemption tells the entry instance that a granted request must give its
+// slot back to a higher tier. Pause keeps the stream on the engine to be
+// resumed later; otherwise it is cancelled.
+type Preemption struct {
+	ID    RequestID
+	Pause bool
+}
+
+// Release gives a granted slot back and reports how it went.
+type Release struct {
+	ID       RequestID
+	Endpoint EndpointID
+	// Paused says that the stream waits on the engine to be resumed.
+	Paused bool
+	// Failed says that the endpoint did not answer as it should.
+	Failed bool
+	// PrefillTokens is what the engine really processed of the prompt.
+	PrefillTokens    int
+	GeneratedTokens  int
+	TimeToFirstToken time.Duration
+	DecodeTime       time.Duration
+}
+
+// LoadReport is what an endpoint said of itself; it lags.
+type LoadReport struct {
+	Endpoint EndpointID
+	At       time.Time
+	Running  int
+	Waiting  int
+	KVTokens int
+}
+
+// CacheEvent is one change of an engine's prefix cache. Events arrive late
+// and with gaps; Seq counts without gaps at the engine.
+type CacheEvent struct {
+	Endpoint EndpointID
+	Seq      uint64
+	Stored   []BlockHash
+	Evicted  []BlockHash
+	Cleared  bool
+}
--- /dev/null
+++ b/internal/verdict/verdict.go
@@ -0,0 +1,148 @@
+// Package verdict says what is known about a request that did not simply
+// succeed: whether it may have run, why it was answered as it was, and when
+// the caller may come back.
+//
+// Every refusal in the system carries one Reason from the closed list below,
+// and every reason has one counter in the metrics.
+package verdict
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Verdict says whether a request may have run on an endpoint.
+type Verdict string
+
+// The three verdicts. There is no fourth: a caller that can't be told "ran"
+// or "not run" with proof is told "may have run".
+const (
+	// Ran means that an endpoint ran the request to its end.
+	Ran Verdict = "ran"
+	// NotRun means that no endpoint ran any part of the request, and none will.
+	NotRun Verdict = "not_run"
+	// MayHaveRun means that the request was dispatched, or may have been, and
+	// that its end is not known.
+	MayHaveRun Verdict = "may_have_run"
+)
+
+// Reason says why a request was refused, retried or given up on.
+type Reason string
+
+// The closed list of reasons.
+const (
+	ReasonNone             Reason = ""
+	ReasonBadRequest       Reason = "bad_request"
+	ReasonBodyTooLarge     Reason = "body_too_large"
+	ReasonUnauthenticated  Reason = "unauthenticated"
+	ReasonTierNotAllowed   Reason = "tier_not_allowed"
+	ReasonUnknownModel     Reason = "unknown_model"
+	ReasonUnknownPool      Reason = "unknown_pool"
+	ReasonUnknownRequest   Reason = "unknown_request"
+	ReasonKeyRequired      Reason = "key_required"
+	ReasonKeyReused        Reason = "key_reused"
+	ReasonKeyInProgress    Reason = "key_in_progress"
+	ReasonKeyExpired       Reason = "key_expired"
+	ReasonRateLimit        Reason = "rate_limit"
+	ReasonConcurrencyLimit Reason = "concurrency_limit"
+	ReasonOverload         Reason = "overload"
+	ReasonDeadline         Reason = "deadline"
+	ReasonNoEndpoint       Reason = "no_endpoint"
+	ReasonLogUnavailable   Reason = "log_unavailable"
+	ReasonNotReady         Reason = "not_ready"
+	ReasonStopping         Reason = "stopping"
+	ReasonOwnerUnreachable Reason = "owner_unreachable"
+	ReasonEndpointRefused  Reason = "endpoint_refused"
+	ReasonEndpointFailed   Reason = "endpoint_failed"
+	ReasonConnectionLost   Reason = "connection_lost"
+	ReasonAnswerIncomplete Reason = "answer_incomplete"
+	ReasonCallerGone       Reason = "caller_gone"
+	ReasonPreempted        Reason = "preempted"
+	ReasonRetryBudget      Reason = "retry_budget"
+	ReasonInternal         Reason = "internal"
+)
+
+// httpStatus maps each reason to the status code a caller sees.
+var httpStatus = map[Reason]int{
+	ReasonBadRequest:       http.StatusBadRequest,
+	ReasonBodyTooLarge:     http.StatusRequestEntityTooLarge,
+	ReasonUnauthenticated:  http.StatusUnauthorized,
+	ReasonTierNotAllowed:   http.StatusForbidden,
+	ReasonUnknownModel:     http.StatusNotFound,
+	ReasonUnknownPool:      http.StatusNotFound,
+	ReasonUnknownRequest:   http.StatusNotFound,
+	ReasonKeyRequired:      http.StatusBadRequest,
+	ReasonKeyReused:        http.StatusConflict,
+	ReasonKeyInProgress:    http.StatusConflict,
+	ReasonKeyExpired:       http.StatusGone,
+	ReasonRateLimit:        http.StatusTooManyRequests,
+	ReasonConcurrencyLimit: http.StatusTooManyRequests,
+	ReasonOverload:         http.StatusServiceUnavailable,
+	ReasonDeadline:         http.StatusGatewayTimeout,
+	ReasonNoEndpoint:       http.StatusServiceUnavailable,
+	ReasonLogUnavailable:   http.StatusServiceUnavailable,
+	ReasonNotReady:         http.StatusServiceUnavailable,
+	ReasonStopping:         http.StatusServiceUnavailable,
+	ReasonOwnerUnreachable: http.StatusServiceUnavailable,
+	ReasonEndpointRefused:  http.StatusServiceUnavailable,
+	ReasonEndpointFailed:   http.StatusBadGateway,
+	ReasonConnectionLost:   http.StatusBadGateway,
+	ReasonAnswerIncomplete: http.StatusBadGateway,
+	ReasonCallerGone:       499,
+	ReasonPreempted:        http.StatusServiceUnavailable,
+	ReasonRetryBudget:      http.StatusServiceUnavailable,
+	ReasonInternal:         http.StatusInternalServerError,
+}
+
+// Reasons returns the closed list of reasons, in no order.
+func Reasons() []Reason {
+	all := make([]Reason, 0, len(httpStatus))
+	for r := range httpStatus {
+		all = append(all, r)
+	}
+	return all
+}
+
+// HTTPStatus returns the status code that callers see for r.
+func (r Reason) HTTPStatus() int {
+	if s, ok := httpStatus[r]; ok {
+		return s
+	}
+	return http.StatusInternalServerError
+}
+
+// Error is a refusal or failure together with what is known about the request.
+type Error struct {
+	// Verdict says whether the request may have run.
+	Verdict Verdict
+	// Reason is the entry of the closed list.
+	Reason Reason
+	// RetryAfter says when to come back; zero means that coming back doesn't help.
+	RetryAfter time.Duration
+	// Message is for people.
+	Message string
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s (%s, %s)", e.Message, e.Reason, e.Verdict)
+}
+
+// New returns a traced Error.
+func New(v Verdict, r Reason, retryAfter time.Duration, format string, args ...any) error {
+	return trace.Wrap(&Error{Verdict: v, Reason: r, RetryAfter: retryAfter, Message: fmt.Sprintf(format, args...)})
+}
+
+// Of returns the Error inside err. An error that carries none is taken as an
+// internal failure after which the request may have run, the only safe reading.
+func Of(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return &Error{Verdict: MayHaveRun, Reason: ReasonInternal, Message: trace.UserMessage(err)}
+}
