Entry table, peer transport and telemetry

Why: the whole path needs one place that takes the irrevocable step of a dispatch. It is the entry instance's table (core/request): an owner grants a slot, the entry dispatches once. Weighed against sending the request through its owner: there a dead owner leaves every queued request in doubt and cuts every stream, and each token crosses two processes.

peer: JSON-RPC over TCP with a mutual proof of the key; an exchange that is not acknowledged condemns its connection, and is sent once more over a fresh one. telemetry: numbered events, go-metrics in the Prometheus text format. No tests of these yet.

--- a/internal/core/entity/peer.go
+++ b/internal/core/entity/peer.go
@@ -12,18 +12,21 @@
 	// Resume names the endpoint that holds the request's paused stream; empty
 	// for a request that was never dispatched.
 	Resume EndpointID
+	// NoWait asks for a slot at once or a refusal; without it the owner may
+	// queue the work.
+	NoWait bool
 }
 
 // Grant is the owner's answer "you may dispatch to this endpoint now".
 type Grant struct {
-	ID       RequestID
-	Endpoint EndpointID
+	ID       RequestID  `json:"i"`
+	Endpoint EndpointID `json:"e"`
 	// CachedTokens is the owner's estimate of the prompt tokens that the
 	// engine already holds.
-	CachedTokens int
+	CachedTokens int `json:"c,omitempty"`
 	// ImportFrom names an engine from which to move KV cache before the
 	// dispatch; empty for none.
-	ImportFrom EndpointID
+	ImportFrom EndpointID `json:"f,omitempty"`
 }
 
 // Refusal is the owner's answer "not here". It is also a promise: on no
@@ -31,35 +34,37 @@
 // Floor run now, and nothing below it will be granted for FloorFor, counted
 // from when the asker sent its question.
 type Refusal struct {
-	ID         RequestID
-	Floor      Tier
-	FloorFor   time.Duration
-	RetryAfter time.Duration
+	ID         RequestID     `json:"i"`
+	Floor      Tier          `json:"f,omitempty"`
+	FloorFor   time.Duration `json:"u,omitempty"`
+	RetryAfter time.Duration `json:"r,omitempty"`
 	// Infeasible says that the deadline could not be met even with no one else here.
-	Infeasible bool
+	Infeasible bool `json:"x,omitempty"`
 }
 
 // Preemption tells the entry instance that a granted request must give its
 // slot back to a higher tier. Pause keeps the stream on the engine to be
 // resumed later; otherwise it is cancelled.
 type Preemption struct {
-	ID    RequestID
-	Pause bool
+	ID    RequestID `json:"i"`
+	Pause bool      `json:"p,omitempty"`
 }
 
 // Release gives a granted slot back and reports how it went.
 type Release struct {
-	ID       RequestID
-	Endpoint EndpointID
+	ID       RequestID  `json:"i"`
+	Endpoint EndpointID `json:"e"`
+	// Unused says that the grant came too late and nothing was dispatched.
+	Unused bool `json:"u,omitempty"`
 	// Paused says that the stream waits on the engine to be resumed.
-	Paused bool
+	Paused bool `json:"p,omitempty"`
 	// Failed says that the endpoint did not answer as it should.
-	Failed bool
+	Failed bool `json:"x,omitempty"`
 	// PrefillTokens is what the engine really processed of the prompt.
-	PrefillTokens    int
-	GeneratedTokens  int
-	TimeToFirstToken time.Duration
-	DecodeTime       time.Duration
+	PrefillTokens    int           `json:"n,omitempty"`
+	GeneratedTokens  int           `json:"g,omitempty"`
+	TimeToFirstToken time.Duration `json:"t,omitempty"`
+	DecodeTime       time.Duration `json:"d,omitempty"`
 }
 
 // LoadReport is what an endpoint said of itself; it lags.
--- /dev/null
+++ b/internal/core/request/row.go
@@ -0,0 +1,134 @@
+package request
+
+import (
+	"sort"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/verdict"
+)
+
+// Retry times for refusals that no queue length explains.
+const (
+	retryAfterNoEndpoint  = 2 * time.Second
+	retryAfterUnreachable = 1 * time.Second
+)
+
+// State is where a request stands.
+type State int
+
+// The states of a request that has no final answer yet.
+const (
+	// StateClaiming waits for the log to say that the request's key is its own.
+	StateClaiming State = iota
+	// StateAsking waits for an owner's grant or refusal.
+	StateAsking
+	// StateRunning is dispatched; an endpoint works on it.
+	StateRunning
+	// StatePausing waits for the endpoint to confirm a pause.
+	StatePausing
+	// StatePaused is dispatched, and its stream waits on the endpoint.
+	StatePaused
+)
+
+// String returns the state's name as the request API shows it.
+func (s State) String() string {
+	return [...]string{"claiming", "queued", "running", "pausing", "paused"}[s]
+}
+
+// row is one request of the table.
+type row struct {
+	work     entity.Work
+	key      string
+	bodyHash string
+	state    State
+	arrived  time.Time
+	timer    time.Time // next timer; never after the deadline
+	// owner was asked for a slot, or granted it.
+	owner      entity.InstanceID
+	askedAt    time.Time
+	tried      []entity.InstanceID
+	endpoint   entity.EndpointID // where it runs
+	resume     entity.EndpointID // where its paused stream waits
+	dispatches int
+	retryAfter time.Duration
+	claimed    bool
+	cancelled  bool
+}
+
+// sortedRows returns the rows by id, so that loops over them are deterministic.
+func (e *Entry) sortedRows() []*row {
+	rows := make([]*row, 0, len(e.rows))
+	for _, r := range e.rows {
+		rows = append(rows, r)
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].work.ID < rows[j].work.ID })
+	return rows
+}
+
+func (e *Entry) setTimer(r *row, at time.Time) {
+	e.deadlines.Delete(r)
+	r.timer = at
+	e.deadlines.ReplaceOrInsert(r)
+}
+
+func (e *Entry) direct(d Directive) { e.ready.Directives = append(e.ready.Directives, d) }
+
+// release gives the slot back to the owner that granted it, if it is still known.
+func (e *Entry) release(r *row, rel entity.Release) {
+	if r.owner != "" {
+		e.ready.Releases = append(e.ready.Releases, ReleaseTo{Owner: r.owner, Release: rel})
+	}
+}
+
+// refuse ends a request that was never dispatched.
+func (e *Entry) refuse(now time.Time, r *row, reason verdict.Reason, retryAfter time.Duration) {
+	v := verdict.NotRun
+	if r.dispatches > 0 && r.resume != "" {
+		v = verdict.MayHaveRun
+	}
+	e.finish(now, r, &verdict.Error{Verdict: v, Reason: reason, RetryAfter: retryAfter, Message: refusalMessage[reason]}, nil)
+}
+
+// refusalMessage says for people what a refusal means.
+var refusalMessage = map[verdict.Reason]string{
+	verdict.ReasonDeadline:         "the deadline can't be met any more",
+	verdict.ReasonOverload:         "every endpoint that could serve the request is busy with work of this tier or higher",
+	verdict.ReasonNoEndpoint:       "no endpoint in reach serves this model or service",
+	verdict.ReasonOwnerUnreachable: "the instances that admit work to the endpoints can't be reached",
+	verdict.ReasonCallerGone:       "the caller closed its connection",
+	verdict.ReasonStopping:         "the instance is stopping",
+}
+
+// finish gives the request its one final answer and forgets it.
+func (e *Entry) finish(now time.Time, r *row, v *verdict.Error, a *Answer) {
+	e.deadlines.Delete(r)
+	delete(e.rows, r.work.ID)
+	if r.claimed {
+		e.ready.Settlements = append(e.ready.Settlements, Settlement{ID: r.work.ID, Verdict: finalVerdict(v), Answer: a})
+	}
+	e.finished.add(Status{ID: r.work.ID, Org: r.work.Org, State: "finished", Verdict: finalVerdict(v), Reason: finalReason(v), At: now})
+	e.direct(Directive{ID: r.work.ID, Kind: DirectiveFinish, Err: v, Answer: a})
+	e.ready.Finished = append(e.ready.Finished, Finished{Work: r.work, Arrived: r.arrived, Err: v})
+}
+
+func finalVerdict(v *verdict.Error) verdict.Verdict {
+	if v == nil {
+		return verdict.Ran
+	}
+	return v.Verdict
+}
+
+func finalReason(v *verdict.Error) verdict.Reason {
+	if v == nil {
+		return verdict.ReasonNone
+	}
+	return v.Reason
+}
+
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/core/request/status.go
@@ -0,0 +1,69 @@
+package request
+
+import (
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/verdict"
+)
+
+// Status is what this instance knows about a request.
+type Status struct {
+	ID       entity.RequestID  `json:"id"`
+	Org      entity.OrgID      `json:"-"`
+	State    string            `json:"state"`
+	Verdict  verdict.Verdict   `json:"verdict,omitempty"`
+	Reason   verdict.Reason    `json:"reason,omitempty"`
+	Endpoint entity.EndpointID `json:"endpoint,omitempty"`
+	At       time.Time         `json:"at,omitzero"`
+}
+
+// finishedTable remembers the latest finished requests.
+type finishedTable struct {
+	rows *lru.Cache[entity.RequestID, Status]
+}
+
+func newFinishedTable(size int) *finishedTable {
+	rows, err := lru.New[entity.RequestID, Status](max(size, 1))
+	if err != nil {
+		panic(err) // only a size below one is refused
+	}
+	return &finishedTable{rows: rows}
+}
+
+func (t *finishedTable) add(s Status) { t.rows.Add(s.ID, s) }
+
+// Status returns what is known about a request, and false when nothing is.
+func (e *Entry) Status(id entity.RequestID) (Status, bool) {
+	if r, ok := e.rows[id]; ok {
+		return Status{ID: id, Org: r.work.Org, State: r.state.String(), Endpoint: r.endpoint}, true
+	}
+	return e.finished.rows.Peek(id)
+}
+
+// Holding is a request that this entry runs on an endpoint.
+type Holding struct {
+	Grant entity.Grant
+	Work  entity.Work
+}
+
+// Adopt points the requests that run or wait on an endpoint to its new owner
+// and returns those that run, for the owner to count.
+func (e *Entry) Adopt(now time.Time, endpoint entity.EndpointID, owner entity.InstanceID) []Holding {
+	var held []Holding
+	for _, r := range e.sortedRows() {
+		if r.endpoint != endpoint || r.owner == owner {
+			continue
+		}
+		switch r.state {
+		case StateRunning, StatePausing:
+			r.owner = owner
+			held = append(held, Holding{Grant: entity.Grant{ID: r.work.ID, Endpoint: endpoint}, Work: r.work})
+		case StatePaused:
+			e.askToResume(now, r)
+		}
+	}
+	return held
+}
--- /dev/null
+++ b/internal/peer/transport.go
@@ -0,0 +1,132 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/gravitational/trace"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/telemetry"
+)
+
+// Options of a Transport.
+type Options struct {
+	// Self is this instance, as it introduces itself.
+	Self entity.Instance
+	// Keys returns the peer keys in force, the preferred one first. It is asked
+	// for each handshake, so keys can be replaced without a restart.
+	Keys func() [][]byte
+	// ServerTLS and ClientTLS are nil for plain TCP.
+	ServerTLS, ClientTLS *tls.Config
+	// ExchangeTimeout bounds each exchange, dialling and handshake included.
+	ExchangeTimeout time.Duration
+	// Registry knows the messages.
+	Registry *Registry
+	// Deliver takes a message over. It is called in order per connection and
+	// must not block for long.
+	Deliver func(from entity.Instance, msg any)
+	// Query answers a question of a peer; it may block until ctx ends.
+	Query func(ctx context.Context, from entity.Instance, method string, params json.RawMessage) (any, error)
+	// Failed is told of a message that could not be delivered.
+	Failed func(to entity.InstanceID, msg any)
+	// Clock returns the time.
+	Clock   func() time.Time
+	Log     logr.Logger
+	Metrics *telemetry.Metrics
+}
+
+// Transport sends to and receives from the other instances.
+type Transport struct {
+	opts   Options
+	ctx    context.Context
+	cancel context.CancelFunc
+	mu     sync.Mutex
+	links  map[entity.InstanceID]*link
+	wg     sync.WaitGroup
+}
+
+// NewTransport returns a transport that has no connections yet.
+func NewTransport(opts Options) *Transport {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Transport{opts: opts, ctx: ctx, cancel: cancel, links: make(map[entity.InstanceID]*link)}
+}
+
+// Send queues a message for an instance. It never blocks.
+func (t *Transport) Send(to entity.InstanceID, address string, msg any) {
+	t.link(to, address).push(msg)
+}
+
+// Call asks an instance and waits for its answer.
+func (t *Transport) Call(ctx context.Context, to entity.InstanceID, address, method string, params, result any) error {
+	conn, err := t.link(to, address).connection(ctx)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(conn.Call(ctx, method, params, result))
+}
+
+// link returns the link to an instance, making it if there is none.
+func (t *Transport) link(to entity.InstanceID, address string) *link {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l, ok := t.links[to]
+	if !ok {
+		l = newLink(t, to, address)
+		t.links[to] = l
+		t.wg.Add(1)
+		go l.run()
+	}
+	if address != "" {
+		l.setAddress(address)
+	}
+	return l
+}
+
+// Forget closes the link to an instance that is gone for good.
+func (t *Transport) Forget(id entity.InstanceID) {
+	t.mu.Lock()
+	l, ok := t.links[id]
+	delete(t.links, id)
+	t.mu.Unlock()
+	if ok {
+		l.stop()
+	}
+}
+
+// Serve accepts connections of peers until Close.
+func (t *Transport) Serve(ln net.Listener) error {
+	if t.opts.ServerTLS != nil {
+		ln = tls.NewListener(ln, t.opts.ServerTLS)
+	}
+	context.AfterFunc(t.ctx, func() { ln.Close() })
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			if t.ctx.Err() != nil {
+				return nil
+			}
+			return trace.Wrap(err, "accepting peers")
+		}
+		t.accept(conn)
+	}
+}
+
+// Close ends all connections.
+func (t *Transport) Close() {
+	t.cancel()
+	t.wg.Wait()
+}
+
+// newConn puts JSON-RPC over a connection, counting its bytes.
+func (t *Transport) newConn(conn net.Conn, h jsonrpc2.Handler) *jsonrpc2.Conn {
+	m := t.opts.Metrics
+	counted := countingConn{Conn: conn, sent: m.PeerBytesSent, received: m.PeerBytesReceived}
+	return jsonrpc2.NewConn(t.ctx, jsonrpc2.NewBufferedStream(counted, frameCodec{}), h)
+}
--- /dev/null
+++ b/internal/telemetry/metrics.go
@@ -0,0 +1,107 @@
+package telemetry
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/medlarhold/medlarhold/internal/verdict"
+)
+
+// Histogram sample sizes: enough for a stable p99, small enough for memory.
+const (
+	sampleSize  = 1028
+	sampleAlpha = 0.015
+)
+
+// Metrics is the set of metrics of one instance. Names may carry labels in the
+// Prometheus form: name{label="value"}.
+type Metrics struct {
+	registry metrics.Registry
+
+	// WastedPrefillTokens counts prompt tokens that engines processed although
+	// some engine held them, or for work that was thrown away.
+	WastedPrefillTokens metrics.Counter
+	// PrefillTokens counts all prompt tokens that engines processed.
+	PrefillTokens metrics.Counter
+	// GeneratedTokens counts the tokens of answers.
+	GeneratedTokens metrics.Counter
+	// PlatformBytesSent and PlatformBytesReceived count bytes to and from the
+	// platform that no request caused: configuration, leases, the instance list.
+	PlatformBytesSent, PlatformBytesReceived metrics.Counter
+	// RequestBytesSent and RequestBytesReceived count bytes between instances
+	// that ride on a request: reservations, grants, refusals, releases. What
+	// remains of the peer bytes is control.
+	RequestBytesSent, RequestBytesReceived metrics.Counter
+	// ControlNanoseconds is the time the control goroutine spent on work that no request caused.
+	ControlNanoseconds metrics.Counter
+	// RequestNanoseconds is the time the control goroutine spent on requests.
+	RequestNanoseconds metrics.Counter
+	// PeerBytesSent and PeerBytesReceived count all bytes between instances.
+	PeerBytesSent, PeerBytesReceived metrics.Counter
+	// PeerReconnects counts connections to peers that were opened again.
+	PeerReconnects metrics.Counter
+	// InFlight is the number of requests without a final answer.
+	InFlight metrics.Gauge
+	// Queued is the number of reservations that wait in this owner's queues.
+	Queued metrics.Gauge
+	// ConfigRevision is the revision in force.
+	ConfigRevision metrics.Gauge
+	// Members is the number of live instances in the zone.
+	Members metrics.Gauge
+	// FirstTokenMillis and TokenGapMicros are what callers wait for.
+	FirstTokenMillis, TokenGapMicros metrics.Histogram
+}
+
+// NewMetrics returns the metrics of one instance, registered under their names.
+func NewMetrics() *Metrics {
+	r := metrics.NewRegistry()
+	return &Metrics{
+		registry:              r,
+		WastedPrefillTokens:   metrics.GetOrRegisterCounter("medlarhold_wasted_prefill_tokens_total", r),
+		PrefillTokens:         metrics.GetOrRegisterCounter("medlarhold_prefill_tokens_total", r),
+		GeneratedTokens:       metrics.GetOrRegisterCounter("medlarhold_generated_tokens_total", r),
+		PlatformBytesSent:     metrics.GetOrRegisterCounter("medlarhold_platform_bytes_sent_total", r),
+		PlatformBytesReceived: metrics.GetOrRegisterCounter("medlarhold_platform_bytes_received_total", r),
+		PeerBytesSent:         metrics.GetOrRegisterCounter("medlarhold_peer_bytes_sent_total", r),
+		PeerBytesReceived:     metrics.GetOrRegisterCounter("medlarhold_peer_bytes_received_total", r),
+		RequestBytesSent:      metrics.GetOrRegisterCounter("medlarhold_request_bytes_sent_total", r),
+		RequestBytesReceived:  metrics.GetOrRegisterCounter("medlarhold_request_bytes_received_total", r),
+		ControlNanoseconds:    metrics.GetOrRegisterCounter("medlarhold_control_nanoseconds_total", r),
+		RequestNanoseconds:    metrics.GetOrRegisterCounter("medlarhold_request_nanoseconds_total", r),
+		PeerReconnects:        metrics.GetOrRegisterCounter("medlarhold_peer_reconnects_total", r),
+		InFlight:              metrics.GetOrRegisterGauge("medlarhold_requests_in_flight", r),
+		Queued:                metrics.GetOrRegisterGauge("medlarhold_reservations_queued", r),
+		ConfigRevision:        metrics.GetOrRegisterGauge("medlarhold_config_revision", r),
+		Members:               metrics.GetOrRegisterGauge("medlarhold_zone_members", r),
+		FirstTokenMillis:      metrics.GetOrRegisterHistogram("medlarhold_first_token_milliseconds", r, metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
+		TokenGapMicros:        metrics.GetOrRegisterHistogram("medlarhold_token_gap_microseconds", r, metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
+	}
+}
+
+// Refused counts one refusal under its reason and verdict.
+func (m *Metrics) Refused(reason verdict.Reason, v verdict.Verdict) {
+	m.counter(fmt.Sprintf(`medlarhold_refusals_total{reason=%q,verdict=%q}`, reason, v)).Inc(1)
+}
+
+// Retried counts one second try under its reason.
+func (m *Metrics) Retried(reason verdict.Reason) {
+	m.counter(fmt.Sprintf(`medlarhold_retries_total{reason=%q}`, reason)).Inc(1)
+}
+
+// Completed counts one whole answer of a tier: its goodput.
+func (m *Metrics) Completed(tier string, tokens int64) {
+	m.counter(fmt.Sprintf(`medlarhold_goodput_requests_total{tier=%q}`, tier)).Inc(1)
+	m.counter(fmt.Sprintf(`medlarhold_goodput_tokens_total{tier=%q}`, tier)).Inc(tokens)
+}
+
+// FirstToken records how long a caller waited for its first token.
+func (m *Metrics) FirstToken(d time.Duration) { m.FirstTokenMillis.Update(d.Milliseconds()) }
+
+// TokenGap records the time between two tokens of a stream.
+func (m *Metrics) TokenGap(d time.Duration) { m.TokenGapMicros.Update(d.Microseconds()) }
+
+func (m *Metrics) counter(name string) metrics.Counter {
+	return metrics.GetOrRegisterCounter(name, m.registry)
+}
