Platform clients, stand-in platform, and the fold of the configuration stream

Everything else starts from a contract that was published on the log, so the edge towards the platform and the state that requests are checked against come first.

- HTTP clients of log service, instance list and weight store.
Every exchange has a deadline, follows no redirect and is made once.
An append is 'not appended' only with proof: no connection came about, or the service says so.
Ruled out: reading 5xx answers as refusals.
- A stand-in platform in memory, with an HTTP handler and fault control.
- Parser (JSON with comments; file, line, path, reason), validator and the fold.
State is persistent: one copy-on-write B-tree of objects and one of key hashes, so that a change copies a path and not all contracts.

--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,134 @@
+package config
+
+import (
+	"crypto/sha256"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/platform"
+)
+
+// start is the time of the first record in tests.
+var start = time.Date(2026, 1, 5, 8, 0, 0, 0, time.UTC)
+
+// parseFile parses a file of testdata that has no problems.
+func parseFile(t testing.TB, name string) []Object {
+	t.Helper()
+	src, err := os.ReadFile("testdata/" + name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	objects, problems := Parse(name, src)
+	if len(problems) > 0 {
+		t.Fatalf("%s: %v", name, problems)
+	}
+	return objects
+}
+
+// recordOf returns the record of a change at the offset.
+func recordOf(t testing.TB, off platform.Offset, c Change) platform.Record {
+	t.Helper()
+	data, err := EncodeChange(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return platform.Record{Offset: off, Time: start.Add(time.Duration(off) * time.Second), Data: data}
+}
+
+// publish folds the objects as new changes that must all be applied.
+func publish(t testing.TB, s State, objects []Object) State {
+	t.Helper()
+	for _, o := range Ordered(objects) {
+		c := Change{
+			ID: "c-" + string(o.Kind) + "-" + o.Name, Kind: o.Kind, Name: o.Name,
+			BasedOn: s.Standing(o.Kind, o.Name).Revision, Operator: "ada", Delete: o.Delete, Spec: o.Spec,
+		}
+		var out Outcome
+		s, out = s.Apply(recordOf(t, s.Next(), c))
+		if out.Result != ResultApplied {
+			t.Fatalf("%s %s: %+v", o.Kind, o.Name, out)
+		}
+	}
+	return s
+}
+
+func TestSmallFileIsValidAndFolds(t *testing.T) {
+	objects := parseFile(t, "small.json")
+	if ps := Validate(State{}, objects); len(ps) > 0 {
+		t.Fatal(ps)
+	}
+	s := publish(t, State{}, objects)
+	if s.Revision() != Revision(len(objects)) {
+		t.Errorf("revision %d", s.Revision())
+	}
+	c, ok := s.ContractByKeyHash(sha256.Sum256([]byte("test")))
+	if !ok || c.Organisation != "bank" || c.MaxConcurrent != 40 {
+		t.Errorf("contract %+v", c)
+	}
+	if tier, ok := s.Tier("patient"); !ok || tier != 2 {
+		t.Errorf("tier %d", tier)
+	}
+	if eps := s.Endpoints("reports"); len(eps) != 1 || eps[0].ID != "engine-1" || eps[0].Kind != "engine" {
+		t.Errorf("endpoints %v", eps)
+	}
+	if len(s.AllEndpoints()) != 2 {
+		t.Errorf("all endpoints %v", s.AllEndpoints())
+	}
+}
+
+func TestReadersDoNotAllocate(t *testing.T) {
+	s := publish(t, State{}, parseFile(t, "small.json"))
+	sum := sha256.Sum256([]byte("test"))
+	n := testing.AllocsPerRun(100, func() {
+		s.ContractByKeyHash(sum)
+		s.Contract("bank")
+		s.Pool("reports")
+		s.Model("narrative")
+		s.Endpoints("reports")
+		s.Endpoint("engine-1")
+		s.Tier("patient")
+		s.Revision()
+	})
+	if n != 0 {
+		t.Errorf("%v allocations", n)
+	}
+}
+
+func TestFirstValidChangeOnARevisionWins(t *testing.T) {
+	s := publish(t, State{}, parseFile(t, "small.json"))
+	seen := s.Standing(KindPool, "ledger")
+	spec := []byte(`{"kind":"service","queue_per_endpoint":3,"max_body_bytes":1,"retry_budget":0}`)
+	apply := func(c Change) Outcome {
+		var out Outcome
+		s, out = s.Apply(recordOf(t, s.Next(), c))
+		return out
+	}
+	bad := apply(Change{ID: "bad", Kind: KindPool, Name: "ledger", BasedOn: seen.Revision, Spec: []byte(`{"kind":"service"}`)})
+	if bad.Result != ResultInvalid || len(bad.Problems) != 2 {
+		t.Errorf("invalid change: %+v", bad)
+	}
+	first := Change{ID: "first", Kind: KindPool, Name: "ledger", BasedOn: seen.Revision, Operator: "ada", Spec: spec}
+	won := apply(first)
+	if won.Result != ResultApplied {
+		t.Errorf("first change: %+v", won)
+	}
+	lost := apply(Change{ID: "second", Kind: KindPool, Name: "ledger", BasedOn: seen.Revision, Spec: spec})
+	if lost.Result != ResultLost || lost.Standing.ChangeID != "first" || lost.Standing.Operator != "ada" {
+		t.Errorf("second change: %+v", lost)
+	}
+	again := apply(first)
+	if again.Result != ResultDuplicate || again.Standing.Revision != won.Standing.Revision {
+		t.Errorf("first change again: %+v", again)
+	}
+}
+
+func TestApplyNeverGoesBackwardsOrOverAGap(t *testing.T) {
+	s := publish(t, State{}, parseFile(t, "small.json"))
+	for off, want := range map[platform.Offset]Result{0: ResultStale, s.Next() - 1: ResultStale, s.Next() + 1: ResultGap} {
+		after, out := s.Apply(platform.Record{Offset: off, Data: []byte(`{}`)})
+		if out.Result != want || after != s {
+			t.Errorf("offset %d: %v", off, out.Result)
+		}
+	}
+}
--- /dev/null
+++ b/internal/config/document.go
@@ -0,0 +1,88 @@
+package config
+
+import (
+	"encoding/json"
+
+	"github.com/gravitational/trace"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
+
+// document is the spec of an object.
+type document interface {
+	// name returns the name that the document gives itself; empty for none.
+	name() string
+	// setName gives the document the name of its object.
+	setName(string)
+	// check returns what is wrong with the document beside that state.
+	check(State) []fieldProblem
+	// checkDelete returns why the document can't be taken from that state.
+	checkDelete(State) []fieldProblem
+}
+
+// newDocument returns an empty document of the kind, or nil.
+func newDocument(k Kind) document {
+	switch k {
+	case KindContract:
+		return &Contract{}
+	case KindPool:
+		return &Pool{}
+	case KindEndpoint:
+		return &Endpoint{}
+	case KindModel:
+		return &Model{}
+	case KindDeployment:
+		return &Deployment{}
+	default:
+		return nil
+	}
+}
+
+// decodeDocument decodes the spec of an object. Fields that this version does
+// not know are passed over, so that versions can live side by side.
+func decodeDocument(k Kind, name string, spec json.RawMessage) (document, error) {
+	doc := newDocument(k)
+	if doc == nil {
+		return nil, trace.BadParameter("unknown kind %q", k)
+	}
+	if err := json.Unmarshal(spec, doc); err != nil {
+		return nil, trace.BadParameter("spec can't be decoded: %v", err)
+	}
+	if own := doc.name(); own != "" && own != name {
+		return nil, trace.BadParameter("spec is named %q, its object %q", own, name)
+	}
+	doc.setName(name)
+	return doc, nil
+}
+
+func (c *Contract) name() string   { return string(c.Organisation) }
+func (p *Pool) name() string       { return string(p.Name) }
+func (e *Endpoint) name() string   { return string(e.Name) }
+func (m *Model) name() string      { return string(m.Name) }
+func (d *Deployment) name() string { return "" }
+
+func (c *Contract) setName(n string)   { c.Organisation = entity.OrgID(n) }
+func (p *Pool) setName(n string)       { p.Name = entity.PoolID(n) }
+func (e *Endpoint) setName(n string)   { e.Name = entity.EndpointID(n) }
+func (m *Model) setName(n string)      { m.Name = entity.ModelID(n) }
+func (d *Deployment) setName(_ string) {}
+
+// Entity returns the endpoint as a row of the endpoint table. The kind is its pool's.
+func (e *Endpoint) Entity(kind entity.EndpointKind) entity.Endpoint {
+	return entity.Endpoint{
+		ID:                  e.Name,
+		Pool:                e.Pool,
+		Zone:                e.Zone,
+		Kind:                kind,
+		Address:             e.Address,
+		Models:              e.Models,
+		Adapters:            e.Adapters,
+		Slots:               e.Slots,
+		KVTokens:            e.KVTokens,
+		Generation:          e.Generation,
+		PrefillTokensPerSec: e.PrefillTokensPerSec,
+		DecodeTokensPerSec:  e.DecodeTokensPerSec,
+		ChecksFencing:       e.ChecksFencing,
+		Leaving:             e.Leaving,
+	}
+}
--- /dev/null
+++ b/internal/config/parse.go
@@ -0,0 +1,143 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"regexp"
+	"strconv"
+
+	"github.com/tailscale/hujson"
+)
+
+// MaxFileBytes bounds a configuration file.
+const MaxFileBytes = 64 << 20
+
+// location is where an object stands in its file.
+type location struct {
+	file string
+	src  []byte
+	root *hujson.Value
+	path string // JSON pointer of the object in the file
+}
+
+// problem places a problem of the object at the path below it.
+func (l location) problem(path, reason string) Problem {
+	full := l.path + path
+	p := Problem{File: l.file, Path: full, Reason: reason}
+	if l.root != nil {
+		p.Line = lineOf(l.src, l.root, full)
+	}
+	if p.Path == "" {
+		p.Path = "/"
+	}
+	return p
+}
+
+// lineOf returns the line of the value at the path, or of its closest parent.
+func lineOf(src []byte, root *hujson.Value, path string) int {
+	for {
+		if v := root.Find(path); v != nil {
+			return 1 + bytes.Count(src[:v.StartOffset], []byte("\n"))
+		}
+		i := bytes.LastIndexByte([]byte(path), '/')
+		if i < 0 {
+			return 1
+		}
+		path = path[:i]
+	}
+}
+
+// Parse reads a file of JSON with comments that holds one object or an array
+// of objects. It checks the shape of every object, and returns those that
+// have the right one; Validate checks what they say.
+func Parse(file string, src []byte) ([]Object, []Problem) {
+	if len(src) > MaxFileBytes {
+		return nil, []Problem{{File: file, Path: "/", Reason: fmt.Sprintf("file is longer than %d bytes", MaxFileBytes)}}
+	}
+	root, err := hujson.Parse(src)
+	if err != nil {
+		return nil, []Problem{syntaxProblem(file, err)}
+	}
+	loc := location{file: file, src: src, root: &root}
+	if arr, ok := root.Value.(*hujson.Array); ok {
+		return parseArray(loc, arr)
+	}
+	o, problems := parseObject(loc, &root)
+	if len(problems) > 0 {
+		return nil, problems
+	}
+	return []Object{o}, nil
+}
+
+// parseArray parses each element of the file's array.
+func parseArray(loc location, arr *hujson.Array) ([]Object, []Problem) {
+	var objects []Object
+	var problems []Problem
+	for i := range arr.Elements {
+		l := loc
+		l.path = "/" + strconv.Itoa(i)
+		o, ps := parseObject(l, &arr.Elements[i])
+		if len(ps) > 0 {
+			problems = append(problems, ps...)
+			continue
+		}
+		objects = append(objects, o)
+	}
+	return objects, problems
+}
+
+// parseObject parses one object and checks its shape and its spec's.
+func parseObject(loc location, v *hujson.Value) (Object, []Problem) {
+	var o Object
+	if ps := checkShape(v, reflect.TypeOf(o), ""); len(ps) > 0 {
+		return o, loc.problems(ps)
+	}
+	if err := decode(v, &o); err != nil {
+		return o, []Problem{loc.problem("", err.Error())}
+	}
+	o.at = loc
+	doc := newDocument(o.Kind)
+	switch {
+	case doc == nil:
+		return o, []Problem{loc.problem("/kind", fmt.Sprintf("unknown kind %q; one of %v", o.Kind, kindOrder))}
+	case o.Delete && o.Spec != nil:
+		return o, []Problem{loc.problem("/spec", "an object that is deleted has no spec")}
+	case o.Delete:
+		return o, nil
+	case o.Spec == nil:
+		return o, []Problem{loc.problem("", "spec is missing")}
+	}
+	ps := checkShape(v.Find("/spec"), reflect.TypeOf(doc).Elem(), "/spec")
+	return o, loc.problems(ps)
+}
+
+// problems places problems of the object.
+func (l location) problems(ps []fieldProblem) []Problem {
+	out := make([]Problem, 0, len(ps))
+	for _, p := range ps {
+		out = append(out, l.problem(p.path, p.reason))
+	}
+	return out
+}
+
+// decode decodes a value with comments.
+func decode(v *hujson.Value, out any) error {
+	plain := v.Clone()
+	plain.Minimize() //nolint:misspell // the library's name
+	return json.Unmarshal(plain.Pack(), out)
+}
+
+// syntaxPosition finds the place in a syntax error of the parser.
+var syntaxPosition = regexp.MustCompile(`line (\d+), column (\d+): (.*)$`)
+
+// syntaxProblem turns an error of the parser into a Problem.
+func syntaxProblem(file string, err error) Problem {
+	p := Problem{File: file, Path: "/", Reason: err.Error()}
+	if m := syntaxPosition.FindStringSubmatch(err.Error()); m != nil {
+		p.Line, _ = strconv.Atoi(m[1])
+		p.Reason = fmt.Sprintf("not JSON at column %s: %s", m[2], m[3])
+	}
+	return p
+}
--- /dev/null
+++ b/internal/config/state.go
@@ -0,0 +1,242 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/json"
+	"iter"
+	"slices"
+	"time"
+
+	"github.com/google/btree"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/platform"
+)
+
+// treeDegree is the degree of the persistent trees.
+const treeDegree = 16
+
+// State is the configuration after all records before an offset. It never
+// changes: Apply returns a new one that shares what stayed the same. The zero
+// State is the empty one. Any number of goroutines may read a State; no
+// reader allocates. What a reader gets is shared and must not be changed.
+type State struct {
+	t *tables
+}
+
+// tables holds the objects of a State.
+type tables struct {
+	next    platform.Offset
+	objects *btree.BTreeG[item]
+	keys    *btree.BTreeG[keyItem]
+	// byPool and all hold the endpoints sorted by id.
+	byPool map[entity.PoolID][]*entity.Endpoint
+	all    []*entity.Endpoint
+}
+
+// item is one row of the table of objects, ordered by kind and name.
+type item struct {
+	rank int
+	name string
+	e    *entry
+}
+
+// entry is one object. A deleted object stays as a tombstone without document,
+// so that late copies of old changes find out that they lost.
+type entry struct {
+	revision Revision
+	changeID string
+	operator string
+	atMS     int64
+	doc      document
+}
+
+// keyItem maps the hash of a key to its contract.
+type keyItem struct {
+	hash     [sha256.Size]byte
+	contract *Contract
+}
+
+func lessItem(a, b item) bool {
+	if a.rank != b.rank {
+		return a.rank < b.rank
+	}
+	return a.name < b.name
+}
+
+func lessKey(a, b keyItem) bool {
+	return slices.Compare(a.hash[:], b.hash[:]) < 0
+}
+
+// emptyTables are those of the zero State. They are never written to.
+var emptyTables = newTables()
+
+func newTables() *tables {
+	return &tables{
+		objects: btree.NewG(treeDegree, lessItem),
+		keys:    btree.NewG(treeDegree, lessKey),
+	}
+}
+
+// tables returns the state's tables, also for the zero State.
+func (s State) tables() *tables {
+	if s.t == nil {
+		return emptyTables
+	}
+	return s.t
+}
+
+// Next returns the offset of the first record that is not in the state.
+func (s State) Next() platform.Offset { return s.tables().next }
+
+// Revision returns the revision in force.
+func (s State) Revision() Revision { return Revision(s.tables().next) }
+
+// entry returns the object's entry, which may be a tombstone, or nil.
+func (s State) entry(k Kind, name string) *entry {
+	it, ok := s.tables().objects.Get(item{rank: k.rank(), name: name})
+	if !ok {
+		return nil
+	}
+	return it.e
+}
+
+// find returns the document of that type and name.
+func find[T document](s State, k Kind, name string) (T, bool) {
+	var none T
+	e := s.entry(k, name)
+	if e == nil || e.doc == nil {
+		return none, false
+	}
+	return e.doc.(T), true
+}
+
+// Contract returns the contract of the organisation.
+func (s State) Contract(org entity.OrgID) (*Contract, bool) {
+	return find[*Contract](s, KindContract, string(org))
+}
+
+// ContractByKeyHash returns the contract that holds the key with that SHA-256.
+func (s State) ContractByKeyHash(sum [sha256.Size]byte) (*Contract, bool) {
+	it, ok := s.tables().keys.Get(keyItem{hash: sum})
+	return it.contract, ok
+}
+
+// Pool returns the pool of that name.
+func (s State) Pool(id entity.PoolID) (*Pool, bool) {
+	return find[*Pool](s, KindPool, string(id))
+}
+
+// Model returns the model of that name.
+func (s State) Model(id entity.ModelID) (*Model, bool) {
+	return find[*Model](s, KindModel, string(id))
+}
+
+// Endpoint returns the endpoint of that name as the table row.
+func (s State) Endpoint(id entity.EndpointID) (*entity.Endpoint, bool) {
+	list := s.tables().all
+	i, ok := search(list, id)
+	if !ok {
+		return nil, false
+	}
+	return list[i], true
+}
+
+// Endpoints returns the endpoints of the pool, sorted by id.
+func (s State) Endpoints(pool entity.PoolID) []*entity.Endpoint { return s.tables().byPool[pool] }
+
+// AllEndpoints returns all endpoints, sorted by id.
+func (s State) AllEndpoints() []*entity.Endpoint { return s.tables().all }
+
+// Deployment returns what holds for the whole system; the zero value before
+// one is published.
+func (s State) Deployment() Deployment {
+	d, ok := find[*Deployment](s, KindDeployment, DeploymentName)
+	if !ok {
+		return Deployment{}
+	}
+	return *d
+}
+
+// Tier returns the rank of the tier of that name.
+func (s State) Tier(name string) (entity.Tier, bool) {
+	i := slices.Index(s.Deployment().Tiers, name)
+	return entity.Tier(i), i >= 0
+}
+
+// Models ranges over the models by name.
+func (s State) Models() iter.Seq[*Model] { return all[*Model](s, KindModel) }
+
+// Pools ranges over the pools by name.
+func (s State) Pools() iter.Seq[*Pool] { return all[*Pool](s, KindPool) }
+
+// Contracts ranges over the contracts by name.
+func (s State) Contracts() iter.Seq[*Contract] { return all[*Contract](s, KindContract) }
+
+// all ranges over the documents of a kind by name.
+func all[T document](s State, k Kind) iter.Seq[T] {
+	return func(yield func(T) bool) {
+		r := k.rank()
+		s.tables().objects.AscendRange(item{rank: r}, item{rank: r + 1}, func(it item) bool {
+			return it.e.doc == nil || yield(it.e.doc.(T))
+		})
+	}
+}
+
+// tierUser returns an organisation whose contract names the tier.
+func (s State) tierUser(tier string) (entity.OrgID, bool) {
+	for c := range s.Contracts() {
+		if slices.Contains(c.Tiers, tier) {
+			return c.Organisation, true
+		}
+	}
+	return "", false
+}
+
+// Standing is what stands for one object.
+type Standing struct {
+	Kind     Kind            `json:"kind"`
+	Name     string          `json:"name"`
+	Revision Revision        `json:"revision"`
+	ChangeID string          `json:"change_id,omitempty"`
+	Operator string          `json:"operator,omitempty"`
+	At       time.Time       `json:"at,omitzero"`
+	Deleted  bool            `json:"deleted,omitempty"`
+	Spec     json.RawMessage `json:"spec,omitempty"`
+}
+
+// Standing returns what stands for the object. One that never was has
+// revision 0.
+func (s State) Standing(k Kind, name string) Standing {
+	e := s.entry(k, name)
+	if e == nil {
+		return Standing{Kind: k, Name: name}
+	}
+	return e.standing(k, name)
+}
+
+// Objects ranges over all objects that stand, by kind and name.
+func (s State) Objects() iter.Seq[Standing] {
+	return func(yield func(Standing) bool) {
+		s.tables().objects.Ascend(func(it item) bool {
+			return it.e.doc == nil || yield(it.e.standing(kindOrder[it.rank], it.name))
+		})
+	}
+}
+
+// standing returns the entry with its document encoded.
+func (e *entry) standing(k Kind, name string) Standing {
+	st := Standing{
+		Kind:     k,
+		Name:     name,
+		Revision: e.revision,
+		ChangeID: e.changeID,
+		Operator: e.operator,
+		At:       time.UnixMilli(e.atMS).UTC(),
+		Deleted:  e.doc == nil,
+	}
+	if e.doc != nil {
+		st.Spec, _ = json.Marshal(e.doc)
+	}
+	return st
+}
--- /dev/null
+++ b/internal/config/tables.go
@@ -0,0 +1,110 @@
+package config
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/google/btree"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
+
+// fork returns a copy that shares all rows and can be written to.
+func (t *tables) fork() *tables {
+	out := *t
+	out.objects = forkTree(t.objects)
+	out.keys = forkTree(t.keys)
+	return &out
+}
+
+// forkTree returns a copy-on-write copy. It works on a copy of the tree's
+// head, since Clone writes to the tree that it is called on.
+func forkTree[T any](t *btree.BTreeG[T]) *btree.BTreeG[T] {
+	head := *t
+	return head.Clone()
+}
+
+// put sets the object's entry and brings the indexes up to date.
+func (t *tables) put(k Kind, name string, e *entry) {
+	old, had := t.objects.ReplaceOrInsert(item{rank: k.rank(), name: name, e: e})
+	var before document
+	if had {
+		before = old.e.doc
+	}
+	switch k {
+	case KindContract:
+		t.reindexKeys(before, e.doc)
+	case KindEndpoint:
+		t.reindexEndpoint(before, e.doc)
+	}
+}
+
+// reindexKeys replaces the keys of one contract.
+func (t *tables) reindexKeys(before, after document) {
+	if c, ok := before.(*Contract); ok {
+		for _, h := range c.KeyHashes {
+			if sum, ok := parseKeyHash(h); ok {
+				t.keys.Delete(keyItem{hash: sum})
+			}
+		}
+	}
+	if c, ok := after.(*Contract); ok {
+		for _, h := range c.KeyHashes {
+			if sum, ok := parseKeyHash(h); ok {
+				t.keys.ReplaceOrInsert(keyItem{hash: sum, contract: c})
+			}
+		}
+	}
+}
+
+// reindexEndpoint replaces one endpoint in the lists by pool.
+func (t *tables) reindexEndpoint(before, after document) {
+	t.byPool = maps.Clone(t.byPool)
+	if t.byPool == nil {
+		t.byPool = make(map[entity.PoolID][]*entity.Endpoint)
+	}
+	if e, ok := before.(*Endpoint); ok {
+		t.byPool[e.Pool] = without(t.byPool[e.Pool], e.Name)
+		t.all = without(t.all, e.Name)
+	}
+	if e, ok := after.(*Endpoint); ok {
+		row := e.Entity(t.poolKind(e.Pool))
+		t.byPool[e.Pool] = with(t.byPool[e.Pool], &row)
+		t.all = with(t.all, &row)
+	}
+}
+
+// poolKind returns the kind of the pool's endpoints.
+func (t *tables) poolKind(id entity.PoolID) entity.EndpointKind {
+	p, ok := State{t}.Pool(id)
+	if !ok {
+		return ""
+	}
+	return p.Kind
+}
+
+// search returns the place of the endpoint in a sorted list.
+func search(list []*entity.Endpoint, id entity.EndpointID) (int, bool) {
+	return slices.BinarySearchFunc(list, id, func(e *entity.Endpoint, id entity.EndpointID) int {
+		return cmp.Compare(e.ID, id)
+	})
+}
+
+// with returns a copy of the sorted list with the endpoint in its place.
+func with(list []*entity.Endpoint, e *entity.Endpoint) []*entity.Endpoint {
+	i, _ := search(list, e.ID)
+	out := make([]*entity.Endpoint, 0, len(list)+1)
+	out = append(out, list[:i]...)
+	out = append(out, e)
+	return append(out, list[i:]...)
+}
+
+// without returns a copy of the sorted list without the endpoint.
+func without(list []*entity.Endpoint, id entity.EndpointID) []*entity.Endpoint {
+	i, ok := search(list, id)
+	if !ok {
+		return list
+	}
+	return slices.Concat(list[:i], list[i+1:])
+}
--- /dev/null
+++ b/internal/platform/http_test.go
@@ -0,0 +1,138 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/platform"
+	"github.com/medlarhold/medlarhold/internal/standin/platformsvc"
+)
+
+// newPlatform serves a platform over HTTP until the test ends.
+func newPlatform(t *testing.T) (*platformsvc.Service, string) {
+	t.Helper()
+	svc := platformsvc.New(platformsvc.Options{})
+	srv := httptest.NewServer(svc.Handler())
+	t.Cleanup(srv.Close)
+	return svc, srv.URL
+}
+
+func TestLogOverHTTP(t *testing.T) {
+	_, url := newPlatform(t)
+	log := platform.NewHTTPLog(url, nil)
+	ctx := context.Background()
+	for i, data := range []string{"a", "b", "c"} {
+		off, err := log.Append(ctx, "s", []byte(data))
+		if err != nil || off != platform.Offset(i) {
+			t.Fatalf("append %d: %d %v", i, off, err)
+		}
+	}
+	res, err := log.Read(ctx, "s", 1, 10, 0)
+	if err != nil || len(res.Records) != 2 || string(res.Records[0].Data) != "b" || res.Next != 3 {
+		t.Fatalf("%+v %v", res, err)
+	}
+}
+
+func TestReadWaitsForTheNextAppend(t *testing.T) {
+	svc, url := newPlatform(t)
+	log := platform.NewHTTPLog(url, nil)
+	got := make(chan platform.ReadResult, 1)
+	go func() {
+		res, _ := log.Read(context.Background(), "s", 0, 10, 10*time.Second)
+		got <- res
+	}()
+	if _, err := svc.Append(context.Background(), "s", []byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	if res := <-got; len(res.Records) != 1 {
+		t.Fatalf("%+v", res)
+	}
+}
+
+func TestLostAnswerIsUnknownAndTheRecordStands(t *testing.T) {
+	svc, url := newPlatform(t)
+	f := svc.Faults()
+	f.LoseAppendAnswers = 1
+	svc.SetFaults(f)
+	log := platform.NewHTTPLog(url, nil)
+	_, err := log.Append(context.Background(), "s", []byte("x"))
+	if !errors.Is(err, platform.ErrUnknownOutcome) {
+		t.Fatalf("got %v", err)
+	}
+	if n := svc.AppendCount(); n != 1 {
+		t.Fatalf("%d appends", n)
+	}
+}
+
+func TestRefusedAppendsWereNotAppended(t *testing.T) {
+	svc, url := newPlatform(t)
+	f := svc.Faults()
+	f.LogOutage = platformsvc.OutageRefuse
+	svc.SetFaults(f)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln.Close()
+	for name, base := range map[string]string{"refused by the service": url, "no one listens": "http://" + ln.Addr().String()} {
+		_, err := platform.NewHTTPLog(base, nil).Append(context.Background(), "s", []byte("x"))
+		if !errors.Is(err, platform.ErrNotAppended) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+func TestTruncatedReadSaysWhatIsLeft(t *testing.T) {
+	svc, url := newPlatform(t)
+	f := svc.Faults()
+	f.RetainRecords = 2
+	svc.SetFaults(f)
+	log := platform.NewHTTPLog(url, nil)
+	for range 5 {
+		if _, err := log.Append(context.Background(), "s", []byte("x")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	res, err := log.Read(context.Background(), "s", 1, 10, 0)
+	if !errors.Is(err, platform.ErrTruncated) || res.First != 3 || res.Next != 5 {
+		t.Fatalf("%+v %v", res, err)
+	}
+}
+
+func TestListAndWeightsOverHTTP(t *testing.T) {
+	svc, url := newPlatform(t)
+	f := svc.Faults()
+	f.ListLagSec = 0
+	svc.SetFaults(f)
+	svc.PutWeights("m/1", 42)
+	ctx := context.Background()
+	list := platform.NewHTTPInstanceList(url, nil)
+	in := entity.Instance{ID: "i-1", Zone: "a", Region: "r", PeerAddress: "127.0.0.1:1", Leaving: true}
+	if err := list.Register(ctx, in); err != nil {
+		t.Fatal(err)
+	}
+	got, err := list.List(ctx)
+	if err != nil || len(got) != 1 || got[0] != in {
+		t.Fatalf("%+v %v", got, err)
+	}
+	if err := list.Deregister(ctx, in.ID); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := list.List(ctx); err != nil || len(got) != 0 {
+		t.Fatalf("%+v %v", got, err)
+	}
+	weights := platform.NewHTTPWeightStore(url, nil)
+	if n, err := weights.Stat(ctx, "m/1"); err != nil || n != 42 {
+		t.Fatalf("%d %v", n, err)
+	}
+	if _, err := weights.Stat(ctx, "none"); !trace.IsNotFound(err) {
+		t.Fatalf("got %v", err)
+	}
+}
--- /dev/null
+++ b/internal/platform/httplist.go
@@ -0,0 +1,73 @@
+package platform
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/gravitational/trace"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
+
+// HTTPInstanceList is the client of the list of instances.
+type HTTPInstanceList struct {
+	client client
+}
+
+var _ InstanceList = (*HTTPInstanceList)(nil)
+
+// NewHTTPInstanceList returns a client of the list at baseURL.
+func NewHTTPInstanceList(baseURL string, hc *http.Client) *HTTPInstanceList {
+	return &HTTPInstanceList{client: newClient(baseURL, hc)}
+}
+
+// InstanceRow is one row of the list as it is sent.
+type InstanceRow struct {
+	ID          entity.InstanceID `json:"id"`
+	Zone        entity.ZoneID     `json:"zone"`
+	Region      entity.RegionID   `json:"region,omitempty"`
+	PeerAddress string            `json:"peer_address"`
+	Leaving     bool              `json:"leaving,omitempty"`
+}
+
+// Register implements InstanceList.
+func (l *HTTPInstanceList) Register(ctx context.Context, in entity.Instance) error {
+	req := l.client.base.New().Put("instances/" + pathSegment(string(in.ID))).BodyJSON(InstanceRow(in))
+	r, err := l.client.do(ctx, req, ExchangeTimeout)
+	return acknowledged(r, err)
+}
+
+// Deregister implements InstanceList.
+func (l *HTTPInstanceList) Deregister(ctx context.Context, id entity.InstanceID) error {
+	req := l.client.base.New().Delete("instances/" + pathSegment(string(id)))
+	r, err := l.client.do(ctx, req, ExchangeTimeout)
+	return acknowledged(r, err)
+}
+
+// acknowledged turns the answer to a change of the list into an error.
+func acknowledged(r reply, err error) error {
+	if err != nil {
+		return trace.Wrap(ErrUnavailable, "%v", err)
+	}
+	if r.status != http.StatusNoContent && r.status != http.StatusOK {
+		return trace.Wrap(ErrUnavailable, "status %d: %s", r.status, r.errorAnswer().Message)
+	}
+	return nil
+}
+
+// List implements InstanceList.
+func (l *HTTPInstanceList) List(ctx context.Context) ([]entity.Instance, error) {
+	r, err := l.client.do(ctx, l.client.base.New().Get("instances"), ExchangeTimeout)
+	if err != nil {
+		return nil, trace.Wrap(ErrUnavailable, "%v", err)
+	}
+	var rows []InstanceRow
+	if err := r.decodeOK(&rows); err != nil {
+		return nil, err
+	}
+	out := make([]entity.Instance, len(rows))
+	for i, row := range rows {
+		out[i] = entity.Instance(row)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/standin/platformsvc/list.go
@@ -0,0 +1,91 @@
+package platformsvc
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/platform"
+)
+
+var _ platform.InstanceList = (*Service)(nil)
+
+// listing is one change of the list, kept so that the list can lag.
+type listing struct {
+	at      time.Time
+	in      entity.Instance
+	removed bool
+}
+
+// Register implements platform.InstanceList.
+func (s *Service) Register(ctx context.Context, in entity.Instance) error {
+	return s.changeList(ctx, listing{in: in})
+}
+
+// Deregister implements platform.InstanceList.
+func (s *Service) Deregister(ctx context.Context, id entity.InstanceID) error {
+	return s.changeList(ctx, listing{in: entity.Instance{ID: id}, removed: true})
+}
+
+// changeList records one change.
+func (s *Service) changeList(ctx context.Context, l listing) error {
+	if err := s.enterList(ctx); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l.at = s.now()
+	s.rows = append(s.rows, l)
+	s.forget(l.at)
+	return nil
+}
+
+// List implements platform.InstanceList: the list as it was ListLagSec ago,
+// sorted by id.
+func (s *Service) List(ctx context.Context) ([]entity.Instance, error) {
+	if err := s.enterList(ctx); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	seen := s.now().Add(-seconds(s.faults.ListLagSec))
+	latest := make(map[entity.InstanceID]listing)
+	for _, l := range s.rows {
+		if !l.at.After(seen) {
+			latest[l.in.ID] = l
+		}
+	}
+	var out []entity.Instance
+	for _, l := range latest {
+		expired := s.faults.ListExpirySec > 0 && seen.Sub(l.at) > seconds(s.faults.ListExpirySec)
+		if !l.removed && !expired {
+			out = append(out, l.in)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out, nil
+}
+
+// forget drops changes that no view of the list can need. The lock is held.
+func (s *Service) forget(now time.Time) {
+	keep := seconds(s.faults.ListLagSec+s.faults.ListExpirySec) + time.Minute
+	if s.faults.ListExpirySec <= 0 {
+		return
+	}
+	drop := 0
+	for drop < len(s.rows) && now.Sub(s.rows[drop].at) > keep {
+		drop++
+	}
+	s.rows = s.rows[drop:]
+}
+
+// enterList applies an outage of the list.
+func (s *Service) enterList(ctx context.Context) error {
+	if err := failing(ctx, s.Faults().ListOutage); err != nil {
+		return trace.Wrap(platform.ErrUnavailable, "%v", err)
+	}
+	return ctx.Err()
+}
