--- /dev/null
+++ b/internal/prefix/prefix.go
@@ -0,0 +1,53 @@
+// Package prefix cuts prompts into blocks and hashes them, in the same way on
+// every instance and engine, so that equal hashes mean equal prefixes.
+//
+// Without a tokeniser for each model at hand, a token is taken to be
+// BytesPerToken bytes of the prompt.
+package prefix
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
+
+const (
+	// BytesPerToken is the estimate of a token's length in bytes.
+	BytesPerToken = 4
+	// DefaultBlockTokens is the length of a block in tokens.
+	DefaultBlockTokens = 16
+)
+
+// Tokens estimates how many tokens the prompt has.
+func Tokens(prompt string) int {
+	return (len(prompt) + BytesPerToken - 1) / BytesPerToken
+}
+
+// Hash returns the chained hashes of the prompt's full blocks. The hash of a
+// block covers all blocks before it. Zero or less for blockTokens stands for
+// DefaultBlockTokens.
+func Hash(prompt string, blockTokens int) []entity.BlockHash {
+	if blockTokens <= 0 {
+		blockTokens = DefaultBlockTokens
+	}
+	size := blockTokens * BytesPerToken
+	hashes := make([]entity.BlockHash, 0, len(prompt)/size)
+	var parent uint64
+	for ; len(prompt) >= size; prompt = prompt[size:] {
+		parent = hashBlock(parent, prompt[:size])
+		hashes = append(hashes, entity.BlockHash(parent))
+	}
+	return hashes
+}
+
+func hashBlock(parent uint64, block string) uint64 {
+	var head [8]byte
+	binary.LittleEndian.PutUint64(head[:], parent)
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.Write(head[:])
+	_, _ = d.WriteString(block)
+	return d.Sum64()
+}
--- /dev/null
+++ b/internal/prefix/prefix_test.go
@@ -0,0 +1,52 @@
+package prefix
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
+
+func TestHashIsStable(t *testing.T) {
+	got := Hash(strings.Repeat("abcd", 32)+"tail", 16)
+	want := []entity.BlockHash{0xf92983c4e5dafd0d, 0x38c867a5f84204bd}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
+func TestHashOfShortPromptsIsEmpty(t *testing.T) {
+	for _, prompt := range []string{"", "a", strings.Repeat("x", 63)} {
+		if got := Hash(prompt, 0); len(got) != 0 {
+			t.Errorf("Hash(%d bytes) = %v", len(prompt), got)
+		}
+	}
+}
+
+// TestHashSharesExactlyTheCommonBlocks compares with the prompts themselves.
+func TestHashSharesExactlyTheCommonBlocks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		block := rapid.IntRange(1, 4).Draw(t, "block")
+		text := rapid.StringMatching(`[ab]{0,40}`)
+		a, b := text.Draw(t, "a"), text.Draw(t, "b")
+		ha, hb := Hash(a, block), Hash(b, block)
+		size := block * BytesPerToken
+		for i := 0; i < len(ha) && i < len(hb); i++ {
+			end := (i + 1) * size
+			if same := a[:end] == b[:end]; same != (ha[i] == hb[i]) {
+				t.Fatalf("block %d: prefixes equal %v, hashes %x %x", i, same, ha[i], hb[i])
+			}
+		}
+	})
+}
+
+func TestTokensRoundsUp(t *testing.T) {
+	for bytes, want := range map[int]int{0: 0, 1: 1, 4: 1, 5: 2} {
+		if got := Tokens(strings.Repeat("x", bytes)); got != want {
+			t.Errorf("Tokens(%d bytes) = %d, want %d", bytes, got, want)
+		}
+	}
+}
