Client towards engines and plain services

Cause: a dispatch must never be sent twice, and a refusal must be proved before it is told as not run. Weighed: pooled connections for dispatches (cheaper, but one that has gone silent in the pool swallows the request and leaves its end unknown, and net/http may replay a request on one); httptrace.WroteHeaders as the proof of a write (it fires after the flush, and a write can still follow the error). Chosen: one connection for each dispatch, which is sealed against writes before the client says that nothing was sent.

--- /dev/null
+++ b/internal/endpoint/call.go
@@ -0,0 +1,104 @@
+package endpoint
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/verdict"
+)
+
+// CallRequest is a call to a plain service.
+type CallRequest struct {
+	RequestID entity.RequestID
+	Method    string
+	// Path is the path with its query.
+	Path   string
+	Header http.Header
+	Body   []byte
+}
+
+// CallResponse is the answer of a plain service.
+type CallResponse struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Verdict says whether the service has run the call. A service that answers
+// with a server error may have run a part of it.
+func (r CallResponse) Verdict() verdict.Verdict {
+	if r.Status >= http.StatusInternalServerError {
+		return verdict.MayHaveRun
+	}
+	return verdict.Ran
+}
+
+// Call sends a call to a plain service, once.
+func (c *Client) Call(ctx context.Context, address string, r CallRequest) (CallResponse, error) {
+	req, err := c.callRequest(ctx, address, r)
+	if err != nil {
+		return CallResponse{}, c.failed(verdict.New(verdict.NotRun, verdict.ReasonBadRequest, 0, "call: %v", err))
+	}
+	var x exchange
+	resp, err := x.do(c.calls, req)
+	switch {
+	case err != nil && x.untouched():
+		return CallResponse{}, c.notSent(ctx, address, err)
+	case err != nil:
+		return CallResponse{}, c.lost(ctx, verdict.ReasonConnectionLost, address, err)
+	}
+	defer resp.Body.Close()
+	body, err := readAll(resp.Body, c.opts.MaxBodyBytes)
+	if err != nil {
+		return CallResponse{}, c.lost(ctx, verdict.ReasonAnswerIncomplete, address, err)
+	}
+	dropHopByHop(resp.Header)
+	return CallResponse{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+}
+
+func (c *Client) callRequest(ctx context.Context, address string, r CallRequest) (*http.Request, error) {
+	base, err := c.request(address).Request()
+	if err != nil {
+		return nil, err
+	}
+	target, err := base.URL.Parse("/" + strings.TrimLeft(r.Path, "/"))
+	if err != nil {
+		return nil, err
+	}
+	var body io.Reader
+	if len(r.Body) > 0 {
+		body = bytes.NewReader(r.Body)
+	}
+	req, err := http.NewRequestWithContext(ctx, r.Method, target.String(), body)
+	if err != nil {
+		return nil, err
+	}
+	if r.Header != nil {
+		req.Header = r.Header.Clone()
+	}
+	dropHopByHop(req.Header)
+	req.Header.Set(HeaderRequestID, string(r.RequestID))
+	return req, nil
+}
+
+// hopByHop lists the headers that are meant for one connection only.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// dropHopByHop removes the headers that are meant for one connection only.
+func dropHopByHop(h http.Header) {
+	for _, list := range h.Values("Connection") {
+		for name := range strings.SplitSeq(list, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
+}
--- /dev/null
+++ b/internal/endpoint/client.go
@@ -0,0 +1,73 @@
+package endpoint
+
+import (
+	"net/http"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/dghubble/sling"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/medlarhold/medlarhold/internal/verdict"
+)
+
+// The names of the counters; those that end in a dot are followed by a reason.
+const (
+	MetricReattach   = "endpoint.reattach"
+	MetricNoProgress = "endpoint.no_progress"
+	MetricRepeated   = "endpoint.control_repeated"
+	MetricFailed     = "endpoint.failed."
+)
+
+// Client talks to endpoints. It is safe for use by several goroutines.
+type Client struct {
+	opts Options
+	// single gives each request to an engine its own connection, calls the
+	// same to a plain service; pooled is for what may be repeated.
+	single *http.Transport
+	calls  *http.Transport
+	pooled *http.Transport
+}
+
+// New returns a Client.
+func New(o Options) *Client {
+	o = o.withDefaults()
+	engines := &dialer{timeout: o.DialTimeout, noProgress: o.NoProgress, tls: o.TLS}
+	services := &dialer{timeout: o.DialTimeout, noProgress: o.CallNoProgress, tls: o.TLS}
+	return &Client{
+		opts:   o,
+		single: newTransport(engines, false),
+		calls:  newTransport(services, false),
+		pooled: newTransport(engines, true),
+	}
+}
+
+// Close closes the pooled connections.
+func (c *Client) Close() {
+	c.pooled.CloseIdleConnections()
+}
+
+// request starts a request to an endpoint.
+func (c *Client) request(address string) *sling.Sling {
+	scheme := "http://"
+	if c.opts.TLS != nil {
+		scheme = "https://"
+	}
+	return sling.New().Base(scheme + address)
+}
+
+func (c *Client) pauses() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = c.opts.ReattachPause
+	b.MaxInterval = c.opts.NoProgress
+	return b
+}
+
+func (c *Client) count(name string) {
+	metrics.GetOrRegisterCounter(name, c.opts.Metrics).Inc(1)
+}
+
+// failed counts err by its reason and returns it.
+func (c *Client) failed(err error) error {
+	c.count(MetricFailed + string(verdict.Of(err).Reason))
+	return err
+}
--- /dev/null
+++ b/internal/endpoint/stream.go
@@ -0,0 +1,180 @@
+package endpoint
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/sse"
+	"github.com/medlarhold/medlarhold/internal/verdict"
+)
+
+// stream is the reading side of one answer, over however many connections.
+type stream struct {
+	client  *Client
+	address string
+	id      entity.RequestID
+	onToken func(Token) error
+	// next is the index of the token that must come next, limit the largest
+	// number of tokens, zero for no bound.
+	next, limit int
+	// attached says that an engine has confirmed, or is to be taken, to have the stream.
+	attached bool
+	started  time.Time
+	first    time.Time
+	result   Result
+}
+
+func newStream(c *Client, address string, id entity.RequestID, from int, onToken func(Token) error) *stream {
+	return &stream{client: c, address: address, id: id, next: from, onToken: onToken, started: time.Now()}
+}
+
+// follow reads the stream to its end. It starts with an answer, or with the
+// error that took its place, and attaches again whenever a connection is lost.
+func (s *stream) follow(ctx context.Context, a *answer, err error) (Result, error) {
+	pauses := s.client.pauses()
+	for tries := 0; ; tries++ {
+		if a != nil {
+			before := s.next
+			err = s.read(a)
+			if s.next > before {
+				tries = 0
+				pauses.Reset()
+			}
+		}
+		if err == nil {
+			return s.result, s.ended(ctx)
+		}
+		if ctx.Err() != nil || !s.mayReattach(err) || tries >= s.client.opts.ReattachTries {
+			return s.result, s.failure(ctx, err)
+		}
+		s.countLoss(err)
+		sleep(ctx, pauses.NextBackOff())
+		a, err = s.client.open(ctx, s)
+	}
+}
+
+// mayReattach says whether another attempt can find the stream. An engine that
+// has not confirmed the dispatch may still be reading it.
+func (s *stream) mayReattach(err error) bool {
+	return errors.Is(err, errLost) || errors.Is(err, errUnknownStream) && !s.attached
+}
+
+func (s *stream) countLoss(err error) {
+	s.result.Reattached++
+	s.client.count(MetricReattach)
+	if isTimeout(err) {
+		s.client.count(MetricNoProgress)
+	}
+}
+
+// failure is the error of a stream that came to no end.
+func (s *stream) failure(ctx context.Context, err error) error {
+	reason := verdict.ReasonConnectionLost
+	switch {
+	case errors.Is(err, errUnknownStream) && s.next == 0:
+		reason = verdict.ReasonUnknownRequest
+	case s.result.Tokens > 0, errors.Is(err, errMalformed):
+		reason = verdict.ReasonAnswerIncomplete
+	}
+	var own *callbackError
+	if errors.As(err, &own) {
+		reason = verdict.ReasonCallerGone
+	}
+	return s.client.lost(ctx, reason, s.address, err)
+}
+
+// ended is the error of a stream that came to its end mark; nil when the
+// answer is whole.
+func (s *stream) ended(ctx context.Context) error {
+	if s.result.FinishReason.Whole() {
+		return nil
+	}
+	return s.client.lost(ctx, verdict.ReasonAnswerIncomplete, s.address, fmt.Errorf("stream ended as %q", s.result.FinishReason))
+}
+
+// errMalformed marks an answer that breaks the protocol.
+var errMalformed = errors.New("malformed answer")
+
+// callbackError wraps what onToken returned.
+type callbackError struct{ err error }
+
+// Error implements error.
+func (e *callbackError) Error() string { return "token not taken: " + e.err.Error() }
+
+// Unwrap returns the callback's own error.
+func (e *callbackError) Unwrap() error { return e.err }
+
+// read reads events from one connection up to the end mark.
+func (s *stream) read(a *answer) error {
+	defer a.body.Close()
+	if a.id != s.id {
+		return fmt.Errorf("%w: it is for request %.40q", errMalformed, a.id)
+	}
+	s.attached = true
+	events := sse.NewReader(a.body, s.client.opts.MaxEventBytes)
+	for {
+		ev, err := events.Next()
+		switch {
+		case errors.Is(err, sse.ErrTooLarge):
+			return fmt.Errorf("%w: %w", errMalformed, err)
+		case err != nil:
+			return fmt.Errorf("%w: %w", errLost, err)
+		}
+		done, err := s.take(ev)
+		if done || err != nil {
+			return err
+		}
+	}
+}
+
+// take handles one event; it returns true at the end mark.
+func (s *stream) take(ev sse.Event) (bool, error) {
+	switch ev.Name {
+	case EventToken:
+		return false, s.takeToken(ev.Data)
+	case EventEnd:
+		return true, s.takeEnd(ev.Data)
+	}
+	return false, nil
+}
+
+func (s *stream) takeToken(data []byte) error {
+	var t Token
+	if err := json.Unmarshal(data, &t); err != nil {
+		return fmt.Errorf("%w: token: %w", errMalformed, err)
+	}
+	if t.Index != s.next {
+		return fmt.Errorf("%w: token %d where %d is due", errMalformed, t.Index, s.next)
+	}
+	if s.limit > 0 && t.Index >= s.limit {
+		return fmt.Errorf("%w: more than %d tokens", errMalformed, s.limit)
+	}
+	now := time.Now()
+	if s.first.IsZero() {
+		s.first = now
+		s.result.TimeToFirstToken = now.Sub(s.started)
+	}
+	s.result.DecodeTime = now.Sub(s.first)
+	if err := s.onToken(t); err != nil {
+		return &callbackError{err}
+	}
+	s.next++
+	s.result.Tokens++
+	return nil
+}
+
+func (s *stream) takeEnd(data []byte) error {
+	var end End
+	if err := json.Unmarshal(data, &end); err != nil {
+		return fmt.Errorf("%w: end mark: %w", errMalformed, err)
+	}
+	if end.CompletionTokens != s.next {
+		return fmt.Errorf("%w: end mark after %d tokens, %d came", errMalformed, end.CompletionTokens, s.next)
+	}
+	s.result.End = end
+	return nil
+}
