Model of a continuously batching engine as a pure state machine

The stand-in engine and the measuring program need the same engine, one by the wall clock and one by a virtual clock; so the model takes the time and knows nothing else. Paused streams keep their memory until a waiting request needs it.

--- /dev/null
+++ b/internal/standin/engine/model/catalog.go
@@ -0,0 +1,102 @@
+package model
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/endpoint"
+)
+
+// catalog is what the engine serves.
+type catalog struct {
+	checksFencing bool
+	orderTime     time.Duration
+	status        endpoint.OrderStatus
+	// any is set while the engine serves every model.
+	any     bool
+	pending []pendingOrder // by arrival
+}
+
+// pendingOrder is an order that has been taken and is being carried out.
+type pendingOrder struct {
+	ready time.Time
+	order endpoint.Order
+}
+
+func newCatalog(s Settings) catalog {
+	c := catalog{checksFencing: s.ChecksFencing, orderTime: s.OrderTime, any: len(s.Models) == 0}
+	c.status.Models = map[entity.ModelID]string{}
+	for _, m := range s.Models {
+		c.status.Models[m] = ""
+	}
+	c.status.Adapters = slices.Clone(s.Adapters)
+	return c
+}
+
+func (c *catalog) serves(m entity.ModelID, a entity.AdapterID) bool {
+	if c.any {
+		return true
+	}
+	_, ok := c.status.Models[m]
+	return ok && (a == "" || slices.Contains(c.status.Adapters, a))
+}
+
+// advance carries out the orders that are ready. One that took longer than it
+// was good for is dropped.
+func (c *catalog) advance(now time.Time) {
+	for len(c.pending) > 0 && !c.pending[0].ready.After(now) {
+		p := c.pending[0]
+		c.pending = c.pending[1:]
+		c.carryOut(p.order)
+	}
+}
+
+func (c *catalog) carryOut(o endpoint.Order) {
+	switch o.Kind {
+	case endpoint.OrderLoadModel:
+		c.any = false
+		c.status.Models[o.Model] = o.Version
+	case endpoint.OrderUnloadModel:
+		delete(c.status.Models, o.Model)
+	case endpoint.OrderLoadAdapter:
+		if !slices.Contains(c.status.Adapters, o.Adapter) {
+			c.status.Adapters = append(c.status.Adapters, o.Adapter)
+		}
+	case endpoint.OrderSetRole:
+		c.status.Role = o.Role
+	}
+}
+
+// Order takes an order. With fencing checked, one with an old number is refused.
+func (e *Engine) Order(now time.Time, o endpoint.Order) (endpoint.OrderStatus, error) {
+	e.advance(now)
+	c := &e.catalog
+	if c.checksFencing && o.Fence < c.status.Fence {
+		return endpoint.OrderStatus{}, trace.Wrap(ErrOldFence)
+	}
+	c.status.Fence = max(c.status.Fence, o.Fence)
+	takes := time.Duration(0)
+	if o.Kind == endpoint.OrderLoadModel || o.Kind == endpoint.OrderLoadAdapter {
+		takes = c.orderTime
+	}
+	expires := time.Duration(o.ExpiresMillis) * time.Millisecond
+	if expires <= 0 || takes <= expires {
+		c.pending = append(c.pending, pendingOrder{ready: now.Add(takes), order: o})
+		slices.SortStableFunc(c.pending, func(a, b pendingOrder) int { return a.ready.Compare(b.ready) })
+	}
+	c.advance(now)
+	return e.Orders(now), nil
+}
+
+// Orders returns what the engine serves.
+func (e *Engine) Orders(now time.Time) endpoint.OrderStatus {
+	e.advance(now)
+	s := e.catalog.status
+	s.Models = maps.Clone(s.Models)
+	s.Adapters = slices.Clone(s.Adapters)
+	return s
+}
--- /dev/null
+++ b/internal/standin/engine/model/memory.go
@@ -0,0 +1,128 @@
+package model
+
+import (
+	"slices"
+
+	"github.com/medlarhold/medlarhold/internal/endpoint"
+)
+
+// admit moves waiting streams into the batch, in order, until the first one
+// that doesn't fit.
+func (e *Engine) admit() {
+	for len(e.waiting) > 0 && len(e.running) < e.settings.MaxRunning {
+		s := e.waiting[0]
+		if !s.hasKV && !e.takeMemory(s) {
+			return
+		}
+		e.waiting = e.waiting[1:]
+		e.running = append(e.running, s)
+		s.state = endpoint.StateRunning
+		if !s.started {
+			s.started = true
+			e.emit(Event{Kind: EventStarted, ID: s.req.ID})
+		}
+	}
+}
+
+// takeMemory reserves the stream's memory, at the expense of the prefix cache
+// and then of streams that are not in the batch.
+func (e *Engine) takeMemory(s *stream) bool {
+	if e.cache.used()+e.need(s)-e.reclaimable(s) > e.cache.total {
+		return false
+	}
+	for {
+		hits := e.cache.match(s.keys)
+		e.cache.hold(s.keys[:hits])
+		need := e.need(s)
+		dropped, ok := e.cache.reserve(need)
+		if ok {
+			e.events.evicted(e.now, dropped)
+			e.startPrefill(s, hits, need)
+			return true
+		}
+		e.cache.release(s.keys[:hits])
+		if !e.dropHolder(s) {
+			return false
+		}
+	}
+}
+
+// need is how many blocks the stream needs beyond those in the cache.
+func (e *Engine) need(s *stream) int {
+	return max(0, s.req.blocks(e.settings.BlockTokens)-e.cache.match(s.keys))
+}
+
+// startPrefill sets what is to be processed, given the blocks found in the
+// cache. The last prompt token is always processed: it gives the first token.
+func (e *Engine) startPrefill(s *stream, hits, private int) {
+	s.hasKV, s.held, s.private = true, hits, private
+	cached := max(0, min(hits*e.settings.BlockTokens, s.context()-1))
+	s.toPrefill = s.context() - cached
+	if !s.started {
+		s.cached = cached
+	}
+}
+
+// holders lists the streams outside the batch that hold memory, the one to
+// lose it first at the front: paused ones by the time of their pause, then
+// resumed ones that wait, from the end of the queue.
+func (e *Engine) holders(except *stream) []*stream {
+	var out []*stream
+	for _, s := range e.paused {
+		if s.hasKV {
+			out = append(out, s)
+		}
+	}
+	for _, s := range slices.Backward(e.waiting) {
+		if s.hasKV && s != except {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// reclaimable bounds the blocks that dropping all holders would free.
+func (e *Engine) reclaimable(except *stream) int {
+	n := 0
+	for _, s := range e.holders(except) {
+		n += s.private + s.held
+	}
+	return n
+}
+
+// dropHolder takes the memory of one stream outside the batch.
+func (e *Engine) dropHolder(except *stream) bool {
+	holders := e.holders(except)
+	if len(holders) == 0 {
+		return false
+	}
+	s := holders[0]
+	e.stats.DroppedTokens += int64(s.context() - s.toPrefill)
+	e.letGo(s)
+	return true
+}
+
+// letGo gives the stream's memory back. Its shared blocks stay in the cache.
+func (e *Engine) letGo(s *stream) {
+	if !s.hasKV {
+		return
+	}
+	e.cache.release(s.keys[:s.held])
+	e.cache.free(s.private)
+	s.hasKV, s.held, s.private = false, 0, 0
+}
+
+// sharePrompt puts the prompt's blocks into the prefix cache once they are all computed.
+func (e *Engine) sharePrompt(s *stream) {
+	first := s.held
+	for _, k := range s.keys[s.held:] {
+		s.private--
+		s.held++
+		if e.cache.share(k) {
+			e.events.add(k.hash)
+		}
+	}
+	if s.held > first {
+		e.events.stored(e.now)
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/model/reports.go
@@ -0,0 +1,118 @@
+package model
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/endpoint"
+)
+
+// reports keeps the load over the time that reports lag behind.
+type reports struct {
+	list []endpoint.Load
+}
+
+// note adds what holds from now on and forgets what no report can need.
+func (r *reports) note(l endpoint.Load, lag time.Duration) {
+	if n := len(r.list); n > 0 && r.list[n-1].AsOf.Equal(l.AsOf) {
+		r.list[n-1] = l
+	} else {
+		r.list = append(r.list, l)
+	}
+	old := 0
+	for old+1 < len(r.list) && !r.list[old+1].AsOf.After(l.AsOf.Add(-lag)) {
+		old++
+	}
+	r.list = r.list[old:]
+}
+
+// at returns the load that held at a time.
+func (r *reports) at(t time.Time) endpoint.Load {
+	var l endpoint.Load
+	for _, next := range r.list {
+		if next.AsOf.After(t) {
+			break
+		}
+		l = next
+	}
+	l.AsOf = t
+	return l
+}
+
+// maxCacheEvents bounds the events that are kept.
+const maxCacheEvents = 4096
+
+// eventLog keeps cache events until they are asked for.
+type eventLog struct {
+	delay   time.Duration
+	loss    float64
+	random  *rand.Rand
+	pending []entity.BlockHash
+	list    []cacheEvent
+	seq     uint64
+}
+
+type cacheEvent struct {
+	visible time.Time
+	lost    bool
+	event   endpoint.CacheEvent
+}
+
+func newEventLog(s Settings) eventLog {
+	return eventLog{delay: s.CacheEventDelay, loss: s.CacheEventLoss, random: rand.New(rand.NewPCG(s.Seed, 1))}
+}
+
+// add collects a block for the next stored event.
+func (l *eventLog) add(h entity.BlockHash) {
+	l.pending = append(l.pending, h)
+}
+
+// stored writes an event for the blocks collected, if any.
+func (l *eventLog) stored(now time.Time) {
+	if len(l.pending) > 0 {
+		l.append(now, endpoint.CacheEvent{Stored: endpoint.ToWire(l.pending)})
+		l.pending = l.pending[:0]
+	}
+}
+
+// evicted writes an event for blocks dropped, if any.
+func (l *eventLog) evicted(now time.Time, hashes []entity.BlockHash) {
+	if len(hashes) > 0 {
+		l.append(now, endpoint.CacheEvent{Evicted: endpoint.ToWire(hashes)})
+	}
+}
+
+func (l *eventLog) append(now time.Time, ev endpoint.CacheEvent) {
+	l.seq++
+	ev.Seq = l.seq
+	l.list = append(l.list, cacheEvent{
+		visible: now.Add(l.delay),
+		lost:    l.random.Float64() < l.loss,
+		event:   ev,
+	})
+	if over := len(l.list) - maxCacheEvents; over > 0 {
+		l.list = slices.Delete(l.list, 0, over)
+	}
+}
+
+// CacheEvents returns up to limit cache events from a sequence number on, as
+// far as they can be seen at now.
+func (e *Engine) CacheEvents(now time.Time, from uint64, limit int) endpoint.CacheEvents {
+	e.advance(now)
+	out := endpoint.CacheEvents{Next: max(from, 1)}
+	for _, ev := range e.events.list {
+		if ev.visible.After(now) || len(out.Events) == limit {
+			break
+		}
+		if ev.event.Seq < from {
+			continue
+		}
+		out.Next = ev.event.Seq + 1
+		if !ev.lost {
+			out.Events = append(out.Events, ev.event)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/standin/engine/model/stream.go
@@ -0,0 +1,64 @@
+package model
+
+import (
+	"github.com/medlarhold/medlarhold/internal/endpoint"
+)
+
+// stream is one request in the engine.
+type stream struct {
+	req   Request
+	state endpoint.StreamState
+	keys  []blockKey
+	// held is the number of leading keys that the stream pins in the cache,
+	// private the number of blocks that only it holds.
+	held    int
+	private int
+	// hasKV is set while the stream holds memory.
+	hasKV bool
+	// toPrefill is what is left to process before the next token.
+	toPrefill int
+	generated int
+	started   bool
+	cached    int
+	prefilled int
+}
+
+func newStream(r Request) *stream {
+	if r.OutputTokens <= 0 || r.OutputTokens > r.MaxTokens {
+		r.OutputTokens = r.MaxTokens
+	}
+	s := &stream{req: r, state: endpoint.StateWaiting, keys: make([]blockKey, len(r.Prefix))}
+	for i, h := range r.Prefix {
+		s.keys[i] = blockKey{model: r.Model, adapter: r.Adapter, hash: h}
+	}
+	return s
+}
+
+// context is the number of tokens whose KV the next token needs.
+func (s *stream) context() int {
+	return s.req.PromptTokens + s.generated
+}
+
+// blocks is the number of blocks that prompt and longest answer need.
+func (r Request) blocks(blockTokens int) int {
+	return (r.PromptTokens + r.MaxTokens + blockTokens - 1) / blockTokens
+}
+
+// end is what the stream's end mark says.
+func (s *stream) end(reason endpoint.FinishReason) endpoint.End {
+	return endpoint.End{
+		FinishReason:     reason,
+		PromptTokens:     s.req.PromptTokens,
+		CachedTokens:     s.cached,
+		PrefillTokens:    s.prefilled,
+		CompletionTokens: s.generated,
+	}
+}
+
+// finishReason is how a whole answer ends.
+func (s *stream) finishReason() endpoint.FinishReason {
+	if s.req.OutputTokens < s.req.MaxTokens {
+		return endpoint.FinishStop
+	}
+	return endpoint.FinishLength
+}
