Membership by probing and ownership by rendezvous hash, as pure cores

The platform's list of instances lags, and no second coordination service is allowed, so the instances of a zone must find out about each other. Weighed: all-to-all heartbeats (messages grow with the square of the zone), the list alone (lags by seconds), SWIM-style probes with piggybacked updates.

--- /dev/null
+++ b/internal/core/membership/view.go
@@ -0,0 +1,90 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
+
+// Member is a live instance.
+type Member struct {
+	entity.Instance
+	Incarnation uint64
+	// Suspect is set while the instance may be dead but has not been given up.
+	Suspect bool
+}
+
+// ZoneView is what is known of one zone.
+type ZoneView struct {
+	Zone   entity.ZoneID
+	Region entity.RegionID
+	// Reachable says that a link of the own zone reaches the zone; the own
+	// zone is always reachable.
+	Reachable bool
+	// Members are the live instances, leaving ones included, sorted by ID.
+	Members []Member
+}
+
+// View is a snapshot of the live instances. It must not be changed.
+type View struct {
+	// Version grows with each change that Ready announces.
+	Version uint64
+	// Self is this instance as its peers should see it.
+	Self Member
+	// Joined says that a peer of the zone has answered, or that none did in time.
+	Joined bool
+	// Zones are sorted by name.
+	Zones []ZoneView
+}
+
+// Zone returns what is known of a zone.
+func (v *View) Zone(id entity.ZoneID) (ZoneView, bool) {
+	i, ok := slices.BinarySearchFunc(v.Zones, id, func(z ZoneView, id entity.ZoneID) int { return cmp.Compare(z.Zone, id) })
+	if !ok {
+		return ZoneView{}, false
+	}
+	return v.Zones[i], true
+}
+
+// View returns the current snapshot. It is built once per change.
+func (c *Core) View() View {
+	if c.viewStale {
+		c.buildView()
+	}
+	return c.view
+}
+
+func (c *Core) buildView() {
+	c.viewStale = false
+	v := View{Version: c.version, Joined: c.joined, Zones: make([]ZoneView, 0, len(c.table.zones))}
+	v.Self = memberOf(c.table.byID[c.self])
+	for _, z := range c.table.zones {
+		if z.live > 0 {
+			v.Zones = append(v.Zones, c.zoneView(z))
+		}
+	}
+	c.view = v
+}
+
+func (c *Core) zoneView(z *zoneTable) ZoneView {
+	zv := ZoneView{Zone: z.zone, Reachable: c.reachable(z.zone), Members: make([]Member, 0, z.live)}
+	for _, r := range z.rows {
+		if r.live() {
+			zv.Members = append(zv.Members, memberOf(r))
+			zv.Region = r.Region
+		}
+	}
+	slices.SortFunc(zv.Members, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	return zv
+}
+
+func memberOf(r *row) Member {
+	return Member{
+		Instance: entity.Instance{
+			ID: r.ID, Zone: r.Zone, Region: r.Region, PeerAddress: r.PeerAddress, Leaving: r.Leaving,
+		},
+		Incarnation: r.Incarnation,
+		Suspect:     r.State == Suspect,
+	}
+}
