--- /dev/null
+++ b/internal/caller/answer.go
@@ -0,0 +1,78 @@
+package caller
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+
+	"github.com/gravitational/trace"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/telemetry"
+	"github.com/medlarhold/medlarhold/internal/verdict"
+)
+
+// errorBody is the body of every answer that is not the endpoint's own.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	RequestID    entity.RequestID `json:"request_id,omitempty"`
+	Verdict      verdict.Verdict  `json:"verdict"`
+	Reason       verdict.Reason   `json:"reason"`
+	Message      string           `json:"message"`
+	RetryAfterMs int64            `json:"retry_after_ms,omitempty"`
+}
+
+// refuse answers a request with an error of its own.
+func (s *Server) refuse(w http.ResponseWriter, id entity.RequestID, err error) {
+	v := verdict.Of(err)
+	s.opts.Metrics.Refused(v.Reason, v.Verdict)
+	telemetry.Log(s.opts.Log, telemetry.EventBadInput, "request", id, "reason", v.Reason)
+	writeError(w, id, v)
+}
+
+// writeError writes the final answer of a request that was not served.
+func writeError(w http.ResponseWriter, id entity.RequestID, v *verdict.Error) {
+	setVerdict(w.Header(), id, v.Verdict, v.Reason)
+	if v.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(v.RetryAfter.Seconds()))))
+	}
+	writeJSON(w, v.Reason.HTTPStatus(), errorBody{errorDetail{
+		RequestID: id, Verdict: v.Verdict, Reason: v.Reason, Message: v.Message, RetryAfterMs: v.RetryAfter.Milliseconds(),
+	}})
+}
+
+func setVerdict(h http.Header, id entity.RequestID, v verdict.Verdict, reason verdict.Reason) {
+	if id != "" {
+		h.Set(HeaderRequestID, string(id))
+	}
+	h.Set(HeaderVerdict, string(v))
+	if reason != verdict.ReasonNone {
+		h.Set(HeaderReason, string(reason))
+	}
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A caller that went away is noticed by its context.
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// readBody reads a body up to limit bytes.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return nil, bad(verdict.ReasonBodyTooLarge, "the body is larger than %d bytes", limit)
+	}
+	if err != nil {
+		return nil, trace.Wrap(bad(verdict.ReasonBadRequest, "the body could not be read: %v", err))
+	}
+	return body, nil
+}
--- /dev/null
+++ b/internal/caller/completions.go
@@ -0,0 +1,116 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/gravitational/trace"
+
+	"github.com/medlarhold/medlarhold/internal/config"
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/request"
+	"github.com/medlarhold/medlarhold/internal/prefix"
+	"github.com/medlarhold/medlarhold/internal/verdict"
+)
+
+// Bounds of a completion request.
+const (
+	defaultMaxTokens = 256
+	limitMaxTokens   = 32768
+)
+
+// completionBody is the body of POST /v1/completions. Fields that the system
+// doesn't know are ignored, as engines do.
+type completionBody struct {
+	Model     entity.ModelID   `json:"model"`
+	Adapter   entity.AdapterID `json:"adapter,omitempty"`
+	Prompt    string           `json:"prompt"`
+	Messages  []message        `json:"messages,omitempty"`
+	MaxTokens int              `json:"max_tokens,omitempty"`
+	Stream    bool             `json:"stream,omitempty"`
+}
+
+// message is one turn of a conversation.
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// completions serves POST /v1/completions.
+func (s *Server) completions(w http.ResponseWriter, r *http.Request) {
+	id := s.opts.NewID()
+	arrival, body, who, err := s.readCompletion(w, r, id)
+	if err != nil {
+		s.refuse(w, id, err)
+		return
+	}
+	out := newStreamWriter(w, id, body.Model, body.Stream)
+	job := &engineJob{s: s, out: out, body: body, id: id}
+	s.run(r.Context(), arrival, job, who)
+}
+
+func (s *Server) readCompletion(w http.ResponseWriter, r *http.Request, id entity.RequestID) (request.Arrival, completionBody, identity, error) {
+	var body completionBody
+	st := s.opts.State()
+	who, err := s.identify(r, st)
+	if err != nil {
+		return request.Arrival{}, body, who, trace.Wrap(err)
+	}
+	raw, err := readBody(w, r, s.opts.MaxBodyBytes)
+	if err != nil {
+		return request.Arrival{}, body, who, trace.Wrap(err)
+	}
+	if body, err = parseCompletion(raw); err != nil {
+		return request.Arrival{}, body, who, trace.Wrap(err)
+	}
+	work, err := s.completionWork(st, who, body, id)
+	return request.Arrival{Work: work}, body, who, trace.Wrap(err)
+}
+
+// parseCompletion reads the body and brings a conversation into one prompt.
+func parseCompletion(raw []byte) (completionBody, error) {
+	var body completionBody
+	if err := json.Unmarshal(raw, &body); err != nil {
+		return body, bad(verdict.ReasonBadRequest, "the body is not a completion request: %v", err)
+	}
+	if body.Prompt == "" {
+		body.Prompt = joinMessages(body.Messages)
+	}
+	if body.Prompt == "" {
+		return body, bad(verdict.ReasonBadRequest, "prompt or messages is required")
+	}
+	if body.MaxTokens == 0 {
+		body.MaxTokens = defaultMaxTokens
+	}
+	if body.MaxTokens < 0 || body.MaxTokens > limitMaxTokens {
+		return body, bad(verdict.ReasonBadRequest, "max_tokens must be between 1 and %d", limitMaxTokens)
+	}
+	return body, nil
+}
+
+func joinMessages(messages []message) string {
+	var b strings.Builder
+	for _, m := range messages {
+		b.WriteString(m.Role)
+		b.WriteString(": ")
+		b.WriteString(m.Content)
+		b.WriteString("\n")
+	}
+	return b.String()
+}
+
+// completionWork describes the request to the decision core.
+func (s *Server) completionWork(st config.State, who identity, body completionBody, id entity.RequestID) (entity.Work, error) {
+	model, ok := st.Model(body.Model)
+	if !ok {
+		return entity.Work{}, bad(verdict.ReasonUnknownModel, "no model %q is configured", body.Model)
+	}
+	blocks := prefix.Hash(body.Prompt, s.opts.PrefixBlockTokens)
+	return entity.Work{
+		ID: id, Org: who.contract.Organisation, Pool: model.Pool, Model: body.Model, Adapter: body.Adapter,
+		Tier: who.tier, Prefix: blocks[:min(len(blocks), s.opts.MaxPrefixBlocks)],
+		PromptTokens: prefix.Tokens(body.Prompt), MaxTokens: body.MaxTokens,
+		Deadline: who.deadline, LoseRank: who.loseRank,
+	}, nil
+}
--- /dev/null
+++ b/internal/caller/enginejob.go
@@ -0,0 +1,134 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/request"
+	"github.com/medlarhold/medlarhold/internal/endpoint"
+	"github.com/medlarhold/medlarhold/internal/verdict"
+)
+
+// controlTimeout bounds a pause, resume or cancel at an engine.
+const controlTimeout = 5 * time.Second
+
+// engineJob is a completion on a model engine.
+type engineJob struct {
+	s    *Server
+	out  *streamWriter
+	body completionBody
+	id   entity.RequestID
+	// cancelled is the reason for which the stream was cancelled, if it was.
+	cancelled atomic.Pointer[verdict.Error]
+	stop      atomic.Pointer[context.CancelFunc]
+	result    endpoint.Result
+	lastToken time.Time
+}
+
+// count returns the tokens of the answer. Valid once the request has ended.
+func (j *engineJob) count() int64 { return int64(j.result.Tokens) }
+
+func (j *engineJob) dispatch(ctx context.Context, e entity.Endpoint, d request.Directive) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	j.stop.Store(&cancel)
+	j.importPrefix(ctx, e, d)
+	start := j.s.opts.Clock()
+	res, err := j.s.opts.Endpoints.Generate(ctx, e.Address, endpoint.GenerateRequest{
+		RequestID: j.id, Model: j.body.Model, Adapter: j.body.Adapter, Prompt: j.body.Prompt, MaxTokens: j.body.MaxTokens, Stream: true,
+	}, func(t endpoint.Token) error { return j.token(start, t) })
+	j.result = res
+	j.s.opts.Control.Ended(j.id, j.end(res, err))
+}
+
+// importPrefix moves KV cache from another engine before the dispatch. When it
+// fails the engine computes the prompt itself.
+func (j *engineJob) importPrefix(ctx context.Context, e entity.Endpoint, d request.Directive) {
+	from, ok := j.s.opts.State().Endpoint(d.ImportFrom)
+	if d.ImportFrom == "" || !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	blocks, err := j.s.opts.Endpoints.Export(ctx, from.Address, endpoint.ExportRequest{Prefix: endpoint.ToWire(j.engineBlocks())})
+	if err == nil && len(blocks.Blocks) > 0 {
+		_, _ = j.s.opts.Endpoints.Import(ctx, e.Address, endpoint.ImportRequest{From: from.Address, Blocks: blocks.Blocks})
+	}
+}
+
+// token passes one token on to the caller.
+func (j *engineJob) token(start time.Time, t endpoint.Token) error {
+	now := j.s.opts.Clock()
+	if j.lastToken.IsZero() {
+		j.s.opts.Metrics.FirstToken(now.Sub(start))
+	} else {
+		j.s.opts.Metrics.TokenGap(now.Sub(j.lastToken))
+	}
+	j.lastToken = now
+	return j.out.token(t.Index, t.Text)
+}
+
+// end brings the engine's end into the form that the core takes.
+func (j *engineJob) end(res endpoint.Result, err error) request.End {
+	end := request.End{Release: entity.Release{
+		PrefillTokens: res.PrefillTokens, GeneratedTokens: res.Tokens,
+		TimeToFirstToken: res.TimeToFirstToken, DecodeTime: res.DecodeTime,
+	}}
+	m := j.s.opts.Metrics
+	m.PrefillTokens.Inc(int64(res.PrefillTokens))
+	m.GeneratedTokens.Inc(int64(res.Tokens))
+	if err == nil {
+		return end
+	}
+	m.WastedPrefillTokens.Inc(int64(res.PrefillTokens))
+	if c := j.cancelled.Load(); c != nil {
+		end.Err = c
+		return end
+	}
+	end.Err = verdict.Of(err)
+	end.Release.Failed = end.Err.Reason != verdict.ReasonCallerGone
+	return end
+}
+
+func (j *engineJob) pause(ctx context.Context, e entity.Endpoint) {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	if _, err := j.s.opts.Endpoints.Pause(ctx, e.Address, j.id); err == nil {
+		j.s.opts.Control.Paused(j.id)
+		return
+	}
+	// The stream has ended, which Ended reports, or the engine can't pause:
+	// then the slot comes back when the stream ends.
+}
+
+func (j *engineJob) resume(ctx context.Context, e entity.Endpoint) {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	if _, err := j.s.opts.Endpoints.Resume(ctx, e.Address, j.id); err != nil {
+		j.abort(&verdict.Error{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonEndpointFailed, Message: "the paused stream could not be resumed"})
+	}
+}
+
+func (j *engineJob) cancel(ctx context.Context, e entity.Endpoint, d request.Directive) {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	j.cancelled.CompareAndSwap(nil, d.Err)
+	_, _ = j.s.opts.Endpoints.Cancel(ctx, e.Address, j.id)
+	j.abort(d.Err)
+}
+
+// abort ends the call to the engine, after which Ended is reported.
+func (j *engineJob) abort(why *verdict.Error) {
+	j.cancelled.CompareAndSwap(nil, why)
+	if stop := j.stop.Load(); stop != nil {
+		(*stop)()
+	}
+}
+
+func (j *engineJob) finish(d request.Directive) { j.out.finish(d.Err, j.result) }
+
+// errCallerGone ends the hand-over of tokens to a caller that went away.
+var errCallerGone = errors.New("caller closed its connection")
--- /dev/null
+++ b/internal/caller/services.go
@@ -0,0 +1,187 @@
+package caller
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strings"
+
+	"github.com/gravitational/trace"
+
+	"github.com/medlarhold/medlarhold/internal/config"
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/request"
+	"github.com/medlarhold/medlarhold/internal/endpoint"
+	"github.com/medlarhold/medlarhold/internal/verdict"
+)
+
+// maxKeptBody bounds the answer that is kept under a request key.
+const maxKeptBody = 2 << 10
+
+// service serves calls to plain services.
+func (s *Server) service(w http.ResponseWriter, r *http.Request) {
+	id := s.opts.NewID()
+	arrival, call, who, err := s.readCall(w, r, id)
+	if err != nil {
+		s.refuse(w, id, err)
+		return
+	}
+	s.run(r.Context(), arrival, &serviceJob{s: s, w: w, id: id, call: call}, who)
+}
+
+func (s *Server) readCall(w http.ResponseWriter, r *http.Request, id entity.RequestID) (request.Arrival, endpoint.CallRequest, identity, error) {
+	var call endpoint.CallRequest
+	st := s.opts.State()
+	who, err := s.identify(r, st)
+	if err != nil {
+		return request.Arrival{}, call, who, trace.Wrap(err)
+	}
+	pool, ok := st.Pool(entity.PoolID(r.PathValue("pool")))
+	if !ok || pool.Kind != entity.KindService {
+		return request.Arrival{}, call, who, bad(verdict.ReasonUnknownPool, "no service %q is configured", r.PathValue("pool"))
+	}
+	limit := s.opts.MaxBodyBytes
+	if pool.MaxBodyBytes > 0 {
+		limit = pool.MaxBodyBytes
+	}
+	body, err := readBody(w, r, limit)
+	if err != nil {
+		return request.Arrival{}, call, who, trace.Wrap(err)
+	}
+	call = endpoint.CallRequest{RequestID: id, Method: r.Method, Path: servicePath(r), Header: passedOn(r.Header), Body: body}
+	arrival := request.Arrival{Work: entity.Work{
+		ID: id, Org: who.contract.Organisation, Pool: pool.Name, Tier: who.tier,
+		Deadline: who.deadline, LoseRank: who.loseRank,
+	}}
+	return arrival, call, who, trace.Wrap(readKey(r, pool, call, &arrival))
+}
+
+// readKey finds out whether the call may be repeated, and reads its key if not.
+func readKey(r *http.Request, pool *config.Pool, call endpoint.CallRequest, a *request.Arrival) error {
+	a.Work.NonIdempotent = nonIdempotent(pool, r.Method, call.Path)
+	if !a.Work.NonIdempotent {
+		return nil
+	}
+	a.Key = r.Header.Get(HeaderKey)
+	if a.Key == "" || len(a.Key) > maxKeyBytes {
+		return bad(verdict.ReasonKeyRequired, "%s %s may not be repeated: %s of 1 to %d bytes is required", r.Method, call.Path, HeaderKey, maxKeyBytes)
+	}
+	h := sha256.New()
+	h.Write([]byte(call.Method + " " + call.Path + "\n"))
+	h.Write(call.Body)
+	a.BodyHash = hex.EncodeToString(h.Sum(nil)[:16])
+	return nil
+}
+
+func nonIdempotent(pool *config.Pool, method, path string) bool {
+	for _, p := range pool.NonIdempotent {
+		if p.Method == method && strings.HasPrefix(path, p.PathPrefix) {
+			return true
+		}
+	}
+	return false
+}
+
+// servicePath is the path and query that the service sees.
+func servicePath(r *http.Request) string {
+	path := "/" + strings.TrimPrefix(r.URL.EscapedPath(), "/services/"+r.PathValue("pool")+"/")
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	return path
+}
+
+// notPassedOn are headers meant for this hop only.
+var notPassedOn = []string{
+	"Authorization", "Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Content-Length", HeaderTier, HeaderDeadline, HeaderLabel, HeaderRequestID,
+}
+
+func passedOn(h http.Header) http.Header {
+	out := h.Clone()
+	for _, name := range strings.Split(h.Get("Connection"), ",") {
+		out.Del(strings.TrimSpace(name))
+	}
+	for _, name := range notPassedOn {
+		out.Del(name)
+	}
+	return out
+}
+
+// serviceJob is a call to a plain service.
+type serviceJob struct {
+	s        *Server
+	w        http.ResponseWriter
+	id       entity.RequestID
+	call     endpoint.CallRequest
+	response endpoint.CallResponse
+	answered bool
+}
+
+func (j *serviceJob) dispatch(ctx context.Context, e entity.Endpoint, _ request.Directive) {
+	start := j.s.opts.Clock()
+	res, err := j.s.opts.Endpoints.Call(ctx, e.Address, j.call)
+	end := request.End{Release: entity.Release{TimeToFirstToken: j.s.opts.Clock().Sub(start)}}
+	if err != nil {
+		end.Err = verdict.Of(err)
+		end.Release.Failed = true
+	} else {
+		j.response, j.answered = res, true
+		end.Answer = keep(res)
+	}
+	j.s.opts.Control.Ended(j.id, end)
+}
+
+// keep returns the part of an answer that is kept under its key.
+func keep(res endpoint.CallResponse) *request.Answer {
+	a := &request.Answer{Status: res.Status, ContentType: res.Header.Get("Content-Type")}
+	if len(res.Body) > maxKeptBody {
+		a.Truncated = true
+		return a
+	}
+	a.Body = res.Body
+	return a
+}
+
+// Calls to plain services are never interrupted.
+func (j *serviceJob) pause(context.Context, entity.Endpoint)                     {}
+func (j *serviceJob) resume(context.Context, entity.Endpoint)                    {}
+func (j *serviceJob) cancel(context.Context, entity.Endpoint, request.Directive) {}
+
+func (j *serviceJob) finish(d request.Directive) {
+	switch {
+	case d.Err != nil:
+		writeError(j.w, j.id, d.Err)
+	case j.answered:
+		j.writeResponse(verdict.Ran)
+	case d.Answer != nil:
+		j.replay(d.Answer)
+	}
+}
+
+func (j *serviceJob) writeResponse(v verdict.Verdict) {
+	h := j.w.Header()
+	for name, values := range passedOn(j.response.Header) {
+		h[name] = values
+	}
+	setVerdict(h, j.id, v, verdict.ReasonNone)
+	j.w.WriteHeader(j.response.Status)
+	// A caller that went away is noticed by its context.
+	_, _ = j.w.Write(j.response.Body)
+}
+
+// replay answers with the outcome of an earlier request with the same key.
+func (j *serviceJob) replay(a *request.Answer) {
+	h := j.w.Header()
+	h.Set(HeaderReplayed, "true")
+	if a.ContentType != "" {
+		h.Set("Content-Type", a.ContentType)
+	}
+	if a.Truncated {
+		h.Set("X-Medlarhold-Body-Omitted", "true")
+	}
+	setVerdict(h, j.id, verdict.Ran, verdict.ReasonNone)
+	j.w.WriteHeader(a.Status)
+	_, _ = j.w.Write(a.Body)
+}
--- /dev/null
+++ b/internal/caller/status.go
@@ -0,0 +1,29 @@
+package caller
+
+import (
+	"net/http"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/verdict"
+)
+
+// status serves GET /v1/requests/{id}: what the system knows about a request
+// of the caller's own organisation.
+func (s *Server) status(w http.ResponseWriter, r *http.Request) {
+	who, err := s.identify(r, s.opts.State())
+	if err != nil {
+		s.refuse(w, "", err)
+		return
+	}
+	id := entity.RequestID(r.PathValue("id"))
+	st, ok := s.opts.Control.Status(r.Context(), id)
+	if ok && st.Org != "" && st.Org != who.contract.Organisation {
+		ok = false
+	}
+	if !ok {
+		s.refuse(w, id, bad(verdict.ReasonUnknownRequest, "nothing is known of request %q", id))
+		return
+	}
+	setVerdict(w.Header(), id, st.Verdict, st.Reason)
+	writeJSON(w, http.StatusOK, st)
+}
--- /dev/null
+++ b/internal/caller/stream.go
@@ -0,0 +1,141 @@
+package caller
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/endpoint"
+	"github.com/medlarhold/medlarhold/internal/verdict"
+)
+
+// streamWriter writes a completion to its caller, as server-sent events or as
+// one JSON object. One goroutine at a time uses it.
+type streamWriter struct {
+	w       http.ResponseWriter
+	id      entity.RequestID
+	model   entity.ModelID
+	stream  bool
+	started bool
+	tokens  int
+	text    strings.Builder
+}
+
+func newStreamWriter(w http.ResponseWriter, id entity.RequestID, model entity.ModelID, stream bool) *streamWriter {
+	return &streamWriter{w: w, id: id, model: model, stream: stream}
+}
+
+// tokenEvent is the data of `event: token`.
+type tokenEvent struct {
+	ID      entity.RequestID `json:"id"`
+	Index   int              `json:"index"`
+	Choices []choice         `json:"choices"`
+}
+
+// choice is the one alternative that a completion has.
+type choice struct {
+	Index        int    `json:"index"`
+	Text         string `json:"text"`
+	FinishReason string `json:"finish_reason,omitempty"`
+}
+
+// usage counts tokens.
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	CachedTokens     int `json:"cached_tokens"`
+}
+
+// endEvent is the data of `event: end`. Tokens is the answer's length: a caller
+// that got fewer doesn't have the whole answer.
+type endEvent struct {
+	ID           entity.RequestID `json:"id"`
+	Verdict      verdict.Verdict  `json:"verdict"`
+	Reason       verdict.Reason   `json:"reason,omitempty"`
+	Message      string           `json:"message,omitempty"`
+	RetryAfterMs int64            `json:"retry_after_ms,omitempty"`
+	FinishReason string           `json:"finish_reason,omitempty"`
+	Tokens       int              `json:"tokens"`
+	Usage        *usage           `json:"usage,omitempty"`
+}
+
+// completion is the whole answer of a request that was not streamed.
+type completion struct {
+	ID      entity.RequestID `json:"id"`
+	Object  string           `json:"object"`
+	Model   entity.ModelID   `json:"model"`
+	Choices []choice         `json:"choices"`
+	Usage   usage            `json:"usage"`
+}
+
+// token passes on one token.
+func (s *streamWriter) token(index int, text string) error {
+	s.tokens++
+	if !s.stream {
+		s.text.WriteString(text)
+		return nil
+	}
+	s.start()
+	return s.event(endpoint.EventToken, tokenEvent{ID: s.id, Index: index, Choices: []choice{{Text: text}}})
+}
+
+// start sends the headers of a stream. The verdict of a stream is in its end mark.
+func (s *streamWriter) start() {
+	if s.started {
+		return
+	}
+	s.started = true
+	h := s.w.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("Cache-Control", "no-store")
+	h.Set(HeaderRequestID, string(s.id))
+	s.w.WriteHeader(http.StatusOK)
+}
+
+func (s *streamWriter) event(name string, data any) error {
+	b, err := json.Marshal(data)
+	if err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(s.w, "event: %s\ndata: %s\n\n", name, b); err != nil {
+		return errCallerGone
+	}
+	if f, ok := s.w.(http.Flusher); ok {
+		f.Flush()
+	}
+	return nil
+}
+
+// finish writes the final answer.
+func (s *streamWriter) finish(v *verdict.Error, res endpoint.Result) {
+	switch {
+	case v != nil && !s.started:
+		writeError(s.w, s.id, v)
+	case s.stream:
+		s.start()
+		// A caller that went away is noticed by its context.
+		_ = s.event(endpoint.EventEnd, s.endEvent(v, res))
+	default:
+		setVerdict(s.w.Header(), s.id, verdict.Ran, verdict.ReasonNone)
+		writeJSON(s.w, http.StatusOK, completion{
+			ID: s.id, Object: "text_completion", Model: s.model,
+			Choices: []choice{{Text: s.text.String(), FinishReason: string(res.FinishReason)}},
+			Usage:   usageOf(res),
+		})
+	}
+}
+
+func (s *streamWriter) endEvent(v *verdict.Error, res endpoint.Result) endEvent {
+	if v != nil {
+		return endEvent{ID: s.id, Verdict: v.Verdict, Reason: v.Reason, Message: v.Message,
+			RetryAfterMs: v.RetryAfter.Milliseconds(), Tokens: s.tokens}
+	}
+	u := usageOf(res)
+	return endEvent{ID: s.id, Verdict: verdict.Ran, FinishReason: string(res.FinishReason), Tokens: s.tokens, Usage: &u}
+}
+
+func usageOf(res endpoint.Result) usage {
+	return usage{PromptTokens: res.PromptTokens, CompletionTokens: res.Tokens, CachedTokens: res.CachedTokens}
+}
--- /dev/null
+++ b/internal/core/node/members.go
@@ -0,0 +1,121 @@
+package node
+
+import (
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/config"
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/ownership"
+)
+
+// drainMembers sends the messages of membership and acts on a changed view.
+func (n *Node) drainMembers(now time.Time) {
+	r := n.members.Ready()
+	for _, m := range r.Messages {
+		n.ready.Peers = append(n.ready.Peers, Outgoing{To: m.To, Address: m.Address, Msg: m.Message})
+	}
+	if r.Changed {
+		n.membersChanged(now)
+	}
+}
+
+// membersChanged moves ownership and gives up what dead instances were asked.
+func (n *Node) membersChanged(now time.Time) {
+	n.view = n.members.View()
+	n.ready.MembersChanged = true
+	before := n.address
+	n.address = make(map[entity.InstanceID]string, len(before))
+	members := make(ownership.Members, len(n.view.Zones))
+	for _, z := range n.view.Zones {
+		if !z.Reachable {
+			continue
+		}
+		for _, m := range z.Members {
+			members[z.Zone] = append(members[z.Zone], m.Instance)
+			n.address[m.ID] = m.PeerAddress
+		}
+	}
+	n.moved(now, n.owners.SetMembers(members))
+	for _, id := range sortedKeys(before) {
+		if _, ok := n.address[id]; !ok {
+			n.instanceGone(now, id)
+		}
+	}
+}
+
+// instanceGone acts on the death of an instance.
+func (n *Node) instanceGone(now time.Time, id entity.InstanceID) {
+	n.owner.Drop(now, id)
+	n.entry.OwnerLost(now, id)
+	n.ready.Gone = append(n.ready.Gone, id)
+}
+
+// configured puts a configuration into force.
+func (n *Node) configured(now time.Time, st config.State) {
+	n.state = st
+	n.members.SetRevision(int64(st.Revision()))
+	endpoints := make([]entity.Endpoint, 0, len(st.AllEndpoints()))
+	for _, e := range st.AllEndpoints() {
+		endpoints = append(endpoints, *e)
+	}
+	for p := range st.Pools() {
+		n.retries.SetBudget(p.Name, p.RetryBudget)
+	}
+	n.moved(now, n.owners.SetEndpoints(endpoints))
+	n.setOwned(now)
+	n.router.configured(endpoints)
+}
+
+// moved acts on endpoints that changed their owner: the new owner is told what
+// this instance runs there.
+func (n *Node) moved(now time.Time, d ownership.Diff) {
+	if len(d.Moves) == 0 {
+		return
+	}
+	n.setOwned(now)
+	for _, m := range d.Moves {
+		if m.To == "" {
+			continue
+		}
+		held := n.entry.Adopt(now, m.Endpoint, m.To)
+		if len(held) > 0 {
+			n.send(m.To, holdingOf(m.Endpoint, held))
+		}
+	}
+}
+
+// setOwned tells the owner side which endpoints are its own now.
+func (n *Node) setOwned(now time.Time) {
+	var owned []entity.Endpoint
+	for _, e := range n.state.AllEndpoints() {
+		if n.owners.Owner(e.ID) == n.settings.Self.ID {
+			owned = append(owned, *e)
+		}
+	}
+	n.owner.SetEndpoints(now, owned)
+	n.ready.Owned = &owned
+}
+
+// holdingOf brings running requests into the form that travels.
+func holdingOf(e entity.EndpointID, held []entity.Held) Holding {
+	h := Holding{Endpoint: e, Held: make([]HeldRequest, 0, len(held))}
+	for _, x := range held {
+		w := x.Work
+		h.Held = append(h.Held, HeldRequest{ID: w.ID, Org: w.Org, Pool: w.Pool, Model: w.Model, Tier: w.Tier,
+			PromptTokens: w.PromptTokens, MaxTokens: w.MaxTokens, NonIdempotent: w.NonIdempotent, Paused: x.Paused})
+	}
+	return h
+}
+
+// heldByOwner brings a Holding into the form that the owner side takes.
+func heldByOwner(from entity.InstanceID, h Holding) []entity.Held {
+	held := make([]entity.Held, 0, len(h.Held))
+	for _, x := range h.Held {
+		held = append(held, entity.Held{
+			From: from, Endpoint: h.Endpoint, Paused: x.Paused,
+			Work: entity.Work{ID: x.ID, Org: x.Org, Pool: x.Pool, Model: x.Model, Tier: x.Tier,
+				PromptTokens: x.PromptTokens, MaxTokens: x.MaxTokens, NonIdempotent: x.NonIdempotent},
+		})
+	}
+	return held
+}
--- /dev/null
+++ b/internal/core/node/node.go
@@ -0,0 +1,194 @@
+package node
+
+import (
+	"math/rand"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/config"
+	"github.com/medlarhold/medlarhold/internal/core/admission"
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/membership"
+	"github.com/medlarhold/medlarhold/internal/core/ownership"
+	"github.com/medlarhold/medlarhold/internal/core/request"
+	"github.com/medlarhold/medlarhold/internal/core/retry"
+)
+
+// TickInterval is the longest time between two calls of Tick.
+const TickInterval = 50 * time.Millisecond
+
+// Settings of a Node.
+type Settings struct {
+	Self       entity.Instance
+	Membership membership.Settings
+	Admission  admission.Settings
+	Request    request.Settings
+	Retry      retry.Settings
+	// ReleaseRetry is the pause before a release that was not delivered is sent again.
+	ReleaseRetry time.Duration
+}
+
+// DefaultSettings returns the settings of an instance where none are given.
+func DefaultSettings(self entity.Instance) Settings {
+	return Settings{
+		Self:       self,
+		Membership: membership.DefaultSettings(),
+		Admission:  admission.DefaultSettings(),
+		Request: request.Settings{
+			Self: self.ID, KeepFinished: 4096, ReaskAfter: 200 * time.Millisecond,
+		},
+		Retry:        retry.DefaultSettings(),
+		ReleaseRetry: 500 * time.Millisecond,
+	}
+}
+
+// Node is the decision core of one instance.
+type Node struct {
+	settings Settings
+	state    config.State
+	members  *membership.Core
+	owners   *ownership.Table
+	owner    *admission.Owner
+	router   *router
+	entry    *request.Entry
+	retries  *retry.Policy
+	view     membership.View
+	address  map[entity.InstanceID]string
+	draining bool
+	releases []undelivered
+	local    []any
+	ready    Ready
+}
+
+// undelivered is a release that waits to be sent again.
+type undelivered struct {
+	at  time.Time
+	to  entity.InstanceID
+	rel entity.Release
+}
+
+// Ready is a batch of what is to be carried out.
+type Ready struct {
+	// Peers are messages to other instances, in order.
+	Peers []Outgoing
+	// Directives go to the traffic side.
+	Directives []request.Directive
+	// Retries and Finished are for the metrics.
+	Retries  []request.Retry
+	Finished []request.Finished
+	// Owned is set when the set of owned endpoints has changed.
+	Owned *[]entity.Endpoint
+	// Gone are instances that are dead, whose links may be closed.
+	Gone []entity.InstanceID
+	// MembersChanged says that View differs from the one before.
+	MembersChanged bool
+}
+
+// New returns a Node without configuration or peers.
+func New(s Settings, rng *rand.Rand) *Node {
+	n := &Node{
+		settings: s,
+		members:  membership.New(s.Membership, s.Self, rng),
+		owners:   ownership.NewTable(),
+		owner:    admission.New(s.Admission),
+		retries:  retry.New(s.Retry, rng),
+		address:  make(map[entity.InstanceID]string),
+	}
+	n.router = newRouter(n)
+	n.entry = request.New(s.Request, n.router, n.retries)
+	n.view = n.members.View()
+	return n
+}
+
+// Step handles one message.
+func (n *Node) Step(now time.Time, msg any) {
+	n.handle(now, msg)
+	n.settle(now)
+}
+
+// Tick runs the systems that wait for time.
+func (n *Node) Tick(now time.Time) {
+	n.members.Tick(now)
+	n.entry.Tick(now)
+	n.owner.Tick(now)
+	n.resendReleases(now)
+	n.settle(now)
+}
+
+// Ready returns what is to be carried out, and clears the batch.
+func (n *Node) Ready() Ready {
+	r := n.ready
+	n.ready = Ready{}
+	return r
+}
+
+// handle passes one message to the system it is for.
+func (n *Node) handle(now time.Time, msg any) {
+	switch m := msg.(type) {
+	case Arrive:
+		n.arrive(now, m.Arrival)
+	case Ended:
+		n.entry.Ended(now, m.ID, m.End)
+	case Paused:
+		n.entry.Paused(now, m.ID)
+	case CallerGone:
+		n.entry.CallerGone(now, m.ID)
+	case FromPeer:
+		n.fromPeer(now, m.From, m.Msg)
+	case PeerFailed:
+		n.peerFailed(now, m.To, m.Msg)
+	case PeerLost:
+		n.entry.Reask(now, m.Peer)
+	case Configured:
+		n.configured(now, m.State)
+	case Listed:
+		n.members.Platform(now, m.Instances)
+	case Load:
+		n.owner.Report(now, m.Report)
+	case Cache:
+		n.owner.CacheEvents(now, m.Event)
+	case Drain:
+		n.drain(now)
+	}
+}
+
+// settle lets the systems work until none has anything left to say to another
+// one on this instance.
+func (n *Node) settle(now time.Time) {
+	for {
+		n.drainEntry(now)
+		n.drainOwner()
+		n.drainMembers(now)
+		if len(n.local) == 0 {
+			return
+		}
+		msgs := n.local
+		n.local = nil
+		for _, m := range msgs {
+			n.fromPeer(now, n.settings.Self.ID, m)
+		}
+	}
+}
+
+// send passes a message to an instance, which may be this one.
+func (n *Node) send(to entity.InstanceID, msg any) {
+	if to == n.settings.Self.ID {
+		n.local = append(n.local, msg)
+		return
+	}
+	n.ready.Peers = append(n.ready.Peers, Outgoing{To: to, Address: n.address[to], Msg: msg})
+}
+
+// Revision returns the revision of the configuration in force.
+func (n *Node) Revision() config.Revision { return n.state.Revision() }
+
+// View returns the members as this instance sees them.
+func (n *Node) View() membership.View { return n.view }
+
+// InFlight returns the number of requests without a final answer.
+func (n *Node) InFlight() int { return n.entry.Len() }
+
+// Status returns what this instance knows about a request.
+func (n *Node) Status(id entity.RequestID) (request.Status, bool) { return n.entry.Status(id) }
+
+// OwnerOf returns the owner of an endpoint, empty if there is none.
+func (n *Node) OwnerOf(id entity.EndpointID) entity.InstanceID { return n.owners.Owner(id) }
--- /dev/null
+++ b/internal/core/node/peers.go
@@ -0,0 +1,98 @@
+package node
+
+import (
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/membership"
+)
+
+// fromPeer handles a message of an instance, this one included.
+func (n *Node) fromPeer(now time.Time, from entity.InstanceID, msg any) {
+	switch m := msg.(type) {
+	case membership.Message:
+		n.members.Step(now, from, m)
+	case entity.Reservation:
+		m.From = from // what a peer says of itself is not taken on trust
+		n.owner.Reserve(now, m)
+	case entity.Release:
+		n.owner.Release(now, m)
+	case Withdraw:
+		n.owner.Cancel(now, m.ID)
+	case Holding:
+		n.owner.Hold(now, heldByOwner(from, m))
+	case entity.Grant:
+		n.entry.Granted(now, from, m)
+	case entity.Refusal:
+		n.entry.Refused(now, from, m)
+	case entity.Preemption:
+		n.entry.Preempted(now, from, m)
+	}
+}
+
+// peerFailed handles a message that did not get through, or may not have.
+func (n *Node) peerFailed(now time.Time, to entity.InstanceID, msg any) {
+	n.members.ProbeFailed(now, to)
+	switch m := msg.(type) {
+	case entity.Reservation:
+		n.entry.Unreachable(now, to, m.Work.ID)
+	case entity.Grant:
+		// The entry can't have dispatched without the grant; if it got it
+		// after all, its release comes as well and changes nothing.
+		n.owner.Release(now, entity.Release{ID: m.ID, Endpoint: m.Endpoint, Unused: true})
+	case entity.Release:
+		n.releases = append(n.releases, undelivered{at: now.Add(n.settings.ReleaseRetry), to: to, rel: m})
+	}
+}
+
+// resendReleases sends the releases again that were not delivered, for as long
+// as their owner is a member.
+func (n *Node) resendReleases(now time.Time) {
+	kept := n.releases[:0]
+	for _, u := range n.releases {
+		switch {
+		case now.Before(u.at):
+			kept = append(kept, u)
+		case n.isMember(u.to):
+			n.send(u.to, u.rel)
+		}
+	}
+	n.releases = kept
+}
+
+func (n *Node) isMember(id entity.InstanceID) bool {
+	_, ok := n.address[id]
+	return ok
+}
+
+// drainOwner sends what the owner side has decided.
+func (n *Node) drainOwner() {
+	r := n.owner.Ready()
+	for _, g := range r.Grants {
+		n.send(g.To, g.Grant)
+	}
+	for _, f := range r.Refusals {
+		n.send(f.To, f.Refusal)
+	}
+	for _, p := range r.Preemptions {
+		n.send(p.To, p.Preemption)
+	}
+}
+
+// drainEntry sends what the entry side has decided. Releases go first: they
+// make room for the reservations behind them.
+func (n *Node) drainEntry(_ time.Time) {
+	r := n.entry.Ready()
+	for _, rel := range r.Releases {
+		n.send(rel.Owner, rel.Release)
+	}
+	for _, c := range r.Cancels {
+		n.send(c.Owner, Withdraw{ID: c.ID})
+	}
+	for _, q := range r.Reservations {
+		n.send(q.Owner, q.Reservation)
+	}
+	n.ready.Directives = append(n.ready.Directives, r.Directives...)
+	n.ready.Retries = append(n.ready.Retries, r.Retries...)
+	n.ready.Finished = append(n.ready.Finished, r.Finished...)
+}
--- /dev/null
+++ b/internal/core/node/requests.go
@@ -0,0 +1,27 @@
+package node
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/request"
+)
+
+// arrive takes a request of a caller in.
+func (n *Node) arrive(now time.Time, a request.Arrival) {
+	n.retries.Request(a.Work.Pool)
+	n.entry.Arrive(now, a)
+}
+
+// drain begins the planned stop: peers are told, and own nothing new here.
+func (n *Node) drain(now time.Time) {
+	n.draining = true
+	n.members.Leave(now)
+}
+
+// sortedKeys returns the keys of a map in order, so that loops are deterministic.
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	return slices.Sorted(maps.Keys(m))
+}
--- a/internal/core/request/entry.go
+++ b/internal/core/request/entry.go
@@ -6,6 +6,7 @@
 	"github.com/google/btree"
 
 	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/retry"
 	"github.com/medlarhold/medlarhold/internal/verdict"
 )
 
@@ -28,10 +29,10 @@
 	HasEndpoint(w *entity.Work) bool
 }
 
-// RetryBudget bounds second tries, so that they can't multiply an overload.
-type RetryBudget interface {
-	// Allow says whether a request of the pool may be tried again now.
-	Allow(now time.Time, pool entity.PoolID) bool
+// Retries decides whether a request that was provably not run is tried again.
+type Retries interface {
+	// Failed decides after the given attempt, counted from 1, failed with err.
+	Failed(now time.Time, work *entity.Work, attempt int, err *verdict.Error) retry.Decision
 }
 
 // Settings bound the table.
@@ -41,8 +42,6 @@
 	// KeepFinished is how many finished requests are remembered for callers
 	// who ask by id.
 	KeepFinished int
-	// MaxTries bounds the dispatch attempts that end with verdict "not run".
-	MaxTries int
 	// ReaskAfter is how long a paused request waits after a refusal.
 	ReaskAfter time.Duration
 }
@@ -51,7 +50,7 @@
 type Entry struct {
 	settings  Settings
 	router    Router
-	budget    RetryBudget
+	retries   Retries
 	rows      map[entity.RequestID]*row
 	deadlines *btree.BTreeG[*row]
 	finished  *finishedTable
@@ -59,11 +58,11 @@
 }
 
 // New returns an empty table.
-func New(s Settings, router Router, budget RetryBudget) *Entry {
+func New(s Settings, router Router, retries Retries) *Entry {
 	return &Entry{
 		settings:  s,
 		router:    router,
-		budget:    budget,
+		retries:   retries,
 		rows:      make(map[entity.RequestID]*row),
 		deadlines: btree.NewG(deadlineTreeDegree, earlierDeadline),
 		finished:  newFinishedTable(s.KeepFinished),
@@ -225,6 +224,32 @@
 	}
 }
 
+// Unreachable tells that a question could not be delivered to an owner.
+func (e *Entry) Unreachable(now time.Time, owner entity.InstanceID, id entity.RequestID) {
+	r, ok := e.rows[id]
+	if !ok || r.owner != owner {
+		return
+	}
+	switch r.state {
+	case StateAsking:
+		r.tried = append(r.tried, owner)
+		e.ask(now, r)
+	case StatePaused:
+		e.setTimer(r, minTime(now.Add(e.settings.ReaskAfter), r.work.Deadline))
+		r.owner = ""
+	}
+}
+
+// Reask repeats the questions that an owner has not answered, after the
+// connection to it was lost. Owners answer a repeated question again.
+func (e *Entry) Reask(now time.Time, owner entity.InstanceID) {
+	for _, r := range e.sortedRows() {
+		if r.owner == owner && (r.state == StateAsking || r.state == StatePaused) {
+			e.reserve(now, r, owner)
+		}
+	}
+}
+
 // Preempted tells that an owner wants the slot back for a higher tier.
 func (e *Entry) Preempted(now time.Time, from entity.InstanceID, p entity.Preemption) {
 	r, ok := e.rows[p.ID]
@@ -263,19 +288,22 @@
 		e.finish(now, r, nil, end.Answer)
 		return
 	}
-	if end.Err.Verdict == verdict.NotRun && e.mayRetry(now, r) {
-		e.ready.Retries = append(e.ready.Retries, Retry{ID: id, Reason: end.Err.Reason})
-		r.endpoint, r.resume = "", ""
-		e.ask(now, r)
+	if end.Err.Verdict == verdict.NotRun && !r.cancelled && e.retry(now, r, end.Err) {
 		return
 	}
 	e.finish(now, r, end.Err, end.Answer)
 }
 
-// mayRetry says whether a request that was not run may be dispatched again.
-func (e *Entry) mayRetry(now time.Time, r *row) bool {
-	return !r.cancelled && r.dispatches < e.settings.MaxTries &&
-		now.Before(r.work.Deadline) && e.budget.Allow(now, r.work.Pool)
+// retry puts a request that was not run back, to ask again after a pause.
+func (e *Entry) retry(now time.Time, r *row, err *verdict.Error) bool {
+	d := e.retries.Failed(now, &r.work, r.dispatches, err)
+	if !d.Retry {
+		return false
+	}
+	e.ready.Retries = append(e.ready.Retries, Retry{ID: r.work.ID, Reason: err.Reason})
+	r.state, r.owner, r.endpoint, r.resume = StateAsking, "", "", ""
+	e.setTimer(r, minTime(now.Add(d.Wait), r.work.Deadline))
+	return true
 }
 
 // CallerGone tells that the caller closed its connection. Work that may not be
@@ -337,7 +365,7 @@
 func (e *Entry) timerFired(now time.Time, r *row) {
 	if now.Before(r.work.Deadline) {
 		e.setTimer(r, r.work.Deadline)
-		if r.state == StatePaused && r.owner == "" {
+		if r.owner == "" && (r.state == StatePaused || r.state == StateAsking) {
 			e.ask(now, r)
 		}
 		return
--- a/internal/core/request/status.go
+++ b/internal/core/request/status.go
@@ -43,16 +43,10 @@
 	return e.finished.rows.Peek(id)
 }
 
-// Holding is a request that this entry runs on an endpoint.
-type Holding struct {
-	Grant entity.Grant
-	Work  entity.Work
-}
-
 // Adopt points the requests that run or wait on an endpoint to its new owner
-// and returns those that run, for the owner to count.
-func (e *Entry) Adopt(now time.Time, endpoint entity.EndpointID, owner entity.InstanceID) []Holding {
-	var held []Holding
+// and returns them, for the owner to count.
+func (e *Entry) Adopt(now time.Time, endpoint entity.EndpointID, owner entity.InstanceID) []entity.Held {
+	var held []entity.Held
 	for _, r := range e.sortedRows() {
 		if r.endpoint != endpoint || r.owner == owner {
 			continue
@@ -60,8 +54,9 @@
 		switch r.state {
 		case StateRunning, StatePausing:
 			r.owner = owner
-			held = append(held, Holding{Grant: entity.Grant{ID: r.work.ID, Endpoint: endpoint}, Work: r.work})
+			held = append(held, entity.Held{Work: r.work, From: e.settings.Self, Endpoint: endpoint})
 		case StatePaused:
+			held = append(held, entity.Held{Work: r.work, From: e.settings.Self, Endpoint: endpoint, Paused: true})
 			e.askToResume(now, r)
 		}
 	}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,159 @@
+// Package settings reads and checks the settings file of an instance: JSON
+// with comments. docs/SETTINGS.md is the reference.
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/tailscale/hujson"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
+
+// Settings of one instance.
+type Settings struct {
+	// Name is the instance's name for people; its id adds a suffix per start.
+	Name   string          `json:"name"`
+	Zone   entity.ZoneID   `json:"zone"`
+	Region entity.RegionID `json:"region"`
+	Listen Listen          `json:"listen"`
+	// AdvertisePeers is the address at which other instances reach this one;
+	// empty means the address it listens on.
+	AdvertisePeers string   `json:"advertise_peers"`
+	Platform       Platform `json:"platform"`
+	Keys           Keys     `json:"keys"`
+	TLS            TLS      `json:"tls"`
+	Requests       Requests `json:"requests"`
+	Stop           Stop     `json:"stop"`
+	// LogVerbosity 1 adds a line per request.
+	LogVerbosity int `json:"log_verbosity"`
+}
+
+// Listen holds the addresses to listen on, host:port.
+type Listen struct {
+	Callers string `json:"callers"`
+	Peers   string `json:"peers"`
+	Admin   string `json:"admin"`
+}
+
+// Platform holds the base URLs of the platform's services.
+type Platform struct {
+	Log          string `json:"log"`
+	InstanceList string `json:"instance_list"`
+	WeightStore  string `json:"weight_store"`
+}
+
+// Keys names the files that hold keys, one key a line. They are read again on
+// SIGHUP. The first line is used for sending, all are accepted.
+type Keys struct {
+	PeerKeyFile string `json:"peer_key_file"`
+	// OperatorHashFile holds the SHA-256 hashes (hex) of the operators' keys.
+	OperatorHashFile string `json:"operator_hash_file"`
+}
+
+// TLS names certificate files (PEM), read again on SIGHUP; empty means plain TCP.
+type TLS struct {
+	CertFile string `json:"cert_file"`
+	KeyFile  string `json:"key_file"`
+	// CAFile is trusted for peers, the platform and endpoints.
+	CAFile string `json:"ca_file"`
+}
+
+// Requests bounds what callers may send.
+type Requests struct {
+	DefaultDeadlineMs int64 `json:"default_deadline_ms"`
+	MaxDeadlineMs     int64 `json:"max_deadline_ms"`
+	MaxBodyBytes      int64 `json:"max_body_bytes"`
+	MaxHeaderBytes    int   `json:"max_header_bytes"`
+	// PrefixBlockTokens is the length of the prompt blocks that are compared,
+	// MaxPrefixBlocks how many of them travel with a reservation.
+	PrefixBlockTokens int `json:"prefix_block_tokens"`
+	MaxPrefixBlocks   int `json:"max_prefix_blocks"`
+}
+
+// Stop bounds the planned stop.
+type Stop struct {
+	// NoticeMs is how long the instance keeps accepting after it told the
+	// balancer and its peers that it is leaving.
+	NoticeMs int64 `json:"notice_ms"`
+	// TimeoutMs is how long requests in flight may take to finish.
+	TimeoutMs int64 `json:"timeout_ms"`
+}
+
+// Notice returns NoticeMs as a duration.
+func (s Stop) Notice() time.Duration { return time.Duration(s.NoticeMs) * time.Millisecond }
+
+// Timeout returns TimeoutMs as a duration.
+func (s Stop) Timeout() time.Duration { return time.Duration(s.TimeoutMs) * time.Millisecond }
+
+// Default returns the settings that a file starts from.
+func Default() Settings {
+	return Settings{
+		Listen: Listen{Callers: "127.0.0.1:8080", Peers: "127.0.0.1:8081", Admin: "127.0.0.1:8082"},
+		Requests: Requests{
+			DefaultDeadlineMs: 30_000, MaxDeadlineMs: 3_600_000, MaxBodyBytes: 4 << 20, MaxHeaderBytes: 32 << 10,
+			PrefixBlockTokens: 64, MaxPrefixBlocks: 64,
+		},
+		Stop: Stop{NoticeMs: 2_000, TimeoutMs: 600_000},
+	}
+}
+
+// Load reads and checks a settings file.
+func Load(file string) (Settings, error) {
+	src, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, trace.ConvertSystemError(err)
+	}
+	s, err := Parse(src)
+	return s, trace.Wrap(err, "settings file %s", file)
+}
+
+// Parse reads and checks settings.
+func Parse(src []byte) (Settings, error) {
+	s := Default()
+	std, err := hujson.Standardize(src)
+	if err != nil {
+		return s, trace.BadParameter("not JSON with comments: %v", err)
+	}
+	dec := json.NewDecoder(bytes.NewReader(std))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&s); err != nil {
+		return s, trace.BadParameter("%v", err)
+	}
+	return s, trace.Wrap(s.check())
+}
+
+// check says what is missing or out of bounds.
+func (s *Settings) check() error {
+	required := []struct{ path, value string }{
+		{"name", s.Name}, {"zone", string(s.Zone)}, {"listen.callers", s.Listen.Callers}, {"listen.peers", s.Listen.Peers},
+		{"listen.admin", s.Listen.Admin}, {"platform.log", s.Platform.Log}, {"platform.instance_list", s.Platform.InstanceList},
+		{"keys.peer_key_file", s.Keys.PeerKeyFile}, {"keys.operator_hash_file", s.Keys.OperatorHashFile},
+	}
+	for _, r := range required {
+		if r.value == "" {
+			return trace.BadParameter("%s is required", r.path)
+		}
+	}
+	positive := []struct {
+		path  string
+		value int64
+	}{
+		{"requests.default_deadline_ms", s.Requests.DefaultDeadlineMs}, {"requests.max_deadline_ms", s.Requests.MaxDeadlineMs},
+		{"requests.max_body_bytes", s.Requests.MaxBodyBytes}, {"requests.prefix_block_tokens", int64(s.Requests.PrefixBlockTokens)},
+		{"requests.max_prefix_blocks", int64(s.Requests.MaxPrefixBlocks)}, {"stop.timeout_ms", s.Stop.TimeoutMs},
+	}
+	for _, p := range positive {
+		if p.value <= 0 {
+			return trace.BadParameter("%s must be above zero", p.path)
+		}
+	}
+	if (s.TLS.CertFile == "") != (s.TLS.KeyFile == "") {
+		return trace.BadParameter("tls.cert_file and tls.key_file go together")
+	}
+	return nil
+}
