Decisions: admission at the owner, routing at the entry, retries

Cause: requests need one place that admits work to an endpoint, or slot counts and prefix knowledge are guesses, and no instance can prove that nothing of a lower tier is served before it sheds.

Weighed: a gossiped floor against a promise that rides on each refusal. The promise needs no message of its own and no agreement of clocks, since it counts from when the asker sent its question.

Change: an Owner with queues by tier (fair between organisations, in the organisation's own order within), slots and memory per endpoint, preemption of the lowest tier, deadline checks by estimated speed, and floors; a Router with rendezvous on the prompt's head, bounded load and a table of promises; speed estimates; a prefix index corrected by cache events; retries only on proof, within a budget. A refusal carries the digest of the endpoints that its promise is for, so that an asker with another view of ownership does not build on it. A reservation may ask for a slot at once or a refusal (NoWait).

--- /dev/null
+++ b/internal/core/admission/estimate.go
@@ -0,0 +1,81 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
+
+// cachedTokens estimates how much of j's prompt e holds.
+func (e *endpoint) cachedTokens(j *job) int {
+	if len(j.work.Prefix) == 0 {
+		return 0
+	}
+	if j.class.resume != "" {
+		return j.work.PromptTokens
+	}
+	blocks := float64(e.index.Match(j.work.Prefix)) * e.index.Trust()
+	perBlock := float64(j.work.PromptTokens) / float64(len(j.work.Prefix))
+	return int(blocks * perBlock)
+}
+
+// runTime estimates how long j runs on e from now.
+func (o *Owner) runTime(e *endpoint, j *job) time.Duration {
+	return o.speeds.Rates(&e.row).RunTime(j.work.PromptTokens-e.cachedTokens(j), j.work.MaxTokens)
+}
+
+// bestRunTime estimates how long j runs on the best endpoint that could serve
+// it, were it idle; ok is false if there is none.
+func (o *Owner) bestRunTime(p *pool, j *job) (best time.Duration, ok bool) {
+	p.eligible(j, func(e *endpoint) bool {
+		if d := o.runTime(e, j); !ok || d < best {
+			best, ok = d, true
+		}
+		return true
+	})
+	return best, ok
+}
+
+// waitTime estimates when j, last in its tier, would get a slot: when the
+// first slot frees that a lower tier does not hold, and then all that is
+// queued before it, spread over all slots.
+func (o *Owner) waitTime(now time.Time, p *pool, j *job) time.Duration {
+	slots := 0
+	first := maxRetryAfter
+	p.eligible(j, func(e *endpoint) bool {
+		slots += e.row.Slots
+		first = min(first, e.firstFree(now, j.tier))
+		return first > 0
+	})
+	if slots == 0 {
+		return maxRetryAfter
+	}
+	return first + p.queue.workUpTo(j.tier)/time.Duration(slots)
+}
+
+// firstFree estimates when tier t could have a slot of e.
+func (e *endpoint) firstFree(now time.Time, t int) time.Duration {
+	if e.slots < e.row.Slots {
+		return 0
+	}
+	first := maxRetryAfter
+	for _, k := range e.jobs {
+		if !k.holdsSlot() {
+			continue
+		}
+		if k.tier > t && k.preemptible() {
+			return 0
+		}
+		first = min(first, max(0, k.expectEnd.Sub(now)))
+	}
+	return first
+}
+
+// retryAfter is what a caller whose work is refused is told.
+func (o *Owner) retryAfter(now time.Time, p *pool, j *job) time.Duration {
+	return min(max(o.waitTime(now, p, j), minRetryAfter), maxRetryAfter)
+}
+
+func (j *job) preemptible() bool {
+	return !j.work.NonIdempotent && j.orphanedAt.IsZero() && j.endpoint.row.Kind == entity.KindEngine
+}
--- /dev/null
+++ b/internal/core/admission/membership.go
@@ -0,0 +1,120 @@
+package admission
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
+
+// SetEndpoints replaces the endpoints that this instance owns. For one
+// FloorFor a gained endpoint takes only the highest tier, since promises of an
+// earlier owner may still hold. Running work of a lost endpoint is forgotten:
+// its new owner learns of it from the entries. Queued work stays.
+func (o *Owner) SetEndpoints(now time.Time, rows []entity.Endpoint) {
+	owned := make(map[entity.EndpointID]bool, len(rows))
+	for i := range rows {
+		owned[rows[i].ID] = true
+		o.setEndpoint(now, &rows[i])
+	}
+	for _, p := range o.pools {
+		for _, e := range slices.Clone(p.endpoints) {
+			if !owned[e.row.ID] {
+				o.loseEndpoint(now, p, e)
+			}
+		}
+		p.sort()
+		o.refuseHomeless(now, p)
+		o.schedule(now, p)
+	}
+}
+
+func (o *Owner) setEndpoint(now time.Time, row *entity.Endpoint) {
+	e := o.endpoints[row.ID]
+	if e != nil && e.row.Pool == row.Pool {
+		if !slices.Equal(e.row.Models, row.Models) || !slices.Equal(e.row.Adapters, row.Adapters) {
+			e.settledAt = now.Add(o.settings.FloorFor)
+		}
+		e.row = *row
+		return
+	}
+	if e != nil {
+		o.loseEndpoint(now, o.pool(e.row.Pool), e)
+	}
+	e = o.newEndpoint(now, row)
+	o.endpoints[row.ID] = e
+	p := o.pool(row.Pool)
+	p.endpoints = append(p.endpoints, e)
+}
+
+func (o *Owner) loseEndpoint(now time.Time, p *pool, e *endpoint) {
+	e.gone = true
+	p.endpoints = slices.DeleteFunc(p.endpoints, func(f *endpoint) bool { return f == e })
+	delete(o.endpoints, e.row.ID)
+	o.speeds.Forget(e.row.ID)
+	for _, j := range slices.Clone(e.jobs) {
+		if j.state == stateQueued {
+			o.refuse(now, p, j)
+		}
+		o.leave(j, false)
+	}
+}
+
+// refuseHomeless refuses queued work that no endpoint here serves any more.
+func (o *Owner) refuseHomeless(now time.Time, p *pool) {
+	var homeless []*job
+	for t := range p.queue.tiers {
+		p.queue.each(t, func(j *job) bool {
+			if _, ok := o.bestRunTime(p, j); !ok {
+				homeless = append(homeless, j)
+			}
+			return true
+		})
+	}
+	for _, j := range homeless {
+		o.refuse(now, p, j)
+	}
+}
+
+// Drop forgets an entry instance that is gone. Its queued work vanishes. Its
+// granted slots count as running until the endpoint's load report or a timeout
+// says otherwise.
+func (o *Owner) Drop(now time.Time, id entity.InstanceID) {
+	var lost []*job
+	for _, j := range o.jobs {
+		if j.from == id && j.orphanedAt.IsZero() {
+			lost = append(lost, j)
+		}
+	}
+	slices.SortFunc(lost, func(a, b *job) int { return strings.Compare(string(a.work.ID), string(b.work.ID)) })
+	for _, j := range lost {
+		if j.state == stateRunning || j.state == statePreempting {
+			j.orphanedAt = now
+			continue
+		}
+		o.Cancel(now, j.work.ID)
+	}
+}
+
+// Hold takes in work that entries already run on endpoints that this instance
+// has come to own.
+func (o *Owner) Hold(_ time.Time, held []entity.Held) {
+	for i := range held {
+		o.hold(&held[i])
+	}
+}
+
+func (o *Owner) hold(h *entity.Held) {
+	e := o.endpoints[h.Endpoint]
+	if e == nil || o.jobs[h.Work.ID] != nil {
+		return
+	}
+	j := o.newJob(&entity.Reservation{Work: h.Work, From: h.From})
+	o.jobs[j.work.ID] = j
+	e.take(j)
+	e.index.Insert(j.work.Prefix)
+	if h.Paused {
+		e.pause(j)
+	}
+}
--- /dev/null
+++ b/internal/core/admission/settings.go
@@ -0,0 +1,56 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/prefix"
+)
+
+// TickInterval is the longest time between two calls of Tick.
+const TickInterval = 50 * time.Millisecond
+
+// NoFloor is the Floor of a Refusal that promises nothing.
+const NoFloor = entity.Tier(1 << 20)
+
+const (
+	// minRetryAfter and maxRetryAfter bound what refused callers are told.
+	minRetryAfter = 50 * time.Millisecond
+	maxRetryAfter = time.Minute
+	// hardQueueFactor bounds the queue, as a multiple of its limit, where work
+	// may not be shed for lack of proof.
+	hardQueueFactor = 4
+)
+
+// Settings of an Owner.
+type Settings struct {
+	// Tiers is the number of tiers; lower ranks count as the last.
+	Tiers int
+	// QueuePerEndpoint bounds a pool's queue, per endpoint owned.
+	QueuePerEndpoint int
+	// FloorFor is how long the promise of a Refusal holds.
+	FloorFor time.Duration
+	// OrphanTimeout is how long past its estimated end a slot stays taken whose
+	// entry instance is gone.
+	OrphanTimeout time.Duration
+	// PrefixBlocks bounds the prefix index, per endpoint.
+	PrefixBlocks int
+	// NewEvictor makes the eviction policy of a prefix index.
+	NewEvictor func(blocks int) prefix.Evictor
+	// ImportTokensPerSec is the rate at which KV cache moves between engines;
+	// zero turns imports off. ImportLatency is the fixed cost of one.
+	ImportTokensPerSec float64
+	ImportLatency      time.Duration
+}
+
+// DefaultSettings returns the settings used where none are given.
+func DefaultSettings() Settings {
+	return Settings{
+		Tiers:            5,
+		QueuePerEndpoint: 64,
+		FloorFor:         250 * time.Millisecond,
+		OrphanTimeout:    5 * time.Second,
+		PrefixBlocks:     8192,
+		NewEvictor:       func(n int) prefix.Evictor { return prefix.NewRecency(n) },
+	}
+}
--- /dev/null
+++ b/internal/core/admission/shed.go
@@ -0,0 +1,90 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/eligible"
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
+
+// refuse answers the queued job j with the strongest floor that holds, and
+// forgets it.
+func (o *Owner) refuse(now time.Time, p *pool, j *job) {
+	r := entity.Refusal{ID: j.work.ID, Floor: NoFloor, RetryAfter: o.retryAfter(now, p, j)}
+	if lowest, settled := p.lowest(now, j); settled {
+		floor := max(j.tier, lowest)
+		r.Covers = uint64(o.promise(now, p, j, floor))
+		r.Floor, r.FloorFor = entity.Tier(floor), o.settings.FloorFor
+	}
+	o.sendRefusal(p, j, r)
+}
+
+// refuseInfeasible answers a job that no endpoint here could end in time.
+func (o *Owner) refuseInfeasible(p *pool, j *job) {
+	o.sendRefusal(p, j, entity.Refusal{ID: j.work.ID, Floor: NoFloor, Infeasible: true})
+}
+
+func (o *Owner) sendRefusal(p *pool, j *job, r entity.Refusal) {
+	p.queue.remove(j)
+	o.forgetQueued(j)
+	o.ready.Refusals = append(o.ready.Refusals, RefusalTo{To: j.from, Refusal: r})
+}
+
+// promise keeps everything below the floor off the endpoints that could serve
+// j for as long as a refusal says, and returns which they are.
+func (o *Owner) promise(now time.Time, p *pool, j *job, floor int) eligible.Digest {
+	var covers eligible.Digest
+	p.eligible(j, func(e *endpoint) bool {
+		e.floors.promise(floor, now.Add(o.settings.FloorFor))
+		covers = covers.With(e.row.ID)
+		return true
+	})
+	return covers
+}
+
+// proven says that j may be shed: nothing below its tier runs where it could.
+func (p *pool) proven(now time.Time, j *job) bool {
+	lowest, settled := p.lowest(now, j)
+	return settled && lowest <= j.tier
+}
+
+// shedDoomed refuses j if it can't make its deadline from where it stands.
+func (o *Owner) shedDoomed(now time.Time, p *pool, j *job) bool {
+	wait := o.waitTime(now, p, j)
+	if j.awaited > 0 || !j.late(now, wait+j.run) || !p.proven(now, j) {
+		return false
+	}
+	o.refuse(now, p, j)
+	return true
+}
+
+// shedOverflow refuses queued work, lowest first, until the queue is within
+// its bound or nothing more may be refused.
+func (o *Owner) shedOverflow(now time.Time, p *pool) {
+	limit := o.settings.QueuePerEndpoint * len(p.endpoints)
+	for p.queue.count > limit {
+		j := p.queue.lose()
+		if !p.proven(now, j) && p.queue.count <= hardQueueFactor*limit {
+			return
+		}
+		o.refuse(now, p, j)
+	}
+}
+
+// expire refuses queued jobs that can't end in time even on an idle endpoint.
+func (o *Owner) expire(now time.Time, p *pool) {
+	var late []*job
+	for t := range p.queue.tiers {
+		p.queue.each(t, func(j *job) bool {
+			if j.late(now, j.run) {
+				late = append(late, j)
+			}
+			return true
+		})
+	}
+	for _, j := range late {
+		if run, ok := o.bestRunTime(p, j); !ok || j.late(now, run) {
+			o.refuseInfeasible(p, j)
+		}
+	}
+}
--- a/internal/core/entity/peer.go
+++ b/internal/core/entity/peer.go
@@ -12,6 +12,9 @@
 	// Resume names the endpoint that holds the request's paused stream; empty
 	// for a request that was never dispatched.
 	Resume EndpointID
+	// NoWait asks for a slot at once or a refusal; without it the owner may
+	// queue the work.
+	NoWait bool
 }
 
 // Grant is the owner's answer "you may dispatch to this endpoint now".
@@ -35,6 +38,9 @@
 	Floor      Tier
 	FloorFor   time.Duration
 	RetryAfter time.Duration
+	// Covers is the digest of the endpoints that the promise is for. An asker
+	// that knows of another set must not build on the promise.
+	Covers uint64
 	// Infeasible says that the deadline could not be met even with no one else here.
 	Infeasible bool
 }
@@ -80,3 +86,13 @@
 	Evicted  []BlockHash
 	Cleared  bool
 }
+
+// Held is work that an entry instance already runs on an endpoint. Entries
+// send it to an instance that has become the endpoint's owner.
+type Held struct {
+	Work     Work
+	From     InstanceID
+	Endpoint EndpointID
+	// Paused says that the stream waits on the engine to be resumed.
+	Paused bool
+}
--- /dev/null
+++ b/internal/core/routing/boundedload.go
@@ -0,0 +1,16 @@
+package routing
+
+// BoundedLoad puts off endpoints that run more of this entry's requests than
+// Factor times their share.
+type BoundedLoad struct {
+	Factor float64
+}
+
+// PutOff implements Picker.
+func (b BoundedLoad) PutOff(v *View, totalWeight float64, totalRunning int) bool {
+	if totalWeight <= 0 {
+		return false
+	}
+	share := float64(totalRunning+1) * v.Weight / totalWeight
+	return float64(v.Running) >= b.Factor*share+1
+}
--- /dev/null
+++ b/internal/core/routing/candidate.go
@@ -0,0 +1,24 @@
+package routing
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/medlarhold/medlarhold/internal/core/eligible"
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
+
+// candidate is one row of the router's endpoint table.
+type candidate struct {
+	Owned
+	hash   uint64
+	digest eligible.Digest
+	// running counts this entry's own requests there.
+	running int
+}
+
+func newCandidate(id entity.EndpointID) *candidate {
+	return &candidate{
+		hash:   xxhash.Sum64String(string(id)),
+		digest: eligible.Digest(0).With(id),
+	}
+}
--- /dev/null
+++ b/internal/core/routing/plugins.go
@@ -0,0 +1,106 @@
+package routing
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
+
+// View is what plugins may know of one endpoint.
+type View struct {
+	Endpoint *entity.Endpoint
+	// Hash names the endpoint as a number.
+	Hash uint64
+	// Reachable says that its owner answers.
+	Reachable bool
+	// Weight is its share of work, by slots and estimated speed.
+	Weight float64
+	// Running counts this entry's own requests on it.
+	Running int
+}
+
+// Filter leaves out endpoints that can't serve the work.
+type Filter interface {
+	Keep(v *View, w *entity.Work) bool
+}
+
+// Scorer values an endpoint for the work; more is better.
+type Scorer interface {
+	Score(v *View, w *entity.Work) float64
+}
+
+// Picker may put off endpoints that the scores alone would load too much.
+type Picker interface {
+	// PutOff says that v is to come after all that are not put off. The totals
+	// are over all endpoints that the filters kept.
+	PutOff(v *View, totalWeight float64, totalRunning int) bool
+}
+
+// ranked is a candidate with its place in the order.
+type ranked struct {
+	*candidate
+	view   View
+	score  float64
+	putOff bool
+}
+
+// rank orders the endpoints of p for w, the best first.
+func (r *Router) rank(now time.Time, p *pool, w *entity.Work) []ranked {
+	order := r.order[:0]
+	weight, running := 0.0, 0
+	for _, c := range p.candidates {
+		x := ranked{candidate: c, view: r.view(now, c)}
+		if !r.keep(&x.view, w) {
+			continue
+		}
+		x.score = r.scorer.Score(&x.view, w)
+		weight += x.view.Weight
+		running += x.view.Running
+		order = append(order, x)
+	}
+	for i := range order {
+		order[i].putOff = r.picker.PutOff(&order[i].view, weight, running)
+	}
+	slices.SortFunc(order, compare)
+	r.order = order
+	return order
+}
+
+func (r *Router) keep(v *View, w *entity.Work) bool {
+	for _, f := range r.filters {
+		if !f.Keep(v, w) {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *Router) view(now time.Time, c *candidate) View {
+	return View{
+		Endpoint:  &c.Endpoint,
+		Hash:      c.hash,
+		Reachable: r.owner(c.Owner).reachable(now),
+		Weight:    r.weight(&c.Endpoint),
+		Running:   c.running,
+	}
+}
+
+// weight is an endpoint's share of work. A slow one gets what it can do.
+func (r *Router) weight(ep *entity.Endpoint) float64 {
+	return float64(max(ep.Slots, 1)) * r.speeds.Rates(ep).Decode
+}
+
+func compare(a, b ranked) int {
+	if a.putOff != b.putOff {
+		if a.putOff {
+			return 1
+		}
+		return -1
+	}
+	if c := cmp.Compare(b.score, a.score); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.Endpoint.ID, b.Endpoint.ID)
+}
--- /dev/null
+++ b/internal/core/routing/reachable.go
@@ -0,0 +1,11 @@
+package routing
+
+import "github.com/medlarhold/medlarhold/internal/core/entity"
+
+// Reachable keeps endpoints whose owner answers.
+type Reachable struct{}
+
+// Keep implements Filter.
+func (Reachable) Keep(v *View, _ *entity.Work) bool {
+	return v.Reachable
+}
--- /dev/null
+++ b/internal/core/routing/router.go
@@ -0,0 +1,202 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/eligible"
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/speed"
+)
+
+// Owned is an endpoint and the instance that owns it.
+type Owned struct {
+	Endpoint entity.Endpoint
+	Owner    entity.InstanceID
+}
+
+// Choice is one owner to ask, and the endpoint for whose sake it is asked.
+type Choice struct {
+	Owner    entity.InstanceID
+	Endpoint entity.EndpointID
+	// NoWait goes into the reservation.
+	NoWait bool
+}
+
+// Router decides whom an entry instance asks.
+type Router struct {
+	settings  Settings
+	pools     map[entity.PoolID]*pool
+	endpoints map[entity.EndpointID]*candidate
+	owners    map[entity.InstanceID]*owner
+	floors    floors
+	speeds    *speed.Estimator
+	filters   []Filter
+	scorer    Scorer
+	picker    Picker
+	order     []ranked // scratch
+}
+
+// pool is the endpoints of one pool.
+type pool struct {
+	candidates []*candidate
+	owners     []entity.InstanceID // in the order of candidates
+}
+
+// New returns a Router that knows no pools.
+func New(s Settings) *Router {
+	return &Router{
+		settings:  s,
+		pools:     make(map[entity.PoolID]*pool),
+		endpoints: make(map[entity.EndpointID]*candidate),
+		owners:    make(map[entity.InstanceID]*owner),
+		floors:    make(floors),
+		speeds:    speed.New(),
+		filters:   []Filter{Serves{}, Reachable{}},
+		scorer:    Rendezvous{HeadBlocks: s.HeadBlocks},
+		picker:    BoundedLoad{Factor: s.LoadFactor},
+	}
+}
+
+// SetPool replaces the endpoints of a pool.
+func (r *Router) SetPool(id entity.PoolID, rows []Owned) {
+	p := &pool{}
+	seen := make(map[entity.InstanceID]bool)
+	for i := range rows {
+		p.candidates = append(p.candidates, r.candidate(&rows[i]))
+		if o := rows[i].Owner; !seen[o] {
+			seen[o] = true
+			p.owners = append(p.owners, o)
+		}
+	}
+	if old := r.pools[id]; old != nil {
+		r.forget(old, p)
+	}
+	r.pools[id] = p
+}
+
+// Next returns whom to ask next for w, given the choices tried so far.
+func (r *Router) Next(now time.Time, w *entity.Work, tried []Choice) (Choice, bool) {
+	p := r.pools[w.Pool]
+	if p == nil {
+		return Choice{}, false
+	}
+	probes, waited := summarise(tried)
+	order := r.rank(now, p, w)
+	if waited || probes < r.settings.Probes {
+		if c, ok := r.probe(now, w, order, tried); ok || waited {
+			return c, ok
+		}
+	}
+	return r.join(now, order)
+}
+
+// probe returns the first owner that was not tried yet and has not promised
+// that it serves nothing below w.
+func (r *Router) probe(now time.Time, w *entity.Work, order []ranked, tried []Choice) (Choice, bool) {
+	for _, c := range order {
+		if wasTried(tried, c.Owner) || r.promised(now, c.Owner, w) {
+			continue
+		}
+		return Choice{Owner: c.Owner, Endpoint: c.Endpoint.ID, NoWait: true}, true
+	}
+	return Choice{}, false
+}
+
+// join returns the owner with the shortest queue, as far as is known.
+func (r *Router) join(now time.Time, order []ranked) (Choice, bool) {
+	var best *candidate
+	var shortest time.Duration
+	for _, c := range order {
+		wait := r.owner(c.Owner).wait(now)
+		if best == nil || wait < shortest {
+			best, shortest = c.candidate, wait
+		}
+	}
+	if best == nil {
+		return Choice{}, false
+	}
+	return Choice{Owner: best.Owner, Endpoint: best.Endpoint.ID}, true
+}
+
+// MayShed says that w may be refused for overload: every owner of the pool
+// that is in reach has promised that it serves nothing below w.
+func (r *Router) MayShed(now time.Time, w *entity.Work) bool {
+	p := r.pools[w.Pool]
+	if p == nil {
+		return true
+	}
+	for _, o := range p.owners {
+		if r.owner(o).reachable(now) && !r.promised(now, o, w) {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *Router) promised(now time.Time, o entity.InstanceID, w *entity.Work) bool {
+	covers := r.covers(o, w)
+	return covers == 0 || r.floors.holds(now, o, w, covers)
+}
+
+// covers is the digest of o's endpoints that could serve w.
+func (r *Router) covers(o entity.InstanceID, w *entity.Work) eligible.Digest {
+	var d eligible.Digest
+	for _, c := range r.pools[w.Pool].candidates {
+		if c.Owner == o && eligible.Serves(&c.Endpoint, w) {
+			d ^= c.digest
+		}
+	}
+	return d
+}
+
+func (r *Router) owner(id entity.InstanceID) *owner {
+	o := r.owners[id]
+	if o == nil {
+		o = &owner{}
+		r.owners[id] = o
+	}
+	return o
+}
+
+func (r *Router) candidate(row *Owned) *candidate {
+	c := r.endpoints[row.Endpoint.ID]
+	if c == nil {
+		c = newCandidate(row.Endpoint.ID)
+		r.endpoints[row.Endpoint.ID] = c
+	}
+	c.Owned = *row
+	return c
+}
+
+func (r *Router) forget(old, now *pool) {
+	kept := make(map[entity.EndpointID]bool, len(now.candidates))
+	for _, c := range now.candidates {
+		kept[c.Endpoint.ID] = true
+	}
+	for _, c := range old.candidates {
+		if !kept[c.Endpoint.ID] {
+			delete(r.endpoints, c.Endpoint.ID)
+			r.speeds.Forget(c.Endpoint.ID)
+		}
+	}
+}
+
+func summarise(tried []Choice) (probes int, waited bool) {
+	for _, c := range tried {
+		if !c.NoWait {
+			waited = true
+			continue
+		}
+		probes++
+	}
+	return probes, waited
+}
+
+func wasTried(tried []Choice, o entity.InstanceID) bool {
+	for _, c := range tried {
+		if c.Owner == o {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/core/routing/router_test.go
@@ -0,0 +1,137 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/eligible"
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// fleet returns a router with n endpoints, each with an owner of its own.
+func fleet(n int) *Router {
+	r := New(DefaultSettings())
+	var rows []Owned
+	for i := range n {
+		rows = append(rows, Owned{
+			Owner: entity.InstanceID(fmt.Sprintf("i%d", i)),
+			Endpoint: entity.Endpoint{
+				ID: entity.EndpointID(fmt.Sprintf("e%d", i)), Pool: "p", Models: []entity.ModelID{"m"}, Slots: 8,
+			},
+		})
+	}
+	r.SetPool("p", rows)
+	return r
+}
+
+func work(id string, head entity.BlockHash, tier entity.Tier) *entity.Work {
+	return &entity.Work{ID: entity.RequestID(id), Pool: "p", Model: "m", Tier: tier, Prefix: []entity.BlockHash{head}}
+}
+
+func TestSameHeadGoesToTheSameEndpoint(t *testing.T) {
+	r := fleet(10)
+	first, ok := r.Next(epoch, work("a", 7, 0), nil)
+	if !ok {
+		t.Fatal("no choice")
+	}
+	seen := make(map[entity.EndpointID]bool)
+	for i := range 50 {
+		c, _ := r.Next(epoch, work(fmt.Sprint(i), 7, 0), nil)
+		if c != first {
+			t.Fatalf("choice %v, want %v", c, first)
+		}
+		other, _ := r.Next(epoch, work(fmt.Sprint(i), entity.BlockHash(i), 0), nil)
+		seen[other.Endpoint] = true
+	}
+	if len(seen) < 8 {
+		t.Errorf("50 heads went to %d endpoints of 10", len(seen))
+	}
+}
+
+func TestBoundedLoadPutsOffTheBusy(t *testing.T) {
+	r := fleet(4)
+	w := work("a", 7, 0)
+	first, _ := r.Next(epoch, w, nil)
+	for i := range 2 {
+		r.Granted(epoch, first.Owner, w, entity.Grant{ID: entity.RequestID(fmt.Sprint(i)), Endpoint: first.Endpoint})
+	}
+	if second, _ := r.Next(epoch, w, nil); second.Endpoint == first.Endpoint {
+		t.Errorf("%s was chosen again with all the load", first.Endpoint)
+	}
+}
+
+func TestShedsOnlyWithEveryPromise(t *testing.T) {
+	r := fleet(2)
+	w := work("a", 7, 1)
+	refuse := func(i int, floor entity.Tier, covers eligible.Digest) {
+		r.Refused(epoch, entity.InstanceID(fmt.Sprintf("i%d", i)), w,
+			entity.Refusal{ID: w.ID, Floor: floor, FloorFor: time.Second, Covers: uint64(covers)}, epoch)
+	}
+	d0, d1 := eligible.Digest(0).With("e0"), eligible.Digest(0).With("e1")
+	steps := []struct {
+		do   func()
+		want bool
+		what string
+	}{
+		{func() {}, false, "nothing promised"},
+		{func() { refuse(0, 1, d0) }, false, "one owner promised"},
+		{func() { refuse(1, 2, d1) }, false, "the other promised too low a floor"},
+		{func() { refuse(1, 1, d0) }, false, "the other promised for another set"},
+		{func() { refuse(1, 1, d1) }, true, "both promised"},
+	}
+	for _, s := range steps {
+		s.do()
+		if got := r.MayShed(epoch, w); got != s.want {
+			t.Fatalf("%s: MayShed = %v", s.what, got)
+		}
+	}
+	if r.MayShed(epoch.Add(time.Second), w) {
+		t.Error("MayShed after the promises ran out")
+	}
+	if r.MayShed(epoch, work("b", 7, 0)) {
+		t.Error("MayShed a higher tier than was promised")
+	}
+}
+
+func TestNextProbesThenJoinsThenProbesTheRest(t *testing.T) {
+	r := fleet(6)
+	w := work("a", 7, 1)
+	var tried []Choice
+	for range DefaultSettings().Probes {
+		c, ok := r.Next(epoch, w, tried)
+		if !ok || !c.NoWait {
+			t.Fatalf("choice %v %v, want a probe", c, ok)
+		}
+		tried = append(tried, c)
+	}
+	c, ok := r.Next(epoch, w, tried)
+	if !ok || c.NoWait {
+		t.Fatalf("choice %v %v, want a place in a queue", c, ok)
+	}
+	tried = append(tried, c)
+	for range 2 {
+		c, ok = r.Next(epoch, w, tried)
+		if !ok || !c.NoWait {
+			t.Fatalf("choice %v %v, want a probe of the rest", c, ok)
+		}
+		tried = append(tried, c)
+	}
+	if c, ok = r.Next(epoch, w, tried); ok {
+		t.Errorf("choice %v after all were tried", c)
+	}
+}
+
+func TestUnreachableOwnerIsNotAsked(t *testing.T) {
+	r := fleet(1)
+	w := work("a", 7, 1)
+	r.Unreachable(epoch, "i0")
+	if c, ok := r.Next(epoch, w, nil); ok {
+		t.Errorf("choice %v", c)
+	}
+	if _, ok := r.Next(epoch.Add(unreachableFor), w, nil); !ok {
+		t.Error("not asked again")
+	}
+}
--- /dev/null
+++ b/internal/core/speed/speed_test.go
@@ -0,0 +1,31 @@
+package speed
+
+import (
+	"testing"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
+
+func TestEstimatorFollowsEndpointAndGeneration(t *testing.T) {
+	e := New()
+	slow := &entity.Endpoint{ID: "slow", Generation: "g", PrefillTokensPerSec: 1000, DecodeTokensPerSec: 100}
+	fresh := &entity.Endpoint{ID: "fresh", Generation: "g", PrefillTokensPerSec: 1000, DecodeTokensPerSec: 100}
+	if r := e.Rates(slow); r != (Rates{Prefill: 1000, Decode: 100}) {
+		t.Fatalf("configured rates %v", r)
+	}
+	for range 20 {
+		e.Observe(slow, entity.Release{
+			PrefillTokens: 1000, TimeToFirstToken: 5 * time.Second, GeneratedTokens: 100, DecodeTime: 5 * time.Second,
+		})
+	}
+	if !e.Slow(slow) {
+		t.Error("a fifth of the speed is not seen as slow")
+	}
+	if r := e.Rates(fresh); r.Decode >= 100 || r.Decode <= e.Rates(slow).Decode {
+		t.Errorf("a fresh endpoint takes %v", r)
+	}
+	if e.Slow(fresh) {
+		t.Error("an endpoint without samples counts as slow")
+	}
+}
