--- a/internal/caller/enginejob.go
+++ b/internal/caller/enginejob.go
@@ -9,6 +9,7 @@
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/core/request"
 	"github.com/medlarhold/medlarhold/internal/endpoint"
+	"github.com/medlarhold/medlarhold/internal/prefix"
 	"github.com/medlarhold/medlarhold/internal/verdict"
 )
 
@@ -53,7 +54,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	blocks, err := j.s.opts.Endpoints.Export(ctx, from.Address, endpoint.ExportRequest{Prefix: endpoint.ToWire(j.engineBlocks())})
+	blocks, err := j.s.opts.Endpoints.Export(ctx, from.Address, endpoint.ExportRequest{Prefix: endpoint.ToWire(prefix.Hash(j.body.Prompt, prefix.DefaultBlockTokens))})
 	if err == nil && len(blocks.Blocks) > 0 {
 		_, _ = j.s.opts.Endpoints.Import(ctx, e.Address, endpoint.ImportRequest{From: from.Address, Blocks: blocks.Blocks})
 	}
--- a/internal/core/entity/peer.go
+++ b/internal/core/entity/peer.go
@@ -38,6 +38,9 @@
 	Floor      Tier          `json:"f,omitempty"`
 	FloorFor   time.Duration `json:"u,omitempty"`
 	RetryAfter time.Duration `json:"r,omitempty"`
+	// Covers is the digest of the endpoints that the promise is for. An asker
+	// that knows of another set must not build on the promise.
+	Covers uint64 `json:"c,omitempty"`
 	// Infeasible says that the deadline could not be met even with no one else here.
 	Infeasible bool `json:"x,omitempty"`
 }
@@ -85,3 +88,13 @@
 	Evicted  []BlockHash
 	Cleared  bool
 }
+
+// Held is work that an entry instance already runs on an endpoint. Entries
+// send it to an instance that has become the endpoint's owner.
+type Held struct {
+	Work     Work
+	From     InstanceID
+	Endpoint EndpointID
+	// Paused says that the stream waits on the engine to be resumed.
+	Paused bool
+}
--- a/internal/core/node/members.go
+++ b/internal/core/node/members.go
@@ -63,7 +63,6 @@
 	}
 	n.moved(now, n.owners.SetEndpoints(endpoints))
 	n.setOwned(now)
-	n.router.configured(endpoints)
 }
 
 // moved acts on endpoints that changed their owner: the new owner is told what
@@ -93,6 +92,7 @@
 		}
 	}
 	n.owner.SetEndpoints(now, owned)
+	n.router.setPools()
 	n.ready.Owned = &owned
 }
 
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -11,6 +11,7 @@
 	"github.com/medlarhold/medlarhold/internal/core/ownership"
 	"github.com/medlarhold/medlarhold/internal/core/request"
 	"github.com/medlarhold/medlarhold/internal/core/retry"
+	"github.com/medlarhold/medlarhold/internal/core/routing"
 )
 
 // TickInterval is the longest time between two calls of Tick.
@@ -23,6 +24,7 @@
 	Admission  admission.Settings
 	Request    request.Settings
 	Retry      retry.Settings
+	Routing    routing.Settings
 	// ReleaseRetry is the pause before a release that was not delivered is sent again.
 	ReleaseRetry time.Duration
 }
@@ -34,9 +36,10 @@
 		Membership: membership.DefaultSettings(),
 		Admission:  admission.DefaultSettings(),
 		Request: request.Settings{
-			Self: self.ID, KeepFinished: 4096, ReaskAfter: 200 * time.Millisecond,
+			Self: self.ID, KeepFinished: 4096, RetryInterval: routing.RetryInterval, LookInterval: 250 * time.Millisecond,
 		},
 		Retry:        retry.DefaultSettings(),
+		Routing:      routing.DefaultSettings(),
 		ReleaseRetry: 500 * time.Millisecond,
 	}
 }
@@ -93,7 +96,7 @@
 		retries:  retry.New(s.Retry, rng),
 		address:  make(map[entity.InstanceID]string),
 	}
-	n.router = newRouter(n)
+	n.router = &router{Router: routing.New(s.Routing), n: n}
 	n.entry = request.New(s.Request, n.router, n.retries)
 	n.view = n.members.View()
 	return n
@@ -187,6 +190,9 @@
 // InFlight returns the number of requests without a final answer.
 func (n *Node) InFlight() int { return n.entry.Len() }
 
+// Draining says whether the planned stop has begun.
+func (n *Node) Draining() bool { return n.draining }
+
 // Status returns what this instance knows about a request.
 func (n *Node) Status(id entity.RequestID) (request.Status, bool) { return n.entry.Status(id) }
 
--- a/internal/core/request/entry.go
+++ b/internal/core/request/entry.go
@@ -7,25 +7,28 @@
 
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/core/retry"
+	"github.com/medlarhold/medlarhold/internal/core/routing"
 	"github.com/medlarhold/medlarhold/internal/verdict"
 )
 
 // deadlineTreeDegree is the fan-out of the tree of deadlines.
 const deadlineTreeDegree = 16
 
-// Router tells an entry which owners to ask, and remembers their promises.
+// Router tells an entry whom to ask, and remembers what the owners answered.
 type Router interface {
-	// Next returns the owner to ask next for w, and false when there is none
-	// left: every owner in reach was tried or holds a promise that covers w.
-	Next(now time.Time, w *entity.Work, tried []entity.InstanceID) (entity.InstanceID, bool)
-	// OwnerOf returns the owner of one endpoint, for a stream paused there.
-	OwnerOf(e entity.EndpointID) (entity.InstanceID, bool)
-	// Refused records what an owner promised to a question sent at sentAt.
-	Refused(owner entity.InstanceID, w *entity.Work, r entity.Refusal, sentAt time.Time)
+	// Next returns whom to ask next for w, and false when there is nobody left.
+	Next(now time.Time, w *entity.Work, tried []routing.Choice) (routing.Choice, bool)
 	// MayShed says whether every owner in reach that could serve w has promised,
 	// for this moment, that nothing below w's tier is being served.
 	MayShed(now time.Time, w *entity.Work) bool
-	// HasEndpoint says whether any endpoint in reach could serve w at all.
+	// Granted, Refused, Unreachable and Finished take in what came of a question.
+	Granted(now time.Time, from entity.InstanceID, w *entity.Work, g entity.Grant)
+	Refused(now time.Time, from entity.InstanceID, w *entity.Work, f entity.Refusal, sentAt time.Time)
+	Unreachable(now time.Time, owner entity.InstanceID)
+	Finished(rel entity.Release)
+	// OwnerOf returns the owner of one endpoint, for a stream paused there.
+	OwnerOf(e entity.EndpointID) (entity.InstanceID, bool)
+	// HasEndpoint says whether any endpoint that is configured could serve w.
 	HasEndpoint(w *entity.Work) bool
 }
 
@@ -42,8 +45,12 @@
 	// KeepFinished is how many finished requests are remembered for callers
 	// who ask by id.
 	KeepFinished int
-	// ReaskAfter is how long a paused request waits after a refusal.
-	ReaskAfter time.Duration
+	// RetryInterval is how long a request waits that nobody took and that may
+	// not be shed, before it asks again.
+	RetryInterval time.Duration
+	// LookInterval is how long a request stays in one owner's queue before it
+	// looks for a free slot elsewhere, again and again.
+	LookInterval time.Duration
 }
 
 // Entry is the table of requests and the systems that run over it.
@@ -114,64 +121,74 @@
 	e.finish(now, r, v, earlier)
 }
 
-// ask sends the reservation to the next owner, or ends the request when none is left.
+// ask sends the reservation to the next owner. Where none is left the request
+// waits in the queue that it has joined, is given up, or starts again.
 func (e *Entry) ask(now time.Time, r *row) {
 	if r.resume != "" {
 		e.askToResume(now, r)
 		return
 	}
-	owner, ok := e.router.Next(now, &r.work, r.tried)
-	if !ok {
+	r.state = StateAsking
+	choice, ok := e.router.Next(now, &r.work, r.tried)
+	switch {
+	case ok:
+		r.tried = append(r.tried, choice)
+		e.reserve(now, r, choice)
+	case len(r.asks) > 0:
+		e.wakeAfter(now, r, e.settings.LookInterval)
+	default:
 		e.giveUp(now, r)
-		return
 	}
-	e.reserve(now, r, owner)
 }
 
 // askToResume asks the present owner of the endpoint that holds the paused stream.
 func (e *Entry) askToResume(now time.Time, r *row) {
-	owner, ok := e.router.OwnerOf(r.resume)
-	if !ok {
-		e.setTimer(r, now.Add(e.settings.ReaskAfter))
-		r.owner = ""
+	r.asks = nil
+	if owner, ok := e.router.OwnerOf(r.resume); ok {
+		e.reserve(now, r, routing.Choice{Owner: owner, Endpoint: r.resume})
 		return
 	}
-	e.reserve(now, r, owner)
+	e.wakeAfter(now, r, e.settings.RetryInterval)
 }
 
-func (e *Entry) reserve(now time.Time, r *row, owner entity.InstanceID) {
-	if r.state != StatePaused {
-		r.state = StateAsking
-	}
-	r.owner = owner
-	r.askedAt = now
+// reserve sends one question. Only one question at a time may be queued; the
+// others want a slot at once or a refusal.
+func (e *Entry) reserve(now time.Time, r *row, c routing.Choice) {
+	r.asks = append(r.asks, ask{Choice: c, at: now})
 	e.ready.Reservations = append(e.ready.Reservations, ReservationTo{
-		Owner:       owner,
-		Reservation: entity.Reservation{Work: r.work, From: e.settings.Self, Resume: r.resume},
+		Owner:       c.Owner,
+		Reservation: entity.Reservation{Work: r.work, From: e.settings.Self, Resume: r.resume, NoWait: c.NoWait},
 	})
+	if !c.NoWait {
+		e.wakeAfter(now, r, e.settings.LookInterval)
+	}
 }
 
-// giveUp ends a request that no owner in reach takes.
+// giveUp ends a request that no owner in reach takes, if that is proved; else
+// the request starts again after a pause.
 func (e *Entry) giveUp(now time.Time, r *row) {
 	switch {
 	case !e.router.HasEndpoint(&r.work):
 		e.refuse(now, r, verdict.ReasonNoEndpoint, retryAfterNoEndpoint)
-	case e.router.MayShed(now, &r.work):
+	case r.refused > 0 && e.router.MayShed(now, &r.work):
 		e.refuse(now, r, verdict.ReasonOverload, r.retryAfter)
 	default:
-		e.refuse(now, r, verdict.ReasonOwnerUnreachable, retryAfterUnreachable)
+		r.tried, r.refused = nil, 0
+		e.wakeAfter(now, r, e.settings.RetryInterval)
 	}
 }
 
 // Granted tells that an owner holds a slot for the request.
 func (e *Entry) Granted(now time.Time, from entity.InstanceID, g entity.Grant) {
 	r, ok := e.rows[g.ID]
-	if !ok || r.owner != from || (r.state != StateAsking && r.state != StatePaused) {
+	if !ok || !r.asked(from) || (r.state != StateAsking && r.state != StatePaused) {
 		e.ready.Releases = append(e.ready.Releases, ReleaseTo{Owner: from, Release: entity.Release{ID: g.ID, Endpoint: g.Endpoint, Unused: true}})
 		return
 	}
+	e.withdraw(r, from)
 	e.setTimer(r, r.work.Deadline)
-	r.endpoint = g.Endpoint
+	e.router.Granted(now, from, &r.work, g)
+	r.owner, r.endpoint = from, g.Endpoint
 	if r.state == StatePaused {
 		r.state = StateRunning
 		e.direct(Directive{ID: g.ID, Kind: DirectiveResume, Endpoint: g.Endpoint})
@@ -182,70 +199,76 @@
 	e.direct(Directive{ID: g.ID, Kind: DirectiveDispatch, Endpoint: g.Endpoint, ImportFrom: g.ImportFrom})
 }
 
+// withdraw takes back all questions but the one to an owner that answered.
+func (e *Entry) withdraw(r *row, answered entity.InstanceID) {
+	for _, a := range r.asks {
+		if a.Owner != answered {
+			e.ready.Cancels = append(e.ready.Cancels, CancelTo{Owner: a.Owner, ID: r.work.ID})
+		}
+	}
+	r.asks = nil
+}
+
 // Refused tells that an owner does not take the request.
 func (e *Entry) Refused(now time.Time, from entity.InstanceID, f entity.Refusal) {
 	r, ok := e.rows[f.ID]
-	if !ok || r.owner != from {
-		return
-	}
-	if r.state == StatePaused {
-		e.setTimer(r, minTime(now.Add(e.settings.ReaskAfter), r.work.Deadline))
-		r.owner = ""
-		return
-	}
-	if r.state != StateAsking {
+	if !ok || !r.asked(from) {
 		return
 	}
-	e.router.Refused(from, &r.work, f, r.askedAt)
+	a := r.answered(from)
+	e.router.Refused(now, from, &r.work, f, a.at)
+	r.refused++
 	r.retryAfter = max(r.retryAfter, f.RetryAfter)
-	r.tried = append(r.tried, from)
-	if f.Infeasible {
+	switch {
+	case r.state == StatePaused:
+		e.wakeAfter(now, r, e.settings.RetryInterval)
+	case f.Infeasible:
+		e.withdraw(r, from)
 		e.refuse(now, r, verdict.ReasonDeadline, f.RetryAfter)
-		return
+	case len(r.asks) == 0 || a.NoWait:
+		e.ask(now, r)
+	}
+}
+
+// Unreachable tells that a question could not be delivered to an owner.
+func (e *Entry) Unreachable(now time.Time, owner entity.InstanceID, id entity.RequestID) {
+	e.router.Unreachable(now, owner)
+	if r, ok := e.rows[id]; ok && r.asked(owner) {
+		e.unanswered(now, r, owner)
 	}
-	e.ask(now, r)
 }
 
-// OwnerLost tells that an owner can't be reached any more, or that what it was
-// asked is lost. Undispatched requests go to another owner: the lost one can't
-// dispatch them, as only this entry can.
+// OwnerLost tells that an owner is gone. Undispatched requests go to another
+// owner: the lost one can't dispatch them, as only this entry can.
 func (e *Entry) OwnerLost(now time.Time, owner entity.InstanceID) {
+	e.router.Unreachable(now, owner)
 	for _, r := range e.sortedRows() {
-		if r.owner != owner {
-			continue
-		}
-		switch r.state {
-		case StateAsking:
-			r.tried = append(r.tried, owner)
-			e.ask(now, r)
-		case StatePaused:
-			e.askToResume(now, r)
+		if r.asked(owner) {
+			e.unanswered(now, r, owner)
 		}
 	}
 }
 
-// Unreachable tells that a question could not be delivered to an owner.
-func (e *Entry) Unreachable(now time.Time, owner entity.InstanceID, id entity.RequestID) {
-	r, ok := e.rows[id]
-	if !ok || r.owner != owner {
-		return
-	}
-	switch r.state {
-	case StateAsking:
-		r.tried = append(r.tried, owner)
+// unanswered goes on without the answer of an owner.
+func (e *Entry) unanswered(now time.Time, r *row, owner entity.InstanceID) {
+	r.answered(owner)
+	switch {
+	case r.state == StatePaused:
+		e.wakeAfter(now, r, e.settings.RetryInterval)
+	case len(r.asks) == 0:
 		e.ask(now, r)
-	case StatePaused:
-		e.setTimer(r, minTime(now.Add(e.settings.ReaskAfter), r.work.Deadline))
-		r.owner = ""
 	}
 }
 
 // Reask repeats the questions that an owner has not answered, after the
 // connection to it was lost. Owners answer a repeated question again.
-func (e *Entry) Reask(now time.Time, owner entity.InstanceID) {
+func (e *Entry) Reask(_ time.Time, owner entity.InstanceID) {
 	for _, r := range e.sortedRows() {
-		if r.owner == owner && (r.state == StateAsking || r.state == StatePaused) {
-			e.reserve(now, r, owner)
+		for _, a := range r.asks {
+			if a.Owner == owner {
+				e.ready.Reservations = append(e.ready.Reservations, ReservationTo{Owner: owner,
+					Reservation: entity.Reservation{Work: r.work, From: e.settings.Self, Resume: r.resume, NoWait: a.NoWait}})
+			}
 		}
 	}
 }
@@ -301,8 +324,8 @@
 		return false
 	}
 	e.ready.Retries = append(e.ready.Retries, Retry{ID: r.work.ID, Reason: err.Reason})
-	r.state, r.owner, r.endpoint, r.resume = StateAsking, "", "", ""
-	e.setTimer(r, minTime(now.Add(d.Wait), r.work.Deadline))
+	r.state, r.owner, r.endpoint, r.resume, r.tried = StateAsking, "", "", "", nil
+	e.wakeAfter(now, r, d.Wait)
 	return true
 }
 
@@ -322,26 +345,20 @@
 	case StateClaiming:
 		e.refuse(now, r, reason, retryAfter)
 	case StateAsking:
-		e.cancelReservation(r)
+		e.withdraw(r, "")
 		e.refuse(now, r, reason, retryAfter)
 	case StateRunning, StatePausing, StatePaused:
 		e.cancelRunning(now, r, reason)
 	}
 }
 
-func (e *Entry) cancelReservation(r *row) {
-	if r.owner != "" {
-		e.ready.Cancels = append(e.ready.Cancels, CancelTo{Owner: r.owner, ID: r.work.ID})
-	}
-}
-
 // cancelRunning stops a dispatched request. Its end is reported by Ended.
 func (e *Entry) cancelRunning(_ time.Time, r *row, reason verdict.Reason) {
 	if r.cancelled {
 		return
 	}
 	if r.state == StatePaused {
-		e.cancelReservation(r)
+		e.withdraw(r, "")
 	}
 	r.cancelled = true
 	r.state = StateRunning
@@ -365,7 +382,7 @@
 func (e *Entry) timerFired(now time.Time, r *row) {
 	if now.Before(r.work.Deadline) {
 		e.setTimer(r, r.work.Deadline)
-		if r.owner == "" && (r.state == StatePaused || r.state == StateAsking) {
+		if r.state == StateAsking || (r.state == StatePaused && len(r.asks) == 0) {
 			e.ask(now, r)
 		}
 		return
--- a/internal/core/request/row.go
+++ b/internal/core/request/row.go
@@ -1,18 +1,17 @@
 package request
 
 import (
+	"slices"
 	"sort"
 	"time"
 
 	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/routing"
 	"github.com/medlarhold/medlarhold/internal/verdict"
 )
 
-// Retry times for refusals that no queue length explains.
-const (
-	retryAfterNoEndpoint  = 2 * time.Second
-	retryAfterUnreachable = 1 * time.Second
-)
+// retryAfterNoEndpoint is told to callers when no endpoint is configured.
+const retryAfterNoEndpoint = 2 * time.Second
 
 // State is where a request stands.
 type State int
@@ -44,10 +43,12 @@
 	state    State
 	arrived  time.Time
 	timer    time.Time // next timer; never after the deadline
-	// owner was asked for a slot, or granted it.
-	owner      entity.InstanceID
-	askedAt    time.Time
-	tried      []entity.InstanceID
+	// owner granted the slot on which the request runs.
+	owner entity.InstanceID
+	// asks are the questions without an answer, tried all owners asked in this round.
+	asks       []ask
+	tried      []routing.Choice
+	refused    int               // answers of this round that were refusals
 	endpoint   entity.EndpointID // where it runs
 	resume     entity.EndpointID // where its paused stream waits
 	dispatches int
@@ -56,6 +57,25 @@
 	cancelled  bool
 }
 
+// ask is a question to an owner that has no answer yet.
+type ask struct {
+	routing.Choice
+	at time.Time
+}
+
+// asked says whether the owner has a question of the request to answer.
+func (r *row) asked(owner entity.InstanceID) bool {
+	return slices.ContainsFunc(r.asks, func(a ask) bool { return a.Owner == owner })
+}
+
+// answered takes the question to the owner off the list and returns it.
+func (r *row) answered(owner entity.InstanceID) ask {
+	i := slices.IndexFunc(r.asks, func(a ask) bool { return a.Owner == owner })
+	a := r.asks[i]
+	r.asks = slices.Delete(r.asks, i, i+1)
+	return a
+}
+
 // sortedRows returns the rows by id, so that loops over them are deterministic.
 func (e *Entry) sortedRows() []*row {
 	rows := make([]*row, 0, len(e.rows))
@@ -72,10 +92,16 @@
 	e.deadlines.ReplaceOrInsert(r)
 }
 
+// wakeAfter has the request ask again after a pause, but not after its deadline.
+func (e *Entry) wakeAfter(now time.Time, r *row, d time.Duration) {
+	e.setTimer(r, minTime(now.Add(d), r.work.Deadline))
+}
+
 func (e *Entry) direct(d Directive) { e.ready.Directives = append(e.ready.Directives, d) }
 
 // release gives the slot back to the owner that granted it, if it is still known.
 func (e *Entry) release(r *row, rel entity.Release) {
+	e.router.Finished(rel)
 	if r.owner != "" {
 		e.ready.Releases = append(e.ready.Releases, ReleaseTo{Owner: r.owner, Release: rel})
 	}
@@ -92,12 +118,11 @@
 
 // refusalMessage says for people what a refusal means.
 var refusalMessage = map[verdict.Reason]string{
-	verdict.ReasonDeadline:         "the deadline can't be met any more",
-	verdict.ReasonOverload:         "every endpoint that could serve the request is busy with work of this tier or higher",
-	verdict.ReasonNoEndpoint:       "no endpoint in reach serves this model or service",
-	verdict.ReasonOwnerUnreachable: "the instances that admit work to the endpoints can't be reached",
-	verdict.ReasonCallerGone:       "the caller closed its connection",
-	verdict.ReasonStopping:         "the instance is stopping",
+	verdict.ReasonDeadline:   "the deadline can't be met any more",
+	verdict.ReasonOverload:   "every endpoint that could serve the request is busy with work of this tier or higher",
+	verdict.ReasonNoEndpoint: "no endpoint in reach serves this model or service",
+	verdict.ReasonCallerGone: "the caller closed its connection",
+	verdict.ReasonStopping:   "the instance is stopping",
 }
 
 // finish gives the request its one final answer and forgets it.
