--- a/internal/config/fold.go
+++ b/internal/config/fold.go
@@ -1,6 +1,8 @@
 package config
 
 import (
+	"time"
+
 	"github.com/medlarhold/medlarhold/internal/platform"
 )
 
@@ -27,14 +29,26 @@
 
 // Outcome tells the author of a record what became of it.
 type Outcome struct {
-	Result   Result `json:"result"`
-	ChangeID string `json:"change_id,omitempty"`
+	Result   Result          `json:"result"`
+	Offset   platform.Offset `json:"offset"`
+	ChangeID string          `json:"change_id,omitempty"`
+	Operator string          `json:"operator,omitempty"`
+	At       time.Time       `json:"at,omitzero"`
+	Delete   bool            `json:"delete,omitempty"`
 	// Standing is what stands now for the object.
 	Standing Standing `json:"standing"`
 	// Problems says why the change is invalid.
 	Problems []Problem `json:"problems,omitempty"`
 }
 
+// Bounds of a change.
+const (
+	// MaxSpecBytes bounds the spec of a change.
+	MaxSpecBytes = 64 << 10
+	// maxIDBytes bounds the change's id and the operator's name.
+	maxIDBytes = 128
+)
+
 // Apply folds the record that follows the state. It is pure: the same records
 // in the same order yield the same states everywhere. The first valid change
 // that is based on an object's revision wins; later ones lose and change
@@ -42,23 +56,24 @@
 func (s State) Apply(rec platform.Record) (State, Outcome) {
 	switch {
 	case rec.Offset < s.Next():
-		return s, Outcome{Result: ResultStale}
+		return s, Outcome{Result: ResultStale, Offset: rec.Offset}
 	case rec.Offset > s.Next():
-		return s, Outcome{Result: ResultGap}
+		return s, Outcome{Result: ResultGap, Offset: rec.Offset}
 	}
 	next := *s.tables()
 	next.next = rec.Offset + 1
+	next.timeMS = max(next.timeMS, rec.Time.UnixMilli())
 	passed := State{&next}
 	env, err := decodeRecord(rec.Data)
 	if err != nil || env.Change == nil {
-		return passed, Outcome{Result: ResultNoChange}
+		return passed, Outcome{Result: ResultNoChange, Offset: rec.Offset}
 	}
 	return passed.applyChange(*env.Change, rec)
 }
 
 // applyChange decides the change against what stands.
 func (s State) applyChange(c Change, rec platform.Record) (State, Outcome) {
-	out := Outcome{ChangeID: c.ID}
+	out := Outcome{Offset: rec.Offset, ChangeID: c.ID, Operator: c.Operator, At: rec.Time, Delete: c.Delete}
 	var current Revision
 	if e := s.entry(c.Kind, c.Name); e != nil {
 		current = e.revision
@@ -101,6 +116,9 @@
 	if c.ID == "" {
 		return nil, []fieldProblem{problemf("/id", "change has no id")}
 	}
+	if len(c.Spec) > MaxSpecBytes || len(c.ID) > maxIDBytes || len(c.Operator) > maxIDBytes {
+		return nil, []fieldProblem{problemf("/spec", "change is too large; the spec may have %d bytes", MaxSpecBytes)}
+	}
 	if c.Delete {
 		return nil, s.judgeDelete(c.Kind, c.Name)
 	}
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -1,14 +1,223 @@
 package config
 
-import "github.com/medlarhold/medlarhold/internal/platform"
+import (
+	"bufio"
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"errors"
+	"io"
+	"iter"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/medlarhold/medlarhold/internal/platform"
+)
+
+// SnapshotStream is the stream of the log service that carries snapshots. It
+// is apart from Stream so that instances that follow changes read none.
+const SnapshotStream platform.Stream = "config-snapshot"
+
+// Bounds of a snapshot's parts.
+const (
+	// snapshotPartBytes is about how much of a snapshot stands in one part,
+	// before compression.
+	snapshotPartBytes = 256 << 10
+	// maxPartBytes bounds one part after decompression.
+	maxPartBytes = 4 * snapshotPartBytes
+)
 
 // SnapshotPart is one of the records that together carry a whole state.
 type SnapshotPart struct {
+	// ID tells snapshots apart.
+	ID string `json:"id"`
 	// Next is the offset of the first record that is not in the snapshot.
 	Next platform.Offset `json:"next"`
-	// Part counts from 0 to Parts-1.
-	Part  int `json:"part"`
-	Parts int `json:"parts"`
-	// Data is the part's objects, compressed.
+	// TimeMS is the state's time, in milliseconds since 1970.
+	TimeMS int64 `json:"time_ms"`
+	// Part counts from 0; Last marks the last one.
+	Part int  `json:"part"`
+	Last bool `json:"last,omitempty"`
+	// Begin is the offset of part 0 in SnapshotStream; part 0 has none.
+	Begin platform.Offset `json:"begin,omitempty"`
+	// Data holds rows as lines of JSON, compressed.
 	Data []byte `json:"data"`
 }
+
+// row is one object or tombstone of a snapshot.
+type row struct {
+	Kind     Kind            `json:"k"`
+	Name     string          `json:"n"`
+	Revision Revision        `json:"r"`
+	ChangeID string          `json:"c"`
+	Operator string          `json:"o,omitempty"`
+	AtMS     int64           `json:"t"`
+	Spec     json.RawMessage `json:"s,omitempty"`
+}
+
+// Snapshot ranges over the parts that carry the state, one at a time so that
+// a snapshot never stands in memory whole. The same state yields the same
+// rows in the same parts. Begin is left to whoever appends the parts.
+func (s State) Snapshot(id string) iter.Seq2[SnapshotPart, error] {
+	return func(yield func(SnapshotPart, error) bool) {
+		w := &partWriter{part: SnapshotPart{ID: id, Next: s.Next(), TimeMS: s.tables().timeMS}}
+		w.reset()
+		ok := true
+		s.tables().objects.Ascend(func(it item) bool {
+			if s.expired(it.e) {
+				return true
+			}
+			if w.raw >= snapshotPartBytes {
+				ok = yield(w.finish(false))
+			}
+			w.add(it)
+			return ok
+		})
+		if ok {
+			yield(w.finish(true))
+		}
+	}
+}
+
+// partWriter fills one part after the other.
+type partWriter struct {
+	part SnapshotPart
+	buf  *bytes.Buffer
+	zip  *gzip.Writer
+	raw  int
+	err  error
+}
+
+// reset begins a new part.
+func (w *partWriter) reset() {
+	w.buf = &bytes.Buffer{}
+	if w.zip == nil {
+		w.zip = gzip.NewWriter(w.buf)
+	}
+	w.zip.Reset(w.buf)
+	w.raw = 0
+}
+
+// add writes one row.
+func (w *partWriter) add(it item) {
+	r := row{
+		Kind:     kindOrder[it.rank],
+		Name:     it.name,
+		Revision: it.e.revision,
+		ChangeID: it.e.changeID,
+		Operator: it.e.operator,
+		AtMS:     it.e.atMS,
+	}
+	var err error
+	if it.e.doc != nil {
+		r.Spec, err = json.Marshal(it.e.doc)
+	}
+	line, err2 := json.Marshal(r)
+	n, err3 := w.zip.Write(append(line, '\n'))
+	w.raw += n
+	w.err = errors.Join(w.err, err, err2, err3)
+}
+
+// finish returns the part and begins the next one.
+func (w *partWriter) finish(last bool) (SnapshotPart, error) {
+	err := errors.Join(w.err, w.zip.Close())
+	p := w.part
+	p.Last = last
+	p.Data = w.buf.Bytes()
+	w.part.Part++
+	w.reset()
+	return p, trace.Wrap(err)
+}
+
+// EncodeSnapshotPart returns the record of a part.
+func EncodeSnapshotPart(p SnapshotPart) ([]byte, error) {
+	data, err := json.Marshal(envelope{Snapshot: &p})
+	return data, trace.Wrap(err)
+}
+
+// DecodeSnapshotPart decodes the record of a part.
+func DecodeSnapshotPart(data []byte) (SnapshotPart, error) {
+	env, err := decodeRecord(data)
+	if err != nil {
+		return SnapshotPart{}, trace.Wrap(err)
+	}
+	if env.Snapshot == nil || env.Snapshot.Part < 0 || env.Snapshot.Next < 0 {
+		return SnapshotPart{}, trace.BadParameter("record carries no snapshot part")
+	}
+	return *env.Snapshot, nil
+}
+
+// Assembly puts the parts of one snapshot together again. The zero value
+// takes part 0 of any snapshot.
+type Assembly struct {
+	id    string
+	parts int
+	t     *tables
+}
+
+// Add takes the next part. It returns the state once the last part is in.
+// Parts must come in order and from the same snapshot.
+func (a *Assembly) Add(p SnapshotPart) (State, bool, error) {
+	if a.t == nil {
+		a.t = newTables()
+		a.id = p.ID
+		a.t.next = p.Next
+		a.t.timeMS = p.TimeMS
+	}
+	if p.ID != a.id || p.Part != a.parts || p.Next != a.t.next {
+		return State{}, false, trace.BadParameter("part %d of snapshot %q does not follow part %d of %q", p.Part, p.ID, a.parts-1, a.id)
+	}
+	a.parts++
+	if err := a.addRows(p.Data); err != nil {
+		return State{}, false, trace.Wrap(err)
+	}
+	if !p.Last {
+		return State{}, false, nil
+	}
+	t := a.t
+	*a = Assembly{}
+	return State{t}, true, nil
+}
+
+// addRows decodes the rows of a part into the tables.
+func (a *Assembly) addRows(data []byte) error {
+	zip, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	dec := json.NewDecoder(bufio.NewReader(io.LimitReader(zip, maxPartBytes)))
+	for {
+		var r row
+		if err := dec.Decode(&r); errors.Is(err, io.EOF) {
+			return nil
+		} else if err != nil {
+			return trace.Wrap(err)
+		}
+		if err := a.addRow(r); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+}
+
+// addRow puts one row into the tables. Rows come in the order of kindOrder,
+// so that what a row refers to is there already.
+func (a *Assembly) addRow(r row) error {
+	if r.Kind.rank() < 0 {
+		return trace.BadParameter("snapshot has an object of unknown kind %q", r.Kind)
+	}
+	e := &entry{revision: r.Revision, changeID: r.ChangeID, operator: r.Operator, atMS: r.AtMS}
+	if r.Spec != nil {
+		doc, err := decodeDocument(r.Kind, r.Name, r.Spec)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		State{a.t}.intern(doc)
+		e.doc = doc
+	}
+	a.t.put(r.Kind, r.Name, e)
+	return nil
+}
+
+// Time returns the state's time: the latest time of its records.
+func (s State) Time() time.Time { return time.UnixMilli(s.tables().timeMS).UTC() }
--- /dev/null
+++ b/internal/config/source.go
@@ -0,0 +1,79 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/medlarhold/medlarhold/internal/platform"
+)
+
+// Step makes the read that the follower asks for and hands it the answer. With
+// wait > 0 it waits that long for changes once the follower has caught up.
+func (f *Follower) Step(ctx context.Context, log platform.Log, now func() time.Time, wait time.Duration) ([]Outcome, error) {
+	ask := f.Ask()
+	if !ask.MayWait {
+		wait = 0
+	}
+	asked := now()
+	res, err := log.Read(ctx, ask.Stream, ask.From, ask.Limit, wait)
+	if errors.Is(err, platform.ErrTruncated) {
+		f.HandleTruncated(res)
+		return nil, nil
+	}
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return f.Handle(asked, res), nil
+}
+
+// Sync steps until the follower's state holds all that the log held at some
+// moment after the call.
+func (f *Follower) Sync(ctx context.Context, log platform.Log, now func() time.Time) ([]Outcome, error) {
+	var all []Outcome
+	before := f.confirmations
+	tries := 0
+	for f.confirmations == before {
+		if f.lost {
+			if tries++; tries > maxLostSteps {
+				return all, trace.NotFound("changes after revision %d are older than the log's retention, and no snapshot holds them", f.state.Revision())
+			}
+		}
+		out, err := f.Step(ctx, log, now, 0)
+		if err != nil {
+			return all, trace.Wrap(err)
+		}
+		all = append(all, out...)
+	}
+	return all, nil
+}
+
+// maxLostSteps is after how many reads Sync gives up on missing changes.
+const maxLostSteps = 100
+
+// AppendSnapshot appends the state's snapshot, part by part. A part whose
+// append has no known outcome ends the attempt: a snapshot without its last
+// part is passed over by all readers.
+func AppendSnapshot(ctx context.Context, log platform.Log, s State, id string) error {
+	var begin platform.Offset
+	for p, err := range s.Snapshot(id) {
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		p.Begin = begin
+		data, err := EncodeSnapshotPart(p)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		off, err := log.Append(ctx, SnapshotStream, data)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		if p.Part == 0 {
+			begin = off
+		}
+	}
+	return nil
+}
--- a/internal/config/state.go
+++ b/internal/config/state.go
@@ -26,7 +26,9 @@
 
 // tables holds the objects of a State.
 type tables struct {
-	next    platform.Offset
+	next platform.Offset
+	// timeMS is the latest time of the records, in milliseconds since 1970.
+	timeMS  int64
 	objects *btree.BTreeG[item]
 	keys    *btree.BTreeG[keyItem]
 	// byPool and all hold the endpoints sorted by id.
@@ -95,12 +97,24 @@
 // entry returns the object's entry, which may be a tombstone, or nil.
 func (s State) entry(k Kind, name string) *entry {
 	it, ok := s.tables().objects.Get(item{rank: k.rank(), name: name})
-	if !ok {
+	if !ok || s.expired(it.e) {
 		return nil
 	}
 	return it.e
 }
 
+// TombstoneKeep is how long a deleted object is remembered, by the times of
+// the records. A copy of an old change that arrives later than that would be
+// taken as a new one.
+const TombstoneKeep = 30 * 24 * time.Hour
+
+// expired says that the entry is a tombstone that counts no more. It depends
+// on the state alone, so that all instances agree, whether they folded all
+// records or began with a snapshot.
+func (s State) expired(e *entry) bool {
+	return e.doc == nil && s.tables().timeMS-e.atMS > TombstoneKeep.Milliseconds()
+}
+
 // find returns the document of that type and name.
 func find[T document](s State, k Kind, name string) (T, bool) {
 	var none T
