--- /dev/null
+++ b/cmd/medlarhold-standin/server.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"encoding/json"
+	"net/http"
+	"os/signal"
+	"syscall"
+
+	"github.com/gravitational/trace"
+	"github.com/spf13/cobra"
+	"github.com/tailscale/hujson"
+
+	"github.com/medlarhold/medlarhold/internal/standin/serve"
+)
+
+// serverFlags are the flags of the commands that serve HTTP.
+type serverFlags struct {
+	listen   string
+	settings string
+}
+
+func (f *serverFlags) add(cmd *cobra.Command) {
+	cmd.Flags().StringVar(&f.listen, "listen", "127.0.0.1:0", "address to listen on; port 0 takes a free one")
+	cmd.Flags().StringVar(&f.settings, "settings", "{}", "settings as JSON with comments")
+}
+
+// read decodes the settings.
+func (f *serverFlags) read(into any) error {
+	data, err := hujson.Standardize([]byte(f.settings)) //nolint:misspell // the library's name
+	if err != nil {
+		return trace.BadParameter("--settings: %v", err)
+	}
+	if err := json.Unmarshal(data, into); err != nil {
+		return trace.BadParameter("--settings: %v", err)
+	}
+	return nil
+}
+
+// listening is the line that a command prints once it listens.
+type listening struct {
+	Kind    string `json:"kind"`
+	Address string `json:"address"`
+}
+
+// serve serves until the process is told to stop.
+func (f *serverFlags) serve(cmd *cobra.Command, kind string, h http.Handler) error {
+	s, err := serve.Listen(f.listen, h)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	return announce(cmd, kind, s.Address())
+}
+
+// announce prints where the command listens and waits for a signal to stop.
+func announce(cmd *cobra.Command, kind, address string) error {
+	ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := json.NewEncoder(cmd.OutOrStdout()).Encode(listening{Kind: kind, Address: address}); err != nil {
+		return trace.Wrap(err)
+	}
+	<-ctx.Done()
+	return nil
+}
--- a/internal/endpoint/wire.go
+++ b/internal/endpoint/wire.go
@@ -146,6 +146,8 @@
 // ExportRequest names the KV cache to export, by request or by prefix.
 type ExportRequest struct {
 	RequestID entity.RequestID `json:"request_id,omitempty"`
+	Model     entity.ModelID   `json:"model,omitempty"`
+	Adapter   entity.AdapterID `json:"adapter,omitempty"`
 	Prefix    []BlockHash      `json:"prefix,omitempty"`
 }
 
@@ -157,8 +159,10 @@
 
 // ImportRequest has an engine fetch KV cache from another one.
 type ImportRequest struct {
-	From   string      `json:"from"`
-	Blocks []BlockHash `json:"blocks"`
+	From    string           `json:"from"`
+	Model   entity.ModelID   `json:"model"`
+	Adapter entity.AdapterID `json:"adapter"`
+	Blocks  []BlockHash      `json:"blocks"`
 }
 
 // Import is how many blocks an engine has fetched.
--- /dev/null
+++ b/internal/standin/engine/journal.go
@@ -0,0 +1,42 @@
+package engine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/endpoint"
+)
+
+// Entry is one dispatch as the engine saw it.
+type Entry struct {
+	RequestID  entity.RequestID `json:"request_id"`
+	Model      entity.ModelID   `json:"model"`
+	Adapter    entity.AdapterID `json:"adapter,omitempty"`
+	Dispatched time.Time        `json:"dispatched"`
+	// Refused says that it was refused on admission and never ran.
+	Refused bool `json:"refused,omitempty"`
+	// Started and Ended are zero for a request that didn't start or end.
+	Started time.Time `json:"started,omitzero"`
+	Ended   time.Time `json:"ended,omitzero"`
+	// End is what the end mark said.
+	End endpoint.End `json:"end,omitzero"`
+	// Attached counts the attachments to the stream, the first one included.
+	Attached int `json:"attached"`
+}
+
+// Journal returns all dispatches in the order of their arrival.
+func (s *Server) Journal() []Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]Entry, len(s.journal))
+	for i, e := range s.journal {
+		out[i] = *e
+	}
+	return out
+}
+
+// Dispatches returns the dispatches of one request.
+func (s *Server) Dispatches(id entity.RequestID) []Entry {
+	return slices.DeleteFunc(s.Journal(), func(e Entry) bool { return e.RequestID != id })
+}
--- /dev/null
+++ b/internal/standin/engine/server.go
@@ -0,0 +1,186 @@
+package engine
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/endpoint"
+	"github.com/medlarhold/medlarhold/internal/standin/engine/model"
+	"github.com/medlarhold/medlarhold/internal/standin/serve"
+)
+
+// Settings describes a stand-in engine.
+type Settings struct {
+	model.Settings
+	// Keepalive is the time between comments on a silent stream.
+	Keepalive time.Duration `json:"keepalive_ns,omitempty"`
+	// Keep is how long an ended stream can be attached to, and after how long
+	// without a reader a stream is cancelled.
+	Keep time.Duration `json:"keep_ns,omitempty"`
+}
+
+// Defaults of Settings.
+const (
+	DefaultKeepalive = time.Second
+	DefaultKeep      = 30 * time.Second
+)
+
+// Server is a stand-in engine.
+type Server struct {
+	settings Settings
+	mux      *http.ServeMux
+	clock    func() time.Time
+	wake     chan struct{}
+	done     chan struct{}
+	stopped  sync.WaitGroup
+	peers    *endpoint.Client // towards other engines
+
+	mu      sync.Mutex
+	model   *model.Engine
+	runs    map[entity.RequestID]*record // by the id of the run
+	streams map[entity.RequestID]*record // by the id of the request, the newest run
+	journal []*Entry
+	faults  Faults
+	thaw    chan struct{}
+	// connections counts the connections that carried streams, in order;
+	// those up to silenced have gone silent.
+	connections int
+	silenced    int
+}
+
+// New returns a stand-in engine that runs until Close. It is an http.Handler.
+func New(settings Settings) *Server {
+	if settings.Keepalive <= 0 {
+		settings.Keepalive = DefaultKeepalive
+	}
+	if settings.Keep <= 0 {
+		settings.Keep = DefaultKeep
+	}
+	s := &Server{
+		settings: settings,
+		clock:    time.Now,
+		wake:     make(chan struct{}, 1),
+		done:     make(chan struct{}),
+		peers:    endpoint.New(endpoint.Options{}),
+		model:    model.New(settings.Settings),
+		runs:     map[entity.RequestID]*record{},
+		streams:  map[entity.RequestID]*record{},
+	}
+	s.mux = s.routes()
+	s.stopped.Add(1)
+	go s.run()
+	return s
+}
+
+// Start returns a stand-in engine that listens on address.
+func Start(address string, settings Settings) (*Server, *serve.Server, error) {
+	s := New(settings)
+	l, err := serve.Listen(address, s)
+	if err != nil {
+		s.Close()
+		return nil, nil, err
+	}
+	return s, l, nil
+}
+
+// Close stops the engine and all its streams.
+func (s *Server) Close() {
+	close(s.done)
+	s.stopped.Wait()
+	s.peers.Close()
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mux.ServeHTTP(w, r)
+}
+
+// run advances the model by the clock.
+func (s *Server) run() {
+	defer s.stopped.Done()
+	sweep := time.NewTicker(s.settings.Keep / 4)
+	defer sweep.Stop()
+	for {
+		timer := time.NewTimer(s.advance())
+		select {
+		case <-timer.C:
+		case <-s.wake:
+		case <-sweep.C:
+			s.sweep()
+		case <-s.done:
+			timer.Stop()
+			return
+		}
+		timer.Stop()
+	}
+}
+
+// idle is how long the loop sleeps when nothing is to be done.
+const idle = time.Minute
+
+// advance runs what is due and returns how long nothing more is.
+func (s *Server) advance() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock()
+	for _, ev := range s.model.Advance(now) {
+		s.apply(ev)
+	}
+	if next, ok := s.model.Next(); ok {
+		return next.Sub(now)
+	}
+	return idle
+}
+
+// kick has the loop look again at what is due.
+func (s *Server) kick() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// apply takes an event of the model to its record. The lock is held.
+func (s *Server) apply(ev model.Event) {
+	r := s.runs[ev.ID]
+	switch ev.Kind {
+	case model.EventStarted:
+		r.entry.Started = ev.At
+	case model.EventToken:
+		r.tokens++
+	case model.EventEnded:
+		r.entry.Ended, r.entry.End = ev.At, ev.End
+		r.end = &ev.End
+		r.touched = ev.At
+	}
+	r.notify()
+}
+
+// sweep cancels streams that no one reads and forgets those that ended long ago.
+func (s *Server) sweep() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock()
+	for run, r := range s.runs {
+		if r.readers > 0 || now.Sub(r.touched) < s.settings.Keep {
+			continue
+		}
+		if r.end == nil {
+			_, _ = s.model.Cancel(now, run) // it ends in the next step of the loop
+			r.touched = now
+			continue
+		}
+		delete(s.runs, run)
+		if s.streams[r.id] == r {
+			delete(s.streams, r.id)
+		}
+	}
+}
+
+// nextRun names a new run of a request.
+func (s *Server) nextRun(id entity.RequestID) entity.RequestID {
+	return entity.RequestID(fmt.Sprintf("%s#%d", id, len(s.journal)))
+}
