--- a/cmd/medlarhold-standin/main.go
+++ b/cmd/medlarhold-standin/main.go
@@ -17,6 +17,8 @@
 	}
 	root.AddCommand(
 		platformCommand(),
+		engineCommand(),
+		serviceCommand(),
 	)
 	if err := root.Execute(); err != nil {
 		os.Exit(1)
