Claims: decide by log order which request runs under a key

Why: a non-idempotent request must run at most once, with no coordination service and homes that may be wrong about each other.

Weighed: a home that frees keys by itself was ruled out, since another home may have told the same request that it won; only the entry instance ends a request.

--- /dev/null
+++ b/internal/core/claim/record.go
@@ -0,0 +1,100 @@
+package claim
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/verdict"
+)
+
+// recordVersion is the version of the records in the stream.
+const recordVersion = 1
+
+// record is one record of a claims stream.
+type record struct {
+	Version int     `json:"v"`
+	ID      BatchID `json:"id"`
+	Entries []entry `json:"e"`
+}
+
+// opCode tells the kinds of entry apart.
+type opCode string
+
+const (
+	opClaim  opCode = "c"
+	opSettle opCode = "s"
+)
+
+// entry is one claim or one outcome. Durations and times are in milliseconds,
+// to keep records short.
+type entry struct {
+	Op      opCode           `json:"o"`
+	Key     Hash             `json:"k"`
+	Request entity.RequestID `json:"r"`
+
+	// Of a claim. NotBefore and NotAfter bound the log time at which the claim
+	// of a timed key counts; zero means no bound.
+	Body      Hash  `json:"b,omitzero"`
+	Window    int64 `json:"w,omitempty"`
+	EndsIn    int64 `json:"n,omitempty"`
+	NotBefore int64 `json:"nb,omitempty"`
+	NotAfter  int64 `json:"na,omitempty"`
+
+	// Of an outcome.
+	Verdict verdict.Verdict `json:"vd,omitempty"`
+	Reason  verdict.Reason  `json:"rs,omitempty"`
+	Status  int             `json:"st,omitempty"`
+	Answer  []byte          `json:"a,omitempty"`
+
+	from entity.InstanceID // who is told that the outcome stands; not in the log
+}
+
+func encode(id BatchID, entries []entry) []byte {
+	b, err := json.Marshal(record{Version: recordVersion, ID: id, Entries: entries})
+	if err != nil {
+		panic(err) // plain data always encodes
+	}
+	return b
+}
+
+// decode reads a record. It is the same for every reader of the stream, so a
+// record that it refuses counts for no one.
+func decode(data []byte) (record, error) {
+	var r record
+	if len(data) > maxRecordBytes {
+		return r, trace.LimitExceeded("claim: record of %d bytes", len(data))
+	}
+	if err := json.Unmarshal(data, &r); err != nil {
+		return r, trace.Wrap(err)
+	}
+	if r.Version != recordVersion {
+		return r, trace.BadParameter("claim: record version %d", r.Version)
+	}
+	for i := range r.Entries {
+		if err := r.Entries[i].check(); err != nil {
+			return r, trace.Wrap(err)
+		}
+	}
+	return r, nil
+}
+
+func (e *entry) check() error {
+	switch {
+	case e.Request == "":
+		return trace.BadParameter("claim: entry without request")
+	case e.Op == opClaim && e.Window > 0 && e.EndsIn > 0:
+		return nil
+	case len(e.Answer) > MaxAnswerBytes:
+		return trace.LimitExceeded("claim: answer of %d bytes", len(e.Answer))
+	case e.Op == opSettle && (e.Verdict == verdict.Ran || e.Verdict == verdict.NotRun || e.Verdict == verdict.MayHaveRun):
+		return nil
+	}
+	return trace.BadParameter("claim: bad entry of kind %q", e.Op)
+}
+
+func millis(d time.Duration) int64 { return d.Milliseconds() }
+
+func duration(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
--- /dev/null
+++ b/internal/core/claim/settings.go
@@ -0,0 +1,144 @@
+package claim
+
+import (
+	"time"
+
+	"github.com/gravitational/trace"
+	"golang.org/x/time/rate"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
+
+// Settings of a Shard. The zero value of each duration or number takes the
+// default; Instance is required.
+type Settings struct {
+	// Instance is the home that runs the shard; unique over restarts.
+	Instance entity.InstanceID
+	// Appends bounds the appends of all shards of this instance together. The
+	// shards share one limiter; nil means no bound.
+	Appends *rate.Limiter
+	// Window is how long a key stays taken after its claim.
+	Window time.Duration
+	// Retention is how long the log keeps records.
+	Retention time.Duration
+	// RetentionMargin is kept between Window and Retention.
+	RetentionMargin time.Duration
+	// MaxClockSkew bounds the difference between the clock that made a timed
+	// key and the log's clock.
+	MaxClockSkew time.Duration
+	// RequireTimedKeys refuses keys that carry no time of creation.
+	RequireTimedKeys bool
+	// DispatchWithin is how long after its first proposal the entry instance
+	// may still dispatch the winner.
+	DispatchWithin time.Duration
+	// RunFor is the longest run. A claim without an outcome for longer than
+	// DispatchWithin and RunFor together is answered "may have run".
+	RunFor time.Duration
+	// AnswerFor is how long the body of an outcome is kept; its verdict and
+	// status are kept for the whole window.
+	AnswerFor time.Duration
+	// Patience is how long a proposal waits for its decision.
+	Patience time.Duration
+	// RetryAfter is told to callers who may come back.
+	RetryAfter time.Duration
+	// AppendTimeout is when an append without an answer counts as unknown.
+	AppendTimeout time.Duration
+	// AppendBackoff is the pause after a failed append.
+	AppendBackoff time.Duration
+	// ReadTimeout is when a read without an answer counts as failed.
+	ReadTimeout time.Duration
+	// ReadBackoff is the pause after a failed read.
+	ReadBackoff time.Duration
+	// ReadInterval is the pause between reads while nothing is waiting.
+	ReadInterval time.Duration
+	// ReadWait is how long a read waits for records while something is waiting.
+	ReadWait time.Duration
+	// MaxKeys bounds the live keys of the shard; proposals above it are refused.
+	MaxKeys int
+	// MaxPending bounds the proposals and the outcomes that wait in the shard.
+	MaxPending int
+}
+
+// Defaults of the Settings.
+const (
+	DefaultWindow          = 24 * time.Hour
+	DefaultRetention       = 48 * time.Hour
+	DefaultRetentionMargin = time.Hour
+	DefaultMaxClockSkew    = 5 * time.Minute
+	DefaultDispatchWithin  = 30 * time.Second
+	DefaultRunFor          = 2 * time.Minute
+	DefaultAnswerFor       = time.Hour
+	DefaultPatience        = 5 * time.Second
+	DefaultRetryAfter      = 2 * time.Second
+	DefaultAppendTimeout   = 2 * time.Second
+	DefaultAppendBackoff   = 500 * time.Millisecond
+	DefaultReadTimeout     = 3 * time.Second
+	DefaultReadBackoff     = 500 * time.Millisecond
+	DefaultReadInterval    = 2 * time.Second
+	DefaultReadWait        = 500 * time.Millisecond
+	DefaultMaxKeys         = 20000
+	DefaultMaxPending      = 1024
+)
+
+// Sizes that bound what goes into the log.
+const (
+	// MaxAnswerBytes is the longest answer body kept with an outcome; a longer
+	// one is left out.
+	MaxAnswerBytes = 512
+	// MaxKeyBytes is the longest key.
+	MaxKeyBytes = 256
+	// maxBatchEntries bounds the entries of one append.
+	maxBatchEntries = 64
+	// maxRecordBytes is the longest record that is looked at.
+	maxRecordBytes = 128 << 10
+	// readLimit is the most records of one read.
+	readLimit = 256
+)
+
+// withDefaults fills in what is zero and checks the rest.
+func (s Settings) withDefaults() (Settings, error) {
+	setDuration(&s.Window, DefaultWindow)
+	setDuration(&s.Retention, DefaultRetention)
+	setDuration(&s.RetentionMargin, DefaultRetentionMargin)
+	setDuration(&s.MaxClockSkew, DefaultMaxClockSkew)
+	setDuration(&s.DispatchWithin, DefaultDispatchWithin)
+	setDuration(&s.RunFor, DefaultRunFor)
+	setDuration(&s.AnswerFor, DefaultAnswerFor)
+	setDuration(&s.Patience, DefaultPatience)
+	setDuration(&s.RetryAfter, DefaultRetryAfter)
+	setDuration(&s.AppendTimeout, DefaultAppendTimeout)
+	setDuration(&s.AppendBackoff, DefaultAppendBackoff)
+	setDuration(&s.ReadTimeout, DefaultReadTimeout)
+	setDuration(&s.ReadBackoff, DefaultReadBackoff)
+	setDuration(&s.ReadInterval, DefaultReadInterval)
+	setDuration(&s.ReadWait, DefaultReadWait)
+	setInt(&s.MaxKeys, DefaultMaxKeys)
+	setInt(&s.MaxPending, DefaultMaxPending)
+	return s, s.check()
+}
+
+func (s Settings) check() error {
+	switch {
+	case s.Instance == "":
+		return trace.BadParameter("claim: the instance is missing")
+	case s.Window+s.RetentionMargin > s.Retention:
+		return trace.BadParameter("claim: window %v and margin %v exceed the log's retention %v",
+			s.Window, s.RetentionMargin, s.Retention)
+	case s.DispatchWithin+s.RunFor+s.MaxClockSkew >= s.Window:
+		return trace.BadParameter("claim: window %v is not longer than dispatch %v, run %v and clock skew %v together",
+			s.Window, s.DispatchWithin, s.RunFor, s.MaxClockSkew)
+	}
+	return nil
+}
+
+func setDuration(d *time.Duration, def time.Duration) {
+	if *d <= 0 {
+		*d = def
+	}
+}
+
+func setInt(n *int, def int) {
+	if *n <= 0 {
+		*n = def
+	}
+}
