Contract limits: shares lent by a home per zone, as leases

A limit that holds over all instances needs either a message per request or shares that are lent. A message per request does not fit the control budget, so each zone has a home per organisation that lends rate and concurrency by demand. Ruled out: static division per instance (an organisation whose requests come in at one instance would get a fourteenth of its contract).

--- /dev/null
+++ b/internal/core/limit/account.go
@@ -0,0 +1,94 @@
+package limit
+
+import (
+	"math"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
+
+// account is what a borrower keeps of an organisation in use.
+type account struct {
+	org   entity.OrgID
+	limit Limit
+	bucket
+
+	// rate and concurrent are the share, in force until the lease ends.
+	rate       float64
+	concurrent int
+	lease      time.Time
+	// seen is the number of the newest share taken in.
+	seen uint64
+
+	inFlight int
+	// arrived and waiting count since the last report.
+	arrived int
+	waiting int
+	// demand is the smoothed rate of arrivals.
+	demand   float64
+	measured time.Time
+
+	used     time.Time // last Take
+	reported time.Time
+	renewed  time.Time // when the demand was sent that the lease counts from
+	// asked is when an unanswered ask was sent.
+	asked time.Time
+	// short says that the last answer gave less than was wanted.
+	short bool
+	// toldInFlight and toldDemand are what the last report said.
+	toldInFlight int
+	toldDemand   float64
+	// queued marks the account as waiting to be sent in the next Ready.
+	queued bool
+}
+
+// leased reports whether the share is in force.
+func (a *account) leased(now time.Time) bool { return now.Before(a.lease) }
+
+// holds reports whether a share is in force that is worth giving back.
+func (a *account) holds(now time.Time) bool {
+	return a.leased(now) && (a.rate > 0 || a.concurrent > 0)
+}
+
+// allowedConcurrent is the bound on requests in flight: the share while the
+// lease lasts, else the one request that each instance may run unasked.
+func (a *account) allowedConcurrent(now time.Time) int {
+	if a.leased(now) {
+		return a.concurrent
+	}
+	return min(firstAllowance, a.limit.Concurrent)
+}
+
+// firstAllowance is how many requests an instance may admit unasked.
+const firstAllowance = 1
+
+// allowedRate is the rate in force, the base included.
+func (a *account) allowedRate(now time.Time, base float64) float64 {
+	if a.leased(now) {
+		return base + a.rate
+	}
+	return base
+}
+
+// size is the size of the bucket at a rate.
+func (a *account) size(rate float64) float64 {
+	if a.limit.Rate <= 0 {
+		return 0
+	}
+	return max(firstAllowance, float64(a.limit.Burst)*rate/a.limit.Rate)
+}
+
+// demandWindow is the time over which arrivals are averaged.
+const demandWindow = 2 * time.Second
+
+// measure moves the arrivals since the last call into the smoothed demand.
+func (a *account) measure(now time.Time) {
+	d := now.Sub(a.measured)
+	if d <= 0 {
+		return
+	}
+	keep := math.Exp(-d.Seconds() / demandWindow.Seconds())
+	a.demand = a.demand*keep + float64(a.arrived)/d.Seconds()*(1-keep)
+	a.arrived = 0
+	a.measured = now
+}
--- /dev/null
+++ b/internal/core/limit/bucket.go
@@ -0,0 +1,41 @@
+package limit
+
+import "time"
+
+// bucket is a token bucket whose rate and size change over time.
+type bucket struct {
+	tokens float64
+	at     time.Time
+}
+
+// refill adds what the rate brought since the last call. It fills up to size
+// and leaves what is beyond it.
+func (b *bucket) refill(now time.Time, rate, size float64) {
+	if d := now.Sub(b.at); d > 0 {
+		b.at = now
+		if b.tokens < size {
+			b.tokens = min(b.tokens+rate*d.Seconds(), size)
+		}
+	}
+}
+
+// clamp drops what is beyond size.
+func (b *bucket) clamp(size float64) { b.tokens = min(b.tokens, size) }
+
+// wait returns how long it takes until a whole token is there.
+func (b *bucket) wait(rate float64) time.Duration {
+	if b.tokens >= 1 {
+		return 0
+	}
+	if rate <= 0 {
+		return maxRetryAfter
+	}
+	seconds := (1 - b.tokens) / rate
+	return min(max(time.Duration(seconds*float64(time.Second)), minRetryAfter), maxRetryAfter)
+}
+
+// Bounds of the retry time that a refusal names.
+const (
+	minRetryAfter = 50 * time.Millisecond
+	maxRetryAfter = 30 * time.Second
+)
--- /dev/null
+++ b/internal/core/limit/fleet_test.go
@@ -0,0 +1,260 @@
+package limit
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/verdict"
+)
+
+// fleet runs borrowers and homes under a virtual clock, with a view of the
+// membership that reaches each instance late and at its own time.
+type fleet struct {
+	t         *testing.T
+	rng       *rand.Rand
+	now       time.Time
+	nodes     []*testNode
+	contracts map[entity.OrgID]Limit
+	events    eventHeap
+	eventSeq  int
+	loss      float64
+	cut       func(a, b *testNode) bool
+	viewDelay time.Duration
+	admitted  map[entity.OrgID][]time.Time
+	refused   map[verdict.Reason]int
+	offered   int
+	messages  int
+	traffic   func(Outgoing)
+}
+
+type testNode struct {
+	self     entity.Instance
+	borrower *Borrower
+	home     *Home
+	dead     bool
+	frozen   bool
+	// backlog is what happens to a frozen instance once it thaws.
+	backlog []func()
+}
+
+type event struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at.Before(h[j].at) || (h[i].at.Equal(h[j].at) && h[i].seq < h[j].seq)
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+const tickEvery = 100 * time.Millisecond
+
+func newFleet(t *testing.T, seed int64, zones, perZone int, contracts map[entity.OrgID]Limit) *fleet {
+	f := &fleet{
+		t: t, rng: rand.New(rand.NewSource(seed)), now: time.Unix(1000, 0), contracts: contracts,
+		cut: func(_, _ *testNode) bool { return false }, viewDelay: 5 * time.Second,
+		admitted: map[entity.OrgID][]time.Time{}, refused: map[verdict.Reason]int{},
+	}
+	for z := range zones {
+		for range perZone {
+			f.add(entity.ZoneID(fmt.Sprintf("z%d", z)))
+		}
+	}
+	for _, n := range f.nodes {
+		f.showView(n, f.view(n))
+	}
+	return f
+}
+
+func (f *fleet) lookup(org entity.OrgID) (Limit, bool) {
+	l, ok := f.contracts[org]
+	return l, ok
+}
+
+func (f *fleet) add(zone entity.ZoneID) *testNode {
+	id := entity.InstanceID(fmt.Sprintf("i%03d-%s", len(f.nodes), zone))
+	n := &testNode{self: entity.Instance{ID: id, Zone: zone}}
+	n.borrower = NewBorrower(DefaultSettings(), f.lookup)
+	n.home = NewHome(DefaultSettings(), id, f.lookup)
+	f.nodes = append(f.nodes, n)
+	f.tick(n)
+	return n
+}
+
+func (f *fleet) after(d time.Duration, do func()) {
+	f.eventSeq++
+	heap.Push(&f.events, event{at: f.now.Add(d), seq: f.eventSeq, do: do})
+}
+
+// on runs do at an instance, once it is neither frozen nor dead.
+func (f *fleet) on(n *testNode, do func()) {
+	switch {
+	case n.dead:
+	case n.frozen:
+		n.backlog = append(n.backlog, do)
+	default:
+		do()
+		f.flush(n)
+	}
+}
+
+func (f *fleet) tick(n *testNode) {
+	f.after(tickEvery, func() {
+		if !n.frozen {
+			f.on(n, func() { n.home.Tick(f.now); n.borrower.Tick(f.now) })
+		}
+		if !n.dead {
+			f.tick(n)
+		}
+	})
+}
+
+func (f *fleet) run(d time.Duration) {
+	end := f.now.Add(d)
+	for len(f.events) > 0 && !f.events[0].at.After(end) {
+		e := heap.Pop(&f.events).(event)
+		f.now = e.at
+		e.do()
+	}
+	f.now = end
+}
+
+// flush sends what an instance wants to send; messages to itself go at once.
+func (f *fleet) flush(n *testNode) {
+	for {
+		out := append(n.borrower.Ready().Messages, n.home.Ready().Messages...)
+		if len(out) == 0 {
+			return
+		}
+		for _, o := range out {
+			f.send(n, o)
+		}
+	}
+}
+
+func (f *fleet) send(from *testNode, o Outgoing) {
+	i := slices.IndexFunc(f.nodes, func(n *testNode) bool { return n.self.ID == o.To })
+	to := f.nodes[i]
+	if to == from {
+		f.step(to, from, o)
+		return
+	}
+	f.messages++
+	if f.traffic != nil {
+		f.traffic(o)
+	}
+	if f.cut(from, to) || f.rng.Float64() < f.loss {
+		return
+	}
+	f.after(time.Millisecond+time.Duration(f.rng.Int63n(int64(3*time.Millisecond))), func() {
+		f.on(to, func() { f.step(to, from, o) })
+	})
+}
+
+func (f *fleet) step(to, from *testNode, o Outgoing) {
+	if o.Demand != nil {
+		to.home.Step(f.now, from.self.ID, *o.Demand)
+	} else {
+		to.borrower.Step(f.now, from.self.ID, *o.Share)
+	}
+}
+
+// view is what membership would tell an instance in the end.
+func (f *fleet) view(n *testNode) Zone {
+	var z Zone
+	for _, o := range f.nodes {
+		if o.dead {
+			continue
+		}
+		sameZone := o.self.Zone == n.self.Zone
+		if sameZone && o != n && (o.frozen || f.cut(n, o)) {
+			continue
+		}
+		z.Fleet++
+		if sameZone {
+			z.Members = append(z.Members, o.self)
+		}
+	}
+	return z
+}
+
+func (f *fleet) showView(n *testNode, z Zone) {
+	n.home.SetZone(f.now, z)
+	n.borrower.SetZone(f.now, z)
+	f.flush(n)
+}
+
+// spreadViews lets each instance learn the membership at its own time.
+func (f *fleet) spreadViews() {
+	for _, n := range f.nodes {
+		f.after(time.Duration(f.rng.Int63n(int64(f.viewDelay))), func() {
+			f.on(n, func() { f.showView(n, f.view(n)) })
+		})
+	}
+}
+
+// request offers one request; it waits for the home if it has to.
+func (f *fleet) request(n *testNode, org entity.OrgID, lasts time.Duration) {
+	f.offered++
+	f.on(n, func() { f.try(n, org, lasts, 0) })
+}
+
+func (f *fleet) try(n *testNode, org entity.OrgID, lasts time.Duration, waited time.Duration) {
+	ok, reason, _ := n.borrower.Take(f.now, org)
+	switch {
+	case ok:
+		f.admitted[org] = append(f.admitted[org], f.now)
+		f.after(lasts, func() { f.on(n, func() { n.borrower.Done(f.now, org) }) })
+	case reason == verdict.ReasonNone && waited < time.Second:
+		const again = 10 * time.Millisecond
+		f.after(again, func() { f.on(n, func() { f.try(n, org, lasts, waited+again) }) })
+	default:
+		f.refused[reason]++
+	}
+}
+
+func (f *fleet) thaw(n *testNode) {
+	n.frozen = false
+	todo := n.backlog
+	n.backlog = nil
+	f.rng.Shuffle(len(todo), func(i, j int) { todo[i], todo[j] = todo[j], todo[i] })
+	for _, do := range todo {
+		f.on(n, do)
+	}
+}
+
+// inFlight counts requests in flight at live instances.
+func (f *fleet) inFlight(org entity.OrgID) int {
+	sum := 0
+	for _, n := range f.nodes {
+		if !n.dead {
+			sum += n.borrower.InFlight(org)
+		}
+	}
+	return sum
+}
+
+// load offers requests at random times and instances for a while.
+func (f *fleet) load(org entity.OrgID, rate float64, lasts, during time.Duration, among []*testNode) {
+	for at := time.Duration(0); at < during; at += time.Duration(f.rng.ExpFloat64() / rate * float64(time.Second)) {
+		n := among[f.rng.Intn(len(among))]
+		d := time.Duration(f.rng.ExpFloat64() * float64(lasts))
+		f.after(at, func() { f.request(n, org, d) })
+	}
+}
--- /dev/null
+++ b/internal/core/limit/message.go
@@ -0,0 +1,83 @@
+package limit
+
+import "github.com/medlarhold/medlarhold/internal/core/entity"
+
+// Limit is what a contract allows an organisation over all instances.
+type Limit struct {
+	// Rate is in requests a second; Burst is how many may come at once.
+	Rate  float64
+	Burst int
+	// Concurrent bounds the requests in flight.
+	Concurrent int
+}
+
+// Contracts looks up the limit of an organisation.
+type Contracts func(entity.OrgID) (Limit, bool)
+
+// Demand is what a borrower asks of a home.
+type Demand struct {
+	// Seq numbers the demands of a borrower.
+	Seq uint64 `json:"s"`
+	// Members is the digest of the zone's members as the borrower sees them.
+	Members uint64 `json:"m"`
+	// Complete says that the borrower holds no share of this home but the listed ones.
+	Complete bool        `json:"c,omitempty"`
+	Orgs     []OrgDemand `json:"o,omitempty"`
+}
+
+// OrgDemand is the demand for one organisation.
+type OrgDemand struct {
+	Org entity.OrgID `json:"o"`
+	// Seen is the number of the newest share that is in force at the borrower.
+	Seen uint64 `json:"s,omitempty"`
+	// Rate is the rate in use or wanted, beyond the base.
+	Rate float64 `json:"r,omitempty"`
+	// Waiting is how many requests wait for the answer.
+	Waiting  int `json:"w,omitempty"`
+	InFlight int `json:"f,omitempty"`
+	// HoldRate and HoldConcurrent are the share in force at the borrower.
+	HoldRate       float64 `json:"h,omitempty"`
+	HoldConcurrent int     `json:"k,omitempty"`
+}
+
+// Share is what a home lends.
+type Share struct {
+	// Seq numbers the shares of a home.
+	Seq uint64 `json:"s"`
+	// Answers is the demand that the share answers. A share that answers none
+	// changes the amount but not the lease.
+	Answers uint64     `json:"a,omitempty"`
+	Orgs    []OrgShare `json:"o"`
+}
+
+// OrgShare is the share of one organisation.
+type OrgShare struct {
+	Org  entity.OrgID `json:"o"`
+	Rate float64      `json:"r,omitempty"`
+	// Tokens may be taken at once, besides what the rate brings.
+	Tokens     int `json:"t,omitempty"`
+	Concurrent int `json:"k,omitempty"`
+}
+
+// Outgoing is a message to be sent; one of Demand and Share is set.
+type Outgoing struct {
+	To     entity.InstanceID
+	Demand *Demand
+	Share  *Share
+}
+
+// Ready is what is to be done after a step. The caller owns it.
+type Ready struct {
+	Messages []Outgoing
+	// Answered lists organisations for which a waiting Take can now be decided.
+	Answered []entity.OrgID
+}
+
+// Zone is what lending needs to know of the membership view.
+type Zone struct {
+	// Members are the live instances of the own zone.
+	Members []entity.Instance
+	// Fleet is the number of live instances in all zones, those of
+	// unreachable zones included: what is theirs is not lent elsewhere.
+	Fleet int
+}
--- /dev/null
+++ b/internal/core/limit/settings.go
@@ -0,0 +1,41 @@
+package limit
+
+import "time"
+
+// Settings holds the timing and the bounds of lending.
+type Settings struct {
+	// ReportInterval is the least time between two demands for one
+	// organisation, but for the first and for an ask that a request waits on.
+	ReportInterval time.Duration
+	// LeaseFor is how long a share holds without renewal.
+	LeaseFor time.Duration
+	// RenewAfter is the age at which a share in use is renewed.
+	RenewAfter time.Duration
+	// AskTimeout is how long a request waits for the home.
+	AskTimeout time.Duration
+	// IdleAfter is how long an organisation must be unused before its share is given back.
+	IdleAfter time.Duration
+	// FreezeGap is the time without a Tick after which a home no longer
+	// trusts what it knows of its borrowers.
+	FreezeGap time.Duration
+	// BaseFraction is the part of a contract's rate that is not lent but
+	// divided among all instances for good.
+	BaseFraction float64
+	// FirstReports bounds, per report interval, the organisations that are
+	// reported without need: in use, but within the base.
+	FirstReports int
+}
+
+// DefaultSettings returns the settings that the daemon uses.
+func DefaultSettings() Settings {
+	return Settings{
+		ReportInterval: time.Second,
+		LeaseFor:       15 * time.Second,
+		RenewAfter:     4 * time.Second,
+		AskTimeout:     200 * time.Millisecond,
+		IdleAfter:      5 * time.Second,
+		FreezeGap:      1500 * time.Millisecond,
+		BaseFraction:   0.1,
+		FirstReports:   8,
+	}
+}
--- /dev/null
+++ b/internal/core/limit/zone.go
@@ -0,0 +1,46 @@
+package limit
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/ownership"
+)
+
+// zone is a Zone with what is derived from it.
+type zone struct {
+	members []entity.Instance
+	fleet   int
+	digest  uint64
+}
+
+func newZone(z Zone) zone {
+	out := zone{members: z.Members, fleet: max(z.Fleet, len(z.Members), 1)}
+	for _, m := range z.Members {
+		h := xxhash.Sum64String(string(m.ID))
+		if m.Leaving {
+			h = ^h
+		}
+		out.digest ^= h
+	}
+	return out
+}
+
+// weight is the part of a contract that belongs to the zone.
+func (z *zone) weight() float64 { return float64(len(z.members)) / float64(z.fleet) }
+
+func (z *zone) home(org entity.OrgID) entity.InstanceID { return ownership.OrgHome(z.members, org) }
+
+// lostMember reports whether an instance that could be a home before can't be now.
+func (z *zone) lostMember(before *zone) bool {
+	now := make(map[entity.InstanceID]bool, len(z.members))
+	for _, m := range z.members {
+		now[m.ID] = !m.Leaving
+	}
+	for _, m := range before.members {
+		if !m.Leaving && !now[m.ID] {
+			return true
+		}
+	}
+	return false
+}
