Thin whole path: two instances in separate processes, a stand-in engine and the published contract

Why: everything else grows on a request that is served from end to end.

Change: the daemon (control goroutine around the decision core, edges towards callers, peers, endpoints, operators and the platform), its settings, and a test bed that starts the programs as separate processes on loopback. The entry instance in one zone asks the owner in another zone for a slot and dispatches to the engine itself.

--- /dev/null
+++ b/cmd/medlarholdd/main.go
@@ -0,0 +1,90 @@
+// Command medlarholdd runs one instance of the scheduler.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-logr/logr"
+	"github.com/gravitational/trace"
+	"github.com/spf13/cobra"
+
+	"github.com/medlarhold/medlarhold/internal/daemon"
+	"github.com/medlarhold/medlarhold/internal/settings"
+	"github.com/medlarhold/medlarhold/internal/telemetry"
+)
+
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+	exitSignal   = 130
+)
+
+func main() {
+	var file string
+	cmd := &cobra.Command{
+		Use:   "medlarholdd --settings FILE",
+		Short: "Run one instance of the medlarhold scheduler",
+		Long: `Run one instance of the medlarhold scheduler.
+
+SIGTERM or SIGINT begins the planned stop: nothing in flight is cut off.
+A second one ends the process at once. SIGHUP reads keys and certificates again.`,
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE:          func(cmd *cobra.Command, _ []string) error { return run(cmd.Context(), file) },
+	}
+	cmd.Flags().StringVar(&file, "settings", "medlarhold.jsonc", "settings file, JSON with comments")
+	if err := cmd.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "medlarholdd:", trace.UserMessage(err))
+		if trace.IsBadParameter(err) || trace.IsNotFound(err) {
+			os.Exit(exitSettings)
+		}
+		os.Exit(exitFailed)
+	}
+}
+
+func run(ctx context.Context, file string) error {
+	s, err := settings.Load(file)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	log, err := telemetry.NewLogger(s.LogVerbosity)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	d, err := daemon.New(s, log)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	// One line tells whoever started the process where it listens.
+	if err := json.NewEncoder(os.Stdout).Encode(d.Addresses()); err != nil {
+		return trace.Wrap(err)
+	}
+	go handleSignals(d, log)
+	return trace.Wrap(d.Run(ctx))
+}
+
+// handleSignals turns signals into the planned stop and into reloads.
+func handleSignals(d *daemon.Daemon, log logr.Logger) {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	stopping := false
+	for s := range signals {
+		switch {
+		case s == syscall.SIGHUP:
+			d.Reload()
+		case stopping:
+			telemetry.Log(log, telemetry.EventSecondSignal)
+			os.Exit(exitSignal)
+		default:
+			stopping = true
+			d.Leave()
+		}
+	}
+}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -84,7 +84,7 @@
 func (s *Server) recovered(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		defer func() {
-			if p := recover(); p != nil && p != http.ErrAbortHandler {
+			if p := recover(); p != nil {
 				telemetry.Log(s.opts.Log, telemetry.EventRequestPanicked, "panic", p)
 				panic(http.ErrAbortHandler)
 			}
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -184,6 +184,10 @@
 // Revision returns the revision of the configuration in force.
 func (n *Node) Revision() config.Revision { return n.state.Revision() }
 
+// NewestPeer returns the peer in reach that has the newest configuration, and
+// its revision.
+func (n *Node) NewestPeer() (entity.Instance, int64, bool) { return n.members.NewestPeer() }
+
 // View returns the members as this instance sees them.
 func (n *Node) View() membership.View { return n.view }
 
--- /dev/null
+++ b/internal/daemon/configfollower.go
@@ -0,0 +1,94 @@
+package daemon
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/config"
+	"github.com/medlarhold/medlarhold/internal/core/node"
+	"github.com/medlarhold/medlarhold/internal/platform"
+	"github.com/medlarhold/medlarhold/internal/telemetry"
+)
+
+const (
+	// configWait is how long a read of the configuration stream waits for changes.
+	configWait = 10 * time.Second
+	// configRetryPause is the pause after a read that failed.
+	configRetryPause = 300 * time.Millisecond
+)
+
+// configFollower keeps the configuration in force up to date with the log.
+type configFollower struct {
+	d        *Daemon
+	log      platform.Log
+	follower *config.Follower
+	// caughtUp and confirmedAt are what other goroutines may know.
+	caughtUp    atomic.Bool
+	confirmedAt atomic.Int64 // Unix milliseconds
+	logDown     bool
+}
+
+func newConfigFollower(d *Daemon, log platform.Log) *configFollower {
+	return &configFollower{d: d, log: log, follower: config.NewFollower()}
+}
+
+// run follows the stream until ctx ends.
+func (f *configFollower) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		before := f.follower.State().Revision()
+		outcomes, err := f.follower.Step(ctx, f.log, time.Now, configWait)
+		f.report(outcomes)
+		if err != nil {
+			f.failed(ctx)
+		} else if f.logDown {
+			f.logDown = false
+			telemetry.Log(f.d.log, telemetry.EventLogBack)
+		}
+		f.publish(before)
+	}
+}
+
+// publish puts a newer state into force.
+func (f *configFollower) publish(before config.Revision) {
+	st := f.follower.State()
+	if st.Revision() != before || !f.caughtUp.Load() {
+		f.d.loop.Post(node.Configured{State: st})
+	}
+	f.confirmedAt.Store(f.follower.ConfirmedAt().UnixMilli())
+	if f.follower.CaughtUp() && !f.caughtUp.Swap(true) {
+		telemetry.Log(f.d.log, telemetry.EventConfigCaughtUp, "revision", st.Revision())
+		telemetry.Log(f.d.log, telemetry.EventReady, "instance", f.d.self.ID)
+	}
+}
+
+// failed waits before the next read, and looks for a newer state at the peers.
+func (f *configFollower) failed(ctx context.Context) {
+	if !f.logDown && ctx.Err() == nil {
+		f.logDown = true
+		telemetry.Log(f.d.log, telemetry.EventLogUnavailable)
+	}
+	f.askPeers(ctx)
+	select {
+	case <-ctx.Done():
+	case <-time.After(configRetryPause):
+	}
+}
+
+func (f *configFollower) report(outcomes []config.Outcome) {
+	for _, o := range outcomes {
+		if o.Result == config.ResultApplied {
+			telemetry.Log(f.d.log, telemetry.EventConfigApplied, "change", o.ChangeID, "revision", o.Offset)
+			continue
+		}
+		telemetry.Log(f.d.log, telemetry.EventConfigRejected, "change", o.ChangeID, "result", o.Result)
+	}
+}
+
+// ready says whether the instance may serve with what it has.
+func (f *configFollower) ready() (bool, string) {
+	if !f.caughtUp.Load() {
+		return false, "configuration not caught up"
+	}
+	return true, ""
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,250 @@
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	mathrand "math/rand"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/gravitational/trace"
+	"github.com/oklog/ulid/v2"
+
+	"github.com/medlarhold/medlarhold/internal/caller"
+	"github.com/medlarhold/medlarhold/internal/control"
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/node"
+	"github.com/medlarhold/medlarhold/internal/endpoint"
+	"github.com/medlarhold/medlarhold/internal/peer"
+	"github.com/medlarhold/medlarhold/internal/platform"
+	"github.com/medlarhold/medlarhold/internal/settings"
+	"github.com/medlarhold/medlarhold/internal/telemetry"
+)
+
+const (
+	// peerExchangeTimeout bounds one exchange with a peer.
+	peerExchangeTimeout = time.Second
+	// readHeaderTimeout bounds how long a caller may take to send its headers.
+	readHeaderTimeout = 5 * time.Second
+	// readTimeout bounds how long a caller may take to send its request.
+	readTimeout = 30 * time.Second
+	// idleTimeout closes callers' connections that carry nothing.
+	idleTimeout = 2 * time.Minute
+)
+
+// Daemon is one instance of the system.
+type Daemon struct {
+	settings  settings.Settings
+	self      entity.Instance
+	log       logr.Logger
+	metrics   *telemetry.Metrics
+	keys      *settings.KeyRing
+	certs     *certificates
+	listeners listeners
+	transport *peer.Transport
+	loop      *control.Loop
+	endpoints *endpoint.Client
+	caller    *caller.Server
+	follower  *configFollower
+	list      platform.InstanceList
+	poller    *poller
+	leaving   chan struct{}
+	leaveOnce sync.Once
+}
+
+// listeners are the instance's three listening sockets.
+type listeners struct{ callers, peers, admin net.Listener }
+
+// Addresses tells where an instance listens.
+type Addresses struct {
+	Instance entity.InstanceID `json:"instance"`
+	Callers  string            `json:"callers"`
+	Peers    string            `json:"peers"`
+	Admin    string            `json:"admin"`
+}
+
+// New opens the listeners and puts the instance together. Nothing runs yet.
+func New(s settings.Settings, log logr.Logger) (*Daemon, error) {
+	keys, err := settings.NewKeyRing(s.Keys)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	certs, err := newCertificates(s.TLS)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	ls, err := listen(s.Listen)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	d := &Daemon{settings: s, log: log, metrics: telemetry.NewMetrics(), keys: keys, certs: certs, listeners: ls, leaving: make(chan struct{})}
+	d.self = entity.Instance{
+		ID: newInstanceID(s.Name), Zone: s.Zone, Region: s.Region, PeerAddress: advertised(s.AdvertisePeers, ls.peers),
+	}
+	d.assemble()
+	return d, nil
+}
+
+// assemble connects the parts.
+func (d *Daemon) assemble() {
+	s := d.settings
+	d.endpoints = endpoint.New(endpoint.Options{TLS: d.certs.client()})
+	d.poller = newPoller(d.endpoints, func(msg any) { d.loop.Post(msg) })
+	d.transport = peer.NewTransport(peer.Options{
+		Self: d.self, Keys: d.keys.PeerKeys, ServerTLS: d.certs.server(), ClientTLS: d.certs.client(),
+		ExchangeTimeout: peerExchangeTimeout, Registry: messages(),
+		Deliver: func(from entity.Instance, msg any) { d.loop.Post(node.FromPeer{From: from.ID, Msg: msg}) },
+		Failed:  func(to entity.InstanceID, msg any) { go d.loop.Post(node.PeerFailed{To: to, Msg: msg}) },
+		Lost:    func(id entity.InstanceID) { go d.loop.Post(node.PeerLost{Peer: id}) },
+		Query:   d.answerPeer, Clock: time.Now, Log: d.log, Metrics: d.metrics,
+	})
+	seed := mathrand.NewSource(time.Now().UnixNano())
+	d.loop = control.New(control.Options{
+		Node: node.New(node.DefaultSettings(d.self), mathrand.New(seed)), Clock: time.Now,
+		Send: d.transport.Send, Forget: d.transport.Forget, Owned: d.poller.setOwned, Log: d.log, Metrics: d.metrics,
+	})
+	hc := &http.Client{Transport: d.countPlatform(&http.Transport{TLSClientConfig: d.certs.client(), MaxIdleConnsPerHost: platformConns})}
+	d.follower = newConfigFollower(d, platform.NewHTTPLog(s.Platform.Log, hc))
+	d.list = platform.NewHTTPInstanceList(s.Platform.InstanceList, hc)
+	d.caller = caller.NewServer(caller.Options{
+		Control: d, State: d.loop.State, Endpoints: d.endpoints, NewID: d.newRequestID, Clock: time.Now,
+		Log: d.log, Metrics: d.metrics,
+		DefaultDeadline:   time.Duration(s.Requests.DefaultDeadlineMs) * time.Millisecond,
+		MaxDeadline:       time.Duration(s.Requests.MaxDeadlineMs) * time.Millisecond,
+		MaxBodyBytes:      s.Requests.MaxBodyBytes,
+		PrefixBlockTokens: s.Requests.PrefixBlockTokens, MaxPrefixBlocks: s.Requests.MaxPrefixBlocks,
+	})
+}
+
+// Addresses returns where the instance listens.
+func (d *Daemon) Addresses() Addresses {
+	return Addresses{Instance: d.self.ID, Callers: d.listeners.callers.Addr().String(),
+		Peers: d.listeners.peers.Addr().String(), Admin: d.listeners.admin.Addr().String()}
+}
+
+// Run serves until the planned stop has ended, or ctx ends, which cuts off
+// what is in flight. It returns nil after a planned stop that cut off nothing.
+func (d *Daemon) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	telemetry.Log(d.log, telemetry.EventStarting, "instance", d.self.ID, "zone", d.self.Zone)
+	var background sync.WaitGroup
+	for _, f := range []func(context.Context){d.loop.Run, d.follower.run, d.register, d.poller.run} {
+		background.Go(func() { f(ctx) })
+	}
+	callers := d.httpServer(d.caller.Handler())
+	admin := d.httpServer(d.adminHandler())
+	failed := make(chan error, 3)
+	go func() { failed <- serveHTTP(callers, d.listeners.callers, d.certs) }()
+	go func() { failed <- serveHTTP(admin, d.listeners.admin, d.certs) }()
+	go func() { failed <- d.transport.Serve(d.listeners.peers) }()
+	var err error
+	select {
+	case err = <-failed:
+		telemetry.Log(d.log, telemetry.EventServerFailed, "error", trace.UserMessage(err))
+	case <-ctx.Done():
+		err = ctx.Err()
+	case <-d.leaving:
+		err = d.stop(ctx, callers)
+	}
+	callers.Close()
+	admin.Close()
+	cancel()
+	d.transport.Close()
+	background.Wait()
+	d.endpoints.Close()
+	return err
+}
+
+// Leave begins the planned stop.
+func (d *Daemon) Leave() { d.leaveOnce.Do(func() { close(d.leaving) }) }
+
+// Reload reads keys and certificates again.
+func (d *Daemon) Reload() {
+	if err := errors.Join(d.keys.Reload(), d.certs.reload()); err != nil {
+		telemetry.Log(d.log, telemetry.EventSettingsUnchanged, "error", trace.UserMessage(err))
+		return
+	}
+	telemetry.Log(d.log, telemetry.EventSettingsReloaded)
+}
+
+func (d *Daemon) httpServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: d.settings.Requests.MaxHeaderBytes,
+	}
+}
+
+// serveHTTP serves until the server is closed.
+func serveHTTP(s *http.Server, ln net.Listener, certs *certificates) error {
+	var err error
+	if cfg := certs.server(); cfg != nil {
+		s.TLSConfig = cfg
+		err = s.ServeTLS(ln, "", "")
+	} else {
+		err = s.Serve(ln)
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return trace.Wrap(err)
+}
+
+// listen opens the three sockets, or none.
+func listen(l settings.Listen) (listeners, error) {
+	var ls listeners
+	for _, s := range []struct {
+		address string
+		into    *net.Listener
+	}{{l.Callers, &ls.callers}, {l.Peers, &ls.peers}, {l.Admin, &ls.admin}} {
+		ln, err := net.Listen("tcp", s.address)
+		if err != nil {
+			return ls, trace.ConnectionProblem(err, "listening on %s", s.address)
+		}
+		*s.into = ln
+	}
+	return ls, nil
+}
+
+func advertised(address string, ln net.Listener) string {
+	if address != "" {
+		return address
+	}
+	return ln.Addr().String()
+}
+
+// instanceSuffixBytes makes an instance id unique over restarts.
+const instanceSuffixBytes = 4
+
+func newInstanceID(name string) entity.InstanceID {
+	b := make([]byte, instanceSuffixBytes)
+	if _, err := rand.Read(b); err != nil {
+		os.Exit(1) // the system's randomness is gone
+	}
+	return entity.InstanceID(name + "-" + hex.EncodeToString(b))
+}
+
+// requestIDSeparator stands between the unique part of a request id and the
+// instance that holds the request.
+const requestIDSeparator = "."
+
+func (d *Daemon) newRequestID() entity.RequestID {
+	return entity.RequestID(ulid.Make().String() + requestIDSeparator + string(d.self.ID))
+}
+
+// entryOf returns the instance that a request id names.
+func entryOf(id entity.RequestID) (entity.InstanceID, bool) {
+	unique, entry, ok := strings.Cut(string(id), requestIDSeparator)
+	if !ok || entry == "" {
+		return "", false
+	}
+	_, err := ulid.ParseStrict(unique)
+	return entity.InstanceID(entry), err == nil
+}
--- /dev/null
+++ b/internal/daemon/messages.go
@@ -0,0 +1,22 @@
+package daemon
+
+import (
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/membership"
+	"github.com/medlarhold/medlarhold/internal/core/node"
+	"github.com/medlarhold/medlarhold/internal/peer"
+)
+
+// messages lists what travels between instances, and what of it is control.
+func messages() *peer.Registry {
+	r := peer.NewRegistry()
+	peer.Register[membership.Message](r, "m", peer.ClassControl)
+	peer.Register[node.Holding](r, "hold", peer.ClassControl)
+	peer.Register[peer.Reservation](r, "ask", peer.ClassRequest)
+	peer.Register[entity.Grant](r, "ok", peer.ClassRequest)
+	peer.Register[entity.Refusal](r, "no", peer.ClassRequest)
+	peer.Register[entity.Preemption](r, "yield", peer.ClassRequest)
+	peer.Register[entity.Release](r, "free", peer.ClassRequest)
+	peer.Register[node.Withdraw](r, "undo", peer.ClassRequest)
+	return r
+}
--- a/internal/peer/hello.go
+++ b/internal/peer/hello.go
@@ -54,7 +54,7 @@
 
 func newNonce() string {
 	b := make([]byte, nonceBytes)
-	rand.Read(b) //nolint:errcheck // crypto/rand.Read never fails
+	rand.Read(b) // never fails
 	return hex.EncodeToString(b)
 }
 
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -166,11 +166,21 @@
 		return nil, trace.Wrap(err)
 	}
 	l.conn = conn
+	go l.watch(conn)
 	l.t.opts.Metrics.PeerReconnects.Inc(1)
 	telemetry.Log(l.t.opts.Log, telemetry.EventPeerConnected, "peer", l.to)
 	return conn, nil
 }
 
+// watch tells when the connection has ended.
+func (l *link) watch(conn *jsonrpc2.Conn) {
+	<-conn.DisconnectNotify()
+	if l.t.ctx.Err() == nil {
+		telemetry.Log(l.t.opts.Log, telemetry.EventPeerLost, "peer", l.to)
+		l.t.opts.Lost(l.to)
+	}
+}
+
 func (l *link) dial(ctx context.Context) (*jsonrpc2.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, l.t.opts.ExchangeTimeout)
 	defer cancel()
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -36,6 +36,8 @@
 	Query func(ctx context.Context, from entity.Instance, method string, params json.RawMessage) (any, error)
 	// Failed is told of a message that could not be delivered.
 	Failed func(to entity.InstanceID, msg any)
+	// Lost is told when a connection that this side dialled has ended.
+	Lost func(to entity.InstanceID)
 	// Clock returns the time.
 	Clock   func() time.Time
 	Log     logr.Logger
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -115,7 +115,7 @@
 // Parse reads and checks settings.
 func Parse(src []byte) (Settings, error) {
 	s := Default()
-	std, err := hujson.Standardize(src)
+	std, err := hujson.Standardize(src) //nolint:misspell // the library's name
 	if err != nil {
 		return s, trace.BadParameter("not JSON with comments: %v", err)
 	}
--- /dev/null
+++ b/internal/testbed/bed.go
@@ -0,0 +1,189 @@
+package testbed
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/oklog/ulid/v2"
+
+	"github.com/medlarhold/medlarhold/internal/config"
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/platform"
+)
+
+// Keys that every test bed uses.
+const (
+	// PeerKey is the key between instances, OperatorKey the operators'.
+	PeerKey     = "test-peer-key-0123456789"
+	OperatorKey = "test-operator-key"
+	// CallerKey is the key of the organisation "bank".
+	CallerKey = "test"
+)
+
+// eventGuard bounds how long the bed waits for an event that must come.
+const eventGuard = 60 * time.Second
+
+// Bed is a set of processes on loopback.
+type Bed struct {
+	Dir      string
+	Programs Programs
+	Platform string // base URL
+	procs    []*Process
+	log      *platform.HTTPLog
+	seq      int
+}
+
+// Instance is a running instance of the system.
+type Instance struct {
+	*Process
+	ID                    entity.InstanceID `json:"instance"`
+	Callers, Peers, Admin string
+}
+
+// Server is a running stand-in.
+type Server struct {
+	*Process
+	Address string `json:"address"`
+}
+
+// New starts the stand-in platform. dir takes settings and logs.
+func New(dir string, programs Programs) (*Bed, error) {
+	b := &Bed{Dir: dir, Programs: programs}
+	if err := b.writeKeys(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	s, err := b.Standin("platform", nil)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	b.Platform = "http://" + s.Address
+	b.log = platform.NewHTTPLog(b.Platform, nil)
+	return b, nil
+}
+
+func (b *Bed) writeKeys() error {
+	sum := sha256.Sum256([]byte(OperatorKey))
+	files := map[string]string{"peer.key": PeerKey + "\n", "operator.hash": hex.EncodeToString(sum[:]) + "\n"}
+	for name, content := range files {
+		if err := os.WriteFile(filepath.Join(b.Dir, name), []byte(content), 0o600); err != nil {
+			return trace.ConvertSystemError(err)
+		}
+	}
+	return nil
+}
+
+// Close ends all processes that the bed started.
+func (b *Bed) Close() {
+	for _, p := range b.procs {
+		p.Kill()
+	}
+}
+
+// Standin starts a stand-in of a kind with its settings.
+func (b *Bed) Standin(kind string, settings any) (*Server, error) {
+	args := []string{kind}
+	if settings != nil {
+		data, err := json.Marshal(settings)
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		args = append(args, "--settings", string(data))
+	}
+	b.seq++
+	s := &Server{}
+	p, err := start(filepath.Join(b.Dir, fmt.Sprintf("%s-%d.log", kind, b.seq)), s, b.Programs.Standin, args...)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	s.Process = p
+	b.procs = append(b.procs, p)
+	return s, nil
+}
+
+// InstanceSettings are the settings of an instance of the bed, to be changed
+// before Start.
+func (b *Bed) InstanceSettings(name string, zone entity.ZoneID) map[string]any {
+	return map[string]any{
+		"name": name, "zone": zone, "region": "test",
+		"listen":   map[string]any{"callers": "127.0.0.1:0", "peers": "127.0.0.1:0", "admin": "127.0.0.1:0"},
+		"platform": map[string]any{"log": b.Platform, "instance_list": b.Platform, "weight_store": b.Platform},
+		"keys": map[string]any{
+			"peer_key_file":      filepath.Join(b.Dir, "peer.key"),
+			"operator_hash_file": filepath.Join(b.Dir, "operator.hash"),
+		},
+		"stop": map[string]any{"notice_ms": 500, "timeout_ms": 60_000},
+	}
+}
+
+// Start starts an instance.
+func (b *Bed) Start(name string, settings map[string]any) (*Instance, error) {
+	data, err := json.MarshalIndent(settings, "", "  ")
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	file := filepath.Join(b.Dir, name+".jsonc")
+	if err := os.WriteFile(file, data, 0o600); err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	in := &Instance{}
+	p, err := start(filepath.Join(b.Dir, name+".log"), in, b.Programs.Daemon, "--settings", file)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	in.Process = p
+	b.procs = append(b.procs, p)
+	return in, nil
+}
+
+// Publish appends the objects of a configuration file to the log, as they are
+// based on nothing.
+func (b *Bed) Publish(ctx context.Context, src []byte) error {
+	objects, problems := config.Parse("test", src)
+	if len(problems) > 0 {
+		return trace.BadParameter("%s", problems[0])
+	}
+	for _, o := range config.Ordered(objects) {
+		data, err := config.EncodeChange(config.Change{ID: ulid.Make().String(), Kind: o.Kind, Name: o.Name, Operator: "test", Spec: o.Spec})
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		if _, err := b.log.Append(ctx, config.Stream, data); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return nil
+}
+
+// WaitReady waits until the instance may serve.
+func (in *Instance) WaitReady() error {
+	return Eventually(func() bool {
+		res, err := http.Get("http://" + in.Callers + "/readyz")
+		if err != nil {
+			return false
+		}
+		res.Body.Close()
+		return res.StatusCode == http.StatusOK
+	})
+}
+
+// pollPause is the time between two looks of Eventually.
+const pollPause = 20 * time.Millisecond
+
+// Eventually waits until the condition holds. The guard is no bound on how
+// fast that must be: it only ends a wait for something that never comes.
+func Eventually(condition func() bool) error {
+	for end := time.Now().Add(eventGuard); time.Now().Before(end); time.Sleep(pollPause) {
+		if condition() {
+			return nil
+		}
+	}
+	return trace.LimitExceeded("the event did not come within %v", eventGuard)
+}
--- /dev/null
+++ b/test/e2e/path_test.go
@@ -0,0 +1,77 @@
+package e2e
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/testbed"
+)
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+}
+
+// call sends one request to an instance as the test organisation.
+func call(t *testing.T, in *testbed.Instance, method, path, body string, headers ...string) answer {
+	t.Helper()
+	req, err := http.NewRequest(method, "http://"+in.Callers+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+testbed.CallerKey)
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return answer{status: res.StatusCode, header: res.Header, body: string(data)}
+}
+
+// TestWholePath sends a completion through an instance whose zone has no
+// engine, so that the reservation crosses to an owner in another process.
+func TestWholePath(t *testing.T) {
+	b := newBed(t, "b")
+	var entry *testbed.Instance
+	for _, zone := range []string{"b", "a"} {
+		in, err := b.Start("instance-"+zone, b.InstanceSettings("instance-"+zone, entity.ZoneID(zone)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := in.WaitReady(); err != nil {
+			t.Fatal(err)
+		}
+		entry = in
+	}
+	got := call(t, entry, "POST", "/v1/completions", `{"model":"narrative","prompt":"A visit report","max_tokens":5}`)
+	if got.status != http.StatusOK || got.header.Get("X-Medlarhold-Verdict") != "ran" {
+		t.Fatalf("%+v", got)
+	}
+	var whole struct {
+		Choices []struct{ Text string }
+		Usage   struct {
+			CompletionTokens int `json:"completion_tokens"`
+		}
+	}
+	if err := json.Unmarshal([]byte(got.body), &whole); err != nil || whole.Usage.CompletionTokens != 5 || whole.Choices[0].Text == "" {
+		t.Fatalf("not a whole answer: %s", got.body)
+	}
+	id := got.header.Get("X-Request-ID")
+	status := call(t, entry, "GET", "/v1/requests/"+id, "")
+	if status.status != http.StatusOK || !strings.Contains(status.body, `"verdict":"ran"`) {
+		t.Fatalf("status of %s: %+v", id, status)
+	}
+}
