TCP forwarder that cuts, delays and goes silent

Middleboxes that lose track of a connection leave both ends with an open socket that carries nothing. The forwarder shows that, for open connections only or in one direction, so that the recovery can be tested without privileges.

--- a/cmd/medlarhold-standin/server.go
+++ b/cmd/medlarhold-standin/server.go
@@ -40,6 +40,8 @@
 type listening struct {
 	Kind    string `json:"kind"`
 	Address string `json:"address"`
+	// Control is where faults are set, when that is elsewhere.
+	Control string `json:"control,omitempty"`
 }
 
 // serve serves until the process is told to stop.
@@ -49,14 +51,14 @@
 		return err
 	}
 	defer s.Close()
-	return announce(cmd, kind, s.Address())
+	return announce(cmd, listening{Kind: kind, Address: s.Address()})
 }
 
 // announce prints where the command listens and waits for a signal to stop.
-func announce(cmd *cobra.Command, kind, address string) error {
+func announce(cmd *cobra.Command, line listening) error {
 	ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	if err := json.NewEncoder(cmd.OutOrStdout()).Encode(listening{Kind: kind, Address: address}); err != nil {
+	if err := json.NewEncoder(cmd.OutOrStdout()).Encode(line); err != nil {
 		return trace.Wrap(err)
 	}
 	<-ctx.Done()
--- /dev/null
+++ b/internal/standin/relay/link.go
@@ -0,0 +1,129 @@
+package relay
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// link is one connection with its two directions.
+type link struct {
+	relay          *Relay
+	client, target net.Conn
+	// silenced is guarded by the relay's lock.
+	silenced bool
+	once     sync.Once
+	done     chan struct{}
+}
+
+func newLink(r *Relay, client, target net.Conn) *link {
+	return &link{relay: r, client: client, target: target, done: make(chan struct{})}
+}
+
+func (l *link) close() {
+	l.once.Do(func() {
+		close(l.done)
+		l.client.Close()
+		l.target.Close()
+	})
+}
+
+// run forwards until both directions have ended.
+func (l *link) run() {
+	defer l.close()
+	toTarget := func(f *Faults) Direction { return f.ToTarget }
+	fromTarget := func(f *Faults) Direction { return f.FromTarget }
+	var both sync.WaitGroup
+	both.Go(func() { l.pipe(l.target, l.client, toTarget) })
+	both.Go(func() { l.pipe(l.client, l.target, fromTarget) })
+	both.Wait()
+}
+
+const (
+	// chunkBytes bounds what is read at once, chunksInFlight what a delay holds.
+	chunkBytes     = 32 << 10
+	chunksInFlight = 64
+)
+
+// chunk is what was read at once, and when.
+type chunk struct {
+	data []byte
+	read time.Time
+}
+
+// pipe forwards from src to dst, and the end of src as the end of dst.
+func (l *link) pipe(dst, src net.Conn, direction func(*Faults) Direction) {
+	chunks := make(chan chunk, chunksInFlight)
+	var reading sync.WaitGroup
+	reading.Go(func() { l.readChunks(src, chunks) })
+	defer reading.Wait()
+	for c := range chunks {
+		if !l.hold(c, direction) {
+			l.close()
+			continue
+		}
+		if _, err := dst.Write(c.data); err != nil {
+			l.close()
+		}
+	}
+	if l.hold(chunk{read: time.Now()}, direction) {
+		if half, ok := dst.(interface{ CloseWrite() error }); ok {
+			_ = half.CloseWrite() // the other end may be gone already
+		}
+	}
+}
+
+// readChunks reads until src ends.
+func (l *link) readChunks(src net.Conn, chunks chan<- chunk) {
+	defer close(chunks)
+	for {
+		buf := make([]byte, chunkBytes)
+		n, err := src.Read(buf)
+		if n > 0 {
+			select {
+			case chunks <- chunk{data: buf[:n], read: time.Now()}:
+			case <-l.done:
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// hold keeps a chunk as long as the faults want it; false means that the link
+// was closed meanwhile.
+func (l *link) hold(c chunk, direction func(*Faults) Direction) bool {
+	for {
+		l.relay.mu.Lock()
+		d := direction(&l.relay.faults)
+		silent := l.silenced || d.Silent
+		changed := l.relay.changed
+		l.relay.mu.Unlock()
+		wait := time.Until(c.read.Add(d.Delay))
+		if !silent && wait <= 0 {
+			return true
+		}
+		if !l.waitFor(changed, silent, wait) {
+			return false
+		}
+	}
+}
+
+// waitFor waits for a change of the faults or, when not silent, for a delay.
+func (l *link) waitFor(changed <-chan struct{}, silent bool, wait time.Duration) bool {
+	var delay <-chan time.Time
+	if !silent {
+		t := time.NewTimer(wait)
+		defer t.Stop()
+		delay = t.C
+	}
+	select {
+	case <-delay:
+	case <-changed:
+	case <-l.done:
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/internal/standin/relay/relay.go
@@ -0,0 +1,107 @@
+package relay
+
+import (
+	"net"
+	"sync"
+
+	"github.com/gravitational/trace"
+)
+
+// Relay forwards connections to one target.
+type Relay struct {
+	target   string
+	listener net.Listener
+	running  sync.WaitGroup
+
+	mu       sync.Mutex
+	faults   Faults
+	changed  chan struct{} // closed when the faults change
+	links    map[*link]struct{}
+	accepted int
+	closed   bool
+}
+
+// Start forwards connections on the address listen to target.
+func Start(listen, target string) (*Relay, error) {
+	l, err := net.Listen("tcp", listen)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	r := &Relay{target: target, listener: l, changed: make(chan struct{}), links: map[*link]struct{}{}}
+	r.running.Add(1)
+	go r.accept()
+	return r, nil
+}
+
+// Address returns host and port of the relay.
+func (r *Relay) Address() string {
+	return r.listener.Addr().String()
+}
+
+// Close closes the relay and all connections.
+func (r *Relay) Close() {
+	r.mu.Lock()
+	r.closed = true
+	r.mu.Unlock()
+	r.listener.Close()
+	r.Cut()
+	r.running.Wait()
+}
+
+func (r *Relay) accept() {
+	defer r.running.Done()
+	for {
+		client, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		r.running.Add(1)
+		go func() {
+			defer r.running.Done()
+			r.forward(client)
+		}()
+	}
+}
+
+// forward carries one connection.
+func (r *Relay) forward(client net.Conn) {
+	defer client.Close()
+	if !r.admit() {
+		return
+	}
+	target, err := net.Dial("tcp", r.target)
+	if err != nil {
+		return
+	}
+	defer target.Close()
+	l := newLink(r, client, target)
+	if !r.add(l) {
+		return
+	}
+	defer r.remove(l)
+	l.run()
+}
+
+// admit counts a connection and says whether it is to be forwarded.
+func (r *Relay) admit() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.accepted++
+	return !r.faults.Refuse
+}
+
+func (r *Relay) add(l *link) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return false
+	}
+	r.links[l] = struct{}{}
+	return true
+}
+
+func (r *Relay) remove(l *link) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.links, l)
+}
