Tests of the endpoint client under cut, silent and lost connections

Seen red: with pooled connections for dispatches and calls, net/http sends GET, HEAD, and with a header Idempotency-Key also PUT, POST and DELETE without a body a second time after the server has read them (TestNothingIsSentTwice).

--- /dev/null
+++ b/internal/endpoint/control_test.go
@@ -0,0 +1,201 @@
+package endpoint_test
+
+import (
+	"errors"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/endpoint"
+	"github.com/medlarhold/medlarhold/internal/prefix"
+	"github.com/medlarhold/medlarhold/internal/standin/engine/model"
+	"github.com/medlarhold/medlarhold/internal/standin/relay"
+	"github.com/medlarhold/medlarhold/internal/verdict"
+)
+
+func TestPauseAndResumeKeepTheStreamWhole(t *testing.T) {
+	e, address := startEngine(t, fastEngine())
+	c, _ := newClient(t, nil)
+	ctx := testContext(t)
+	var got text
+	result, err := c.Generate(ctx, address, request("a", 200), func(tok endpoint.Token) error {
+		if tok.Index == 20 {
+			paused, err := c.Pause(ctx, address, requestID("a"))
+			if err != nil || paused.State != endpoint.StatePaused && paused.State != endpoint.StateEnded {
+				t.Errorf("pause: %+v, %v", paused, err)
+			}
+			again, err := c.Pause(ctx, address, requestID("a"))
+			if err != nil || again != paused {
+				t.Errorf("a paused stream went on: %+v then %+v, %v", paused, again, err)
+			}
+			if _, err := c.Resume(ctx, address, requestID("a")); err != nil {
+				t.Error(err)
+			}
+		}
+		return got.take(tok)
+	})
+	wantWhole(t, got.String(), err, 200)
+	wantDispatches(t, e, "a", 1)
+	if result.PrefillTokens != 150 {
+		t.Fatalf("%d tokens of prefill: the pause has cost some", result.PrefillTokens)
+	}
+}
+
+func TestCancelFreesTheSlot(t *testing.T) {
+	s := fastEngine()
+	s.MaxRunning = 1
+	_, address := startEngine(t, s)
+	c, _ := newClient(t, nil)
+	ctx := testContext(t)
+	_, err := c.Generate(ctx, address, request("a", 25_000), func(tok endpoint.Token) error {
+		if tok.Index > 0 {
+			return nil
+		}
+		status, err := c.Cancel(ctx, address, requestID("a"))
+		if err != nil || status.State != endpoint.StateEnded {
+			t.Errorf("cancel: %+v, %v", status, err)
+		}
+		load, err := c.Load(ctx, address)
+		if err != nil || load.Running != 0 || load.KVTokens != 0 {
+			t.Errorf("load after the cancel: %+v, %v", load, err)
+		}
+		return nil
+	})
+	wantVerdict(t, err, verdict.MayHaveRun, verdict.ReasonAnswerIncomplete)
+	if status, err := c.Cancel(ctx, address, requestID("a")); err != nil || status.State != endpoint.StateEnded {
+		t.Fatalf("cancel again: %+v, %v", status, err)
+	}
+	_, err = c.Cancel(ctx, address, "never seen")
+	wantVerdict(t, err, verdict.MayHaveRun, verdict.ReasonUnknownRequest)
+}
+
+func TestOrdersAndFencing(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		s := fastEngine()
+		s.Models = []entity.ModelID{"m"}
+		s.ChecksFencing = checks
+		_, address := startEngine(t, s)
+		c, _ := newClient(t, nil)
+		ctx := testContext(t)
+		load := endpoint.Order{Kind: endpoint.OrderLoadModel, Model: "n", Version: "2", Fence: 7, ExpiresMillis: 1000}
+		status, err := c.Order(ctx, address, load)
+		want := endpoint.OrderStatus{Models: map[entity.ModelID]string{"m": "", "n": "2"}, Fence: 7}
+		if diff := cmp.Diff(want, status); err != nil || diff != "" {
+			t.Fatal(err, diff)
+		}
+		unload := endpoint.Order{Kind: endpoint.OrderUnloadModel, Model: "m", Fence: 6}
+		_, err = c.Order(ctx, address, unload)
+		if errors.Is(err, endpoint.ErrOldFence) != checks {
+			t.Fatalf("checks %v: order with an old number: %v", checks, err)
+		}
+		_, err = c.Generate(ctx, address, request("a", 1), (&text{}).take)
+		if checks != (err == nil) {
+			t.Fatalf("checks %v: generate after the old order: %v", checks, err)
+		}
+		if status, err := c.Orders(ctx, address); err != nil || status.Fence != 7 {
+			t.Fatalf("%+v, %v", status, err)
+		}
+	}
+}
+
+func TestExportAndImport(t *testing.T) {
+	_, from := startEngine(t, fastEngine())
+	_, to := startEngine(t, fastEngine())
+	c, _ := newClient(t, nil)
+	ctx := testContext(t)
+	if _, err := c.Generate(ctx, from, request("a", 1), (&text{}).take); err != nil {
+		t.Fatal(err)
+	}
+	hashes := endpoint.ToWire(prefix.Hash(prompt, 0))
+	beyond := append(slices.Clone(hashes), 1, 2)
+	export, err := c.Export(ctx, from, endpoint.ExportRequest{Model: "m", Prefix: beyond})
+	if diff := cmp.Diff(hashes, export.Blocks); err != nil || diff != "" || export.Bytes == 0 {
+		t.Fatal(export.Bytes, err, diff)
+	}
+	done, err := c.Import(ctx, to, endpoint.ImportRequest{From: from, Model: "m", Blocks: beyond})
+	if err != nil || done.Imported != len(hashes) {
+		t.Fatalf("%+v, %v", done, err)
+	}
+	result, err := c.Generate(ctx, to, request("b", 1), (&text{}).take)
+	if err != nil || result.PrefillTokens != 150-144 {
+		t.Fatalf("%+v, %v", result, err)
+	}
+	events, err := c.CacheEvents(ctx, to, 1)
+	if err != nil || len(events.Events) == 0 || !cmp.Equal(events.Events[0].Stored, hashes) {
+		t.Fatalf("%+v, %v", events, err)
+	}
+}
+
+func TestCacheEventsComeLateAndWithGaps(t *testing.T) {
+	s := fastEngine()
+	s.CacheEventLoss = 1
+	_, address := startEngine(t, s)
+	c, _ := newClient(t, nil)
+	if _, err := c.Generate(testContext(t), address, request("a", 1), (&text{}).take); err != nil {
+		t.Fatal(err)
+	}
+	events, err := c.CacheEvents(testContext(t), address, 1)
+	if err != nil || len(events.Events) != 0 || events.Next != 2 {
+		t.Fatalf("%+v, %v", events, err)
+	}
+}
+
+func TestSilentPooledConnectionIsReplaced(t *testing.T) {
+	_, address := startEngine(t, fastEngine())
+	r, err := relay.Start("127.0.0.1:0", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	c, counters := newClient(t, nil)
+	for range 2 {
+		if _, err := c.Load(testContext(t), r.Address()); err != nil {
+			t.Fatal(err)
+		}
+		r.SilenceOpen()
+	}
+	if n := count(counters, endpoint.MetricRepeated); n > 1 {
+		t.Fatalf("%d repetitions", n)
+	}
+}
+
+func TestControlAnswersAreBounded(t *testing.T) {
+	var calls tally
+	address := serveHTTP(t, func(w http.ResponseWriter, _ *http.Request) {
+		calls.add("all")
+		_, _ = w.Write([]byte(`{"next":1,"x":"` + strings.Repeat("x", 10_000) + `"}`))
+	})
+	c, _ := newClient(t, func(o *endpoint.Options) { o.MaxBodyBytes = 1000 })
+	_, err := c.CacheEvents(testContext(t), address, 0)
+	wantVerdict(t, err, verdict.MayHaveRun, verdict.ReasonConnectionLost)
+	if n := calls.counts()["all"]; n != 1 {
+		t.Fatalf("asked %d times for an answer that is too large", n)
+	}
+}
+
+func TestControlGivesUpOnServerErrors(t *testing.T) {
+	var calls tally
+	address := serveHTTP(t, func(w http.ResponseWriter, _ *http.Request) {
+		calls.add("all")
+		w.WriteHeader(http.StatusInternalServerError)
+	})
+	c, _ := newClient(t, nil)
+	_, err := c.Load(testContext(t), address)
+	wantVerdict(t, err, verdict.MayHaveRun, verdict.ReasonEndpointFailed)
+	if n := calls.counts()["all"]; n != endpoint.DefaultControlTries {
+		t.Fatalf("%d calls", n)
+	}
+}
+
+func TestModelSettingsReachTheEngine(t *testing.T) {
+	s := fastEngine()
+	s.Settings = model.Settings{KVTokens: 64}
+	_, address := startEngine(t, s)
+	c, _ := newClient(t, nil)
+	_, err := c.Generate(testContext(t), address, request("a", 1), (&text{}).take)
+	wantVerdict(t, err, verdict.NotRun, verdict.ReasonBadRequest)
+}
--- /dev/null
+++ b/internal/endpoint/generate_test.go
@@ -0,0 +1,368 @@
+package endpoint_test
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/endpoint"
+	"github.com/medlarhold/medlarhold/internal/sse"
+	"github.com/medlarhold/medlarhold/internal/standin/engine"
+	"github.com/medlarhold/medlarhold/internal/standin/relay"
+	"github.com/medlarhold/medlarhold/internal/verdict"
+)
+
+func TestGenerateHandsOverTheWholeAnswer(t *testing.T) {
+	e, address := startEngine(t, fastEngine())
+	c, _ := newClient(t, nil)
+	var got text
+	result, err := c.Generate(testContext(t), address, request("a", 100), got.take)
+	wantWhole(t, got.String(), err, 100)
+	wantDispatches(t, e, "a", 1)
+	if result.Tokens != 100 || result.PrefillTokens != 150 || result.Reattached != 0 || result.TimeToFirstToken <= 0 {
+		t.Fatalf("result %+v", result)
+	}
+	again, err := c.Generate(testContext(t), address, request("b", 1), got.take)
+	if err != nil || again.CachedTokens != 144 {
+		t.Fatalf("second request with the same prompt: %+v, %v", again, err)
+	}
+}
+
+func TestLostConnectionsAreReplacedWithoutASecondDispatch(t *testing.T) {
+	for _, kind := range []engine.CutKind{engine.CutAbort, engine.CutEOF, engine.CutSilent} {
+		for _, after := range []int{0, 1, 40} {
+			t.Run(fmt.Sprintf("%s after %d", kind, after), func(t *testing.T) {
+				e, address := startEngine(t, fastEngine())
+				e.SetFaults(engine.Faults{Cut: engine.Cut{Kind: kind, AfterTokens: after, Times: 2}})
+				c, counters := newClient(t, nil)
+				var got text
+				result, err := c.Generate(testContext(t), address, request("a", 60), got.take)
+				wantWhole(t, got.String(), err, 60)
+				wantDispatches(t, e, "a", 1)
+				if n := count(counters, endpoint.MetricReattach); n == 0 || int(n) != result.Reattached {
+					t.Fatalf("%d re-attachments counted, %d in the result", n, result.Reattached)
+				}
+				if n := count(counters, endpoint.MetricNoProgress); (n > 0) != (kind == engine.CutSilent) {
+					t.Fatalf("%d connections without progress after %s", n, kind)
+				}
+			})
+		}
+	}
+}
+
+func TestStreamIsFoundAgainWhenTheAnswerNeverBegan(t *testing.T) {
+	e, address := startEngine(t, fastEngine())
+	e.SetFaults(engine.Faults{Unanswered: 1})
+	c, _ := newClient(t, nil)
+	var got text
+	_, err := c.Generate(testContext(t), address, request("a", 20), got.take)
+	wantWhole(t, got.String(), err, 20)
+	wantDispatches(t, e, "a", 1)
+}
+
+func TestDispatchThatNoEngineKnowsMayHaveRun(t *testing.T) {
+	e, address := startEngine(t, fastEngine())
+	e.SetFaults(engine.Faults{Lost: 1})
+	c, _ := newClient(t, nil)
+	var got text
+	_, err := c.Generate(testContext(t), address, request("a", 20), got.take)
+	wantVerdict(t, err, verdict.MayHaveRun, verdict.ReasonUnknownRequest)
+	wantDispatches(t, e, "a", 0)
+}
+
+func TestMiddleboxThatLosesTrack(t *testing.T) {
+	e, address := startEngine(t, fastEngine())
+	r, err := relay.Start("127.0.0.1:0", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	c, counters := newClient(t, nil)
+	var got text
+	_, err = c.Generate(testContext(t), r.Address(), request("a", 200), func(tok endpoint.Token) error {
+		if tok.Index == 50 || tok.Index == 120 {
+			r.SilenceOpen()
+		}
+		return got.take(tok)
+	})
+	wantWhole(t, got.String(), err, 200)
+	wantDispatches(t, e, "a", 1)
+	if n := count(counters, endpoint.MetricNoProgress); n == 0 {
+		t.Fatal("no connection was found to make no progress")
+	}
+}
+
+func TestFrozenEngineIsGivenUpOn(t *testing.T) {
+	e, address := startEngine(t, fastEngine())
+	c, _ := newClient(t, func(o *endpoint.Options) { o.NoProgress = 20 * time.Millisecond })
+	var got text
+	result, err := c.Generate(testContext(t), address, request("a", 25_000), func(tok endpoint.Token) error {
+		if tok.Index == 10 {
+			e.SetFaults(engine.Faults{Frozen: true})
+		}
+		return got.take(tok)
+	})
+	wantVerdict(t, err, verdict.MayHaveRun, verdict.ReasonAnswerIncomplete)
+	wantDispatches(t, e, "a", 1)
+	if result.Tokens < 11 || !strings.HasPrefix(engine.Answer(prompt, result.Tokens), got.String()) {
+		t.Fatalf("%d tokens: %s", result.Tokens, got.String())
+	}
+}
+
+func TestKeepalivesCarryALongWait(t *testing.T) {
+	s := fastEngine()
+	s.MaxRunning = 1
+	s.DecodeTokensPerSec = 200 // the first stream holds the batch for longer than a silence is borne
+	_, address := startEngine(t, s)
+	c, counters := newClient(t, nil)
+	ctx := testContext(t)
+	running, done := make(chan struct{}), make(chan error, 1)
+	go func() {
+		_, err := c.Generate(ctx, address, request("a", 60), func(tok endpoint.Token) error {
+			if tok.Index == 0 {
+				close(running)
+			}
+			return nil
+		})
+		done <- err
+	}()
+	<-running
+	var got text
+	_, err := c.Generate(ctx, address, request("b", 2), got.take)
+	wantWhole(t, got.String(), err, 2)
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	if n := count(counters, endpoint.MetricReattach); n != 0 {
+		t.Fatalf("%d re-attachments", n)
+	}
+}
+
+func TestUnreachedEndpointDidNotRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	l.Close()
+	c, counters := newClient(t, nil)
+	_, err = c.Generate(testContext(t), address, request("a", 1), (&text{}).take)
+	wantVerdict(t, err, verdict.NotRun, verdict.ReasonEndpointRefused)
+	_, err = c.Call(testContext(t), address, endpoint.CallRequest{Method: http.MethodPost, Path: "/x"})
+	wantVerdict(t, err, verdict.NotRun, verdict.ReasonEndpointRefused)
+	if n := count(counters, endpoint.MetricFailed+string(verdict.ReasonEndpointRefused)); n != 2 {
+		t.Fatalf("%d failures counted", n)
+	}
+}
+
+func TestContextThatEndedBeforeTheDispatch(t *testing.T) {
+	e, address := startEngine(t, fastEngine())
+	c, _ := newClient(t, nil)
+	gone, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := c.Generate(gone, address, request("a", 1), (&text{}).take)
+	wantVerdict(t, err, verdict.NotRun, verdict.ReasonCallerGone)
+	late, cancel := context.WithTimeout(context.Background(), -time.Second)
+	defer cancel()
+	_, err = c.Generate(late, address, request("a", 1), (&text{}).take)
+	wantVerdict(t, err, verdict.NotRun, verdict.ReasonDeadline)
+	wantDispatches(t, e, "a", 0)
+}
+
+func TestCallerThatGoesAwayDuringTheAnswer(t *testing.T) {
+	_, address := startEngine(t, fastEngine())
+	c, _ := newClient(t, nil)
+	ctx, cancel := context.WithCancel(testContext(t))
+	defer cancel()
+	_, err := c.Generate(ctx, address, request("a", 10_000), func(endpoint.Token) error {
+		cancel()
+		return nil
+	})
+	wantVerdict(t, err, verdict.MayHaveRun, verdict.ReasonCallerGone)
+	broken := errors.New("broken pipe")
+	_, err = c.Generate(testContext(t), address, request("b", 10_000), func(endpoint.Token) error { return broken })
+	wantVerdict(t, err, verdict.MayHaveRun, verdict.ReasonCallerGone)
+}
+
+func TestStatusOfTheDispatch(t *testing.T) {
+	for status, want := range map[int]verdict.Error{
+		400: {Verdict: verdict.NotRun, Reason: verdict.ReasonBadRequest},
+		404: {Verdict: verdict.NotRun, Reason: verdict.ReasonEndpointRefused},
+		413: {Verdict: verdict.NotRun, Reason: verdict.ReasonBadRequest},
+		429: {Verdict: verdict.NotRun, Reason: verdict.ReasonEndpointRefused},
+		503: {Verdict: verdict.NotRun, Reason: verdict.ReasonEndpointRefused},
+		204: {Verdict: verdict.MayHaveRun, Reason: verdict.ReasonEndpointFailed},
+		302: {Verdict: verdict.MayHaveRun, Reason: verdict.ReasonEndpointFailed},
+		500: {Verdict: verdict.MayHaveRun, Reason: verdict.ReasonEndpointFailed},
+		502: {Verdict: verdict.MayHaveRun, Reason: verdict.ReasonEndpointFailed},
+		504: {Verdict: verdict.MayHaveRun, Reason: verdict.ReasonEndpointFailed},
+	} {
+		var requests tally
+		address := serveHTTP(t, func(w http.ResponseWriter, _ *http.Request) {
+			requests.add("all")
+			w.Header().Set("Location", "/elsewhere")
+			w.Header().Set("Retry-After", "7")
+			w.WriteHeader(status)
+		})
+		c, _ := newClient(t, nil)
+		_, err := c.Generate(testContext(t), address, request("a", 1), (&text{}).take)
+		wantVerdict(t, err, want.Verdict, want.Reason)
+		if after := verdict.Of(err).RetryAfter; (after == 7*time.Second) != (want.Verdict == verdict.NotRun) {
+			t.Errorf("%d: retry after %v", status, after)
+		}
+		if n := requests.counts()["all"]; n != 1 {
+			t.Errorf("%d: %d requests", status, n)
+		}
+	}
+}
+
+// badAnswer serves one malformed answer to every dispatch and attachment.
+func badAnswer(t *testing.T, id, body string) string {
+	return serveHTTP(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", sse.ContentType)
+		w.Header().Set(endpoint.HeaderRequestID, id)
+		fmt.Fprint(w, body)
+	})
+}
+
+func TestMalformedAnswersAreIncomplete(t *testing.T) {
+	first := "event: token\ndata: {\"index\":0,\"text\":\"a\"}\n\n"
+	end := func(reason string, n int) string {
+		return fmt.Sprintf("event: end\ndata: {\"finish_reason\":%q,\"completion_tokens\":%d}\n\n", reason, n)
+	}
+	for name, body := range map[string]string{
+		"hole":            first + "event: token\ndata: {\"index\":2,\"text\":\"c\"}\n\n" + end("stop", 2),
+		"token twice":     first + first + end("stop", 2),
+		"wrong count":     first + end("stop", 2),
+		"too many tokens": first + strings.Replace(first, "0", "1", 1) + strings.Replace(first, "0", "2", 1) + end("stop", 3),
+		"no JSON":         "event: token\ndata: {\n\n",
+		"no JSON at end":  first + "event: end\ndata: nothing\n\n",
+		"oversized event": "event: token\ndata: {\"index\":0,\"text\":\"" + strings.Repeat("x", 5000) + "\"}\n\n",
+		"cancelled":       first + end("cancelled", 1),
+		"error":           end("error", 0),
+		"no reason":       first + end("", 1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, _ := newClient(t, func(o *endpoint.Options) { o.MaxEventBytes = 4096 })
+			_, err := c.Generate(testContext(t), badAnswer(t, "r-a", body), request("a", 2), (&text{}).take)
+			wantVerdict(t, err, verdict.MayHaveRun, verdict.ReasonAnswerIncomplete)
+		})
+	}
+}
+
+func TestAnswerToAnotherRequestIsNotTaken(t *testing.T) {
+	for _, id := range []string{"r-b", ""} {
+		c, _ := newClient(t, nil)
+		var got text
+		address := badAnswer(t, id, "event: token\ndata: {\"index\":0,\"text\":\"secret\"}\n\n")
+		_, err := c.Generate(testContext(t), address, request("a", 2), got.take)
+		wantVerdict(t, err, verdict.MayHaveRun, verdict.ReasonAnswerIncomplete)
+		if got.Len() != 0 {
+			t.Fatalf("took %q", got.String())
+		}
+	}
+}
+
+func TestEngineThatForgotTheStream(t *testing.T) {
+	var attached tally
+	address := serveHTTP(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			attached.add("all")
+			http.NotFound(w, r)
+			return
+		}
+		w.Header().Set(endpoint.HeaderRequestID, "r-a")
+		fmt.Fprint(w, "event: token\ndata: {\"index\":0,\"text\":\"a\"}\n\n")
+	})
+	c, _ := newClient(t, nil)
+	_, err := c.Generate(testContext(t), address, request("a", 2), (&text{}).take)
+	wantVerdict(t, err, verdict.MayHaveRun, verdict.ReasonAnswerIncomplete)
+	if n := attached.counts()["all"]; n != 1 {
+		t.Fatalf("asked %d times for a stream that is gone", n)
+	}
+}
+
+func TestAttachTakesUpFromAToken(t *testing.T) {
+	e, address := startEngine(t, fastEngine())
+	c, _ := newClient(t, nil)
+	if _, err := c.Generate(testContext(t), address, request("a", 30), (&text{}).take); err != nil {
+		t.Fatal(err)
+	}
+	for _, from := range []int{0, 7, 30} {
+		var got text
+		result, err := c.Attach(testContext(t), address, requestID("a"), from, got.take)
+		if err != nil || result.Tokens != 30-from || result.CompletionTokens != 30 {
+			t.Fatalf("from %d: %+v, %v", from, result, err)
+		}
+		if want := strings.TrimPrefix(engine.Answer(prompt, 30), engine.Answer(prompt, from)); got.String() != want {
+			t.Fatalf("from %d: %q, want %q", from, got.String(), want)
+		}
+	}
+	wantDispatches(t, e, "a", 1)
+	_, err := c.Attach(testContext(t), address, "never seen", 0, (&text{}).take)
+	wantVerdict(t, err, verdict.MayHaveRun, verdict.ReasonUnknownRequest)
+}
+
+func TestTLS(t *testing.T) {
+	e := engine.New(fastEngine())
+	t.Cleanup(e.Close)
+	s := httptest.NewTLSServer(e)
+	t.Cleanup(s.Close)
+	address := s.Listener.Addr().String()
+	trusted := x509.NewCertPool()
+	trusted.AddCert(s.Certificate())
+
+	good, _ := newClient(t, func(o *endpoint.Options) { o.TLS = &tls.Config{RootCAs: trusted} })
+	var got text
+	_, err := good.Generate(testContext(t), address, request("a", 5), got.take)
+	wantWhole(t, got.String(), err, 5)
+
+	stranger, _ := newClient(t, func(o *endpoint.Options) { o.TLS = &tls.Config{RootCAs: x509.NewCertPool()} })
+	_, err = stranger.Generate(testContext(t), address, request("b", 5), got.take)
+	wantVerdict(t, err, verdict.NotRun, verdict.ReasonEndpointRefused)
+	wantDispatches(t, e, "b", 0)
+}
+
+// TestNothingIsSentTwice has a server that reads each request whole and then
+// closes the connection, the case in which net/http likes to try again.
+func TestNothingIsSentTwice(t *testing.T) {
+	var seen tally
+	address := serveHTTP(t, func(w http.ResponseWriter, r *http.Request) {
+		seen.add(r.Method + " " + r.URL.Path)
+		if strings.HasPrefix(r.URL.Path, "/warm") {
+			w.WriteHeader(http.StatusOK)
+			return
+		}
+		panic(http.ErrAbortHandler)
+	})
+	c, _ := newClient(t, nil)
+	ctx := testContext(t)
+	for i, method := range []string{"GET", "HEAD", "PUT", "POST", "DELETE"} {
+		warm := endpoint.CallRequest{Method: "GET", Path: "/warm" + strconv.Itoa(i)}
+		if _, err := c.Call(ctx, address, warm); err != nil {
+			t.Fatal(err)
+		}
+		call := endpoint.CallRequest{Method: method, Path: "/call", Header: http.Header{"Idempotency-Key": {"k"}}}
+		_, err := c.Call(ctx, address, call)
+		wantVerdict(t, err, verdict.MayHaveRun, verdict.ReasonConnectionLost)
+	}
+	_, err := c.Generate(ctx, address, request("a", 1), (&text{}).take)
+	wantVerdict(t, err, verdict.MayHaveRun, verdict.ReasonConnectionLost)
+	for what, n := range seen.counts() {
+		if n != 1 && !strings.HasPrefix(what, "GET /v1/streams/") {
+			t.Errorf("%s was sent %d times", what, n)
+		}
+	}
+	if all := seen.counts(); all["POST /v1/completions"] != 1 || len(all) != 5+5+2 {
+		t.Errorf("seen %v", all)
+	}
+}
--- /dev/null
+++ b/internal/endpoint/main_test.go
@@ -0,0 +1,11 @@
+package endpoint
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
