--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"crypto/subtle"
 	"encoding/hex"
 	"fmt"
 	"math"
@@ -322,9 +323,22 @@
 // parseKeyHash decodes the hash of a key.
 func parseKeyHash(s string) ([sha256.Size]byte, bool) {
 	var sum [sha256.Size]byte
-	if len(s) != hex.EncodedLen(sha256.Size) || strings.ToLower(s) != s {
+	var digits [2 * sha256.Size]byte
+	if len(s) != len(digits) || strings.ToLower(s) != s {
 		return sum, false
 	}
-	_, err := hex.Decode(sum[:], []byte(s))
+	copy(digits[:], s)
+	_, err := hex.Decode(sum[:], digits[:])
 	return sum, err == nil
 }
+
+// hasKeyHash says whether the contract holds the key with that hash. It
+// compares all of the contract's keys in constant time.
+func (c *Contract) hasKeyHash(sum [sha256.Size]byte) bool {
+	found := 0
+	for _, h := range c.KeyHashes {
+		own, _ := parseKeyHash(h)
+		found |= subtle.ConstantTimeCompare(own[:], sum[:])
+	}
+	return found == 1
+}
--- a/internal/config/fold.go
+++ b/internal/config/fold.go
@@ -1,7 +1,9 @@
 package config
 
 import (
+	"slices"
 	"time"
+	"unique"
 
 	"github.com/medlarhold/medlarhold/internal/platform"
 )
@@ -95,7 +97,7 @@
 		s = s.set(c.Kind, c.Name, &entry{
 			revision: revisionAt(rec.Offset),
 			changeID: c.ID,
-			operator: c.Operator,
+			operator: unique.Make(c.Operator),
 			atMS:     rec.Time.UnixMilli(),
 			doc:      doc,
 		})
@@ -165,21 +167,25 @@
 	return State{t}
 }
 
-// intern makes a contract share the strings of the deployment's tiers.
+// intern makes a contract share the strings of the deployment's tiers, and
+// the whole list where it names tiers that follow each other.
 func (s State) intern(doc document) {
 	c, ok := doc.(*Contract)
 	if !ok {
 		return
 	}
 	tiers := s.Deployment().Tiers
-	for i := range c.Tiers {
-		for _, t := range tiers {
-			if c.Tiers[i] == t {
-				c.Tiers[i] = t
-			}
-			if c.DefaultTier == t {
-				c.DefaultTier = t
-			}
+	for i, t := range c.Tiers {
+		if j := slices.Index(tiers, t); j >= 0 {
+			c.Tiers[i] = tiers[j]
+		}
+	}
+	if j := slices.Index(tiers, c.DefaultTier); j >= 0 {
+		c.DefaultTier = tiers[j]
+	}
+	for i := 0; i+len(c.Tiers) <= len(tiers); i++ {
+		if same := tiers[i : i+len(c.Tiers)]; slices.Equal(same, c.Tiers) {
+			c.Tiers = same
 		}
 	}
 }
--- a/internal/config/fold_rapid_test.go
+++ b/internal/config/fold_rapid_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -167,6 +168,13 @@
 	}
 }
 
+// peer offers a state to a follower, which may be older than its own.
+func (m *foldModel) peer(t *rapid.T) {
+	from := rapid.SampledFrom(m.replicas).Draw(t, "from")
+	to := rapid.SampledFrom(m.replicas).Draw(t, "to")
+	to.f.Restore(copyByParts(t, from.f.State()))
+}
+
 // copyByParts sends a state through the parts of a snapshot.
 func copyByParts(t *rapid.T, s State) State {
 	var a Assembly
@@ -238,6 +246,7 @@
 	live := 0
 	for key, n := range want {
 		if n.deleted {
+			compareTombstone(t, s, key, n)
 			continue
 		}
 		live++
@@ -250,6 +259,19 @@
 	}
 }
 
+// compareTombstone checks that a deleted object is remembered, and only as
+// long as it should be.
+func compareTombstone(t *rapid.T, s State, key string, n naiveObject) {
+	kind, name, _ := strings.Cut(key, "/")
+	want := n.revision
+	if s.Time().Sub(n.at) > TombstoneKeep {
+		want = 0
+	}
+	if got := s.Standing(Kind(kind), name).Revision; got != want {
+		t.Fatalf("deleted %s at revision %d: based on %d, want %d", key, s.Revision(), got, want)
+	}
+}
+
 func TestFoldAgreesWithNaiveFold(t *testing.T) {
 	synced := 0
 	rapid.Check(t, func(t *rapid.T) {
@@ -259,6 +281,7 @@
 			"repeat":  m.repeat,
 			"step":    m.step,
 			"restart": m.restart,
+			"peer":    m.peer,
 			"keep":    m.keep,
 			"faults":  m.faults,
 			"pass":    m.pass,
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -9,6 +9,7 @@
 	"io"
 	"iter"
 	"time"
+	"unique"
 
 	"github.com/gravitational/trace"
 
@@ -106,7 +107,7 @@
 		Name:     it.name,
 		Revision: it.e.revision,
 		ChangeID: it.e.changeID,
-		Operator: it.e.operator,
+		Operator: operatorName(it.e.operator),
 		AtMS:     it.e.atMS,
 	}
 	var err error
@@ -206,7 +207,7 @@
 	if r.Kind.rank() < 0 {
 		return trace.BadParameter("snapshot has an object of unknown kind %q", r.Kind)
 	}
-	e := &entry{revision: r.Revision, changeID: r.ChangeID, operator: r.Operator, atMS: r.AtMS}
+	e := &entry{revision: r.Revision, changeID: r.ChangeID, operator: unique.Make(r.Operator), atMS: r.AtMS}
 	if r.Spec != nil {
 		doc, err := decodeDocument(r.Kind, r.Name, r.Spec)
 		if err != nil {
--- /dev/null
+++ b/internal/config/snapshot_test.go
@@ -0,0 +1,144 @@
+package config
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/medlarhold/medlarhold/internal/platform"
+	"github.com/medlarhold/medlarhold/internal/standin/platformsvc"
+)
+
+const poolSpec = `{"kind":"engine","queue_per_endpoint":1,"max_body_bytes":1,"retry_budget":0}`
+
+// reload sends a state through a snapshot.
+func reload(t testing.TB, s State) State {
+	t.Helper()
+	var a Assembly
+	for p, err := range s.Snapshot("s") {
+		if err != nil {
+			t.Fatal(err)
+		}
+		out, done, err := a.Add(p)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if done {
+			return out
+		}
+	}
+	t.Fatal("snapshot has no last part")
+	return State{}
+}
+
+// standings lists all that stands.
+func standings(s State) []Standing {
+	var out []Standing
+	for o := range s.Objects() {
+		out = append(out, o)
+	}
+	return out
+}
+
+func TestSnapshotCarriesTheWholeState(t *testing.T) {
+	s := publish(t, State{}, parseFile(t, "small.json"))
+	got := reload(t, s)
+	if diff := cmp.Diff(standings(s), standings(got)); diff != "" {
+		t.Error(diff)
+	}
+	if got.Revision() != s.Revision() || !got.Time().Equal(s.Time()) {
+		t.Errorf("revision %d at %v", got.Revision(), got.Time())
+	}
+	if diff := cmp.Diff(s.AllEndpoints(), got.AllEndpoints()); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestTombstoneExpiresAlikeWithAndWithoutSnapshot(t *testing.T) {
+	create := Change{ID: "a", Kind: KindPool, Name: "p", Spec: []byte(poolSpec)}
+	remove := Change{ID: "b", Kind: KindPool, Name: "p", BasedOn: 1, Delete: true}
+	s, _ := State{}.Apply(recordOf(t, 0, create))
+	s, _ = s.Apply(recordOf(t, 1, remove))
+	if _, out := s.Apply(recordOf(t, 2, create)); out.Result != ResultLost {
+		t.Fatalf("late copy of the creation: %+v", out)
+	}
+	late := recordOf(t, 2, Change{ID: "c", Kind: KindPool, Name: "p", Spec: []byte(poolSpec)})
+	late.Time = start.Add(TombstoneKeep + 2*time.Second)
+	for name, state := range map[string]State{"folded": s, "restored": reload(t, s)} {
+		if _, out := state.Apply(late); out.Result != ResultApplied {
+			t.Errorf("%s: %+v", name, out)
+		}
+	}
+}
+
+func TestFollowerPassesOverAnUnfinishedSnapshot(t *testing.T) {
+	ctx := context.Background()
+	svc := platformsvc.New(platformsvc.Options{Faults: &platformsvc.Faults{RetainRecords: 3}})
+	s := publish(t, State{}, parseFile(t, "small.json"))
+	for i := range s.Next() {
+		if _, err := svc.Append(ctx, Stream, fmt.Appendf(nil, `{"n":%d}`, i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := AppendSnapshot(ctx, svc, s, "whole"); err != nil {
+		t.Fatal(err)
+	}
+	torn, _ := EncodeSnapshotPart(SnapshotPart{ID: "torn", Next: s.Next() + 1})
+	if _, err := svc.Append(ctx, SnapshotStream, torn); err != nil {
+		t.Fatal(err)
+	}
+	f := NewFollower()
+	if _, err := f.Sync(ctx, svc, time.Now); err != nil {
+		t.Fatal(err)
+	}
+	if f.State().Revision() != s.Revision() || !f.CaughtUp() {
+		t.Errorf("revision %d, want %d", f.State().Revision(), s.Revision())
+	}
+}
+
+func TestFollowerSaysThatChangesAreLost(t *testing.T) {
+	ctx := context.Background()
+	svc := platformsvc.New(platformsvc.Options{Faults: &platformsvc.Faults{RetainRecords: 1}})
+	for range 3 {
+		if _, err := svc.Append(ctx, Stream, []byte(`{}`)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	f := NewFollower()
+	if _, err := f.Sync(ctx, svc, time.Now); err == nil || !f.Lost() || f.CaughtUp() {
+		t.Fatalf("lost %v, caught up %v, error %v", f.Lost(), f.CaughtUp(), err)
+	}
+	peer := State{&tables{next: 3, objects: emptyTables.objects, keys: emptyTables.keys}}
+	f.Restore(peer)
+	if _, err := f.Sync(ctx, svc, time.Now); err != nil || f.Lost() || !f.CaughtUp() {
+		t.Fatalf("after a peer's state: lost %v, caught up %v, error %v", f.Lost(), f.CaughtUp(), err)
+	}
+}
+
+func TestKeeperAsksForSnapshotsInTime(t *testing.T) {
+	const retention = 24 * time.Hour
+	k := &Keeper{}
+	s := State{&tables{next: 10, objects: emptyTables.objects, keys: emptyTables.keys}}
+	if k.NeedsSnapshot(start, retention, s) {
+		t.Error("due before the stream was read")
+	}
+	k.Handle(platform.ReadResult{})
+	if !k.NeedsSnapshot(start, retention, s) {
+		t.Error("not due although there is none")
+	}
+	part, _ := EncodeSnapshotPart(SnapshotPart{ID: "s", Next: 10, Last: true})
+	k.Handle(platform.ReadResult{Records: []platform.Record{{Time: start, Data: part}}, Next: 1})
+	if k.NeedsSnapshot(start.Add(retention/2-1), retention, s) {
+		t.Error("due too early")
+	}
+	if !k.NeedsSnapshot(start.Add(retention/2), retention, s) {
+		t.Error("not due after half the retention")
+	}
+	s.t.next += SnapshotEvery
+	if !k.NeedsSnapshot(start, retention, s) {
+		t.Error("not due after many records")
+	}
+}
--- a/internal/config/state.go
+++ b/internal/config/state.go
@@ -1,11 +1,13 @@
 package config
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/json"
 	"iter"
 	"slices"
 	"time"
+	"unique"
 
 	"github.com/google/btree"
 
@@ -48,17 +50,25 @@
 type entry struct {
 	revision Revision
 	changeID string
-	operator string
+	operator unique.Handle[string]
 	atMS     int64
 	doc      document
 }
 
-// keyItem maps the hash of a key to its contract.
+// keyPrefix is how much of a key's hash the index holds.
+const keyPrefix = 16
+
+// keyItem maps the beginning of a key's hash to its contract.
 type keyItem struct {
-	hash     [sha256.Size]byte
+	prefix   [keyPrefix]byte
 	contract *Contract
 }
 
+// newKeyItem returns the row of a key.
+func newKeyItem(sum [sha256.Size]byte, c *Contract) keyItem {
+	return keyItem{prefix: [keyPrefix]byte(sum[:keyPrefix]), contract: c}
+}
+
 func lessItem(a, b item) bool {
 	if a.rank != b.rank {
 		return a.rank < b.rank
@@ -67,7 +77,7 @@
 }
 
 func lessKey(a, b keyItem) bool {
-	return slices.Compare(a.hash[:], b.hash[:]) < 0
+	return bytes.Compare(a.prefix[:], b.prefix[:]) < 0
 }
 
 // emptyTables are those of the zero State. They are never written to.
@@ -132,8 +142,11 @@
 
 // ContractByKeyHash returns the contract that holds the key with that SHA-256.
 func (s State) ContractByKeyHash(sum [sha256.Size]byte) (*Contract, bool) {
-	it, ok := s.tables().keys.Get(keyItem{hash: sum})
-	return it.contract, ok
+	it, ok := s.tables().keys.Get(newKeyItem(sum, nil))
+	if !ok || !it.contract.hasKeyHash(sum) {
+		return nil, false
+	}
+	return it.contract, true
 }
 
 // Pool returns the pool of that name.
@@ -229,6 +242,14 @@
 	return e.standing(k, name)
 }
 
+// operatorName returns the name in the handle; the zero handle has none.
+func operatorName(h unique.Handle[string]) string {
+	if h == (unique.Handle[string]{}) {
+		return ""
+	}
+	return h.Value()
+}
+
 // Objects ranges over all objects that stand, by kind and name.
 func (s State) Objects() iter.Seq[Standing] {
 	return func(yield func(Standing) bool) {
@@ -245,7 +266,7 @@
 		Name:     name,
 		Revision: e.revision,
 		ChangeID: e.changeID,
-		Operator: e.operator,
+		Operator: operatorName(e.operator),
 		At:       time.UnixMilli(e.atMS).UTC(),
 		Deleted:  e.doc == nil,
 	}
--- a/internal/config/tables.go
+++ b/internal/config/tables.go
@@ -45,14 +45,14 @@
 	if c, ok := before.(*Contract); ok {
 		for _, h := range c.KeyHashes {
 			if sum, ok := parseKeyHash(h); ok {
-				t.keys.Delete(keyItem{hash: sum})
+				t.keys.Delete(newKeyItem(sum, nil))
 			}
 		}
 	}
 	if c, ok := after.(*Contract); ok {
 		for _, h := range c.KeyHashes {
 			if sum, ok := parseKeyHash(h); ok {
-				t.keys.ReplaceOrInsert(keyItem{hash: sum, contract: c})
+				t.keys.ReplaceOrInsert(newKeyItem(sum, c))
 			}
 		}
 	}
