History: check the promises over what is seen from outside

Why: the promises must be checked on dispatches, answers and verdicts, not on the state of the processes that make them.

Weighed: a key's second run is judged from start to start against the window; runs that end in the very instant of a shedding don't count against it, since the order within an instant is not known.

Change: internal/history with events, recorder and one check per promise; each check is tested with a history that breaks it alone.

--- /dev/null
+++ b/internal/history/answers.go
@@ -0,0 +1,96 @@
+package history
+
+import (
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/verdict"
+)
+
+// checkWholeAnswer: an answer that is said to be whole is what a whole run of
+// the request produced, or of the request that held the same key, and reaches
+// the caller that sent the request. An answer with the verdict "ran" is whole
+// or carries a reason, and some run ended whole.
+func checkWholeAnswer(x *index, _ Limits) (out []Violation) {
+	keys := runsByKey(x)
+	for _, r := range x.requests {
+		sent := x.of(r, KindSend)
+		runs := wholeRuns(x, r)
+		if len(sent) > 0 && sent[0].Key != "" {
+			runs = keys[idempotencyKey{sent[0].Org, sent[0].Key}]
+		}
+		for _, a := range x.of(r, KindAnswer) {
+			if msg := wrongAnswer(a, sent, runs); msg != "" {
+				out = append(out, violation(PromiseWholeAnswer, a, "%s", msg))
+			}
+		}
+	}
+	return out
+}
+
+func wrongAnswer(a *Event, sent, runs []*Event) string {
+	switch {
+	case len(sent) > 0 && a.Caller != sent[0].Caller:
+		return "answer to " + sent[0].Caller + " reached " + a.Caller
+	case a.Verdict == verdict.Ran && len(runs) == 0:
+		return "told as run, but no run ended whole"
+	case a.Verdict == verdict.Ran && !a.Whole && a.Reason == verdict.ReasonNone:
+		return "answer is not whole and doesn't say so"
+	case a.Whole && !produced(a.Digest, runs):
+		return "answer is not what the run of this request produced"
+	}
+	return ""
+}
+
+func produced(digest string, runs []*Event) bool {
+	for _, run := range runs {
+		if run.Digest == digest {
+			return true
+		}
+	}
+	return false
+}
+
+func wholeRuns(x *index, r entity.RequestID) []*Event {
+	var whole []*Event
+	for _, e := range x.of(r, KindRunEnd) {
+		if e.Whole {
+			whole = append(whole, e)
+		}
+	}
+	return whole
+}
+
+// runsByKey groups the whole runs of all requests that were sent under a key.
+func runsByKey(x *index) map[idempotencyKey][]*Event {
+	runs := make(map[idempotencyKey][]*Event)
+	for _, r := range x.requests {
+		for _, s := range x.of(r, KindSend) {
+			if s.Key != "" {
+				k := idempotencyKey{s.Org, s.Key}
+				runs[k] = append(runs[k], wholeRuns(x, r)...)
+			}
+		}
+	}
+	return runs
+}
+
+// checkOneFinalAnswer: each request that was sent has one answer, or none if
+// its caller's connection was cut.
+func checkOneFinalAnswer(x *index, _ Limits) (out []Violation) {
+	for _, r := range x.requests {
+		sent, answers := x.of(r, KindSend), x.of(r, KindAnswer)
+		cut := len(x.of(r, KindCut)) > 0
+		switch {
+		case len(sent) == 0 && len(answers) > 0:
+			out = append(out, violation(PromiseOneFinalAnswer, answers[0], "answer to a request that no one sent"))
+		case len(sent) > 0 && len(answers) == 0 && !cut:
+			out = append(out, violation(PromiseOneFinalAnswer, sent[0], "no answer"))
+		}
+		for i := 1; i < len(answers); i++ {
+			out = append(out, violation(PromiseOneFinalAnswer, answers[i],
+				"answer %d, the first came at %s", i+1, answers[0].At.Format(time.RFC3339Nano)))
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/history/endpoints.go
@@ -0,0 +1,88 @@
+package history
+
+import (
+	"slices"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
+
+// running is the set of runs under way, in order of their start.
+type running []*Event
+
+func (r running) step(e *Event) running {
+	switch e.Kind {
+	case KindRunStart:
+		return append(r, e)
+	case KindRunEnd:
+		return slices.DeleteFunc(r, func(s *Event) bool { return s.Request == e.Request && s.Endpoint == e.Endpoint })
+	}
+	return r
+}
+
+// checkTierOrder: when a request is shed, nothing of a lower tier runs on an
+// endpoint that could serve it. Without a list of eligible endpoints, all of
+// the pool could. Runs that end in the same instant don't count.
+func checkTierOrder(x *index, _ Limits) (out []Violation) {
+	var now running
+	for i := 0; i < len(x.events); {
+		end := i
+		for end < len(x.events) && x.events[end].At.Equal(x.events[i].At) {
+			end++
+		}
+		before := slices.Clone(now)
+		for j := i; j < end; j++ {
+			now = now.step(&x.events[j])
+		}
+		for j := i; j < end; j++ {
+			out = append(out, lowerServed(&x.events[j], before, now)...)
+		}
+		i = end
+	}
+	return out
+}
+
+// lowerServed returns the violations of one shed request against the runs
+// under way both before and after its instant.
+func lowerServed(shed *Event, before, after running) (out []Violation) {
+	if shed.Kind != KindShed {
+		return nil
+	}
+	for _, run := range after {
+		if run.Tier > shed.Tier && couldServe(run, shed) && slices.Contains(before, run) {
+			out = append(out, violation(PromiseTierOrder, shed,
+				"tier %d is shed while %s serves request %s of tier %d", shed.Tier, run.Endpoint, run.Request, run.Tier))
+		}
+	}
+	return out
+}
+
+func couldServe(run, shed *Event) bool {
+	if len(shed.Eligible) == 0 {
+		return run.Pool == shed.Pool
+	}
+	return slices.Contains(shed.Eligible, run.Endpoint)
+}
+
+// checkLeaving: an endpoint gets no dispatch later than LeaveWithin after it
+// began to leave.
+func checkLeaving(x *index, lim Limits) (out []Violation) {
+	leaving := make(map[entity.EndpointID]time.Time)
+	for i := range x.events {
+		e := &x.events[i]
+		switch e.Kind {
+		case KindLeave:
+			if _, ok := leaving[e.Endpoint]; !ok {
+				leaving[e.Endpoint] = e.At
+			}
+		case KindReturn:
+			delete(leaving, e.Endpoint)
+		case KindDispatch:
+			since, ok := leaving[e.Endpoint]
+			if ok && e.At.Sub(since) > lim.LeaveWithin {
+				out = append(out, violation(PromiseLeaving, e, "dispatch %v after the endpoint began to leave", e.At.Sub(since)))
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/history/history_test.go
@@ -0,0 +1,93 @@
+package history
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func load(t *testing.T, path string) []Event {
+	t.Helper()
+	f, err := os.Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	events, err := Read(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return events
+}
+
+func TestGoodHistoryBreaksNothing(t *testing.T) {
+	for _, v := range Check(load(t, "testdata/good.jsonl")) {
+		t.Errorf("%+v", v)
+	}
+}
+
+// Each bad history breaks the promise in its name, once, and no other.
+func TestBadHistoriesAreFound(t *testing.T) {
+	paths, err := filepath.Glob("testdata/bad-*.jsonl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	covered := make(map[Promise]bool)
+	for _, path := range paths {
+		name := strings.TrimSuffix(strings.TrimPrefix(filepath.Base(path), "bad-"), ".jsonl")
+		promise, _, _ := strings.Cut(name, "-")
+		covered[Promise(promise)] = true
+		t.Run(name, func(t *testing.T) {
+			vs := Check(load(t, path))
+			if len(vs) != 1 || vs[0].Promise != Promise(promise) {
+				t.Fatalf("got %+v", vs)
+			}
+		})
+	}
+	if len(covered) != len(checks) {
+		t.Errorf("%d checks, bad histories for %d of them", len(checks), len(covered))
+	}
+}
+
+func TestOrderOfTheRecordDoesNotMatter(t *testing.T) {
+	events := load(t, "testdata/bad-tier_order.jsonl")
+	want := Check(events)
+	for i, j := 0, len(events)-1; i < j; i, j = i+1, j-1 {
+		events[i], events[j] = events[j], events[i]
+	}
+	if diff := cmp.Diff(want, Check(events)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestKeyMayRunAgainAfterTheWindow(t *testing.T) {
+	events := load(t, "testdata/bad-one_run_per_key.jsonl")
+	lim := DefaultLimits
+	lim.Window = 4 * time.Second
+	if vs := CheckLimits(events, lim); len(vs) != 0 {
+		t.Errorf("%+v", vs)
+	}
+}
+
+func TestRecorderRoundTrip(t *testing.T) {
+	var r Recorder
+	for _, e := range load(t, "testdata/good.jsonl") {
+		r.Add(e)
+	}
+	var buf bytes.Buffer
+	if err := Write(&buf, r.Events()); err != nil {
+		t.Fatal(err)
+	}
+	got, err := Read(&buf)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(r.Events(), got); diff != "" {
+		t.Error(diff)
+	}
+}
