--- a/internal/core/limit/fleet_test.go
+++ b/internal/core/limit/fleet_test.go
@@ -145,7 +145,8 @@
 // flush sends what an instance wants to send; messages to itself go at once.
 func (f *fleet) flush(n *testNode) {
 	for {
-		out := append(n.borrower.Ready().Messages, n.home.Ready().Messages...)
+		out := n.borrower.Ready().Messages
+		out = append(out, n.home.Ready().Messages...)
 		if len(out) == 0 {
 			return
 		}
--- a/internal/core/membership/cluster_test.go
+++ b/internal/core/membership/cluster_test.go
@@ -166,6 +166,13 @@
 			}
 		}
 		for _, o := range c.nodes {
+			if o.self.Zone != n.self.Zone && !c.anyLive(o.self.Zone) {
+				// No one is left to say that the zone is gone.
+				if z, ok := v.Zone(o.self.Zone); ok && z.Reachable {
+					return fmt.Sprintf("%s takes %s for reachable", n.self.ID, z.Zone)
+				}
+				continue
+			}
 			m, ok := believed[o.self.ID]
 			if ok == o.dead && !o.frozen {
 				return fmt.Sprintf("%s believes %s live=%v", n.self.ID, o.self.ID, ok)
@@ -178,6 +185,15 @@
 	return ""
 }
 
+func (c *cluster) anyLive(zone entity.ZoneID) bool {
+	for _, n := range c.nodes {
+		if n.self.Zone == zone && !n.dead {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *cluster) mustAgree(d time.Duration) {
 	c.t.Helper()
 	start := c.now
