--- a/internal/core/claim/doc.go
+++ b/internal/core/claim/doc.go
@@ -36,11 +36,11 @@
 //
 // # The deduplication window
 //
-// Each claim carries its own window. The key stays taken from the log time of
-// its claim until the window has passed by the log's time stamps, which are
-// the same for every reader. Settings.Window plus Settings.RetentionMargin
-// must not exceed the log's retention, so a home that has read the stream from
-// its oldest record knows every live claim; until it has, it refuses.
+// Each claim says for how long it takes its key: for the longest that its run
+// may last and the window after that, by the log's time stamps, which are the
+// same for every reader. That and Settings.RetentionMargin must not exceed the
+// log's retention, so a home that has read the stream from its oldest record
+// knows every live claim; until it has, it refuses.
 //
 // A key that is a ULID carries its time of creation. Its claims count only
 // while that time is within the window (less Settings.MaxClockSkew), so no two
--- a/internal/core/claim/messages.go
+++ b/internal/core/claim/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/stream"
 	"github.com/medlarhold/medlarhold/internal/platform"
 	"github.com/medlarhold/medlarhold/internal/verdict"
 )
@@ -71,22 +72,17 @@
 }
 
 // AppendStatus says what is known of an append.
-type AppendStatus int
+type AppendStatus = stream.AppendStatus
 
 // What may be known of an append.
 const (
-	AppendUnknown AppendStatus = iota // it may or may not stand in the stream
-	AppendDone
-	AppendFailed // it does not stand in the stream and never will
+	AppendUnknown = stream.AppendUnknown
+	AppendDone    = stream.AppendDone
+	AppendFailed  = stream.AppendFailed
 )
 
 // ReadRequest asks for records of the shard's stream, as platform.Log.Read.
-type ReadRequest struct {
-	Stream platform.Stream
-	From   platform.Offset
-	Limit  int
-	Wait   time.Duration
-}
+type ReadRequest = stream.ReadRequest
 
 // Ready is what a driver has to do after stepping a Shard.
 type Ready struct {
--- a/internal/core/claim/settings.go
+++ b/internal/core/claim/settings.go
@@ -7,6 +7,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/stream"
 )
 
 // Settings of a Shard. The zero value of each duration or number takes the
@@ -17,7 +18,8 @@
 	// Appends bounds the appends of all shards of this instance together. The
 	// shards share one limiter; nil means no bound.
 	Appends *rate.Limiter
-	// Window is how long a key stays taken after its claim.
+	// Window is the deduplication window: two runs under one key start at least
+	// this long apart.
 	Window time.Duration
 	// Retention is how long the log keeps records.
 	Retention time.Duration
@@ -117,20 +119,39 @@
 	return s, s.check()
 }
 
+// reader returns the settings for reading a shard's stream.
+func (s Settings) reader(num ShardNumber) stream.ReaderSettings {
+	return stream.ReaderSettings{
+		Stream:   num.Stream(),
+		Limit:    readLimit,
+		Interval: s.ReadInterval,
+		Wait:     s.ReadWait,
+		Backoff:  s.ReadBackoff,
+		Timeout:  s.ReadTimeout,
+	}
+}
+
 func (s Settings) check() error {
 	switch {
 	case s.Instance == "":
 		return trace.BadParameter("claim: the instance is missing")
-	case s.Window+s.RetentionMargin > s.Retention:
-		return trace.BadParameter("claim: window %v and margin %v exceed the log's retention %v",
-			s.Window, s.RetentionMargin, s.Retention)
-	case s.DispatchWithin+s.RunFor+s.MaxClockSkew >= s.Window:
-		return trace.BadParameter("claim: window %v is not longer than dispatch %v, run %v and clock skew %v together",
-			s.Window, s.DispatchWithin, s.RunFor, s.MaxClockSkew)
+	case s.taken()+s.RetentionMargin > s.Retention:
+		return trace.BadParameter("claim: a key taken for %v and margin %v exceed the log's retention %v",
+			s.taken(), s.RetentionMargin, s.Retention)
+	case s.MaxClockSkew >= s.Window:
+		return trace.BadParameter("claim: window %v is not longer than the clock skew %v", s.Window, s.MaxClockSkew)
 	}
 	return nil
 }
 
+// runEnds is how long after its claim a run may last: dispatched at the last
+// moment, it takes RunFor.
+func (s Settings) runEnds() time.Duration { return s.DispatchWithin + s.RunFor }
+
+// taken is how long a claim takes its key: the window, counted from the latest
+// start of a run.
+func (s Settings) taken() time.Duration { return s.Window + s.runEnds() }
+
 func setDuration(d *time.Duration, def time.Duration) {
 	if *d <= 0 {
 		*d = def
--- a/internal/core/claim/shard.go
+++ b/internal/core/claim/shard.go
@@ -1,13 +1,13 @@
 package claim
 
 import (
-	"errors"
 	"fmt"
 	"time"
 
 	"github.com/gravitational/trace"
 
 	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/stream"
 	"github.com/medlarhold/medlarhold/internal/platform"
 	"github.com/medlarhold/medlarhold/internal/verdict"
 )
@@ -18,7 +18,7 @@
 	num    ShardNumber
 	now    time.Time // of the last step
 	table  *table
-	reader reader
+	reader stream.Reader
 	sender sender
 
 	waiting   map[entity.RequestID]*proposal
@@ -26,6 +26,9 @@
 	abandoned *requestSet // refused here while their claim may still land
 	out       Ready
 	stats     Stats
+
+	logTime     time.Time // newest log time seen
+	logTimeRead time.Time // when it was seen
 }
 
 // Stats counts what a shard did.
@@ -63,6 +66,7 @@
 		num:       num,
 		table:     newTable(set.AnswerFor),
 		sender:    sender{set: set, num: num},
+		reader:    stream.NewReader(set.reader(num)),
 		waiting:   make(map[entity.RequestID]*proposal),
 		abandoned: newRequestSet(set.MaxPending),
 	}, nil
@@ -70,7 +74,7 @@
 
 // CaughtUp says whether the shard has read its stream from the oldest record,
 // so that it may decide.
-func (s *Shard) CaughtUp() bool { return s.reader.caughtUp }
+func (s *Shard) CaughtUp() bool { return s.reader.CaughtUp() }
 
 // Idle says whether nothing waits for a decision or for the log.
 func (s *Shard) Idle() bool { return len(s.waiting) == 0 && s.sender.idle() }
@@ -129,11 +133,11 @@
 		return verdict.ReasonBadRequest, 0
 	case timed && !now.Before(s.notAfter(made)):
 		return verdict.ReasonKeyExpired, 0
-	case !s.reader.caughtUp && s.reader.down:
+	case !s.reader.CaughtUp() && s.reader.Down():
 		return verdict.ReasonLogUnavailable, s.set.RetryAfter
-	case !s.reader.caughtUp:
+	case !s.reader.CaughtUp():
 		return verdict.ReasonNotReady, s.set.RetryAfter
-	case s.reader.down || s.sender.down(now):
+	case s.reader.Down() || s.sender.down(now):
 		return verdict.ReasonLogUnavailable, s.set.RetryAfter
 	case len(s.waiting) >= s.set.MaxPending || len(s.table.keys) >= s.set.MaxKeys:
 		return verdict.ReasonOverload, s.set.RetryAfter
@@ -152,8 +156,8 @@
 		Key:     p.key,
 		Request: p.Request,
 		Body:    p.BodyHash,
-		Window:  millis(s.set.Window),
-		EndsIn:  millis(s.set.DispatchWithin + s.set.RunFor),
+		Window:  millis(s.set.taken()),
+		EndsIn:  millis(s.set.runEnds()),
 	}
 	if made, timed := KeyTime(p.Key); timed {
 		e.NotBefore = made.Add(-s.set.MaxClockSkew).UnixMilli()
@@ -201,10 +205,10 @@
 	switch st {
 	case AppendDone:
 		s.sender.appended(now, id)
-		s.reader.hurry(now)
+		s.reader.Hurry(now)
 	case AppendUnknown:
 		s.sender.unknown(now, id)
-		s.reader.hurry(now)
+		s.reader.Hurry(now)
 	case AppendFailed:
 		s.refuseClaims(s.sender.failed(now, id))
 	}
@@ -237,25 +241,24 @@
 // result.
 func (s *Shard) Fold(now time.Time, records []platform.Record, first, next platform.Offset) {
 	s.now = now
-	if s.reader.overtaken(first) {
+	if s.reader.Overtaken(first) {
 		s.reset(first)
 	}
 	for i := range records {
-		if records[i].Offset == s.reader.next {
+		if s.reader.Take(records[i].Offset) {
 			s.foldRecord(now, &records[i])
-			s.reader.next++
 		}
 	}
-	s.reader.done(now, next)
-	if s.reader.caughtUp && s.reader.next >= s.reader.end {
-		s.sender.readTo(s.reader.asked)
+	s.reader.Done(now, next)
+	if s.reader.AtEnd() {
+		s.sender.readTo(s.reader.Asked())
 	}
 	s.expire(now)
 }
 
 func (s *Shard) foldRecord(now time.Time, r *platform.Record) {
 	s.table.advance(r.Time)
-	s.reader.logTime, s.reader.logTimeRead = s.table.now, now
+	s.logTime, s.logTimeRead = s.table.now, now
 	rec, err := decode(r.Data)
 	if err != nil {
 		s.stats.BadRecords++
@@ -329,7 +332,7 @@
 
 // logNow estimates the log's clock from the newest record.
 func (s *Shard) logNow(now time.Time) time.Time {
-	return s.reader.logTime.Add(max(0, now.Sub(s.reader.logTimeRead)))
+	return s.logTime.Add(max(0, now.Sub(s.logTimeRead)))
 }
 
 func (s *Shard) win(r entity.RequestID, to entity.InstanceID) {
@@ -364,18 +367,18 @@
 // reset forgets a table that retention has overtaken. What it held is older
 // than any window, but nothing may be decided until the rest was read.
 func (s *Shard) reset(first platform.Offset) {
-	if s.reader.next > 0 {
+	if s.reader.Next() > 0 {
 		s.stats.Resets++
 	}
 	s.table = newTable(s.set.AnswerFor)
-	s.reader.restart(first)
+	s.reader.Restart(first)
 }
 
 // ReadFailed reports a read that brought nothing.
 func (s *Shard) ReadFailed(now time.Time, err error) {
 	s.now = now
-	s.reader.failed(now, s.set.ReadBackoff, !errors.Is(err, platform.ErrTruncated))
-	if s.reader.down {
+	s.reader.Failed(now, err)
+	if s.reader.Down() {
 		s.refuseQueued()
 	}
 	s.expire(now)
@@ -384,7 +387,7 @@
 // Tick lets time pass. A driver calls it every few tens of milliseconds.
 func (s *Shard) Tick(now time.Time) {
 	s.now = now
-	if s.reader.overdue(now, s.set.ReadTimeout) {
+	if s.reader.Overdue(now) {
 		s.ReadFailed(now, platform.ErrUnavailable)
 	}
 	s.sender.tick(now)
@@ -419,7 +422,7 @@
 	if b, ok := s.sender.next(now); ok {
 		s.out.Appends = append(s.out.Appends, b)
 	}
-	s.out.Read = s.reader.request(now, s.set, s.num, !s.Idle())
+	s.out.Read = s.reader.Request(now, !s.Idle())
 	out := s.out
 	s.out = Ready{}
 	s.stats.Appends, s.stats.Claims, s.stats.Outcomes = s.sender.batches, s.sender.claims, s.sender.settles
--- /dev/null
+++ b/internal/core/stream/stream.go
@@ -0,0 +1,162 @@
+// Package stream holds what the users of a stream of the log have in common:
+// the results of appends, and a Reader that keeps track of how far the stream
+// was read. It is pure: no I/O, no clock.
+package stream
+
+import (
+	"errors"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/platform"
+)
+
+// AppendStatus says what is known of an append.
+type AppendStatus int
+
+// What may be known of an append.
+const (
+	AppendUnknown AppendStatus = iota // it may or may not stand in the stream
+	AppendDone
+	AppendFailed // it does not stand in the stream and never will
+)
+
+// StatusOf returns what the error of platform.Log.Append says. Any error but
+// ErrNotAppended leaves the outcome unknown.
+func StatusOf(err error) AppendStatus {
+	switch {
+	case err == nil:
+		return AppendDone
+	case errors.Is(err, platform.ErrNotAppended):
+		return AppendFailed
+	}
+	return AppendUnknown
+}
+
+// ReadRequest asks for records of a stream, as platform.Log.Read.
+type ReadRequest struct {
+	Stream platform.Stream
+	From   platform.Offset
+	Limit  int
+	Wait   time.Duration
+}
+
+// ReaderSettings of a Reader.
+type ReaderSettings struct {
+	Stream platform.Stream
+	// Limit is the most records of one read.
+	Limit int
+	// Interval is the pause between reads while nothing is waiting.
+	Interval time.Duration
+	// Wait is how long a read waits for records while something is waiting.
+	Wait time.Duration
+	// Backoff is the pause after a failed read.
+	Backoff time.Duration
+	// Timeout is when a read without an answer counts as failed.
+	Timeout time.Duration
+}
+
+// Reader keeps track of how far a stream was read. One read is under way at a
+// time, unless one timed out.
+type Reader struct {
+	set      ReaderSettings
+	next     platform.Offset // the next record to fold
+	end      platform.Offset // the stream's end as last seen
+	goal     platform.Offset // where the first read after a start saw the end
+	goalSet  bool
+	caughtUp bool
+	down     bool
+
+	inFlight bool
+	asked    time.Time
+	notUntil time.Time
+}
+
+// NewReader returns a reader that starts at the oldest record.
+func NewReader(set ReaderSettings) Reader { return Reader{set: set} }
+
+// CaughtUp says whether the stream was read from its oldest record to where
+// its end was when the reader started.
+func (r *Reader) CaughtUp() bool { return r.caughtUp }
+
+// AtEnd says whether everything known to stand in the stream was read.
+func (r *Reader) AtEnd() bool { return r.caughtUp && r.next >= r.end }
+
+// Down says whether the last read failed.
+func (r *Reader) Down() bool { return r.down }
+
+// Next is the offset of the next record to fold.
+func (r *Reader) Next() platform.Offset { return r.next }
+
+// Asked is when the last read was asked for.
+func (r *Reader) Asked() time.Time { return r.asked }
+
+// Overtaken says whether retention has passed records that were not read.
+func (r *Reader) Overtaken(first platform.Offset) bool { return first > r.next }
+
+// Restart goes on at the oldest record after having been overtaken.
+func (r *Reader) Restart(first platform.Offset) {
+	r.next = first
+	r.goalSet = false
+	r.caughtUp = false
+}
+
+// Take says whether a record is the next one, and passes it if so.
+func (r *Reader) Take(o platform.Offset) bool {
+	if o != r.next {
+		return false
+	}
+	r.next++
+	return true
+}
+
+// Done ends a read that was answered, after its records were taken.
+func (r *Reader) Done(now time.Time, end platform.Offset) {
+	r.inFlight = false
+	r.down = false
+	r.notUntil = now
+	r.end = max(r.end, end)
+	if !r.goalSet {
+		r.goal, r.goalSet = end, true
+	}
+	if r.next >= r.goal {
+		r.caughtUp = true
+	}
+}
+
+// Failed ends a read that brought nothing.
+func (r *Reader) Failed(now time.Time, err error) {
+	r.inFlight = false
+	r.down = !errors.Is(err, platform.ErrTruncated)
+	r.notUntil = now.Add(r.set.Backoff)
+}
+
+// Hurry makes a read due at once, unless the log is down.
+func (r *Reader) Hurry(now time.Time) {
+	if r.notUntil.After(now) && !r.down {
+		r.notUntil = now
+	}
+}
+
+// Overdue says whether a read stays without an answer for too long.
+func (r *Reader) Overdue(now time.Time) bool {
+	return r.inFlight && !now.Before(r.asked.Add(r.set.Timeout))
+}
+
+// Request returns the next read if one is due: at once while the reader is
+// behind or something waits for the log, else every Interval.
+func (r *Reader) Request(now time.Time, waiting bool) *ReadRequest {
+	if r.inFlight || now.Before(r.notUntil) {
+		return nil
+	}
+	behind := !r.caughtUp || r.next < r.end
+	if !behind && !waiting && now.Before(r.asked.Add(r.set.Interval)) {
+		return nil
+	}
+	req := &ReadRequest{Stream: r.set.Stream, From: r.next, Limit: r.set.Limit}
+	if waiting && !behind {
+		req.Wait = r.set.Wait
+	}
+	r.inFlight = true
+	r.asked = now
+	return req
+}
