Contract limits and claims in the node; a non-idempotent call runs once per key

Cause: a second call with the same key through another instance ran again, as nothing was claimed. Change: the entry holds a ticket per non-idempotent request, proposes it to the zone's home of the key's shard, and asks the ticket at the last moment before the dispatch; the home decides by what it read back from the log. A home that has not read its stream yet refuses as not ready; the entry asks again, as nothing was appended. Homes open their shards when the view changes, so that the first call doesn't wait.

Seen red: TestTransferRunsOnce (503 not_ready) before the entry asked again. Shown by: go test ./test/e2e, passed 3 times of 3.

--- a/internal/caller/services.go
+++ b/internal/caller/services.go
@@ -10,15 +10,13 @@
 	"github.com/gravitational/trace"
 
 	"github.com/medlarhold/medlarhold/internal/config"
+	"github.com/medlarhold/medlarhold/internal/core/claim"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/core/request"
 	"github.com/medlarhold/medlarhold/internal/endpoint"
 	"github.com/medlarhold/medlarhold/internal/verdict"
 )
 
-// maxKeptBody bounds the answer that is kept under a request key.
-const maxKeptBody = 2 << 10
-
 // service serves calls to plain services.
 func (s *Server) service(w http.ResponseWriter, r *http.Request) {
 	id := s.opts.NewID()
@@ -136,7 +134,7 @@
 // keep returns the part of an answer that is kept under its key.
 func keep(res endpoint.CallResponse) *request.Answer {
 	a := &request.Answer{Status: res.Status, ContentType: res.Header.Get("Content-Type")}
-	if len(res.Body) > maxKeptBody {
+	if len(res.Body) > claim.MaxAnswerBytes {
 		a.Truncated = true
 		return a
 	}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -8,6 +8,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/medlarhold/medlarhold/internal/config"
+	"github.com/medlarhold/medlarhold/internal/core/claim"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/core/membership"
 	"github.com/medlarhold/medlarhold/internal/core/node"
@@ -32,6 +33,9 @@
 	// Send passes a message to a peer, Forget closes the link to a dead one.
 	Send   func(to entity.InstanceID, address string, msg any)
 	Forget func(id entity.InstanceID)
+	// ClaimAppend and ClaimRead talk to the log service; they must not block.
+	ClaimAppend func(node.ClaimAppend)
+	ClaimRead   func(node.ClaimReadRequest)
 	// Owned is told which endpoints this instance owns.
 	Owned   func([]entity.Endpoint)
 	Log     logr.Logger
@@ -143,7 +147,8 @@
 		return l.opts.Metrics.RequestNanoseconds
 	case node.FromPeer:
 		switch m.Msg.(type) {
-		case entity.Reservation, entity.Grant, entity.Refusal, entity.Preemption, entity.Release, node.Withdraw:
+		case entity.Reservation, entity.Grant, entity.Refusal, entity.Preemption, entity.Release, node.Withdraw,
+			claim.Proposal, claim.Outcome, claim.Decision, claim.Acknowledgement:
 			return l.opts.Metrics.RequestNanoseconds
 		}
 	}
@@ -158,6 +163,12 @@
 	for _, d := range r.Directives {
 		l.direct(d)
 	}
+	for _, a := range r.ClaimAppends {
+		l.opts.ClaimAppend(a)
+	}
+	for _, q := range r.ClaimReads {
+		l.opts.ClaimRead(q)
+	}
 	for _, t := range r.Retries {
 		l.opts.Metrics.Retried(t.Reason)
 		telemetry.Log(l.opts.Log, telemetry.EventRequestRetried, "request", t.ID, "reason", t.Reason)
--- a/internal/core/node/requests.go
+++ b/internal/core/node/drain.go
@@ -5,16 +5,8 @@
 	"maps"
 	"slices"
 	"time"
-
-	"github.com/medlarhold/medlarhold/internal/core/request"
 )
 
-// arrive takes a request of a caller in.
-func (n *Node) arrive(now time.Time, a request.Arrival) {
-	n.retries.Request(a.Work.Pool)
-	n.entry.Arrive(now, a)
-}
-
 // drain begins the planned stop: peers are told, and own nothing new here.
 func (n *Node) drain(now time.Time) {
 	n.draining = true
--- a/internal/core/node/members.go
+++ b/internal/core/node/members.go
@@ -35,6 +35,9 @@
 			n.address[m.ID] = m.PeerAddress
 		}
 	}
+	n.zoneMembers = members[n.settings.Self.Zone]
+	n.limits.setZone(now, n.view)
+	n.openHomes()
 	n.moved(now, n.owners.SetMembers(members))
 	for _, id := range sortedKeys(before) {
 		if _, ok := n.address[id]; !ok {
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -6,6 +6,7 @@
 
 	"github.com/medlarhold/medlarhold/internal/config"
 	"github.com/medlarhold/medlarhold/internal/core/admission"
+	"github.com/medlarhold/medlarhold/internal/core/claim"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/core/membership"
 	"github.com/medlarhold/medlarhold/internal/core/ownership"
@@ -25,6 +26,7 @@
 	Request    request.Settings
 	Retry      retry.Settings
 	Routing    routing.Settings
+	Claims     claim.Settings
 	// ReleaseRetry is the pause before a release that was not delivered is sent again.
 	ReleaseRetry time.Duration
 }
@@ -40,6 +42,7 @@
 		},
 		Retry:        retry.DefaultSettings(),
 		Routing:      routing.DefaultSettings(),
+		Claims:       claim.Settings{Instance: self.ID},
 		ReleaseRetry: 500 * time.Millisecond,
 	}
 }
@@ -57,9 +60,13 @@
 	view     membership.View
 	address  map[entity.InstanceID]string
 	draining bool
-	releases []undelivered
-	local    []any
-	ready    Ready
+	limits   *limits
+	claims   *claims
+	// zoneMembers are the live instances of the own zone.
+	zoneMembers []entity.Instance
+	releases    []undelivered
+	local       []any
+	ready       Ready
 }
 
 // undelivered is a release that waits to be sent again.
@@ -75,6 +82,9 @@
 	Peers []Outgoing
 	// Directives go to the traffic side.
 	Directives []request.Directive
+	// ClaimAppends and ClaimReads are for the log service.
+	ClaimAppends []ClaimAppend
+	ClaimReads   []ClaimReadRequest
 	// Retries and Finished are for the metrics.
 	Retries  []request.Retry
 	Finished []request.Finished
@@ -97,7 +107,9 @@
 		address:  make(map[entity.InstanceID]string),
 	}
 	n.router = &router{Router: routing.New(s.Routing), n: n}
-	n.entry = request.New(s.Request, n.router, n.retries)
+	n.entry = request.New(s.Request, n.router, n.retries, n)
+	n.limits = newLimits(s.Self.ID, func() config.State { return n.state })
+	n.claims = newClaims(s.Claims)
 	n.view = n.members.View()
 	return n
 }
@@ -113,6 +125,8 @@
 	n.members.Tick(now)
 	n.entry.Tick(now)
 	n.owner.Tick(now)
+	n.tickLimits(now)
+	n.tickClaims(now)
 	n.resendReleases(now)
 	n.settle(now)
 }
@@ -128,7 +142,7 @@
 func (n *Node) handle(now time.Time, msg any) {
 	switch m := msg.(type) {
 	case Arrive:
-		n.arrive(now, m.Arrival)
+		n.admit(now, m.Arrival)
 	case Ended:
 		n.entry.Ended(now, m.ID, m.End)
 	case Paused:
@@ -149,6 +163,10 @@
 		n.owner.Report(now, m.Report)
 	case Cache:
 		n.owner.CacheEvents(now, m.Event)
+	case ClaimAppended:
+		n.claimAppended(now, m)
+	case ClaimRead:
+		n.claimRead(now, m)
 	case Drain:
 		n.drain(now)
 	}
@@ -161,6 +179,8 @@
 		n.drainEntry(now)
 		n.drainOwner()
 		n.drainMembers(now)
+		n.drainLimits(now)
+		n.drainClaims()
 		if len(n.local) == 0 {
 			return
 		}
@@ -191,8 +211,17 @@
 // View returns the members as this instance sees them.
 func (n *Node) View() membership.View { return n.view }
 
-// InFlight returns the number of requests without a final answer.
-func (n *Node) InFlight() int { return n.entry.Len() }
+// InFlight returns the number of requests without a final answer, and of
+// outcomes that are not yet known to stand in the log.
+func (n *Node) InFlight() int {
+	waiting := n.entry.Len()
+	for _, t := range n.claims.tickets {
+		if t.outcome != nil {
+			waiting++
+		}
+	}
+	return waiting
+}
 
 // Draining says whether the planned stop has begun.
 func (n *Node) Draining() bool { return n.draining }
--- a/internal/core/node/peers.go
+++ b/internal/core/node/peers.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"github.com/medlarhold/medlarhold/internal/core/claim"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/limit"
 	"github.com/medlarhold/medlarhold/internal/core/membership"
 )
 
@@ -27,6 +29,20 @@
 		n.entry.Refused(now, from, m)
 	case entity.Preemption:
 		n.entry.Preempted(now, from, m)
+	case limit.Demand:
+		n.limits.home.Step(now, from, m)
+	case limit.Share:
+		n.limits.borrower.Step(now, from, m)
+	case claim.Proposal:
+		m.From = from
+		n.shard(claim.ShardOf(m.Org, m.Key)).Propose(now, m)
+	case claim.Outcome:
+		m.From = from
+		n.shard(claim.ShardOf(m.Org, m.Key)).Settle(now, m)
+	case claim.Decision:
+		n.decided(now, m)
+	case claim.Acknowledgement:
+		delete(n.claims.tickets, m.Request)
 	}
 }
 
@@ -81,7 +97,7 @@
 
 // drainEntry sends what the entry side has decided. Releases go first: they
 // make room for the reservations behind them.
-func (n *Node) drainEntry(_ time.Time) {
+func (n *Node) drainEntry(now time.Time) {
 	r := n.entry.Ready()
 	for _, rel := range r.Releases {
 		n.send(rel.Owner, rel.Release)
@@ -93,6 +109,15 @@
 		n.send(q.Owner, q.Reservation)
 	}
 	n.ready.Directives = append(n.ready.Directives, r.Directives...)
+	for _, p := range r.Proposals {
+		n.propose(now, p)
+	}
+	for _, x := range r.Settlements {
+		n.settleClaim(now, x)
+	}
+	for _, f := range r.Finished {
+		n.limits.borrower.Done(now, f.Work.Org)
+	}
 	n.ready.Retries = append(n.ready.Retries, r.Retries...)
 	n.ready.Finished = append(n.ready.Finished, r.Finished...)
 }
--- a/internal/core/request/entry.go
+++ b/internal/core/request/entry.go
@@ -38,6 +38,15 @@
 	Failed(now time.Time, work *entity.Work, attempt int, err *verdict.Error) retry.Decision
 }
 
+// Claims holds the last word on the dispatch of non-idempotent requests.
+type Claims interface {
+	// MayDispatch is asked at the last moment before a claimed request goes to
+	// an endpoint. After false it must not be dispatched.
+	MayDispatch(now time.Time, id entity.RequestID) bool
+	// NotSent takes the dispatch back, on proof that nothing ran.
+	NotSent(id entity.RequestID)
+}
+
 // Settings bound the table.
 type Settings struct {
 	// Self is the instance that holds the callers' connections.
@@ -58,6 +67,7 @@
 	settings  Settings
 	router    Router
 	retries   Retries
+	claims    Claims
 	rows      map[entity.RequestID]*row
 	deadlines *btree.BTreeG[*row]
 	finished  *finishedTable
@@ -65,11 +75,12 @@
 }
 
 // New returns an empty table.
-func New(s Settings, router Router, retries Retries) *Entry {
+func New(s Settings, router Router, retries Retries, claims Claims) *Entry {
 	return &Entry{
 		settings:  s,
 		router:    router,
 		retries:   retries,
+		claims:    claims,
 		rows:      make(map[entity.RequestID]*row),
 		deadlines: btree.NewG(deadlineTreeDegree, earlierDeadline),
 		finished:  newFinishedTable(s.KeepFinished),
@@ -103,13 +114,21 @@
 
 // Claimed tells that the request's claim was read back from the log as the first.
 func (e *Entry) Claimed(now time.Time, id entity.RequestID) {
-	r, ok := e.rows[id]
-	if !ok || r.state != StateClaiming {
-		e.ready.Settlements = append(e.ready.Settlements, Settlement{ID: id, Verdict: verdict.NotRun})
-		return
+	if r, ok := e.rows[id]; ok && r.state == StateClaiming {
+		e.ask(now, r)
 	}
-	r.claimed = true
-	e.ask(now, r)
+}
+
+// Claiming says whether a request waits for the decision on its key.
+func (e *Entry) Claiming(id entity.RequestID) bool {
+	r, ok := e.rows[id]
+	return ok && r.state == StateClaiming
+}
+
+// Reject answers a request that is not taken in.
+func (e *Entry) Reject(now time.Time, a Arrival, v *verdict.Error) {
+	e.finished.add(Status{ID: a.Work.ID, Org: a.Work.Org, State: stateFinished, Verdict: v.Verdict, Reason: v.Reason, At: now})
+	e.direct(Directive{ID: a.Work.ID, Kind: DirectiveFinish, Err: v})
 }
 
 // ClaimLost tells that the request must not run, and what its caller is told.
@@ -118,6 +137,7 @@
 	if !ok || r.state != StateClaiming {
 		return
 	}
+	r.lostClaim = true
 	e.finish(now, r, v, earlier)
 }
 
@@ -194,6 +214,11 @@
 		e.direct(Directive{ID: g.ID, Kind: DirectiveResume, Endpoint: g.Endpoint})
 		return
 	}
+	if r.work.NonIdempotent && !e.claims.MayDispatch(now, g.ID) {
+		e.ready.Releases = append(e.ready.Releases, ReleaseTo{Owner: from, Release: entity.Release{ID: g.ID, Endpoint: g.Endpoint, Unused: true}})
+		e.refuse(now, r, verdict.ReasonKeyExpired, 0)
+		return
+	}
 	r.state = StateRunning
 	r.dispatches++
 	e.direct(Directive{ID: g.ID, Kind: DirectiveDispatch, Endpoint: g.Endpoint, ImportFrom: g.ImportFrom})
@@ -319,6 +344,7 @@
 
 // retry puts a request that was not run back, to ask again after a pause.
 func (e *Entry) retry(now time.Time, r *row, err *verdict.Error) bool {
+	e.claims.NotSent(r.work.ID)
 	d := e.retries.Failed(now, &r.work, r.dispatches, err)
 	if !d.Retry {
 		return false
--- a/internal/core/request/row.go
+++ b/internal/core/request/row.go
@@ -35,6 +35,9 @@
 	return [...]string{"claiming", "queued", "running", "pausing", "paused"}[s]
 }
 
+// stateFinished is shown for requests that got their final answer.
+const stateFinished = "finished"
+
 // row is one request of the table.
 type row struct {
 	work     entity.Work
@@ -53,7 +56,7 @@
 	resume     entity.EndpointID // where its paused stream waits
 	dispatches int
 	retryAfter time.Duration
-	claimed    bool
+	lostClaim  bool // the key belongs to another request
 	cancelled  bool
 }
 
@@ -122,6 +125,7 @@
 	verdict.ReasonOverload:   "every endpoint that could serve the request is busy with work of this tier or higher",
 	verdict.ReasonNoEndpoint: "no endpoint in reach serves this model or service",
 	verdict.ReasonCallerGone: "the caller closed its connection",
+	verdict.ReasonKeyExpired: "the claim of the request's key ran out before an endpoint was free",
 	verdict.ReasonStopping:   "the instance is stopping",
 }
 
@@ -129,10 +133,10 @@
 func (e *Entry) finish(now time.Time, r *row, v *verdict.Error, a *Answer) {
 	e.deadlines.Delete(r)
 	delete(e.rows, r.work.ID)
-	if r.claimed {
+	if r.work.NonIdempotent && !r.lostClaim {
 		e.ready.Settlements = append(e.ready.Settlements, Settlement{ID: r.work.ID, Verdict: finalVerdict(v), Answer: a})
 	}
-	e.finished.add(Status{ID: r.work.ID, Org: r.work.Org, State: "finished", Verdict: finalVerdict(v), Reason: finalReason(v), At: now})
+	e.finished.add(Status{ID: r.work.ID, Org: r.work.Org, State: stateFinished, Verdict: finalVerdict(v), Reason: finalReason(v), At: now})
 	e.direct(Directive{ID: r.work.ID, Kind: DirectiveFinish, Err: v, Answer: a})
 	e.ready.Finished = append(e.ready.Finished, Finished{Work: r.work, Arrived: r.arrived, Err: v})
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -55,6 +55,7 @@
 	follower  *configFollower
 	list      platform.InstanceList
 	poller    *poller
+	claims    *claimLog
 	leaving   chan struct{}
 	leaveOnce sync.Once
 }
@@ -108,10 +109,14 @@
 	seed := mathrand.NewSource(time.Now().UnixNano())
 	d.loop = control.New(control.Options{
 		Node: node.New(node.DefaultSettings(d.self), mathrand.New(seed)), Clock: time.Now,
-		Send: d.transport.Send, Forget: d.transport.Forget, Owned: d.poller.setOwned, Log: d.log, Metrics: d.metrics,
+		Send: d.transport.Send, Forget: d.transport.Forget, Owned: d.poller.setOwned,
+		ClaimAppend: func(a node.ClaimAppend) { d.claims.append(a) }, ClaimRead: func(r node.ClaimReadRequest) { d.claims.read(r) },
+		Log: d.log, Metrics: d.metrics,
 	})
 	hc := &http.Client{Transport: d.countPlatform(&http.Transport{TLSClientConfig: d.certs.client(), MaxIdleConnsPerHost: platformConns})}
-	d.follower = newConfigFollower(d, platform.NewHTTPLog(s.Platform.Log, hc))
+	logService := platform.NewHTTPLog(s.Platform.Log, hc)
+	d.claims = &claimLog{log: logService, post: d.loop.Post}
+	d.follower = newConfigFollower(d, logService)
 	d.list = platform.NewHTTPInstanceList(s.Platform.InstanceList, hc)
 	d.caller = caller.NewServer(caller.Options{
 		Control: d, State: d.loop.State, Endpoints: d.endpoints, NewID: d.newRequestID, Clock: time.Now,
--- a/internal/daemon/messages.go
+++ b/internal/daemon/messages.go
@@ -1,7 +1,9 @@
 package daemon
 
 import (
+	"github.com/medlarhold/medlarhold/internal/core/claim"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/limit"
 	"github.com/medlarhold/medlarhold/internal/core/membership"
 	"github.com/medlarhold/medlarhold/internal/core/node"
 	"github.com/medlarhold/medlarhold/internal/peer"
@@ -18,5 +20,11 @@
 	peer.Register[entity.Preemption](r, "yield", peer.ClassRequest)
 	peer.Register[entity.Release](r, "free", peer.ClassRequest)
 	peer.Register[node.Withdraw](r, "undo", peer.ClassRequest)
+	peer.Register[limit.Demand](r, "want", peer.ClassControl)
+	peer.Register[limit.Share](r, "lend", peer.ClassControl)
+	peer.Register[claim.Proposal](r, "claim", peer.ClassRequest)
+	peer.Register[claim.Outcome](r, "done", peer.ClassRequest)
+	peer.Register[claim.Decision](r, "won", peer.ClassRequest)
+	peer.Register[claim.Acknowledgement](r, "noted", peer.ClassRequest)
 	return r
 }
--- a/test/e2e/path_test.go
+++ b/test/e2e/path_test.go
@@ -7,7 +7,6 @@
 	"strings"
 	"testing"
 
-	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/testbed"
 )
 
@@ -45,17 +44,7 @@
 // engine, so that the reservation crosses to an owner in another process.
 func TestWholePath(t *testing.T) {
 	b := newBed(t, "b")
-	var entry *testbed.Instance
-	for _, zone := range []string{"b", "a"} {
-		in, err := b.Start("instance-"+zone, b.InstanceSettings("instance-"+zone, entity.ZoneID(zone)))
-		if err != nil {
-			t.Fatal(err)
-		}
-		if err := in.WaitReady(); err != nil {
-			t.Fatal(err)
-		}
-		entry = in
-	}
+	entry := startZones(t, b, "b", "a")[1]
 	got := call(t, entry, "POST", "/v1/completions", `{"model":"narrative","prompt":"A visit report","max_tokens":5}`)
 	if got.status != http.StatusOK || got.header.Get("X-Medlarhold-Verdict") != "ran" {
 		t.Fatalf("%+v", got)
