--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -190,6 +190,9 @@
 	if e.KVTokens < 0 {
 		out = append(out, problemf("/kv_tokens", "must not be negative"))
 	}
+	if e.WeightBytes < 0 {
+		out = append(out, problemf("/weight_bytes", "must not be negative"))
+	}
 	out = append(out, checkSpeed("/prefill_tokens_per_sec", e.PrefillTokensPerSec)...)
 	out = append(out, checkSpeed("/decode_tokens_per_sec", e.DecodeTokensPerSec)...)
 	p, ok := s.Pool(e.Pool)
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -79,6 +79,7 @@
 		Adapters:            e.Adapters,
 		Slots:               e.Slots,
 		KVTokens:            e.KVTokens,
+		WeightBytes:         e.WeightBytes,
 		Generation:          e.Generation,
 		PrefillTokensPerSec: e.PrefillTokensPerSec,
 		DecodeTokensPerSec:  e.DecodeTokensPerSec,
--- a/internal/config/types.go
+++ b/internal/config/types.go
@@ -66,6 +66,7 @@
 	Adapters            []entity.AdapterID `json:"adapters,omitempty"`
 	Slots               int                `json:"slots"`
 	KVTokens            int                `json:"kv_tokens,omitempty"`
+	WeightBytes         int64              `json:"weight_bytes,omitempty"` // memory for model weights; set, the system gives the engine orders
 	Generation          string             `json:"generation,omitempty"`
 	PrefillTokensPerSec float64            `json:"prefill_tokens_per_sec,omitempty"`
 	DecodeTokensPerSec  float64            `json:"decode_tokens_per_sec,omitempty"`
--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -18,6 +18,9 @@
 	}
 }
 
+// Step runs one step of the steward on the control goroutine.
+func (l *Loop) Step(f StewardStep) { l.Post(f) }
+
 // Arrive hands a request in. Its directives come over the channel, the last
 // one being DirectiveFinish.
 func (l *Loop) Arrive(a request.Arrival) <-chan request.Directive {
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -12,7 +12,9 @@
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/core/membership"
 	"github.com/medlarhold/medlarhold/internal/core/node"
+	"github.com/medlarhold/medlarhold/internal/core/placement"
 	"github.com/medlarhold/medlarhold/internal/core/request"
+	"github.com/medlarhold/medlarhold/internal/core/steward"
 	"github.com/medlarhold/medlarhold/internal/telemetry"
 )
 
@@ -28,14 +30,19 @@
 
 // Options of a Loop.
 type Options struct {
-	Node  *node.Node
-	Clock func() time.Time
+	Node    *node.Node
+	Steward *steward.Steward
+	Clock   func() time.Time
 	// Send passes a message to a peer, Forget closes the link to a dead one.
 	Send   func(to entity.InstanceID, address string, msg any)
 	Forget func(id entity.InstanceID)
 	// ClaimAppend and ClaimRead talk to the log service; they must not block.
 	ClaimAppend func(node.ClaimAppend)
 	ClaimRead   func(node.ClaimReadRequest)
+	// LeaseAppend, LeaseRead and Order carry out the steward's part; they must not block.
+	LeaseAppend func(steward.Append)
+	LeaseRead   func(steward.Read)
+	Order       func(placement.Order)
 	// Owned is told which endpoints this instance owns.
 	Owned   func([]entity.Endpoint)
 	Log     logr.Logger
@@ -96,7 +103,7 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			l.timed(l.opts.Metrics.ControlNanoseconds, func(now time.Time) { l.opts.Node.Tick(now) })
+			l.timed(l.opts.Metrics.ControlNanoseconds, l.tick)
 		case msg := <-l.inbox:
 			l.handle(msg)
 			l.handleWaiting()
@@ -125,7 +132,15 @@
 		m.f(l.opts.Node)
 		close(m.done)
 		return
+	case StewardStep:
+		l.timed(l.opts.Metrics.ControlNanoseconds, func(now time.Time) { m(now, l.opts.Steward) })
+		return
+	case node.FromPeer:
+		if l.stewardMessage(m) {
+			return
+		}
 	case node.Configured:
+		l.opts.Steward.SetState(l.opts.Clock(), m.State)
 		l.state.Store(&m.State)
 		l.opts.Metrics.ConfigRevision.Update(int64(m.State.Revision()))
 	}
@@ -137,6 +152,7 @@
 	start := l.opts.Clock()
 	step(start)
 	l.carryOut(l.opts.Node.Ready())
+	l.carryOutSteward(l.opts.Steward.Ready())
 	c.Inc(l.opts.Clock().Sub(start).Nanoseconds())
 }
 
@@ -204,6 +220,7 @@
 func (l *Loop) membersChanged() {
 	view := l.opts.Node.View()
 	l.view.Store(&view)
+	l.opts.Steward.SetView(l.opts.Clock(), view)
 	own, _ := view.Zone(view.Self.Zone)
 	l.opts.Metrics.Members.Update(int64(len(own.Members)))
 	telemetry.Log(l.opts.Log, telemetry.EventMembersChanged, "zone_members", len(own.Members), "version", view.Version)
--- /dev/null
+++ b/internal/control/steward.go
@@ -0,0 +1,78 @@
+package control
+
+import (
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/node"
+	"github.com/medlarhold/medlarhold/internal/core/placement"
+	"github.com/medlarhold/medlarhold/internal/core/steward"
+	"github.com/medlarhold/medlarhold/internal/telemetry"
+)
+
+// StewardStep is one step of the steward, to be run on the control goroutine.
+type StewardStep func(now time.Time, s *steward.Steward)
+
+// tick lets time pass for the core and the steward.
+func (l *Loop) tick(now time.Time) {
+	l.opts.Node.Tick(now)
+	if l.opts.Steward.DemandDue(now) {
+		l.opts.Steward.SetOwn(l.opts.Node.InFlightByModel())
+	}
+	l.opts.Steward.Tick(now)
+}
+
+// stewardMessage handles the messages of peers that are for the steward.
+func (l *Loop) stewardMessage(m node.FromPeer) bool {
+	switch msg := m.Msg.(type) {
+	case steward.Demand:
+		l.opts.Steward.TakeDemand(l.opts.Clock(), m.From, msg)
+	case placement.Report:
+		l.opts.Steward.Report(l.opts.Clock(), msg)
+	default:
+		return false
+	}
+	return true
+}
+
+// carryOutSteward hands out one batch of the steward.
+func (l *Loop) carryOutSteward(r steward.Ready) {
+	for _, a := range r.Appends {
+		l.opts.LeaseAppend(a)
+	}
+	for _, q := range r.Reads {
+		l.opts.LeaseRead(q)
+	}
+	for _, o := range r.Orders {
+		l.opts.Order(o)
+	}
+	for _, d := range r.Demands {
+		l.sendSteward(d.To, d.Demand)
+	}
+	for _, p := range r.Reports {
+		l.sendSteward(p.To, p.Report)
+	}
+	for _, name := range r.Won {
+		telemetry.Log(l.opts.Log, telemetry.EventLeaseWon, "lease", name)
+	}
+	for _, name := range r.Lost {
+		telemetry.Log(l.opts.Log, telemetry.EventLeaseLost, "lease", name)
+	}
+}
+
+// sendSteward passes a message to a candidate, which may be this instance.
+func (l *Loop) sendSteward(to entity.InstanceID, msg any) {
+	view := l.View()
+	if to == view.Self.ID {
+		l.stewardMessage(node.FromPeer{From: to, Msg: msg})
+		return
+	}
+	for _, z := range view.Zones {
+		for _, m := range z.Members {
+			if m.ID == to {
+				l.opts.Send(to, m.PeerAddress, msg)
+				return
+			}
+		}
+	}
+}
--- a/internal/core/entity/entity.go
+++ b/internal/core/entity/entity.go
@@ -69,6 +69,9 @@
 	// KVTokens bounds the tokens (prompt and answer) that fit the engine's
 	// memory at the same time; zero means no bound.
 	KVTokens int
+	// WeightBytes is the engine's memory for model weights. Zero means that the
+	// system gives it no orders and it holds just the models listed.
+	WeightBytes int64
 	// Generation names the hardware generation, for speed estimates.
 	Generation string
 	// PrefillTokensPerSec and DecodeTokensPerSec (per stream) are first
--- a/internal/core/node/members.go
+++ b/internal/core/node/members.go
@@ -91,7 +91,7 @@
 	var owned []entity.Endpoint
 	for _, e := range n.state.AllEndpoints() {
 		if n.owners.Owner(e.ID) == n.settings.Self.ID {
-			owned = append(owned, *e)
+			owned = append(owned, n.asLoaded(*e))
 		}
 	}
 	n.owner.SetEndpoints(now, owned)
@@ -99,6 +99,15 @@
 	n.ready.Owned = &owned
 }
 
+// asLoaded limits an endpoint that takes orders to the models that it has
+// reported as loaded. What the configuration lists is what it may hold.
+func (n *Node) asLoaded(e entity.Endpoint) entity.Endpoint {
+	if e.WeightBytes > 0 {
+		e.Models = n.loaded[e.ID]
+	}
+	return e
+}
+
 // holdingOf brings running requests into the form that travels.
 func holdingOf(e entity.EndpointID, held []entity.Held) Holding {
 	h := Holding{Endpoint: e, Held: make([]HeldRequest, 0, len(held))}
--- a/internal/core/node/message.go
+++ b/internal/core/node/message.go
@@ -39,6 +39,12 @@
 	Load struct{ Report entity.LoadReport }
 	// Cache is a cache event of an owned endpoint.
 	Cache struct{ Event entity.CacheEvent }
+	// Loaded says which models an owned endpoint serves that takes orders. It is
+	// to be sent when that has changed.
+	Loaded struct {
+		Endpoint entity.EndpointID
+		Models   []entity.ModelID
+	}
 	// Drain begins the planned stop.
 	Drain struct{}
 )
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -61,7 +61,9 @@
 	address  map[entity.InstanceID]string
 	draining bool
 	limits   *limits
-	claims   *claims
+	// loaded holds the models that owned endpoints report which take orders.
+	loaded map[entity.EndpointID][]entity.ModelID
+	claims *claims
 	// zoneMembers are the live instances of the own zone.
 	zoneMembers []entity.Instance
 	releases    []undelivered
@@ -105,6 +107,7 @@
 		owner:    admission.New(s.Admission),
 		retries:  retry.New(s.Retry, rng),
 		address:  make(map[entity.InstanceID]string),
+		loaded:   make(map[entity.EndpointID][]entity.ModelID),
 	}
 	n.router = &router{Router: routing.New(s.Routing), n: n}
 	n.entry = request.New(s.Request, n.router, n.retries, n)
@@ -161,6 +164,9 @@
 		n.members.Platform(now, m.Instances)
 	case Load:
 		n.owner.Report(now, m.Report)
+	case Loaded:
+		n.loaded[m.Endpoint] = m.Models
+		n.setOwned(now)
 	case Cache:
 		n.owner.CacheEvents(now, m.Event)
 	case ClaimAppended:
@@ -223,6 +229,9 @@
 	return waiting
 }
 
+// InFlightByModel counts the requests without a final answer by model.
+func (n *Node) InFlightByModel() map[entity.ModelID]int { return n.entry.InFlightByModel() }
+
 // Draining says whether the planned stop has begun.
 func (n *Node) Draining() bool { return n.draining }
 
--- a/internal/core/ownership/owners.go
+++ b/internal/core/ownership/owners.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"slices"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -62,3 +63,17 @@
 func keyOf(kind, name string) uint64 {
 	return xxhash.Sum64String(kind) ^ xxhash.Sum64String(name)
 }
+
+// Ranked returns the first n members by rendezvous hash of a name, the winner
+// first; instances that are leaving take no part.
+func Ranked(members []entity.Instance, name string, n int) []entity.InstanceID {
+	rest := candidates(members)
+	key := keyOf("ranked/", name)
+	var out []entity.InstanceID
+	for len(out) < n && len(rest) > 0 {
+		best := pick(key, rest)
+		out = append(out, best)
+		rest = slices.DeleteFunc(rest, func(c candidate) bool { return c.id == best })
+	}
+	return out
+}
--- a/internal/core/request/status.go
+++ b/internal/core/request/status.go
@@ -62,3 +62,14 @@
 	}
 	return held
 }
+
+// InFlightByModel counts the requests without a final answer by model.
+func (e *Entry) InFlightByModel() map[entity.ModelID]int {
+	counts := make(map[entity.ModelID]int)
+	for _, r := range e.rows {
+		if r.work.Model != "" {
+			counts[r.work.Model]++
+		}
+	}
+	return counts
+}
--- a/internal/daemon/claimlog.go
+++ b/internal/daemon/claimlog.go
@@ -2,11 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
-	"github.com/medlarhold/medlarhold/internal/core/claim"
 	"github.com/medlarhold/medlarhold/internal/core/node"
+	"github.com/medlarhold/medlarhold/internal/core/stream"
 	"github.com/medlarhold/medlarhold/internal/platform"
 )
 
@@ -26,30 +25,14 @@
 		ctx, cancel := context.WithTimeout(context.Background(), claimExchangeTimeout)
 		defer cancel()
 		offset, err := c.log.Append(ctx, a.Batch.Stream, a.Batch.Data)
-		c.post(node.ClaimAppended{Shard: a.Shard, Batch: a.Batch.ID, Status: appendStatus(err), Offset: offset})
+		c.post(node.ClaimAppended{Shard: a.Shard, Batch: a.Batch.ID, Status: stream.StatusOf(err), Offset: offset})
 	}()
 }
 
-func appendStatus(err error) claim.AppendStatus {
-	switch {
-	case err == nil:
-		return claim.AppendDone
-	case errors.Is(err, platform.ErrNotAppended):
-		return claim.AppendFailed
-	default:
-		return claim.AppendUnknown
-	}
-}
-
 // read makes one read, on a goroutine of its own.
 func (c *claimLog) read(r node.ClaimReadRequest) {
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), claimExchangeTimeout+r.Read.Wait)
-		defer cancel()
-		res, err := c.log.Read(ctx, r.Read.Stream, r.Read.From, r.Read.Limit, r.Read.Wait)
-		if errors.Is(err, platform.ErrTruncated) {
-			res.Records, err = nil, nil // Fold learns from First that records are gone
-		}
+		res, err := readStream(c.log, r.Read, claimExchangeTimeout)
 		c.post(node.ClaimRead{Shard: r.Shard, Result: res, Err: err})
 	}()
 }
--- a/internal/daemon/configfollower.go
+++ b/internal/daemon/configfollower.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
+	"github.com/oklog/ulid/v2"
+
 	"github.com/medlarhold/medlarhold/internal/config"
+	"github.com/medlarhold/medlarhold/internal/core/claim"
 	"github.com/medlarhold/medlarhold/internal/core/node"
 	"github.com/medlarhold/medlarhold/internal/platform"
 	"github.com/medlarhold/medlarhold/internal/telemetry"
@@ -16,6 +20,8 @@
 	configWait = 10 * time.Second
 	// configRetryPause is the pause after a read that failed.
 	configRetryPause = 300 * time.Millisecond
+	// logRetention is how long the log service keeps records at the least.
+	logRetention = claim.DefaultRetention
 )
 
 // configFollower keeps the configuration in force up to date with the log.
@@ -27,6 +33,7 @@
 	caughtUp    atomic.Bool
 	confirmedAt atomic.Int64 // Unix milliseconds
 	logDown     bool
+	keeper      config.Keeper
 }
 
 func newConfigFollower(d *Daemon, log platform.Log) *configFollower {
@@ -92,3 +99,29 @@
 	}
 	return true, ""
 }
+
+// snapshot appends a snapshot of the configuration if one is due.
+func (f *configFollower) snapshot(ctx context.Context) {
+	for {
+		ask := f.keeper.Ask()
+		res, err := f.log.Read(ctx, ask.Stream, ask.From, ask.Limit, 0)
+		switch {
+		case errors.Is(err, platform.ErrTruncated):
+			f.keeper.HandleTruncated(res)
+			continue
+		case err != nil:
+			return
+		}
+		f.keeper.Handle(res)
+		if len(res.Records) == 0 || f.keeper.Ask().From >= res.Next {
+			break
+		}
+	}
+	st := f.d.loop.State()
+	if !f.keeper.NeedsSnapshot(time.Now(), logRetention, st) {
+		return
+	}
+	if err := config.AppendSnapshot(ctx, f.log, st, ulid.Make().String()); err == nil {
+		telemetry.Log(f.d.log, telemetry.EventConfigSnapshot, "revision", st.Revision())
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/medlarhold/medlarhold/internal/control"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/core/node"
+	"github.com/medlarhold/medlarhold/internal/core/steward"
 	"github.com/medlarhold/medlarhold/internal/endpoint"
 	"github.com/medlarhold/medlarhold/internal/peer"
 	"github.com/medlarhold/medlarhold/internal/platform"
@@ -41,23 +42,25 @@
 
 // Daemon is one instance of the system.
 type Daemon struct {
-	settings  settings.Settings
-	self      entity.Instance
-	log       logr.Logger
-	metrics   *telemetry.Metrics
-	keys      *settings.KeyRing
-	certs     *certificates
-	listeners listeners
-	transport *peer.Transport
-	loop      *control.Loop
-	endpoints *endpoint.Client
-	caller    *caller.Server
-	follower  *configFollower
-	list      platform.InstanceList
-	poller    *poller
-	claims    *claimLog
-	leaving   chan struct{}
-	leaveOnce sync.Once
+	settings   settings.Settings
+	self       entity.Instance
+	log        logr.Logger
+	metrics    *telemetry.Metrics
+	keys       *settings.KeyRing
+	certs      *certificates
+	listeners  listeners
+	transport  *peer.Transport
+	loop       *control.Loop
+	endpoints  *endpoint.Client
+	caller     *caller.Server
+	follower   *configFollower
+	list       platform.InstanceList
+	weights    platform.WeightStore
+	logService platform.Log
+	poller     *poller
+	claims     *claimLog
+	leaving    chan struct{}
+	leaveOnce  sync.Once
 }
 
 // listeners are the instance's three listening sockets.
@@ -97,7 +100,7 @@
 func (d *Daemon) assemble() {
 	s := d.settings
 	d.endpoints = endpoint.New(endpoint.Options{TLS: d.certs.client()})
-	d.poller = newPoller(d.endpoints, func(msg any) { d.loop.Post(msg) })
+	d.poller = newPoller(d.endpoints, func(msg any) { d.loop.Post(msg) }, d.reportHeld)
 	d.transport = peer.NewTransport(peer.Options{
 		Self: d.self, Keys: d.keys.PeerKeys, ServerTLS: d.certs.server(), ClientTLS: d.certs.client(),
 		ExchangeTimeout: peerExchangeTimeout, Registry: messages(),
@@ -111,13 +114,16 @@
 		Node: node.New(node.DefaultSettings(d.self), mathrand.New(seed)), Clock: time.Now,
 		Send: d.transport.Send, Forget: d.transport.Forget, Owned: d.poller.setOwned,
 		ClaimAppend: func(a node.ClaimAppend) { d.claims.append(a) }, ClaimRead: func(r node.ClaimReadRequest) { d.claims.read(r) },
+		Steward:     steward.New(steward.DefaultSettings(d.self)),
+		LeaseAppend: d.leaseAppend, LeaseRead: d.leaseRead, Order: d.order,
 		Log: d.log, Metrics: d.metrics,
 	})
 	hc := &http.Client{Transport: d.countPlatform(&http.Transport{TLSClientConfig: d.certs.client(), MaxIdleConnsPerHost: platformConns})}
-	logService := platform.NewHTTPLog(s.Platform.Log, hc)
-	d.claims = &claimLog{log: logService, post: d.loop.Post}
-	d.follower = newConfigFollower(d, logService)
+	d.logService = platform.NewHTTPLog(s.Platform.Log, hc)
+	d.claims = &claimLog{log: d.logService, post: d.loop.Post}
+	d.follower = newConfigFollower(d, d.logService)
 	d.list = platform.NewHTTPInstanceList(s.Platform.InstanceList, hc)
+	d.weights = platform.NewHTTPWeightStore(s.Platform.WeightStore, hc)
 	d.caller = caller.NewServer(caller.Options{
 		Control: d, State: d.loop.State, Endpoints: d.endpoints, NewID: d.newRequestID, Clock: time.Now,
 		Log: d.log, Metrics: d.metrics,
@@ -141,7 +147,7 @@
 	defer cancel()
 	telemetry.Log(d.log, telemetry.EventStarting, "instance", d.self.ID, "zone", d.self.Zone)
 	var background sync.WaitGroup
-	for _, f := range []func(context.Context){d.loop.Run, d.follower.run, d.register, d.poller.run} {
+	for _, f := range []func(context.Context){d.loop.Run, d.follower.run, d.register, d.poller.run, d.keepSnapshots, d.sizeWeights} {
 		background.Go(func() { f(ctx) })
 	}
 	callers := d.httpServer(d.caller.Handler())
--- a/internal/daemon/messages.go
+++ b/internal/daemon/messages.go
@@ -6,6 +6,8 @@
 	"github.com/medlarhold/medlarhold/internal/core/limit"
 	"github.com/medlarhold/medlarhold/internal/core/membership"
 	"github.com/medlarhold/medlarhold/internal/core/node"
+	"github.com/medlarhold/medlarhold/internal/core/placement"
+	"github.com/medlarhold/medlarhold/internal/core/steward"
 	"github.com/medlarhold/medlarhold/internal/peer"
 )
 
@@ -26,5 +28,7 @@
 	peer.Register[claim.Outcome](r, "done", peer.ClassRequest)
 	peer.Register[claim.Decision](r, "won", peer.ClassRequest)
 	peer.Register[claim.Acknowledgement](r, "noted", peer.ClassRequest)
+	peer.Register[steward.Demand](r, "load", peer.ClassControl)
+	peer.Register[placement.Report](r, "held", peer.ClassControl)
 	return r
 }
--- a/internal/daemon/poller.go
+++ b/internal/daemon/poller.go
@@ -22,14 +22,16 @@
 type poller struct {
 	client *endpoint.Client
 	post   func(msg any)
-	mu     sync.Mutex
-	owned  []entity.Endpoint
+	// held is told what an engine holds that takes orders.
+	held  func(entity.EndpointID, endpoint.OrderStatus)
+	mu    sync.Mutex
+	owned []entity.Endpoint
 	// next holds the sequence number to ask each engine for. Only run uses it.
 	next map[entity.EndpointID]uint64
 }
 
-func newPoller(c *endpoint.Client, post func(msg any)) *poller {
-	return &poller{client: c, post: post, next: make(map[entity.EndpointID]uint64)}
+func newPoller(c *endpoint.Client, post func(msg any), held func(entity.EndpointID, endpoint.OrderStatus)) *poller {
+	return &poller{client: c, post: post, held: held, next: make(map[entity.EndpointID]uint64)}
 }
 
 // setOwned replaces the endpoints to poll.
@@ -77,6 +79,11 @@
 	if l, err := p.client.Load(ctx, e.Address); err == nil {
 		p.post(node.Load{Report: entity.LoadReport{Endpoint: e.ID, At: l.AsOf, Running: l.Running, Waiting: l.Waiting, KVTokens: l.KVTokens}})
 	}
+	if e.WeightBytes > 0 {
+		if st, err := p.client.Orders(ctx, e.Address); err == nil {
+			p.held(e.ID, st)
+		}
+	}
 	events, err := p.client.CacheEvents(ctx, e.Address, p.next[e.ID])
 	if err != nil {
 		return endpoint.CacheEvents{}
--- /dev/null
+++ b/internal/daemon/steward.go
@@ -0,0 +1,180 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/lease"
+	"github.com/medlarhold/medlarhold/internal/core/node"
+	"github.com/medlarhold/medlarhold/internal/core/placement"
+	"github.com/medlarhold/medlarhold/internal/core/steward"
+	"github.com/medlarhold/medlarhold/internal/core/stream"
+	"github.com/medlarhold/medlarhold/internal/endpoint"
+	"github.com/medlarhold/medlarhold/internal/platform"
+	"github.com/medlarhold/medlarhold/internal/telemetry"
+)
+
+const (
+	// leaseExchangeTimeout bounds an exchange about leases with the log service,
+	// beyond the time that a read waits for records.
+	leaseExchangeTimeout = 2 * time.Second
+	// snapshotCheckInterval is the time between two looks whether a snapshot is due.
+	snapshotCheckInterval = 10 * time.Second
+	// weightSizeInterval is the time between two looks for models whose size is not known.
+	weightSizeInterval = 5 * time.Second
+)
+
+// step runs one step of the steward on the control goroutine.
+func (d *Daemon) step(f func(now time.Time, s *steward.Steward)) {
+	d.loop.Step(f)
+}
+
+// leaseAppend appends a record of a lease, once.
+func (d *Daemon) leaseAppend(a steward.Append) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), leaseExchangeTimeout)
+		defer cancel()
+		_, err := d.logService.Append(ctx, a.Stream, a.Append.Data)
+		d.step(func(now time.Time, s *steward.Steward) {
+			s.AppendResult(now, a.Lease, a.Append.ID, stream.StatusOf(err))
+		})
+	}()
+}
+
+// leaseRead makes one read for a lease.
+func (d *Daemon) leaseRead(r steward.Read) {
+	go func() {
+		res, err := readStream(d.logService, r.Read, leaseExchangeTimeout)
+		d.step(func(now time.Time, s *steward.Steward) { s.ReadResult(now, r.Lease, res, err) })
+	}()
+}
+
+// readStream makes one read. Where retention has passed the offset it returns
+// no records, and the reader learns from First that some are gone.
+func readStream(log platform.Log, r stream.ReadRequest, timeout time.Duration) (platform.ReadResult, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout+r.Wait)
+	defer cancel()
+	res, err := log.Read(ctx, r.Stream, r.From, r.Limit, r.Wait)
+	if errors.Is(err, platform.ErrTruncated) {
+		res.Records, err = nil, nil
+	}
+	return res, err
+}
+
+// order sends an order to an endpoint. Whether the lease is still held is
+// asked right before the order is written.
+func (d *Daemon) order(o placement.Order) {
+	e, ok := d.loop.State().Endpoint(o.Endpoint)
+	if !ok {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), lease.DefaultLongestOrder)
+		defer cancel()
+		fence, ok := d.mayOrder(ctx, e)
+		if !ok {
+			return
+		}
+		_, err := d.endpoints.Order(ctx, e.Address, wireOrder(o, fence))
+		if errors.Is(err, endpoint.ErrOldFence) {
+			telemetry.Log(d.log, telemetry.EventOrderRefused, "endpoint", o.Endpoint, "fence", fence)
+			return
+		}
+		telemetry.Log(d.log, telemetry.EventOrderSent, "endpoint", o.Endpoint, "action", o.Action, "model", o.Item.Model, "fence", fence)
+	}()
+}
+
+func (d *Daemon) mayOrder(ctx context.Context, e *entity.Endpoint) (fence platform.Offset, ok bool) {
+	done := make(chan struct{})
+	d.step(func(now time.Time, s *steward.Steward) {
+		fence, ok = s.MayOrder(now, e.ChecksFencing)
+		close(done)
+	})
+	select {
+	case <-done:
+		return fence, ok
+	case <-ctx.Done():
+		return 0, false
+	}
+}
+
+// wireOrder brings an order into the form that engines take.
+func wireOrder(o placement.Order, fence platform.Offset) endpoint.Order {
+	kind := endpoint.OrderLoadModel
+	switch {
+	case o.Action == placement.ActionUnload:
+		kind = endpoint.OrderUnloadModel
+	case o.Item.Adapter != "":
+		kind = endpoint.OrderLoadAdapter
+	}
+	return endpoint.Order{Kind: kind, Model: o.Item.Model, Adapter: o.Item.Adapter, Version: o.Item.Version,
+		Fence: int64(fence), ExpiresMillis: o.Expires.Milliseconds()}
+}
+
+// reportHeld passes on what an owned endpoint that takes orders says it holds.
+func (d *Daemon) reportHeld(id entity.EndpointID, st endpoint.OrderStatus) {
+	r := placement.Report{Endpoint: id}
+	models := slices.Sorted(maps.Keys(st.Models))
+	for _, m := range models {
+		r.Ready = append(r.Ready, placement.Item{Model: m, Version: st.Models[m]})
+	}
+	d.loop.Post(node.Loaded{Endpoint: id, Models: models})
+	d.step(func(_ time.Time, s *steward.Steward) { s.Tell(r) })
+}
+
+// keepSnapshots appends a snapshot of the configuration when one is due and
+// this instance holds the lease for it.
+func (d *Daemon) keepSnapshots(ctx context.Context) {
+	every(ctx, snapshotCheckInterval, func() {
+		held := false
+		done := make(chan struct{})
+		d.step(func(now time.Time, s *steward.Steward) {
+			held = s.HoldsSnapshot(now)
+			close(done)
+		})
+		select {
+		case <-done:
+		case <-ctx.Done():
+			return
+		}
+		if held {
+			d.follower.snapshot(ctx)
+		}
+	})
+}
+
+// sizeWeights asks the weight store for the sizes of models that have none yet.
+func (d *Daemon) sizeWeights(ctx context.Context) {
+	known := make(map[string]bool)
+	every(ctx, weightSizeInterval, func() {
+		for m := range d.loop.State().Models() {
+			if m.Weights == "" || known[m.Weights] {
+				continue
+			}
+			size, err := d.weights.Stat(ctx, m.Weights)
+			if err != nil {
+				return // asked again next time
+			}
+			known[m.Weights] = true
+			d.step(func(now time.Time, s *steward.Steward) { s.SetSize(now, m.Weights, size) })
+		}
+	})
+}
+
+// every runs f at once and then after each interval, until ctx ends.
+func every(ctx context.Context, interval time.Duration, f func()) {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for {
+		f()
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -8,6 +8,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/medlarhold/medlarhold/internal/core/node"
+	"github.com/medlarhold/medlarhold/internal/core/steward"
 	"github.com/medlarhold/medlarhold/internal/telemetry"
 )
 
@@ -17,6 +18,7 @@
 func (d *Daemon) stop(ctx context.Context, callers *http.Server) error {
 	telemetry.Log(d.log, telemetry.EventDrainBegin, "in_flight", d.loop.Status().InFlight)
 	d.loop.Post(node.Drain{})
+	d.step(func(now time.Time, s *steward.Steward) { s.Resign(now) })
 	d.renew(ctx)
 	select {
 	case <-ctx.Done():
