--- /dev/null
+++ b/internal/standin/engine/model/engine_test.go
@@ -0,0 +1,402 @@
+package model
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/endpoint"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+// roundEngine has an iteration of 10 ms for each decode step and of 1 ms for
+// each 10 prompt tokens, 100 of them at once, and blocks of 10 tokens.
+func roundEngine() Settings {
+	return Settings{
+		BlockTokens: 10, KVTokens: 1000, MaxRunning: 4, PrefillChunk: 100,
+		PrefillTokensPerSec: 10_000, DecodeTokensPerSec: 100, BatchSlowdown: 0.5,
+	}
+}
+
+// ask returns a request whose prompt consists of the blocks named.
+func ask(id string, tokens int, blocks ...entity.BlockHash) Request {
+	return Request{ID: entity.RequestID(id), Prefix: blocks, PromptTokens: 10 * len(blocks), MaxTokens: tokens}
+}
+
+func submit(t *testing.T, e *Engine, now time.Duration, r Request) {
+	t.Helper()
+	if err := e.Submit(at(now), r); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// moment is an event without its details.
+type moment struct {
+	At   time.Duration
+	ID   entity.RequestID
+	Kind EventKind
+}
+
+func moments(events []Event) []moment {
+	var out []moment
+	for _, ev := range events {
+		out = append(out, moment{ev.At.Sub(start), ev.ID, ev.Kind})
+	}
+	return out
+}
+
+const ms = time.Millisecond
+
+func TestIterationsOfABatch(t *testing.T) {
+	e := New(roundEngine())
+	submit(t, e, 0, ask("a", 3, 1, 2)) // 20 prompt tokens: 2 ms
+	submit(t, e, 5*ms, ask("b", 2, 3, 4, 5))
+	got := moments(e.Advance(at(time.Second)))
+	want := []moment{
+		{0, "a", EventStarted},
+		{2 * ms, "a", EventToken},  // prefill alone
+		{12 * ms, "a", EventToken}, // decode alone; b waits for the iteration
+		{12 * ms, "b", EventStarted},
+		{25 * ms, "a", EventToken}, // decode with 30 tokens of prefill
+		{25 * ms, "a", EventEnded},
+		{25 * ms, "b", EventToken},
+		{35 * ms, "b", EventToken},
+		{35 * ms, "b", EventEnded},
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
+func TestDecodeSlowsWithTheBatch(t *testing.T) {
+	s := roundEngine()
+	for n, want := range map[int]time.Duration{1: 10 * ms, 2: 15 * ms, 3: 20 * ms} {
+		if got := s.iterationTime(0, n, 1); got != want {
+			t.Errorf("%d streams: %v, want %v", n, got, want)
+		}
+		if got := s.iterationTime(0, n, 3); got != 3*want {
+			t.Errorf("%d streams, slow: %v, want %v", n, got, 3*want)
+		}
+	}
+}
+
+func TestLongPromptsAreProcessedInChunks(t *testing.T) {
+	e := New(roundEngine())
+	long := ask("long", 1)
+	long.PromptTokens = 250
+	submit(t, e, 0, ask("short", 3, 1))
+	submit(t, e, 0, long)
+	got := moments(e.Advance(at(time.Second)))
+	want := []moment{
+		{0, "short", EventStarted},
+		{1 * ms, "short", EventToken},
+		{1 * ms, "long", EventStarted},
+		{21 * ms, "short", EventToken}, // 100 prompt tokens and a decode
+		{41 * ms, "short", EventToken},
+		{41 * ms, "short", EventEnded},
+		{46 * ms, "long", EventToken}, // the last 50
+		{46 * ms, "long", EventEnded},
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
+func TestAdmissionIsFirstComeFirstServed(t *testing.T) {
+	e := New(roundEngine()) // 100 blocks
+	big := func(id string, tokens int) Request { return ask(id, tokens, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10) }
+	submit(t, e, 0, big("a", 500)) // 60 blocks
+	submit(t, e, 0, Request{ID: "b", PromptTokens: 100, MaxTokens: 500})
+	submit(t, e, 0, ask("c", 1, 20)) // would fit, but stands behind b
+	e.Advance(at(ms))
+	for id, want := range map[entity.RequestID]endpoint.StreamState{
+		"a": endpoint.StateRunning, "b": endpoint.StateWaiting, "c": endpoint.StateWaiting,
+	} {
+		if got, err := e.Status(at(ms), id); err != nil || got.State != want {
+			t.Errorf("%s: %+v, %v, want %s", id, got, err, want)
+		}
+	}
+	if _, err := e.Cancel(at(ms), "a"); err != nil {
+		t.Fatal(err)
+	}
+	for _, id := range []entity.RequestID{"b", "c"} { // admitted when the iteration ends
+		if got, _ := e.Status(at(20*ms), id); got.State != endpoint.StateRunning {
+			t.Errorf("%s after the cancel: %+v", id, got)
+		}
+	}
+}
+
+func TestSubmitRefusals(t *testing.T) {
+	s := roundEngine()
+	s.MaxRunning, s.MaxWaiting, s.Models = 1, 1, []entity.ModelID{"m"}
+	s.Adapters = []entity.AdapterID{"x"}
+	e := New(s)
+	on := func(id string, m entity.ModelID, a entity.AdapterID, tokens int) Request {
+		return Request{ID: entity.RequestID(id), Model: m, Adapter: a, PromptTokens: 10, MaxTokens: tokens}
+	}
+	for _, tt := range []struct {
+		r    Request
+		want error
+	}{
+		{on("other model", "n", "", 1), ErrNotLoaded},
+		{on("other adapter", "m", "y", 1), ErrNotLoaded},
+		{on("too long", "m", "", 991), ErrTooLong},
+		{on("no answer", "m", "", 0), ErrTooLong},
+		{on("a", "m", "x", 990), nil},
+		{on("a", "m", "x", 990), ErrDuplicate},
+		{on("b", "m", "", 1), nil},
+		{on("c", "m", "", 1), ErrBusy},
+	} {
+		if err := e.Submit(start, tt.r); !errors.Is(err, tt.want) {
+			t.Errorf("%s: %v, want %v", tt.r.ID, err, tt.want)
+		}
+	}
+}
+
+// endOf returns the end mark of a stream.
+func endOf(t *testing.T, events []Event, id entity.RequestID) endpoint.End {
+	t.Helper()
+	for _, ev := range events {
+		if ev.Kind == EventEnded && ev.ID == id {
+			return ev.End
+		}
+	}
+	t.Fatalf("%s has not ended", id)
+	return endpoint.End{}
+}
+
+func TestPrefixCache(t *testing.T) {
+	e := New(roundEngine())
+	submit(t, e, 0, ask("a", 1, 1, 2, 3))
+	submit(t, e, time.Second, ask("b", 1, 1, 2, 9))
+	submit(t, e, 2*time.Second, ask("whole", 1, 1, 2, 3))
+	other := ask("other model", 1, 1, 2, 3)
+	other.Model = "n"
+	submit(t, e, 3*time.Second, other)
+	events := e.Advance(at(time.Minute))
+	for id, cached := range map[entity.RequestID]int{"a": 0, "b": 20, "whole": 29, "other model": 0} {
+		end := endOf(t, events, id)
+		if end.CachedTokens != cached || end.PrefillTokens != 30-cached {
+			t.Errorf("%s: %+v, want %d cached", id, end, cached)
+		}
+	}
+}
+
+func TestLeastRecentBlocksAreDroppedTailFirst(t *testing.T) {
+	s := roundEngine()
+	s.KVTokens = 60 // 6 blocks
+	e := New(s)
+	submit(t, e, 0, ask("a", 1, 1, 2))
+	submit(t, e, time.Second, ask("b", 1, 3, 4))
+	submit(t, e, 2*time.Second, ask("c", 1, 5, 6)) // needs 3 blocks: drops one of a's
+	e.Advance(at(3 * time.Second))
+	for _, tt := range []struct {
+		blocks []entity.BlockHash
+		want   int
+	}{{[]entity.BlockHash{1, 2}, 1}, {[]entity.BlockHash{3, 4}, 2}, {[]entity.BlockHash{5, 6}, 2}} {
+		got := e.Export(at(3*time.Second), ask("", 1, tt.blocks...))
+		if len(got.Blocks) != tt.want {
+			t.Errorf("%v: %d blocks held, want %d", tt.blocks, len(got.Blocks), tt.want)
+		}
+	}
+	want := []endpoint.CacheEvent{
+		{Seq: 1, Stored: []endpoint.BlockHash{1, 2}},
+		{Seq: 2, Stored: []endpoint.BlockHash{3, 4}},
+		{Seq: 3, Evicted: []endpoint.BlockHash{2}},
+		{Seq: 4, Stored: []endpoint.BlockHash{5, 6}},
+	}
+	got := e.CacheEvents(at(3*time.Second), 0, 10)
+	if diff := cmp.Diff(want, got.Events); diff != "" || got.Next != 5 {
+		t.Fatal(got.Next, diff)
+	}
+}
+
+func TestPauseKeepsKVWhileThereIsRoom(t *testing.T) {
+	e := New(roundEngine())
+	submit(t, e, 0, ask("a", 10, 1, 2))
+	e.Advance(at(22 * ms)) // 3 tokens
+	status, err := e.Pause(at(22*ms), "a")
+	if err != nil || status != (endpoint.StreamStatus{State: endpoint.StatePaused, Tokens: 3}) {
+		t.Fatalf("%+v, %v", status, err)
+	}
+	if events := e.Advance(at(time.Hour)); len(events) != 0 {
+		t.Fatalf("a paused stream goes on: %+v", events)
+	}
+	if _, err := e.Resume(at(time.Hour), "a"); err != nil {
+		t.Fatal(err)
+	}
+	events := e.Advance(at(2 * time.Hour))
+	if events[0].Kind != EventToken || events[0].Index != 3 || events[0].At != at(time.Hour+10*ms) {
+		t.Fatalf("first event after the resumption: %+v", events[0])
+	}
+	if end := endOf(t, events, "a"); end.PrefillTokens != 20 || end.CompletionTokens != 10 {
+		t.Fatalf("%+v", end)
+	}
+}
+
+func TestPausedStreamsLoseMemoryToWaitingOnes(t *testing.T) {
+	s := roundEngine()
+	s.KVTokens = 100
+	e := New(s)
+	submit(t, e, 0, ask("a", 60, 1, 2))
+	e.Advance(at(22 * ms)) // 3 tokens
+	if _, err := e.Pause(at(22*ms), "a"); err != nil {
+		t.Fatal(err)
+	}
+	submit(t, e, 22*ms, Request{ID: "b", PromptTokens: 90, MaxTokens: 10})
+	if got, _ := e.Status(at(32*ms), "b"); got.State != endpoint.StateRunning {
+		t.Fatalf("b: %+v", got)
+	}
+	if got := e.Stats().DroppedTokens; got != 23 {
+		t.Fatalf("%d tokens dropped", got)
+	}
+	if _, err := e.Resume(at(32*ms), "a"); err != nil {
+		t.Fatal(err)
+	}
+	events := e.Advance(at(time.Hour))
+	if end := endOf(t, events, "a"); end.PrefillTokens != 20+23 || end.CompletionTokens != 60 {
+		t.Fatalf("%+v", end)
+	}
+}
+
+// TestResumedStreamsGiveWay has a resumed stream hold the memory that the head
+// of the queue waits for.
+func TestResumedStreamsGiveWay(t *testing.T) {
+	s := roundEngine()
+	s.KVTokens, s.MaxRunning = 100, 1
+	e := New(s)
+	submit(t, e, 0, ask("a", 60, 1))
+	if _, err := e.Pause(at(12*ms), "a"); err != nil {
+		t.Fatal(err)
+	}
+	submit(t, e, 12*ms, Request{ID: "short", PromptTokens: 10, MaxTokens: 1})
+	submit(t, e, 12*ms, Request{ID: "large", PromptTokens: 90, MaxTokens: 10})
+	if _, err := e.Resume(at(12*ms), "a"); err != nil {
+		t.Fatal(err)
+	}
+	events := e.Advance(at(time.Hour))
+	for id, want := range map[entity.RequestID]int{"a": 60, "short": 1, "large": 10} {
+		if end := endOf(t, events, id); end.CompletionTokens != want {
+			t.Errorf("%s: %+v", id, end)
+		}
+	}
+}
+
+func TestCancelInPrefillCountsWhatWasSpent(t *testing.T) {
+	e := New(roundEngine())
+	r := ask("a", 1)
+	r.PromptTokens = 250
+	submit(t, e, 0, r)
+	if _, err := e.Cancel(at(15*ms), "a"); err != nil { // in the second chunk
+		t.Fatal(err)
+	}
+	events := e.Advance(at(15 * ms))
+	want := endpoint.End{FinishReason: endpoint.FinishCancelled, PromptTokens: 250, PrefillTokens: 200}
+	if got := endOf(t, events, "a"); got != want {
+		t.Fatalf("%+v", got)
+	}
+	if load := e.Load(at(15 * ms)); load.Running != 0 || load.KVTokens != 0 {
+		t.Fatalf("%+v", load)
+	}
+	if _, err := e.Cancel(at(15*ms), "a"); !errors.Is(err, ErrUnknown) {
+		t.Fatal(err)
+	}
+}
+
+func TestFreezeAndThaw(t *testing.T) {
+	e := New(roundEngine())
+	submit(t, e, 0, ask("a", 2, 1))
+	e.Freeze(at(5 * ms)) // one token at 1 ms, the next was due at 11 ms
+	if _, ok := e.Next(); ok {
+		t.Fatal("a frozen engine has something due")
+	}
+	if got := moments(e.Advance(at(time.Second))); len(got) != 2 {
+		t.Fatalf("%v", got)
+	}
+	e.Thaw(at(time.Second))
+	got := moments(e.Advance(at(time.Hour)))
+	want := []moment{{time.Second + 6*ms, "a", EventToken}, {time.Second + 6*ms, "a", EventEnded}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
+func TestLoadReportsLag(t *testing.T) {
+	s := roundEngine()
+	s.LoadLag = time.Second
+	e := New(s)
+	submit(t, e, 0, ask("a", 1000-10, 1))
+	if got := e.Load(at(999 * ms)); got.Running != 0 {
+		t.Fatalf("%+v", got)
+	}
+	want := endpoint.Load{Running: 1, KVTokens: 1000, AsOf: at(0)}
+	if got := e.Load(at(time.Second)); got != want {
+		t.Fatalf("%+v", got)
+	}
+	if _, err := e.Cancel(at(time.Second), "a"); err != nil {
+		t.Fatal(err)
+	}
+	if got := e.Load(at(1999 * ms)); got.Running != 1 {
+		t.Fatalf("%+v", got)
+	}
+	if got := e.Load(at(2 * time.Second)); got.Running != 0 {
+		t.Fatalf("%+v", got)
+	}
+}
+
+func TestCacheEventsComeLate(t *testing.T) {
+	s := roundEngine()
+	s.CacheEventDelay = time.Second
+	e := New(s)
+	submit(t, e, 0, ask("a", 1, 1)) // stored at 1 ms
+	if got := e.CacheEvents(at(time.Second), 0, 10); len(got.Events) != 0 || got.Next != 1 {
+		t.Fatalf("%+v", got)
+	}
+	if got := e.CacheEvents(at(1001*ms), 0, 10); len(got.Events) != 1 || got.Next != 2 {
+		t.Fatalf("%+v", got)
+	}
+}
+
+func TestLostCacheEventsLeaveAGap(t *testing.T) {
+	s := roundEngine()
+	s.CacheEventLoss, s.Seed = 0.5, 3
+	e := New(s)
+	for i := range 40 {
+		submit(t, e, time.Duration(i)*time.Second, ask("a", 1, entity.BlockHash(i+1)))
+	}
+	got := e.CacheEvents(at(time.Minute), 0, 100)
+	if n := len(got.Events); n < 10 || n > 30 || got.Next != 41 {
+		t.Fatalf("%d events of 40, next %d", n, got.Next)
+	}
+	rest := e.CacheEvents(at(time.Minute), got.Events[4].Seq, 2)
+	if diff := cmp.Diff(got.Events[4:6], rest.Events); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
+func TestOrdersTakeTimeAndExpire(t *testing.T) {
+	s := roundEngine()
+	s.Models, s.OrderTime = []entity.ModelID{"m"}, time.Second
+	e := New(s)
+	order := func(m entity.ModelID, expires int64) endpoint.Order {
+		return endpoint.Order{Kind: endpoint.OrderLoadModel, Model: m, Version: "1", ExpiresMillis: expires}
+	}
+	for _, o := range []endpoint.Order{order("late", 999), order("good", 1000)} {
+		if _, err := e.Order(start, o); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := e.Orders(at(999 * ms)); len(got.Models) != 1 {
+		t.Fatalf("%+v", got)
+	}
+	want := map[entity.ModelID]string{"m": "", "good": "1"}
+	if diff := cmp.Diff(want, e.Orders(at(time.Second)).Models); diff != "" {
+		t.Fatal(diff)
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/model/property_test.go
@@ -0,0 +1,205 @@
+package model
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/endpoint"
+)
+
+// action is one call to an engine.
+type action struct {
+	now  time.Time
+	kind int
+	id   entity.RequestID
+	r    Request
+}
+
+// The kinds of action.
+const (
+	doSubmit = iota
+	doPause
+	doResume
+	doCancel
+	doImport
+	doFreeze
+	doThaw
+	kinds
+)
+
+func (a action) do(e *Engine) {
+	switch a.kind {
+	case doSubmit:
+		_ = e.Submit(a.now, a.r)
+	case doPause:
+		_, _ = e.Pause(a.now, a.id)
+	case doResume:
+		_, _ = e.Resume(a.now, a.id)
+	case doCancel:
+		_, _ = e.Cancel(a.now, a.id)
+	case doImport:
+		e.Import(a.now, a.r)
+	case doFreeze:
+		e.Freeze(a.now)
+	case doThaw:
+		e.Thaw(a.now)
+	}
+}
+
+func drawActions(t *rapid.T) []action {
+	now, submitted := start, 0
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) action {
+		now = now.Add(time.Duration(rapid.IntRange(0, 60).Draw(t, "wait")) * ms)
+		a := action{now: now, kind: rapid.IntRange(0, kinds-1).Draw(t, "kind")}
+		if rapid.Bool().Draw(t, "submit") {
+			a.kind = doSubmit
+		}
+		a.id = entity.RequestID(fmt.Sprint(rapid.IntRange(0, submitted).Draw(t, "id")))
+		blocks := rapid.IntRange(0, 5).Draw(t, "blocks")
+		template := rapid.IntRange(0, 3).Draw(t, "template")
+		for i := range blocks {
+			a.r.Prefix = append(a.r.Prefix, entity.BlockHash(10*template+i))
+		}
+		a.r.PromptTokens = 10*blocks + rapid.IntRange(0, 9).Draw(t, "rest")
+		a.r.MaxTokens = rapid.IntRange(1, 20).Draw(t, "tokens")
+		a.r.OutputTokens = rapid.IntRange(0, 20).Draw(t, "output")
+		if a.kind == doSubmit {
+			submitted++
+			a.r.ID = entity.RequestID(fmt.Sprint(submitted))
+		}
+		return a
+	}), 1, 60).Draw(t, "actions")
+}
+
+func smallEngine() Settings {
+	s := roundEngine()
+	s.KVTokens, s.MaxRunning, s.MaxWaiting, s.PrefillChunk = 120, 3, 6, 25
+	return s
+}
+
+// TestHistories checks what must hold at every step of random histories.
+func TestHistories(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := New(smallEngine())
+		h := history{tokens: map[entity.RequestID]int{}, ended: map[entity.RequestID]bool{}}
+		last := start
+		for _, a := range drawActions(t) {
+			a.do(e)
+			h.take(t, e.Advance(a.now))
+			checkMemory(t, e)
+			last = a.now
+		}
+		e.Thaw(last)
+		for id := range e.streams { // map order does not matter: each is resumed
+			if _, err := e.Resume(last, id); err != nil {
+				t.Fatal(err)
+			}
+		}
+		h.take(t, e.Advance(last.Add(time.Hour)))
+		if len(e.streams) != 0 || e.cache.used() != 0 {
+			t.Fatalf("left after an hour: %d streams, %d blocks", len(e.streams), e.cache.used())
+		}
+	})
+}
+
+// history checks the events of an engine.
+type history struct {
+	now    time.Time
+	tokens map[entity.RequestID]int
+	ended  map[entity.RequestID]bool
+}
+
+func (h *history) take(t *rapid.T, events []Event) {
+	for _, ev := range events {
+		if ev.At.Before(h.now) {
+			t.Fatalf("%+v goes back from %v", ev, h.now)
+		}
+		h.now = ev.At
+		if h.ended[ev.ID] {
+			t.Fatalf("%+v after the end", ev)
+		}
+		switch ev.Kind {
+		case EventToken:
+			if ev.Index != h.tokens[ev.ID] {
+				t.Fatalf("%+v, token %d is due", ev, h.tokens[ev.ID])
+			}
+			h.tokens[ev.ID]++
+		case EventEnded:
+			h.ended[ev.ID] = true
+			if ev.End.CompletionTokens != h.tokens[ev.ID] {
+				t.Fatalf("%+v after %d tokens", ev, h.tokens[ev.ID])
+			}
+			whole := ev.End.PrefillTokens+ev.End.CachedTokens >= ev.End.PromptTokens
+			if ev.End.FinishReason.Whole() && !whole {
+				t.Fatalf("%+v without its prompt", ev)
+			}
+		}
+	}
+}
+
+// checkMemory counts the memory again from the streams.
+func checkMemory(t *rapid.T, e *Engine) {
+	refs, private := map[blockKey]int{}, 0
+	for _, s := range e.streams {
+		private += s.private
+		for _, k := range s.keys[:s.held] {
+			refs[k]++
+		}
+		if !s.hasKV && (s.private != 0 || s.held != 0) {
+			t.Fatalf("%+v holds memory", s)
+		}
+		if s.state == endpoint.StateRunning && !s.hasKV {
+			t.Fatalf("%+v runs without memory", s)
+		}
+	}
+	if private != e.cache.private || e.cache.private+len(e.cache.shared) > e.cache.total {
+		t.Fatalf("private %d, counted %d, shared %d of %d", e.cache.private, private, len(e.cache.shared), e.cache.total)
+	}
+	idle := 0
+	for k, b := range e.cache.shared {
+		if b.refs != refs[k] || (b.idle != nil) != (b.refs == 0) {
+			t.Fatalf("block %v: %d refs, counted %d", k, b.refs, refs[k])
+		}
+		if b.refs == 0 {
+			idle++
+		}
+	}
+	if idle != e.cache.idle.Len() {
+		t.Fatalf("%d idle blocks, %d listed", idle, e.cache.idle.Len())
+	}
+	if len(e.running) > e.settings.MaxRunning || len(e.streams) != len(e.running)+len(e.waiting)+len(e.paused) {
+		t.Fatalf("%d running, %d waiting, %d paused of %d", len(e.running), len(e.waiting), len(e.paused), len(e.streams))
+	}
+}
+
+// TestStepsDoNotMatter drives two engines through the same history, one looked
+// at every millisecond and one only when something is asked of it.
+func TestStepsDoNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		fine, coarse := New(smallEngine()), New(smallEngine())
+		var a, b []Event
+		now := start
+		for _, act := range drawActions(t) {
+			for ; now.Before(act.now); now = now.Add(ms) {
+				a = append(a, fine.Advance(now)...)
+			}
+			act.do(fine)
+			act.do(coarse)
+			now = act.now
+		}
+		a = append(a, fine.Advance(now.Add(time.Minute))...)
+		b = append(b, coarse.Advance(now.Add(time.Minute))...)
+		if diff := cmp.Diff(b, a); diff != "" {
+			t.Fatal(diff)
+		}
+		if !slices.IsSortedFunc(a, func(x, y Event) int { return x.At.Compare(y.At) }) {
+			t.Fatal("events out of order")
+		}
+	})
+}
