--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -53,6 +53,10 @@
 
 // New returns a stand-in engine that runs until Close. It is an http.Handler.
 func New(settings Settings) *Server {
+	return newServer(settings, time.Now)
+}
+
+func newServer(settings Settings, clock func() time.Time) *Server {
 	if settings.Keepalive <= 0 {
 		settings.Keepalive = DefaultKeepalive
 	}
@@ -61,7 +65,7 @@
 	}
 	s := &Server{
 		settings: settings,
-		clock:    time.Now,
+		clock:    clock,
 		wake:     make(chan struct{}, 1),
 		done:     make(chan struct{}),
 		peers:    endpoint.New(endpoint.Options{}),
--- /dev/null
+++ b/internal/standin/relay/relay_test.go
@@ -0,0 +1,194 @@
+package relay
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// guard bounds the waits of a test that has gone wrong.
+const guard = 30 * time.Second
+
+// echo starts a server that sends back what it gets and ends when its client does.
+func echo(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				_, _ = io.Copy(c, c)
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func startRelay(t *testing.T) *Relay {
+	t.Helper()
+	r, err := Start("127.0.0.1:0", echo(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	return r
+}
+
+func dial(t *testing.T, r *Relay) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", r.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	if err := c.SetDeadline(time.Now().Add(guard)); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func send(t *testing.T, c net.Conn, text string) {
+	t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func expect(t *testing.T, c net.Conn, text string) {
+	t.Helper()
+	got := make([]byte, len(text))
+	if _, err := io.ReadFull(c, got); err != nil || string(got) != text {
+		t.Fatalf("read %q, %v, want %q", got, err, text)
+	}
+}
+
+// expectNothing looks for a moment for bytes that must not come. It can miss
+// some that come later, but never sees any where there are none.
+func expectNothing(t *testing.T, c net.Conn) {
+	t.Helper()
+	if err := c.SetReadDeadline(time.Now().Add(20 * time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	if n, err := c.Read(make([]byte, 1)); n != 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatalf("read %d bytes, %v", n, err)
+	}
+	if err := c.SetReadDeadline(time.Now().Add(guard)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestForwardsBothWaysUpToTheEnd(t *testing.T) {
+	r := startRelay(t)
+	c := dial(t, r)
+	long := strings.Repeat("0123456789", 100_000)
+	go func() {
+		_, _ = io.WriteString(c, long)
+		_ = c.(*net.TCPConn).CloseWrite()
+	}()
+	got, err := io.ReadAll(c)
+	if err != nil || string(got) != long {
+		t.Fatalf("%d bytes of %d, %v", len(got), len(long), err)
+	}
+}
+
+func TestCutClosesOpenConnections(t *testing.T) {
+	r := startRelay(t)
+	c := dial(t, r)
+	send(t, c, "a")
+	expect(t, c, "a")
+	r.Cut()
+	if _, err := c.Read(make([]byte, 1)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatalf("read after the cut: %v", err)
+	}
+	again := dial(t, r)
+	send(t, again, "b")
+	expect(t, again, "b")
+}
+
+func TestSilenceIsForOpenConnectionsOnly(t *testing.T) {
+	r := startRelay(t)
+	c := dial(t, r)
+	send(t, c, "a")
+	expect(t, c, "a")
+	r.SilenceOpen()
+	send(t, c, "b")
+	again := dial(t, r)
+	send(t, again, "c")
+	expect(t, again, "c")
+	expectNothing(t, c)
+}
+
+func TestSilentDirectionHoldsBytesBack(t *testing.T) {
+	for _, f := range []Faults{
+		{ToTarget: Direction{Silent: true}},
+		{FromTarget: Direction{Silent: true}},
+		{ToTarget: Direction{Delay: time.Hour}},
+		{FromTarget: Direction{Delay: time.Hour}},
+	} {
+		r := startRelay(t)
+		c := dial(t, r)
+		r.SetFaults(f)
+		send(t, c, "abc")
+		expectNothing(t, c)
+		r.SetFaults(Faults{})
+		expect(t, c, "abc")
+	}
+}
+
+func TestRefusedConnectionsAreClosed(t *testing.T) {
+	r := startRelay(t)
+	r.SetFaults(Faults{Refuse: true})
+	if n, err := dial(t, r).Read(make([]byte, 1)); n != 0 || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatalf("read %d, %v", n, err)
+	}
+	if r.Accepted() != 1 || r.Open() != 0 {
+		t.Fatalf("accepted %d, open %d", r.Accepted(), r.Open())
+	}
+}
+
+func TestControlOverHTTP(t *testing.T) {
+	r := startRelay(t)
+	c := dial(t, r)
+	send(t, c, "a")
+	expect(t, c, "a")
+	do := func(method, path, body string) string {
+		w := httptest.NewRecorder()
+		r.Control().ServeHTTP(w, httptest.NewRequest(method, path, strings.NewReader(body)))
+		if w.Code != http.StatusOK {
+			t.Fatalf("%s %s: %d", method, path, w.Code)
+		}
+		return strings.TrimSpace(w.Body.String())
+	}
+	if got := do("GET", "/standin/connections", ""); got != `{"open":1,"accepted":1}` {
+		t.Fatal(got)
+	}
+	do("PUT", "/standin/faults", `{"from_target":{"silent":true}}`)
+	send(t, c, "b")
+	expectNothing(t, c)
+	do("PUT", "/standin/faults", `{}`)
+	expect(t, c, "b")
+	do("POST", "/standin/silence-open", "")
+	do("POST", "/standin/cut", "")
+	if _, err := c.Read(make([]byte, 1)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatalf("read after the cut: %v", err)
+	}
+}
