Command-line tool, admin interface types and publishing

Operators need to publish without guessing: a lost answer is settled by reading for the change's id, and a change that is not there is appended again under the same id, which is idempotent. Weighed: telling the operator 'unknown' at once (a person then repeats it by hand and can't tell a race from his own first try).

Exit codes tell invalid, lost, unreachable, unsettled and not in force apart.

The idempotency key of callers is not named Idempotency-Key: net/http takes that field as leave to send a request again by itself.

--- /dev/null
+++ b/internal/callerapi/types.go
@@ -0,0 +1,71 @@
+// Package callerapi names what callers and instances say to each other over
+// HTTP: paths, header fields and JSON types.
+package callerapi
+
+import (
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/verdict"
+)
+
+// Paths of the interface.
+const (
+	PathCompletions = "/v1/completions"
+	// PathServices is followed by the pool and the service's own path.
+	PathServices = "/services/"
+	// PathRequests is followed by a request id.
+	PathRequests = "/v1/requests/"
+)
+
+// Header fields of a request. The organisation's key goes into
+// "Authorization: Bearer <key>".
+const (
+	// HeaderTier names the tier; the contract's default tier without it.
+	HeaderTier = "Medlarhold-Tier"
+	// HeaderDeadlineMS is how many milliseconds the caller has for the answer.
+	HeaderDeadlineMS = "Medlarhold-Deadline-Ms"
+	// HeaderRequestKey is the idempotency key. It is not named
+	// Idempotency-Key, because HTTP libraries repeat requests that carry that.
+	HeaderRequestKey = "Medlarhold-Request-Key"
+	// HeaderLabel is the organisation's own label for the work.
+	HeaderLabel = "Medlarhold-Label"
+)
+
+// Header fields of an answer.
+const (
+	HeaderRequestID = "Medlarhold-Request-Id"
+	HeaderVerdict   = "Medlarhold-Verdict"
+	HeaderReason    = "Medlarhold-Reason"
+)
+
+// Error is the body of an answer that is not an endpoint's.
+type Error struct {
+	RequestID    entity.RequestID `json:"request_id,omitempty"`
+	Verdict      verdict.Verdict  `json:"verdict"`
+	Reason       verdict.Reason   `json:"reason"`
+	Message      string           `json:"message"`
+	RetryAfterMS int64            `json:"retry_after_ms,omitempty"`
+}
+
+// Request is what the system knows about a request, the answer to a GET
+// below PathRequests.
+type Request struct {
+	ID      entity.RequestID `json:"id"`
+	Verdict verdict.Verdict  `json:"verdict"`
+	Reason  verdict.Reason   `json:"reason,omitempty"`
+	// Running says that the request has not come to its end.
+	Running    bool              `json:"running,omitempty"`
+	Endpoint   entity.EndpointID `json:"endpoint,omitempty"`
+	ReceivedAt time.Time         `json:"received_at,omitzero"`
+	FinishedAt time.Time         `json:"finished_at,omitzero"`
+}
+
+// Completion is the body of a POST to PathCompletions.
+type Completion struct {
+	Model     string `json:"model"`
+	Adapter   string `json:"adapter,omitempty"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens,omitempty"`
+	Stream    bool   `json:"stream,omitempty"`
+}
--- /dev/null
+++ b/internal/cli/confighistory.go
@@ -0,0 +1,66 @@
+package cli
+
+import (
+	"context"
+
+	"github.com/spf13/cobra"
+
+	"github.com/medlarhold/medlarhold/internal/config"
+)
+
+// historyOptions are the flags of config history.
+type historyOptions struct {
+	kind, name string
+	limit      int
+}
+
+// configHistoryCommand shows past changes.
+func (a *App) configHistoryCommand() *cobra.Command {
+	var o historyOptions
+	cmd := &cobra.Command{
+		Use:   "history",
+		Short: "Show the changes that the log still holds, and what became of each",
+		Long: "Shows changes from the oldest to the newest, also those that lost or were invalid.\n" +
+			"Where retention has passed the first ones, it begins after the newest snapshot.",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return a.configHistory(cmd.Context(), o)
+		},
+	}
+	cmd.Flags().StringVar(&o.kind, "kind", "", "only objects of this kind")
+	cmd.Flags().StringVar(&o.name, "name", "", "only objects of this name")
+	cmd.Flags().IntVar(&o.limit, "limit", 50, "only the newest changes, this many; 0 for all")
+	return cmd
+}
+
+func (a *App) configHistory(ctx context.Context, o historyOptions) error {
+	log, err := a.log()
+	if err != nil {
+		return err
+	}
+	all, _, err := config.History(ctx, log, a.Now)
+	if err != nil {
+		return readFailure(err)
+	}
+	list := make([]config.Outcome, 0)
+	for _, out := range all {
+		if o.matches(out) {
+			list = append(list, out)
+		}
+	}
+	if o.limit > 0 {
+		list = list[max(0, len(list)-o.limit):]
+	}
+	t := table{header: []string{"OFFSET", "AT", "OPERATOR", "KIND", "NAME", "RESULT", "CHANGE"}}
+	for _, out := range list {
+		t.row(out.Offset, out.At, out.Operator, out.Standing.Kind, out.Standing.Name, out.Result, out.ChangeID)
+	}
+	return a.show(list, t)
+}
+
+// matches says whether the outcome is to be shown.
+func (o historyOptions) matches(out config.Outcome) bool {
+	return out.ChangeID != "" &&
+		(o.kind == "" || string(out.Standing.Kind) == o.kind) &&
+		(o.name == "" || out.Standing.Name == o.name)
+}
--- /dev/null
+++ b/internal/cli/configpublish.go
@@ -0,0 +1,154 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/spf13/cobra"
+
+	"github.com/medlarhold/medlarhold/internal/config"
+)
+
+// publishOptions are the flags of config publish.
+type publishOptions struct {
+	wait    bool
+	timeout time.Duration
+}
+
+// configPublishCommand publishes files.
+func (a *App) configPublishCommand() *cobra.Command {
+	var o publishOptions
+	cmd := &cobra.Command{
+		Use:   "publish FILE...",
+		Short: "Publish configuration files on the log service",
+		Long: "Checks the files beside what is published and then appends one change for each\n" +
+			"object that differs. An invalid file publishes nothing. A change is based on the\n" +
+			"revision that the file names in based_on, or else on what stands now; if another\n" +
+			"operator's change comes first, this one is not applied and what stands is shown.",
+		Example: "  medlarhold config publish --wait --admin 10.0.1.1:7002 contracts.json",
+		Args:    cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return a.configPublish(cmd.Context(), args, o)
+		},
+	}
+	cmd.Flags().BoolVar(&o.wait, "wait", false, "wait until the change is in force at all instances, and show it per zone")
+	cmd.Flags().DurationVar(&o.timeout, "timeout", 10*time.Second, "how long to wait")
+	return cmd
+}
+
+func (a *App) configPublish(ctx context.Context, files []string, o publishOptions) error {
+	objects, err := a.parseFiles(files)
+	if err != nil {
+		return err
+	}
+	log, err := a.log()
+	if err != nil {
+		return err
+	}
+	f, err := a.follower(ctx, log)
+	if err != nil {
+		return err
+	}
+	if err := a.refuseProblems(config.Validate(f.State(), objects)); err != nil {
+		return err
+	}
+	p := &config.Publisher{Log: log, Follower: f, Now: a.Now, Backoff: a.Backoff}
+	done, failure := a.publishAll(ctx, p, objects)
+	if err := a.showPublished(done); err != nil {
+		return err
+	}
+	if failure != nil || !o.wait {
+		return failure
+	}
+	return a.waitInForce(ctx, f.State().Revision(), o.timeout)
+}
+
+// published is what became of one object.
+type published struct {
+	config.Outcome
+	Unchanged bool `json:"unchanged,omitempty"`
+}
+
+// publishAll publishes one object after the other and stops at the first that
+// is not applied.
+func (a *App) publishAll(ctx context.Context, p *config.Publisher, objects []config.Object) ([]published, error) {
+	var done []published
+	for _, o := range config.Ordered(objects) {
+		standing := p.Follower.State().Standing(o.Kind, o.Name)
+		if p.Follower.State().Unchanged(o) {
+			done = append(done, published{Outcome: config.Outcome{Standing: standing}, Unchanged: true})
+			continue
+		}
+		out, err := p.Publish(ctx, a.change(o, standing.Revision))
+		if err != nil {
+			return done, publishFailure(o, err)
+		}
+		done = append(done, published{Outcome: out})
+		if err := outcomeFailure(o, out); err != nil {
+			return done, err
+		}
+	}
+	return done, nil
+}
+
+// change returns the change that publishes an object.
+func (a *App) change(o config.Object, standing config.Revision) config.Change {
+	c := config.Change{
+		ID:       a.NewID(),
+		Kind:     o.Kind,
+		Name:     o.Name,
+		BasedOn:  standing,
+		Operator: a.operator(),
+		Delete:   o.Delete,
+		Spec:     o.Spec,
+	}
+	if o.BasedOn != nil {
+		c.BasedOn = *o.BasedOn
+	}
+	return c
+}
+
+// publishFailure explains that a change did not reach the log, or may not have.
+func publishFailure(o config.Object, err error) error {
+	if errors.Is(err, config.ErrUnsettled) {
+		return fail(ExitUnsettled, trace.Wrap(err, "%s %q", o.Kind, o.Name),
+			"The log service took the change, or may have. Run the same command again: what stands already is left as it is.")
+	}
+	return fail(ExitUnreachable, trace.Wrap(err, "%s %q", o.Kind, o.Name),
+		"The change was not published; those listed before it were. Run the same command again.")
+}
+
+// outcomeFailure explains a change that stands on the log but is not in force.
+func outcomeFailure(o config.Object, out config.Outcome) error {
+	s := out.Standing
+	switch out.Result {
+	case config.ResultApplied, config.ResultDuplicate:
+		return nil
+	case config.ResultLost:
+		return fail(ExitLost, trace.CompareFailed("%s %q was changed by %s at revision %d", o.Kind, o.Name, cell(s.Operator), s.Revision),
+			fmt.Sprintf("What stands: medlarhold config show %s %s. Merge your change with it and publish again.", o.Kind, o.Name))
+	default:
+		reason := ""
+		if len(out.Problems) > 0 {
+			reason = ": " + out.Problems[0].Reason
+		}
+		return fail(ExitLost, trace.CompareFailed("%s %q is not valid beside what was published in the meantime%s", o.Kind, o.Name, reason),
+			"Run the same command again to see what is wrong now.")
+	}
+}
+
+// showPublished shows what became of each object.
+func (a *App) showPublished(done []published) error {
+	t := table{header: []string{"KIND", "NAME", "RESULT", "REVISION"}}
+	for _, p := range done {
+		result := string(p.Result)
+		if p.Unchanged {
+			result = "unchanged"
+		}
+		t.row(p.Standing.Kind, p.Standing.Name, result, p.Standing.Revision)
+	}
+	return a.show(done, t)
+}
--- /dev/null
+++ b/internal/cli/configstatus.go
@@ -0,0 +1,94 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/spf13/cobra"
+
+	"github.com/medlarhold/medlarhold/internal/config"
+)
+
+// pollInterval is how often --wait asks the instances.
+const pollInterval = 200 * time.Millisecond
+
+// configStatusCommand shows what is in force where.
+func (a *App) configStatusCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "status",
+		Short: "Show per availability zone which revision is in force, and who is unreachable",
+		Long: "Asks every instance that the named ones know of. With --log, also shows the newest\n" +
+			"revision that is published.",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return a.configStatus(cmd.Context())
+		},
+	}
+}
+
+func (a *App) configStatus(ctx context.Context) error {
+	var newest config.Revision
+	if a.or(a.flags.log, EnvLog) != "" {
+		log, err := a.log()
+		if err != nil {
+			return err
+		}
+		f, err := a.follower(ctx, log)
+		if err != nil {
+			return err
+		}
+		newest = f.State().Revision()
+	}
+	c, err := a.census(ctx)
+	if err != nil {
+		return err
+	}
+	return a.showInForce(c.inForce(newest))
+}
+
+// waitInForce polls until the revision is in force at all instances.
+func (a *App) waitInForce(ctx context.Context, want config.Revision, timeout time.Duration) error {
+	deadline := a.Now().Add(timeout)
+	for {
+		c, err := a.census(ctx)
+		if err != nil {
+			return fail(ExitNotInForce, err, "The change is published. See who has it: medlarhold config status.")
+		}
+		report := c.inForce(want)
+		if report.InForce || !a.Now().Before(deadline) {
+			return a.endWait(report, want)
+		}
+		if err := a.Sleep(ctx, pollInterval); err != nil {
+			return fail(ExitNotInForce, trace.Wrap(err), "The change is published. See who has it: medlarhold config status.")
+		}
+	}
+}
+
+// endWait shows the last report and says whether all is well.
+func (a *App) endWait(report inForceReport, want config.Revision) error {
+	if err := a.showInForce(report); err != nil {
+		return err
+	}
+	if report.InForce {
+		return nil
+	}
+	return fail(ExitNotInForce, trace.LimitExceeded("revision %d is published, but not in force everywhere", want),
+		"Instances that are cut off go on with what they have and catch up. See who: medlarhold config status -o json.")
+}
+
+// showInForce shows one row for each availability zone.
+func (a *App) showInForce(r inForceReport) error {
+	t := table{header: []string{"ZONE", "INSTANCES", "IN FORCE", "BEHIND", "UNREACHABLE"}}
+	for _, z := range r.Zones {
+		t.row(z.Zone, z.Instances, z.Revision, len(z.Behind), joinIDs(z.Unreachable))
+	}
+	if err := a.show(r, t); err != nil {
+		return err
+	}
+	if a.flags.output == outputTable && r.Published > 0 {
+		fmt.Fprintf(a.Out, "Published: revision %d.\n", r.Published)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/cli/request.go
@@ -0,0 +1,245 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/dghubble/sling"
+	"github.com/gravitational/trace"
+	"github.com/spf13/cobra"
+
+	"github.com/medlarhold/medlarhold/internal/callerapi"
+	"github.com/medlarhold/medlarhold/internal/verdict"
+)
+
+// maxErrorBytes bounds how much of an error answer is read.
+const maxErrorBytes = 64 << 10
+
+// requestOptions are the flags of the request commands.
+type requestOptions struct {
+	instance, keyFile           string
+	model, adapter, prompt      string
+	maxTokens                   int
+	stream                      bool
+	service, method, path, data string
+	tier, requestKey, label     string
+	deadline                    time.Duration
+}
+
+// requestCommand groups the commands of callers.
+func (a *App) requestCommand() *cobra.Command {
+	var o requestOptions
+	cmd := group("request", "Send a request as a caller, or ask what became of one")
+	cmd.PersistentFlags().StringVar(&o.instance, "instance", "", "address of an instance or of the balancer (default $"+EnvInstance+")")
+	cmd.PersistentFlags().StringVar(&o.keyFile, "key-file", "", "file with the organisation's key (default: key in $"+EnvKey+")")
+	cmd.AddCommand(a.requestSendCommand(&o), a.requestShowCommand(&o))
+	return cmd
+}
+
+// requestSendCommand sends one request.
+func (a *App) requestSendCommand(o *requestOptions) *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "send",
+		Short: "Send one request, once",
+		Long: "Sends a completion to a model, or a call to a plain service. The answer goes to the\n" +
+			"output; the request's id and verdict go to the error output. It is never sent twice.",
+		Example: "  medlarhold request send --model narrative --prompt 'Draft the report' --tier patient\n" +
+			"  medlarhold request send --service ledger --method POST --path /transfers --data @t.json --request-key t-17",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return a.requestSend(cmd.Context(), *o)
+		},
+	}
+	f := cmd.Flags()
+	f.StringVar(&o.model, "model", "", "model to ask")
+	f.StringVar(&o.adapter, "adapter", "", "adapter of the model")
+	f.StringVar(&o.prompt, "prompt", "", "prompt, or @FILE")
+	f.IntVar(&o.maxTokens, "max-tokens", 256, "bound of the answer's tokens")
+	f.BoolVar(&o.stream, "stream", false, "print the answer as it comes")
+	f.StringVar(&o.service, "service", "", "pool of the plain service to call")
+	f.StringVar(&o.method, "method", http.MethodGet, "method of the call")
+	f.StringVar(&o.path, "path", "/", "path of the call")
+	f.StringVar(&o.data, "data", "", "body of the call, or @FILE")
+	f.StringVar(&o.tier, "tier", "", "tier (default: the contract's default tier)")
+	f.StringVar(&o.requestKey, "request-key", "", "idempotency key; needed for calls that may not be repeated")
+	f.StringVar(&o.label, "label", "", "your own label for the work")
+	f.DurationVar(&o.deadline, "deadline", 0, "how long the answer is of use")
+	cmd.MarkFlagsMutuallyExclusive("model", "service")
+	cmd.MarkFlagsOneRequired("model", "service")
+	return cmd
+}
+
+func (a *App) requestSend(ctx context.Context, o requestOptions) error {
+	s, err := a.callerSling(o)
+	if err != nil {
+		return err
+	}
+	if s, err = a.withWork(s, o); err != nil {
+		return err
+	}
+	resp, err := a.exchange(ctx, s)
+	if err != nil {
+		return fail(ExitMayHaveRun, err, "The connection failed after the request was sent, or may have been. Do not repeat it without a request key.")
+	}
+	defer resp.Body.Close()
+	fmt.Fprintf(a.Err, "request %s: status %d, verdict %s\n", cell(resp.Header.Get(callerapi.HeaderRequestID)), resp.StatusCode,
+		cell(resp.Header.Get(callerapi.HeaderVerdict)))
+	if resp.Header.Get(callerapi.HeaderReason) != "" {
+		return a.refusal(resp)
+	}
+	if _, err := io.Copy(a.Out, resp.Body); err != nil {
+		return fail(ExitMayHaveRun, trace.ConnectionProblem(err, "answer is not whole: %v", err),
+			"Ask what became of it: medlarhold request show "+resp.Header.Get(callerapi.HeaderRequestID))
+	}
+	return nil
+}
+
+// callerSling returns a request builder with the organisation's key.
+func (a *App) callerSling(o requestOptions) (*sling.Sling, error) {
+	address := a.or(o.instance, EnvInstance)
+	if address == "" {
+		return nil, fail(ExitUsage, trace.BadParameter("no instance is named"), "Give --instance host:port or set "+EnvInstance+".")
+	}
+	if !strings.Contains(address, "://") {
+		address = "http://" + address
+	}
+	key := a.Getenv(EnvKey)
+	if o.keyFile != "" {
+		data, err := a.readFile(o.keyFile)
+		if err != nil {
+			return nil, fail(ExitUsage, err, "")
+		}
+		key = strings.TrimSpace(string(data))
+	}
+	return sling.New().Base(address).Set("Authorization", "Bearer "+key), nil
+}
+
+// withWork adds what the request is about.
+func (a *App) withWork(s *sling.Sling, o requestOptions) (*sling.Sling, error) {
+	for field, value := range map[string]string{
+		callerapi.HeaderTier:       o.tier,
+		callerapi.HeaderRequestKey: o.requestKey,
+		callerapi.HeaderLabel:      o.label,
+	} {
+		if value != "" {
+			s.Set(field, value)
+		}
+	}
+	if o.deadline > 0 {
+		s.Set(callerapi.HeaderDeadlineMS, strconv.FormatInt(o.deadline.Milliseconds(), 10))
+	}
+	text := o.data
+	if o.model != "" {
+		text = o.prompt
+	}
+	body, err := a.argument(text)
+	if err != nil {
+		return nil, err
+	}
+	if o.model != "" {
+		return s.Post(callerapi.PathCompletions).BodyJSON(callerapi.Completion{
+			Model: o.model, Adapter: o.adapter, Prompt: string(body), MaxTokens: o.maxTokens, Stream: o.stream,
+		}), nil
+	}
+	return withMethod(s, o.method, callerapi.PathServices+o.service+"/"+strings.TrimPrefix(o.path, "/"), body)
+}
+
+// withMethod sets method, path and body of a call.
+func withMethod(s *sling.Sling, method, path string, body []byte) (*sling.Sling, error) {
+	set, ok := map[string]func(string) *sling.Sling{
+		http.MethodGet: s.Get, http.MethodHead: s.Head, http.MethodPost: s.Post,
+		http.MethodPut: s.Put, http.MethodPatch: s.Patch, http.MethodDelete: s.Delete,
+	}[strings.ToUpper(method)]
+	if !ok {
+		return nil, fail(ExitUsage, trace.BadParameter("unknown method %q", method), "")
+	}
+	s = set(path)
+	if len(body) > 0 {
+		s.Body(bytes.NewReader(body))
+	}
+	return s, nil
+}
+
+// argument returns the text, or the content of the file that @FILE names.
+func (a *App) argument(text string) ([]byte, error) {
+	name, isFile := strings.CutPrefix(text, "@")
+	if !isFile {
+		return []byte(text), nil
+	}
+	data, err := a.readFile(name)
+	if err != nil {
+		return nil, fail(ExitUsage, err, "")
+	}
+	return data, nil
+}
+
+// exchange sends a request and returns the answer with its body still open.
+func (a *App) exchange(ctx context.Context, s *sling.Sling) (*http.Response, error) {
+	req, err := s.Request()
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	resp, err := a.HTTP.Do(req.WithContext(ctx))
+	if err != nil {
+		return nil, trace.ConnectionProblem(err, "%v", err)
+	}
+	return resp, nil
+}
+
+// refusal turns an answer of the system's own into an error.
+func (a *App) refusal(resp *http.Response) error {
+	var e callerapi.Error
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxErrorBytes)).Decode(&e); err != nil {
+		e = callerapi.Error{Verdict: verdict.MayHaveRun, Reason: verdict.Reason(resp.Header.Get(callerapi.HeaderReason))}
+	}
+	hint := ""
+	if e.RetryAfterMS > 0 {
+		hint = fmt.Sprintf("Come back in %v.", time.Duration(e.RetryAfterMS)*time.Millisecond)
+	}
+	code := ExitMayHaveRun
+	if e.Verdict == verdict.NotRun {
+		code = ExitNotRun
+	}
+	return fail(code, trace.Errorf("%s (%s, %s)", cell(e.Message), e.Reason, e.Verdict), hint)
+}
+
+// requestShowCommand asks what became of a request.
+func (a *App) requestShowCommand(o *requestOptions) *cobra.Command {
+	return &cobra.Command{
+		Use:   "show ID",
+		Short: "Show what the system knows about a request",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return a.requestShow(cmd.Context(), *o, args[0])
+		},
+	}
+}
+
+func (a *App) requestShow(ctx context.Context, o requestOptions, id string) error {
+	s, err := a.callerSling(o)
+	if err != nil {
+		return err
+	}
+	resp, err := a.exchange(ctx, s.Get(callerapi.PathRequests+id))
+	if err != nil {
+		return fail(ExitUnreachable, err, "The instance does not answer. Name another one with --instance.")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return a.refusal(resp)
+	}
+	var r callerapi.Request
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxErrorBytes)).Decode(&r); err != nil {
+		return fail(ExitFailure, trace.BadParameter("answer can't be decoded: %v", err), "")
+	}
+	t := table{header: []string{"REQUEST", "VERDICT", "REASON", "RUNNING", "ENDPOINT", "RECEIVED", "FINISHED"}}
+	t.row(r.ID, r.Verdict, r.Reason, r.Running, r.Endpoint, r.ReceivedAt, r.FinishedAt)
+	return a.show(r, t)
+}
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"bytes"
 	"encoding/json"
 
 	"github.com/gravitational/trace"
@@ -55,6 +56,13 @@
 	return doc, nil
 }
 
+// sameDocument says whether two documents say the same.
+func sameDocument(a, b document) bool {
+	x, errX := json.Marshal(a)
+	y, errY := json.Marshal(b)
+	return errX == nil && errY == nil && bytes.Equal(x, y)
+}
+
 func (c *Contract) name() string   { return string(c.Organisation) }
 func (p *Pool) name() string       { return string(p.Name) }
 func (e *Endpoint) name() string   { return string(e.Name) }
--- a/internal/config/follower.go
+++ b/internal/config/follower.go
@@ -199,7 +199,9 @@
 	for _, rec := range res.Records {
 		var out Outcome
 		f.state, out = f.state.Apply(rec)
-		outcomes = append(outcomes, out)
+		if out.Result != ResultStale && out.Result != ResultGap {
+			outcomes = append(outcomes, out)
+		}
 	}
 	f.lost = false
 	if f.state.Next() >= res.Next {
