A measuring program for the decisions

Cause: no figure says yet whether the decisions are any good.

Change: internal/measure replays both deployments under a virtual clock against the core and three baselines, with a small fake engine that batches continuously, processes prompts in chunks in the order they came, and knows no priorities.

--- /dev/null
+++ b/cmd/medlarhold-measure/main.go
@@ -0,0 +1,102 @@
+// Command medlarhold-measure replays deployments against the decision core and
+// the baselines, and prints what was measured as Markdown.
+package main
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"sync"
+
+	"github.com/spf13/cobra"
+
+	"github.com/medlarhold/medlarhold/internal/measure"
+)
+
+// options are the command's flags.
+type options struct {
+	seed        int64
+	loads       []float64
+	conditions  []string
+	policies    []string
+	deployments []string
+	parallel    int
+}
+
+func main() {
+	if err := command().Execute(); err != nil {
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	var o options
+	cmd := &cobra.Command{
+		Use:          "medlarhold-measure",
+		Short:        "Measure the scheduling decisions against baselines under a virtual clock",
+		SilenceUsage: true,
+		Args:         cobra.NoArgs,
+		RunE:         func(*cobra.Command, []string) error { return o.run() },
+	}
+	f := cmd.Flags()
+	f.Int64Var(&o.seed, "seed", 1, "seed of the arrivals")
+	f.Float64SliceVar(&o.loads, "load", []float64{0.8, 1, 2, 4}, "loads, as multiples of capacity")
+	f.StringSliceVar(&o.conditions, "condition", nil, "conditions (default all)")
+	f.StringSliceVar(&o.policies, "policy", nil, "policies (default all)")
+	f.StringSliceVar(&o.deployments, "deployment", nil, "deployments (default all)")
+	f.IntVar(&o.parallel, "parallel", 3, "runs at the same time")
+	return cmd
+}
+
+func (o *options) run() error {
+	violated := false
+	for _, d := range measure.Deployments() {
+		if !wanted(o.deployments, d.Name) {
+			continue
+		}
+		cases := o.measure(d)
+		fmt.Printf("\n## %s\n\n", d.Name)
+		measure.WriteTable(os.Stdout, cases)
+		for i := range cases {
+			violated = violated || cases[i].Violated()
+		}
+	}
+	if violated {
+		return fmt.Errorf("a check failed: see the columns \"shed above\" and \"twice\" of %s", measure.Ours)
+	}
+	return nil
+}
+
+// measure runs all wanted cases of one deployment.
+func (o *options) measure(d measure.Deployment) []measure.Case {
+	var cases []measure.Case
+	for _, load := range o.loads {
+		for _, cond := range measure.Conditions() {
+			for _, p := range measure.Policies() {
+				if wanted(o.conditions, string(cond)) && wanted(o.policies, p.Name) {
+					cases = append(cases, measure.Case{Deployment: d.Name, Load: load, Condition: cond, Policy: p.Name})
+				}
+			}
+		}
+	}
+	var wg sync.WaitGroup
+	slots := make(chan struct{}, max(1, o.parallel))
+	for i := range cases {
+		slots <- struct{}{}
+		wg.Go(func() {
+			cases[i].Result = measure.Run(d, cases[i].Load, cases[i].Condition, policy(cases[i].Policy), o.seed)
+			<-slots
+		})
+	}
+	wg.Wait()
+	return cases
+}
+
+func policy(name string) measure.Policy {
+	all := measure.Policies()
+	return all[slices.IndexFunc(all, func(p measure.Policy) bool { return p.Name == name })]
+}
+
+func wanted(list []string, name string) bool {
+	return len(list) == 0 || slices.Contains(list, name)
+}
--- a/internal/core/routing/doc.go
+++ b/internal/core/routing/doc.go
@@ -12,7 +12,7 @@
 //
 //	for {
 //		choice, ok := r.Next(now, work, tried)
-//		if !ok && r.MayShed(now, work) { shed }
+//		if !ok && r.MayShed(now, work, tried) { shed }
 //		if !ok { wait RetryInterval; tried = nil; continue }
 //		reserve with choice.NoWait at choice.Owner ...
 //		tried = append(tried, choice)
--- a/internal/core/routing/router.go
+++ b/internal/core/routing/router.go
@@ -20,6 +20,9 @@
 	Endpoint entity.EndpointID
 	// NoWait goes into the reservation.
 	NoWait bool
+	// Infeasible is set by the caller when the owner said that its endpoints
+	// could not meet the deadline even with no one else there.
+	Infeasible bool
 }
 
 // Router decides whom an entry instance asks.
@@ -87,7 +90,7 @@
 			return c, ok
 		}
 	}
-	return r.join(now, order)
+	return r.join(now, order, tried)
 }
 
 // probe returns the first owner that was not tried yet and has not promised
@@ -103,10 +106,13 @@
 }
 
 // join returns the owner with the shortest queue, as far as is known.
-func (r *Router) join(now time.Time, order []ranked) (Choice, bool) {
+func (r *Router) join(now time.Time, order []ranked, tried []Choice) (Choice, bool) {
 	var best *candidate
 	var shortest time.Duration
 	for _, c := range order {
+		if infeasible(tried, c.Owner) {
+			continue
+		}
 		wait := r.owner(c.Owner).wait(now)
 		if best == nil || wait < shortest {
 			best, shortest = c.candidate, wait
@@ -118,15 +124,16 @@
 	return Choice{Owner: best.Owner, Endpoint: best.Endpoint.ID}, true
 }
 
-// MayShed says that w may be refused for overload: every owner of the pool
-// that is in reach has promised that it serves nothing below w.
-func (r *Router) MayShed(now time.Time, w *entity.Work) bool {
+// MayShed says that w may be refused: every owner of the pool that is in reach
+// has promised that it serves nothing below w, or has said that it could not
+// serve w in time at all.
+func (r *Router) MayShed(now time.Time, w *entity.Work, tried []Choice) bool {
 	p := r.pools[w.Pool]
 	if p == nil {
 		return true
 	}
 	for _, o := range p.owners {
-		if r.owner(o).reachable(now) && !r.promised(now, o, w) {
+		if r.owner(o).reachable(now) && !infeasible(tried, o) && !r.promised(now, o, w) {
 			return false
 		}
 	}
@@ -192,6 +199,15 @@
 	return probes, waited
 }
 
+func infeasible(tried []Choice, o entity.InstanceID) bool {
+	for _, c := range tried {
+		if c.Owner == o && c.Infeasible {
+			return true
+		}
+	}
+	return false
+}
+
 func wasTried(tried []Choice, o entity.InstanceID) bool {
 	for _, c := range tried {
 		if c.Owner == o {
--- a/internal/core/routing/router_test.go
+++ b/internal/core/routing/router_test.go
@@ -84,14 +84,14 @@
 	}
 	for _, s := range steps {
 		s.do()
-		if got := r.MayShed(epoch, w); got != s.want {
+		if got := r.MayShed(epoch, w, nil); got != s.want {
 			t.Fatalf("%s: MayShed = %v", s.what, got)
 		}
 	}
-	if r.MayShed(epoch.Add(time.Second), w) {
+	if r.MayShed(epoch.Add(time.Second), w, nil) {
 		t.Error("MayShed after the promises ran out")
 	}
-	if r.MayShed(epoch, work("b", 7, 0)) {
+	if r.MayShed(epoch, work("b", 7, 0), nil) {
 		t.Error("MayShed a higher tier than was promised")
 	}
 }
--- /dev/null
+++ b/internal/measure/baseline.go
@@ -0,0 +1,137 @@
+package measure
+
+import (
+	"math/rand"
+	"slices"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
+
+// roundRobin keeps one first-come queue per pool and gives its head to the
+// next endpoint in turn that has a free slot.
+type roundRobin struct {
+	run     *run
+	queues  map[entity.PoolID][]*request
+	running map[entity.EndpointID]int
+	turn    map[entity.PoolID]int
+	where   map[*request]entity.EndpointID
+}
+
+func newRoundRobin(r *run) policy {
+	return &roundRobin{
+		run: r, queues: make(map[entity.PoolID][]*request), running: make(map[entity.EndpointID]int),
+		turn: make(map[entity.PoolID]int), where: make(map[*request]entity.EndpointID),
+	}
+}
+
+func (p *roundRobin) submit(r *request) {
+	r.onEnd = func() { p.free(r) }
+	pool := r.a.work.Pool
+	p.queues[pool] = append(p.queues[pool], r)
+	p.next(pool)
+}
+
+func (p *roundRobin) next(pool entity.PoolID) {
+	rows := p.run.rows
+	for len(p.queues[pool]) > 0 {
+		if p.queues[pool][0].over {
+			p.queues[pool] = p.queues[pool][1:]
+			continue
+		}
+		found := false
+		for i := range rows {
+			k := (p.turn[pool] + i) % len(rows)
+			if rows[k].Pool != pool || p.running[rows[k].ID] >= rows[k].Slots {
+				continue
+			}
+			r := p.queues[pool][0]
+			p.queues[pool] = p.queues[pool][1:]
+			p.turn[pool] = k + 1
+			p.running[rows[k].ID]++
+			p.where[r] = rows[k].ID
+			r.dispatch(p.run.endpoints[rows[k].ID])
+			found = true
+			break
+		}
+		if !found {
+			return
+		}
+	}
+}
+
+func (p *roundRobin) free(r *request) {
+	id, ok := p.where[r]
+	if !ok {
+		return
+	}
+	delete(p.where, r)
+	p.running[id]--
+	p.next(r.a.work.Pool)
+}
+
+func (p *roundRobin) stopped(r *request) { p.free(r) }
+
+func (p *roundRobin) killed(_ int, lost []*request) {
+	for _, r := range lost {
+		p.free(r)
+	}
+}
+
+func (p *roundRobin) messages() int { return 0 }
+
+// direct dispatches every request at once to the endpoint that choose names.
+type direct struct {
+	run         *run
+	rng         *rand.Rand
+	outstanding map[entity.EndpointID]int
+	choose      func(p *direct, rows []entity.Endpoint) entity.EndpointID
+}
+
+// newTwoChoices takes the less loaded of two random endpoints, by what they
+// said of their load last.
+func newTwoChoices(r *run) policy {
+	return newDirect(r, func(p *direct, rows []entity.Endpoint) entity.EndpointID {
+		a, b := rows[p.rng.Intn(len(rows))].ID, rows[p.rng.Intn(len(rows))].ID
+		if r.loads[b] < r.loads[a] {
+			return b
+		}
+		return a
+	})
+}
+
+// newLeastOutstanding takes the endpoint with the fewest requests under way,
+// over all instances and without any lag.
+func newLeastOutstanding(r *run) policy {
+	return newDirect(r, func(p *direct, rows []entity.Endpoint) entity.EndpointID {
+		best := rows[0].ID
+		for _, row := range rows {
+			if p.outstanding[row.ID] < p.outstanding[best] {
+				best = row.ID
+			}
+		}
+		return best
+	})
+}
+
+func newDirect(r *run, choose func(*direct, []entity.Endpoint) entity.EndpointID) policy {
+	return &direct{run: r, rng: rand.New(rand.NewSource(1)), outstanding: make(map[entity.EndpointID]int), choose: choose}
+}
+
+func (p *direct) submit(r *request) {
+	rows := slices.DeleteFunc(slices.Clone(p.run.rows), func(e entity.Endpoint) bool { return e.Pool != r.a.work.Pool })
+	id := p.choose(p, rows)
+	p.outstanding[id]++
+	done := func() { p.outstanding[id]-- }
+	r.onEnd = done
+	r.dispatch(p.run.endpoints[id])
+}
+
+func (p *direct) stopped(r *request) { r.onEnd() }
+
+func (p *direct) killed(_ int, lost []*request) {
+	for _, r := range lost {
+		r.onEnd()
+	}
+}
+
+func (p *direct) messages() int { return 0 }
--- /dev/null
+++ b/internal/measure/cluster.go
@@ -0,0 +1,216 @@
+package measure
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/medlarhold/medlarhold/internal/core/admission"
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/routing"
+)
+
+// membershipLag is after which the others act on an instance's death.
+const membershipLag = time.Second
+
+// cluster is the decision core under measurement: all instances, and the
+// messages between them.
+type cluster struct {
+	run   *run
+	nodes map[entity.InstanceID]*node
+	order []*node
+	sent  int
+}
+
+// newCluster returns a policy that runs the core with the given settings.
+func newCluster(r *run, as admission.Settings, rs routing.Settings) policy {
+	c := &cluster{run: r, nodes: make(map[entity.InstanceID]*node)}
+	for i := range instances {
+		n := &node{
+			id: instanceID(i), index: i, zone: r.d.zone(i), cluster: c,
+			owner: admission.New(as), router: routing.New(rs), flights: make(map[entity.RequestID]*flight),
+		}
+		c.nodes[n.id] = n
+		c.order = append(c.order, n)
+	}
+	for _, n := range c.order {
+		c.configure(n)
+	}
+	c.listen()
+	return c
+}
+
+// listen connects the endpoints' events and reports, and the ticks.
+func (c *cluster) listen() {
+	for _, e := range c.run.engines {
+		e.onEvent = func(ev entity.CacheEvent) {
+			o := c.nodes[c.ownerOf(&e.row)]
+			c.step(o, func(a *admission.Owner, now time.Time) { a.CacheEvents(now, ev) })
+		}
+	}
+	c.run.c.every(admission.TickInterval, func() {
+		for _, n := range c.order {
+			c.step(n, func(o *admission.Owner, now time.Time) { o.Tick(now) })
+		}
+	})
+	c.run.c.every(reportEvery, c.report)
+}
+
+func (c *cluster) report() {
+	for i := range c.run.rows {
+		row := &c.run.rows[i]
+		rep := entity.LoadReport{Endpoint: row.ID, At: c.run.c.now, Running: c.run.endpoints[row.ID].load()}
+		lag := reportLag
+		if c.run.cond == StaleLoad {
+			lag = staleLag
+		}
+		c.run.c.after(lag, func() {
+			c.step(c.nodes[c.ownerOf(row)], func(o *admission.Owner, now time.Time) { o.Report(now, rep) })
+		})
+	}
+}
+
+// ownerOf is the live instance of the endpoint's zone that owns it.
+func (c *cluster) ownerOf(row *entity.Endpoint) entity.InstanceID {
+	var best entity.InstanceID
+	var most uint64
+	for _, n := range c.order {
+		if n.zone != row.Zone || n.dead() {
+			continue
+		}
+		if h := xxhash.Sum64String(string(n.id) + "/" + string(row.ID)); h >= most {
+			best, most = n.id, h
+		}
+	}
+	return best
+}
+
+// configure tells n who owns what.
+func (c *cluster) configure(n *node) {
+	var mine []entity.Endpoint
+	pools := make(map[entity.PoolID][]routing.Owned)
+	for i := range c.run.rows {
+		row := &c.run.rows[i]
+		owner := c.ownerOf(row)
+		pools[row.Pool] = append(pools[row.Pool], routing.Owned{Endpoint: *row, Owner: owner})
+		if owner == n.id {
+			mine = append(mine, *row)
+		}
+	}
+	for id, rows := range pools {
+		n.router.SetPool(id, rows)
+	}
+	c.step(n, func(o *admission.Owner, now time.Time) { o.SetEndpoints(now, mine) })
+}
+
+// toOwner sends a message to an owner.
+func (c *cluster) toOwner(from *node, to entity.InstanceID, fn func(*admission.Owner, time.Time)) {
+	c.deliver(from.id, to, func() { c.step(c.nodes[to], fn) })
+}
+
+// deliver runs fn at an instance after the delay of the network.
+func (c *cluster) deliver(from, to entity.InstanceID, fn func()) {
+	if from == to {
+		c.run.c.after(0, fn)
+		return
+	}
+	c.sent++
+	c.run.c.after(netDelay, fn)
+}
+
+// step steps an owner and sends out what it decided.
+func (c *cluster) step(n *node, fn func(*admission.Owner, time.Time)) {
+	if n == nil || n.dead() {
+		return
+	}
+	fn(n.owner, c.run.c.now)
+	ready := n.owner.Ready()
+	for _, g := range ready.Grants {
+		c.toEntry(n, g.To, func(e *node) { e.onGrant(n.id, g.Grant) })
+	}
+	for _, p := range ready.Preemptions {
+		c.toEntry(n, p.To, func(e *node) { e.onPreempt(n.id, p.Preemption) })
+	}
+	for _, f := range ready.Refusals {
+		c.toEntry(n, f.To, func(e *node) { e.onRefusal(n.id, f.Refusal) })
+	}
+}
+
+func (c *cluster) toEntry(from *node, to entity.InstanceID, fn func(*node)) {
+	c.deliver(from.id, to, func() {
+		if e := c.nodes[to]; !e.dead() {
+			fn(e)
+		}
+	})
+}
+
+func (c *cluster) submit(r *request) {
+	n := c.order[r.a.entry]
+	f := &flight{r: r}
+	n.flights[r.a.work.ID] = f
+	r.onEnd = func() { n.finished(f) }
+	n.ask(f)
+}
+
+func (c *cluster) stopped(r *request) {
+	n := c.order[r.a.entry]
+	if f := n.flights[r.a.work.ID]; f != nil {
+		n.stopped(f)
+	}
+}
+
+// killed moves the dead instance's endpoints to new owners, and tells these
+// what the entries run there.
+func (c *cluster) killed(instance int, _ []*request) {
+	dead := instanceID(instance)
+	c.run.c.after(membershipLag, func() {
+		for _, n := range c.order {
+			if n.dead() {
+				continue
+			}
+			c.configure(n)
+			c.step(n, func(o *admission.Owner, now time.Time) { o.Drop(now, dead) })
+		}
+		for _, n := range c.order {
+			if !n.dead() {
+				n.hold(dead)
+			}
+		}
+	})
+}
+
+// hold tells new owners what runs on the endpoints of the dead one, and asks
+// again where it had been asked.
+func (n *node) hold(dead entity.InstanceID) {
+	for _, f := range n.sorted() {
+		n.unreachable(f, dead)
+		if f.granted != dead {
+			continue
+		}
+		held := entity.Held{Work: f.r.a.work, From: n.id, Endpoint: f.endpoint, Paused: f.paused}
+		f.granted = n.cluster.ownerOf(n.cluster.row(f.endpoint))
+		n.cluster.toOwner(n, f.granted, func(o *admission.Owner, now time.Time) { o.Hold(now, []entity.Held{held}) })
+		if f.paused {
+			n.resume(f)
+		}
+	}
+}
+
+// sorted returns n's flights in the order of their names.
+func (n *node) sorted() []*flight {
+	all := make([]*flight, 0, len(n.flights))
+	for _, f := range n.flights {
+		all = append(all, f)
+	}
+	slices.SortFunc(all, func(a, b *flight) int { return strings.Compare(string(a.r.a.work.ID), string(b.r.a.work.ID)) })
+	return all
+}
+
+func (c *cluster) row(id entity.EndpointID) *entity.Endpoint {
+	i := slices.IndexFunc(c.run.rows, func(e entity.Endpoint) bool { return e.ID == id })
+	return &c.run.rows[i]
+}
+
+func (c *cluster) messages() int { return c.sent }
--- /dev/null
+++ b/internal/measure/deployment.go
@@ -0,0 +1,118 @@
+package measure
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
+
+const (
+	model      = entity.ModelID("careful")
+	enginePool = entity.PoolID("engines")
+	plainPool  = entity.PoolID("services")
+	tiers      = 5
+	instances  = 14
+)
+
+// kind is one kind of request in a deployment.
+type kind struct {
+	name string
+	tier entity.Tier
+	// perCase is how many such requests one case (a visit, a portfolio) makes on
+	// average, and within how long.
+	perCase float64
+	within  time.Duration
+	// own is the median of prompt tokens that only this request has; with
+	// document it also has the case's shared document before them.
+	own      int
+	document bool
+	answer   int // median
+	deadline time.Duration
+	// service marks calls of a plain service, with their median duration.
+	service       time.Duration
+	nonIdempotent bool
+}
+
+// Deployment is one user's endpoints and traffic.
+type Deployment struct {
+	Name     string
+	zones    int
+	engines  int
+	services int
+	// templates is how many shared prompt heads there are, of so many tokens.
+	templates      int
+	templateTokens int
+	// document is the median length of a case's document.
+	document int
+	kinds    []kind
+	// orgs are the shares of the organisations.
+	orgs []float64
+}
+
+// Deployments returns the deployments that are measured.
+func Deployments() []Deployment {
+	orgs := []float64{0.45, 0.3, 0.15, 0.06, 0.04}
+	return []Deployment{
+		{
+			Name: "Vērotājs", zones: 4, engines: 20, services: 5,
+			templates: 40, templateTokens: 512, document: 2500, orgs: orgs,
+			kinds: []kind{
+				{name: "field lookup", tier: 0, perCase: 2, within: 20 * time.Second, own: 250, answer: 50, deadline: 5 * time.Second},
+				{name: "answer score", tier: 1, perCase: 3, within: 30 * time.Second, own: 100, document: true, answer: 40, deadline: 15 * time.Second},
+				{name: "complaint tag", tier: 2, perCase: 1, within: 60 * time.Second, own: 120, document: true, answer: 80, deadline: time.Minute},
+				{name: "narrative", tier: 3, perCase: 1, within: 60 * time.Second, own: 200, document: true, answer: 500, deadline: 4 * time.Minute},
+				{name: "rework", tier: 4, perCase: 0.3, within: 90 * time.Second, own: 400, document: true, answer: 500, deadline: 4 * time.Minute},
+				{name: "app lookup", tier: 0, perCase: 6, within: 30 * time.Second, service: 15 * time.Millisecond, deadline: 2 * time.Second},
+				{name: "payout booking", tier: 1, perCase: 1, within: 60 * time.Second, service: 40 * time.Millisecond, deadline: 20 * time.Second, nonIdempotent: true},
+				{name: "app listing", tier: 3, perCase: 4, within: 60 * time.Second, service: 60 * time.Millisecond, deadline: 20 * time.Second},
+			},
+		},
+		{
+			Name: "Tímaskipti", zones: 3, engines: 20, services: 3,
+			templates: 12, templateTokens: 256, document: 3500, orgs: orgs,
+			kinds: []kind{
+				{name: "match check", tier: 0, perCase: 8, within: 30 * time.Second, own: 300, answer: 40, deadline: 4 * time.Second},
+				{name: "volunteer search", tier: 1, perCase: 3, within: 30 * time.Second, own: 500, answer: 100, deadline: 12 * time.Second},
+				{name: "draft hint", tier: 2, perCase: 2, within: 60 * time.Second, own: 150, document: true, answer: 120, deadline: time.Minute},
+				{name: "portfolio review", tier: 3, perCase: 1.5, within: 90 * time.Second, own: 300, document: true, answer: 600, deadline: 4 * time.Minute},
+				{name: "reindexing", tier: 4, perCase: 0.5, within: 90 * time.Second, own: 300, document: true, answer: 200, deadline: 4 * time.Minute},
+				{name: "credit transfer", tier: 0, perCase: 3, within: 30 * time.Second, service: 30 * time.Millisecond, deadline: 5 * time.Second, nonIdempotent: true},
+				{name: "ledger reading", tier: 2, perCase: 5, within: 60 * time.Second, service: 50 * time.Millisecond, deadline: 20 * time.Second},
+			},
+		},
+	}
+}
+
+// endpoints returns the rows of the deployment's endpoints. Two in five
+// engines are of the older, slower generation.
+func (d *Deployment) endpoints() []entity.Endpoint {
+	var rows []entity.Endpoint
+	for i := range d.engines {
+		speed := generationSpeed(i)
+		rows = append(rows, entity.Endpoint{
+			ID: entity.EndpointID(fmt.Sprintf("engine-%02d", i)), Pool: enginePool, Zone: d.zone(i), Kind: entity.KindEngine,
+			Models: []entity.ModelID{model}, Slots: engineSlots, KVTokens: engineMemory,
+			Generation:          fmt.Sprintf("g%.1f", speed),
+			PrefillTokensPerSec: ratedPrefill * speed, DecodeTokensPerSec: ratedDecode * speed,
+		})
+	}
+	for i := range d.services {
+		rows = append(rows, entity.Endpoint{
+			ID: entity.EndpointID(fmt.Sprintf("service-%02d", i)), Pool: plainPool, Zone: d.zone(i), Kind: entity.KindService,
+			Slots: serviceSlots, Generation: "plain",
+		})
+	}
+	return rows
+}
+
+func (d *Deployment) zone(i int) entity.ZoneID {
+	return entity.ZoneID(fmt.Sprintf("zone-%d", i%d.zones))
+}
+
+func generationSpeed(i int) float64 {
+	if i%5 >= 3 {
+		return 0.6
+	}
+	return 1
+}
--- /dev/null
+++ b/internal/measure/engine.go
@@ -0,0 +1,286 @@
+package measure
+
+import (
+	"math/rand"
+	"slices"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
+
+// The fake engine: one step makes one token for each stream in the batch, and
+// processes a chunk of one waiting prompt besides.
+const (
+	engineSlots   = 32
+	engineMemory  = 400_000 // tokens
+	engineCache   = 2048    // blocks
+	stepBase      = 14 * time.Millisecond
+	stepPerStream = 150 * time.Microsecond
+	prefillRate   = 16_000 // tokens per second
+	prefillChunk  = 256    // tokens per step
+	// What the operator would configure: the rates in a busy batch.
+	ratedPrefill = 7000
+	ratedDecode  = 32
+
+	serviceSlots = 16
+	// eventDelay is how late cache events come, at most.
+	eventDelay = 500 * time.Millisecond
+)
+
+// endpoint is what a policy may do with an engine or a service.
+type endpoint interface {
+	submit(r *request)
+	// pause stops the stream and keeps it; resume goes on with it.
+	pause(r *request) bool
+	resume(r *request)
+	cancel(r *request) bool
+	load() int
+}
+
+// engine is the fake model engine.
+type engine struct {
+	row      entity.Endpoint
+	c        *clock
+	slow     float64
+	queue    []*stream
+	batch    []*stream
+	paused   map[*request]*stream
+	cache    *simplelru.LRU[entity.BlockHash, struct{}]
+	evicted  []entity.BlockHash
+	stepping bool
+	ledger   *ledger
+	// Cache events, if anyone listens.
+	onEvent func(entity.CacheEvent)
+	seq     uint64
+	rng     *rand.Rand
+	lose    float64
+}
+
+// stream is one request on the engine.
+type stream struct {
+	r       *request
+	left    int // prompt tokens to process
+	started bool
+	made    int
+	gone    bool
+}
+
+func newEngine(c *clock, row entity.Endpoint, speed float64, l *ledger, rng *rand.Rand) *engine {
+	e := &engine{row: row, c: c, slow: 1 / speed, paused: make(map[*request]*stream), ledger: l, rng: rng}
+	e.cache, _ = simplelru.NewLRU(engineCache, func(b entity.BlockHash, _ struct{}) { e.evicted = append(e.evicted, b) })
+	return e
+}
+
+func (e *engine) load() int { return len(e.queue) + len(e.batch) }
+
+func (e *engine) submit(r *request) {
+	e.queue = append(e.queue, &stream{r: r})
+	e.kick()
+}
+
+func (e *engine) pause(r *request) bool {
+	s := e.take(r)
+	if s == nil {
+		return false
+	}
+	e.paused[r] = s
+	return true
+}
+
+func (e *engine) resume(r *request) {
+	s := e.paused[r]
+	if s == nil {
+		return
+	}
+	delete(e.paused, r)
+	e.queue = append(e.queue, &stream{r: r, left: s.left, started: s.started, made: s.made})
+	e.kick()
+}
+
+func (e *engine) cancel(r *request) bool {
+	if e.paused[r] != nil {
+		delete(e.paused, r)
+		return true
+	}
+	return e.take(r) != nil
+}
+
+// take removes r's stream from the queue or the batch.
+func (e *engine) take(r *request) *stream {
+	for _, list := range []*[]*stream{&e.queue, &e.batch} {
+		i := slices.IndexFunc(*list, func(s *stream) bool { return s.r == r })
+		if i >= 0 {
+			s := (*list)[i]
+			s.gone = true
+			*list = slices.Delete(*list, i, i+1)
+			return s
+		}
+	}
+	return nil
+}
+
+func (e *engine) kick() {
+	if !e.stepping {
+		e.step()
+	}
+}
+
+// step runs one iteration of the batch.
+func (e *engine) step() {
+	e.admit()
+	if len(e.batch) == 0 {
+		e.stepping = false
+		return
+	}
+	e.stepping = true
+	chunk := prefillChunk
+	type share struct {
+		s *stream
+		n int
+	}
+	var prefill []share
+	var decode []*stream
+	for _, s := range e.batch {
+		if s.left == 0 {
+			decode = append(decode, s)
+			continue
+		}
+		if n := min(chunk, s.left); n > 0 {
+			prefill = append(prefill, share{s, n})
+			chunk -= n
+		}
+	}
+	took := stepBase + time.Duration(len(decode))*stepPerStream + tokensTime(prefillChunk-chunk)
+	e.c.after(time.Duration(float64(took)*e.slow), func() {
+		for _, p := range prefill {
+			if e.prefilled(p.s, p.n) {
+				decode = append(decode, p.s)
+			}
+		}
+		for _, s := range decode {
+			e.decoded(s)
+		}
+		e.step()
+	})
+}
+
+func tokensTime(n int) time.Duration {
+	return time.Duration(float64(n) / prefillRate * float64(time.Second))
+}
+
+// admit moves waiting streams into the batch, as they came.
+func (e *engine) admit() {
+	for len(e.queue) > 0 && len(e.batch) < engineSlots {
+		s := e.queue[0]
+		e.queue = e.queue[1:]
+		e.batch = append(e.batch, s)
+		if s.started {
+			continue
+		}
+		s.started = true
+		chain := s.r.a.work.Prefix
+		hit := 0
+		for hit < len(chain) && e.cache.Contains(chain[hit]) {
+			hit++
+		}
+		// The last block is always processed: its end makes the first token.
+		hit = min(hit, len(chain)-1)
+		s.left = (len(chain) - hit) * blockTokens
+		s.r.processed += s.left
+		e.ledger.prefill(chain[hit:], s.r)
+	}
+}
+
+// prefilled counts n processed prompt tokens and says whether that was all.
+func (e *engine) prefilled(s *stream, n int) bool {
+	if s.gone {
+		return false
+	}
+	s.left -= n
+	if s.left > 0 {
+		return false
+	}
+	e.store(s.r.a.work.Prefix)
+	return true
+}
+
+func (e *engine) store(chain []entity.BlockHash) {
+	e.evicted = nil
+	var stored []entity.BlockHash
+	for i := len(chain) - 1; i >= 0; i-- {
+		if !e.cache.Contains(chain[i]) {
+			stored = append(stored, chain[i])
+		}
+		e.cache.Add(chain[i], struct{}{})
+	}
+	e.ledger.cached(chain)
+	e.publish(entity.CacheEvent{Endpoint: e.row.ID, Stored: stored, Evicted: e.evicted})
+}
+
+func (e *engine) publish(ev entity.CacheEvent) {
+	if e.onEvent == nil {
+		return
+	}
+	e.seq++
+	ev.Seq = e.seq
+	if e.rng.Float64() < e.lose {
+		return
+	}
+	delay := time.Duration(e.rng.Int63n(int64(eventDelay)))
+	e.c.after(delay, func() { e.onEvent(ev) })
+}
+
+func (e *engine) decoded(s *stream) {
+	if s.gone {
+		return
+	}
+	s.made++
+	s.r.token(e.c.now)
+	if s.made >= s.r.a.answer {
+		e.take(s.r)
+		s.r.ended(e.c.now)
+	}
+}
+
+// service is the fake plain service: a fixed number of calls at a time.
+type service struct {
+	c       *clock
+	slow    float64
+	queue   []*request
+	running int
+}
+
+func (s *service) load() int { return len(s.queue) + s.running }
+
+func (s *service) submit(r *request) {
+	s.queue = append(s.queue, r)
+	s.next()
+}
+
+func (s *service) next() {
+	for len(s.queue) > 0 && s.running < serviceSlots {
+		r := s.queue[0]
+		s.queue = s.queue[1:]
+		s.running++
+		s.c.after(time.Duration(float64(r.a.service)*s.slow), func() {
+			s.running--
+			r.token(s.c.now)
+			r.ended(s.c.now)
+			s.next()
+		})
+	}
+}
+
+func (s *service) pause(*request) bool { return false }
+func (s *service) resume(*request)     {}
+
+func (s *service) cancel(r *request) bool {
+	i := slices.Index(s.queue, r)
+	if i < 0 {
+		return false
+	}
+	s.queue = slices.Delete(s.queue, i, i+1)
+	return true
+}
--- /dev/null
+++ b/internal/measure/result.go
@@ -0,0 +1,92 @@
+package measure
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/medlarhold/medlarhold/internal/verdict"
+)
+
+const (
+	maxLatencyMicros = int64(10 * time.Minute / time.Microsecond)
+	latencyDigits    = 3
+)
+
+// Tier is what was measured of one tier.
+type Tier struct {
+	Offered, Good, Late int
+	Refused             map[verdict.Reason]int
+	FirstToken          *hdrhistogram.Histogram // microseconds
+	Between             *hdrhistogram.Histogram // microseconds
+}
+
+// Result is what was measured in one run.
+type Result struct {
+	Tiers [tiers]Tier
+	// Prefill is all processed prompt tokens; Again those that some engine had
+	// cached before; Thrown those of requests without a useful answer.
+	Prefill, Again, Thrown int
+	// ShedAbove counts requests that were refused or ran out of time unserved
+	// while a lower tier was being served where they could have been.
+	ShedAbove int
+	// Twice counts requests that were dispatched more than once.
+	Twice int
+	// Messages counts those between instances.
+	Messages int
+}
+
+func newResult() *Result {
+	res := &Result{}
+	for i := range res.Tiers {
+		res.Tiers[i].Refused = make(map[verdict.Reason]int)
+		res.Tiers[i].FirstToken = hdrhistogram.New(1, maxLatencyMicros, latencyDigits)
+		res.Tiers[i].Between = hdrhistogram.New(1, maxLatencyMicros, latencyDigits)
+	}
+	return res
+}
+
+// Wasted is the wasted prefill in tokens.
+func (res *Result) Wasted() int { return res.Again + res.Thrown }
+
+// Goodput is the share of a tier's offered requests that had a useful answer.
+func (t *Tier) Goodput() float64 {
+	if t.Offered == 0 {
+		return 1
+	}
+	return float64(t.Good) / float64(t.Offered)
+}
+
+func (res *Result) tier(r *request) *Tier { return &res.Tiers[r.a.work.Tier] }
+
+func (res *Result) firstToken(r *request) {
+	if r.a.answer > 0 {
+		record(res.tier(r).FirstToken, r.firstToken.Sub(r.arrived))
+	}
+}
+
+func (res *Result) between(r *request, d time.Duration) {
+	record(res.tier(r).Between, d)
+}
+
+func (res *Result) done(r *request, inTime bool) {
+	if inTime {
+		res.tier(r).Good++
+		return
+	}
+	res.tier(r).Late++
+	res.Thrown += r.firstTime
+}
+
+func (res *Result) refused(r *request, why verdict.Reason) {
+	res.tier(r).Refused[why]++
+	res.Thrown += r.firstTime
+	if why != verdict.ReasonConnectionLost && r.dispatches == 0 && !r.infeasible && r.run.lowerServed(r) {
+		res.ShedAbove++
+	}
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	// Values beyond the histogram's range are recorded as its greatest.
+	_ = h.RecordValue(min(max(1, d.Microseconds()), maxLatencyMicros))
+}
--- /dev/null
+++ b/internal/measure/table.go
@@ -0,0 +1,92 @@
+package measure
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+)
+
+// Case is one run and what was measured in it.
+type Case struct {
+	Deployment string
+	Load       float64
+	Condition  Condition
+	Policy     string
+	Result     *Result
+}
+
+// WriteTable prints cases of one deployment as a Markdown table.
+func WriteTable(w io.Writer, cases []Case) {
+	fmt.Fprintln(w, "| load | condition | policy | goodput % by tier 0-4 | wasted prefill Mtok (again + thrown, % of all) | TTFT s, tier 0 p50/p95/p99 | TTFT s, tier 1 | ITL ms, tier 0 | ITL ms, tier 1 | refused by reason | shed above | twice | messages per request |")
+	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|---|---|---|---|")
+	for i := range cases {
+		writeRow(w, &cases[i])
+	}
+}
+
+func writeRow(w io.Writer, c *Case) {
+	r := c.Result
+	offered := 0
+	good := make([]string, 0, tiers)
+	for i := range r.Tiers {
+		good = append(good, fmt.Sprintf("%.1f", 100*r.Tiers[i].Goodput()))
+		offered += r.Tiers[i].Offered
+	}
+	fmt.Fprintf(w, "| %gx | %s | %s | %s | %s | %s | %s | %s | %s | %s | %d | %d | %.1f |\n",
+		c.Load, c.Condition, c.Policy, strings.Join(good, " "), wasted(r),
+		quantiles(&r.Tiers[0], true), quantiles(&r.Tiers[1], true),
+		quantiles(&r.Tiers[0], false), quantiles(&r.Tiers[1], false),
+		reasons(r), r.ShedAbove, r.Twice, float64(r.Messages)/float64(max(1, offered)))
+}
+
+func wasted(r *Result) string {
+	share := 0.0
+	if r.Prefill > 0 {
+		share = 100 * float64(r.Wasted()) / float64(r.Prefill)
+	}
+	return fmt.Sprintf("%.2f (%.2f + %.2f, %.0f%%)", mega(r.Wasted()), mega(r.Again), mega(r.Thrown), share)
+}
+
+func mega(n int) float64 { return float64(n) / 1e6 }
+
+// quantiles prints p50, p95 and p99: of the first token in seconds, or between
+// tokens in milliseconds.
+func quantiles(t *Tier, first bool) string {
+	h, unit, format := t.Between, 1e3, "%.0f"
+	if first {
+		h, unit, format = t.FirstToken, 1e6, "%.2f"
+	}
+	var out []string
+	for _, q := range []float64{50, 95, 99} {
+		out = append(out, fmt.Sprintf(format, float64(h.ValueAtQuantile(q))/unit))
+	}
+	return strings.Join(out, "/")
+}
+
+// reasons prints each reason with the number of requests by tier.
+func reasons(r *Result) string {
+	byReason := make(map[string][]string)
+	for i := range r.Tiers {
+		for why, n := range r.Tiers[i].Refused {
+			byReason[string(why)] = append(byReason[string(why)], fmt.Sprintf("t%d:%d", i, n))
+		}
+	}
+	var names []string
+	for why := range byReason {
+		names = append(names, why)
+	}
+	slices.Sort(names)
+	for i, why := range names {
+		names[i] = why + " " + strings.Join(byReason[why], " ")
+	}
+	if len(names) == 0 {
+		return "-"
+	}
+	return strings.Join(names, "; ")
+}
+
+// Violated says that the core broke a promise that holds in every run.
+func (c *Case) Violated() bool {
+	return c.Policy == Ours && (c.Result.ShedAbove > 0 || c.Result.Twice > 0)
+}
