Admin API of the daemon; one place for the names of the callers' interface

The operators' tool asks instances for status, members, endpoints and pools; admin addresses travel on the platform's list, not in the probes, which have a budget.

--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -10,24 +10,12 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/medlarhold/medlarhold/internal/callerapi"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/telemetry"
 	"github.com/medlarhold/medlarhold/internal/verdict"
 )
 
-// errorBody is the body of every answer that is not the endpoint's own.
-type errorBody struct {
-	Error errorDetail `json:"error"`
-}
-
-type errorDetail struct {
-	RequestID    entity.RequestID `json:"request_id,omitempty"`
-	Verdict      verdict.Verdict  `json:"verdict"`
-	Reason       verdict.Reason   `json:"reason"`
-	Message      string           `json:"message"`
-	RetryAfterMs int64            `json:"retry_after_ms,omitempty"`
-}
-
 // refuse answers a request with an error of its own.
 func (s *Server) refuse(w http.ResponseWriter, id entity.RequestID, err error) {
 	v := verdict.Of(err)
@@ -42,18 +30,18 @@
 	if v.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(v.RetryAfter.Seconds()))))
 	}
-	writeJSON(w, v.Reason.HTTPStatus(), errorBody{errorDetail{
-		RequestID: id, Verdict: v.Verdict, Reason: v.Reason, Message: v.Message, RetryAfterMs: v.RetryAfter.Milliseconds(),
-	}})
+	writeJSON(w, v.Reason.HTTPStatus(), callerapi.Error{
+		RequestID: id, Verdict: v.Verdict, Reason: v.Reason, Message: v.Message, RetryAfterMS: v.RetryAfter.Milliseconds(),
+	})
 }
 
 func setVerdict(h http.Header, id entity.RequestID, v verdict.Verdict, reason verdict.Reason) {
 	if id != "" {
-		h.Set(HeaderRequestID, string(id))
+		h.Set(callerapi.HeaderRequestID, string(id))
 	}
-	h.Set(HeaderVerdict, string(v))
+	h.Set(callerapi.HeaderVerdict, string(v))
 	if reason != verdict.ReasonNone {
-		h.Set(HeaderReason, string(reason))
+		h.Set(callerapi.HeaderReason, string(reason))
 	}
 }
 
--- a/internal/caller/auth.go
+++ b/internal/caller/auth.go
@@ -9,6 +9,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/medlarhold/medlarhold/internal/callerapi"
 	"github.com/medlarhold/medlarhold/internal/config"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/verdict"
@@ -46,12 +47,12 @@
 	if err := s.readTier(r, st, &id); err != nil {
 		return id, trace.Wrap(err)
 	}
-	id.loseRank = loseRank(id.contract, r.Header.Get(HeaderLabel))
+	id.loseRank = loseRank(id.contract, r.Header.Get(callerapi.HeaderLabel))
 	return id, trace.Wrap(s.readDeadline(r, &id))
 }
 
 func (s *Server) readTier(r *http.Request, st config.State, id *identity) error {
-	id.tierName = r.Header.Get(HeaderTier)
+	id.tierName = r.Header.Get(callerapi.HeaderTier)
 	if id.tierName == "" {
 		id.tierName = id.contract.DefaultTier
 	}
@@ -70,10 +71,10 @@
 
 func (s *Server) readDeadline(r *http.Request, id *identity) error {
 	limit := s.opts.DefaultDeadline
-	if h := r.Header.Get(HeaderDeadline); h != "" {
+	if h := r.Header.Get(callerapi.HeaderDeadlineMS); h != "" {
 		ms, err := strconv.ParseInt(h, 10, 64)
 		if err != nil || ms <= 0 {
-			return bad(verdict.ReasonBadRequest, "%s must be a positive number of milliseconds", HeaderDeadline)
+			return bad(verdict.ReasonBadRequest, "%s must be a positive number of milliseconds", callerapi.HeaderDeadlineMS)
 		}
 		limit = time.Duration(min(ms, s.opts.MaxDeadline.Milliseconds())) * time.Millisecond
 	}
--- a/internal/caller/services.go
+++ b/internal/caller/services.go
@@ -9,6 +9,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/medlarhold/medlarhold/internal/callerapi"
 	"github.com/medlarhold/medlarhold/internal/config"
 	"github.com/medlarhold/medlarhold/internal/core/claim"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
@@ -61,9 +62,9 @@
 	if !a.Work.NonIdempotent {
 		return nil
 	}
-	a.Key = r.Header.Get(HeaderKey)
+	a.Key = r.Header.Get(callerapi.HeaderRequestKey)
 	if a.Key == "" || len(a.Key) > maxKeyBytes {
-		return bad(verdict.ReasonKeyRequired, "%s %s may not be repeated: %s of 1 to %d bytes is required", r.Method, call.Path, HeaderKey, maxKeyBytes)
+		return bad(verdict.ReasonKeyRequired, "%s %s may not be repeated: %s of 1 to %d bytes is required", r.Method, call.Path, callerapi.HeaderRequestKey, maxKeyBytes)
 	}
 	h := sha256.New()
 	h.Write([]byte(call.Method + " " + call.Path + "\n"))
@@ -93,7 +94,7 @@
 // notPassedOn are headers meant for this hop only.
 var notPassedOn = []string{
 	"Authorization", "Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Content-Length", HeaderTier, HeaderDeadline, HeaderLabel, HeaderRequestID,
+	"Transfer-Encoding", "Upgrade", "Content-Length", callerapi.HeaderTier, callerapi.HeaderDeadlineMS, callerapi.HeaderLabel, callerapi.HeaderRequestID,
 }
 
 func passedOn(h http.Header) http.Header {
@@ -172,12 +173,12 @@
 // replay answers with the outcome of an earlier request with the same key.
 func (j *serviceJob) replay(a *request.Answer) {
 	h := j.w.Header()
-	h.Set(HeaderReplayed, "true")
+	h.Set(callerapi.HeaderReplayed, "true")
 	if a.ContentType != "" {
 		h.Set("Content-Type", a.ContentType)
 	}
 	if a.Truncated {
-		h.Set("X-Medlarhold-Body-Omitted", "true")
+		h.Set(callerapi.HeaderBodyOmitted, "true")
 	}
 	setVerdict(h, j.id, verdict.Ran, verdict.ReasonNone)
 	j.w.WriteHeader(a.Status)
--- a/internal/caller/status.go
+++ b/internal/caller/status.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"github.com/medlarhold/medlarhold/internal/callerapi"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/verdict"
 )
@@ -25,5 +26,5 @@
 		return
 	}
 	setVerdict(w.Header(), id, st.Verdict, st.Reason)
-	writeJSON(w, http.StatusOK, st)
+	writeJSON(w, http.StatusOK, callerapi.Request{ID: id, State: st.State, Verdict: st.Verdict, Reason: st.Reason, Endpoint: st.Endpoint, At: st.At})
 }
--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 
+	"github.com/medlarhold/medlarhold/internal/callerapi"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/endpoint"
 	"github.com/medlarhold/medlarhold/internal/verdict"
@@ -90,7 +91,7 @@
 	h := s.w.Header()
 	h.Set("Content-Type", "text/event-stream")
 	h.Set("Cache-Control", "no-store")
-	h.Set(HeaderRequestID, string(s.id))
+	h.Set(callerapi.HeaderRequestID, string(s.id))
 	s.w.WriteHeader(http.StatusOK)
 }
 
--- a/internal/callerapi/types.go
+++ b/internal/callerapi/types.go
@@ -22,21 +22,25 @@
 // "Authorization: Bearer <key>".
 const (
 	// HeaderTier names the tier; the contract's default tier without it.
-	HeaderTier = "Medlarhold-Tier"
+	HeaderTier = "X-Medlarhold-Tier"
 	// HeaderDeadlineMS is how many milliseconds the caller has for the answer.
-	HeaderDeadlineMS = "Medlarhold-Deadline-Ms"
-	// HeaderRequestKey is the idempotency key. It is not named
-	// Idempotency-Key, because HTTP libraries repeat requests that carry that.
-	HeaderRequestKey = "Medlarhold-Request-Key"
+	HeaderDeadlineMS = "X-Medlarhold-Deadline-Ms"
+	// HeaderRequestKey is the idempotency key. HTTP libraries may repeat requests
+	// that carry it, which the claims of keys make harmless.
+	HeaderRequestKey = "Idempotency-Key"
 	// HeaderLabel is the organisation's own label for the work.
-	HeaderLabel = "Medlarhold-Label"
+	HeaderLabel = "X-Medlarhold-Label"
 )
 
 // Header fields of an answer.
 const (
-	HeaderRequestID = "Medlarhold-Request-Id"
-	HeaderVerdict   = "Medlarhold-Verdict"
-	HeaderReason    = "Medlarhold-Reason"
+	HeaderRequestID = "X-Request-ID"
+	HeaderVerdict   = "X-Medlarhold-Verdict"
+	HeaderReason    = "X-Medlarhold-Reason"
+	// HeaderReplayed marks the outcome of an earlier request with the same key.
+	HeaderReplayed = "X-Medlarhold-Replayed"
+	// HeaderBodyOmitted marks a replayed outcome whose body was too large to keep.
+	HeaderBodyOmitted = "X-Medlarhold-Body-Omitted"
 )
 
 // Error is the body of an answer that is not an endpoint's.
@@ -51,14 +55,15 @@
 // Request is what the system knows about a request, the answer to a GET
 // below PathRequests.
 type Request struct {
-	ID      entity.RequestID `json:"id"`
-	Verdict verdict.Verdict  `json:"verdict"`
-	Reason  verdict.Reason   `json:"reason,omitempty"`
-	// Running says that the request has not come to its end.
-	Running    bool              `json:"running,omitempty"`
-	Endpoint   entity.EndpointID `json:"endpoint,omitempty"`
-	ReceivedAt time.Time         `json:"received_at,omitzero"`
-	FinishedAt time.Time         `json:"finished_at,omitzero"`
+	ID entity.RequestID `json:"id"`
+	// State is claiming, queued, running, pausing, paused, finished, or lost
+	// where the instance that took the request in can't be asked any more.
+	State    string            `json:"state"`
+	Verdict  verdict.Verdict   `json:"verdict,omitempty"`
+	Reason   verdict.Reason    `json:"reason,omitempty"`
+	Endpoint entity.EndpointID `json:"endpoint,omitempty"`
+	// At is when the request got its final answer.
+	At time.Time `json:"at,omitzero"`
 }
 
 // Completion is the body of a POST to PathCompletions.
--- a/internal/cli/app.go
+++ b/internal/cli/app.go
@@ -18,6 +18,7 @@
 	"github.com/medlarhold/medlarhold/internal/adminapi"
 	"github.com/medlarhold/medlarhold/internal/config"
 	"github.com/medlarhold/medlarhold/internal/platform"
+	"github.com/medlarhold/medlarhold/internal/version"
 )
 
 // Environment variables that stand in for flags.
@@ -67,7 +68,7 @@
 		Now:     time.Now,
 		NewID:   func() string { return ulid.Make().String() },
 		Sleep:   sleep,
-		Version: buildVersion(),
+		Version: version.String(),
 	}
 }
 
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -76,7 +76,7 @@
 // serveRequest knows one request, and refuses all that are sent.
 func serveRequest(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == callerapi.PathRequests+"r-1" {
-		_ = json.NewEncoder(w).Encode(callerapi.Request{ID: "r-1", Verdict: verdict.Ran, Endpoint: "engine-1", ReceivedAt: start, FinishedAt: start})
+		_ = json.NewEncoder(w).Encode(callerapi.Request{ID: "r-1", Verdict: verdict.Ran, State: "finished", Endpoint: "engine-1", At: start})
 		return
 	}
 	w.Header().Set(callerapi.HeaderReason, string(verdict.ReasonOverload))
--- a/internal/cli/request.go
+++ b/internal/cli/request.go
@@ -239,7 +239,7 @@
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxErrorBytes)).Decode(&r); err != nil {
 		return fail(ExitFailure, trace.BadParameter("answer can't be decoded: %v", err), "")
 	}
-	t := table{header: []string{"REQUEST", "VERDICT", "REASON", "RUNNING", "ENDPOINT", "RECEIVED", "FINISHED"}}
-	t.row(r.ID, r.Verdict, r.Reason, r.Running, r.Endpoint, r.ReceivedAt, r.FinishedAt)
+	t := table{header: []string{"REQUEST", "STATE", "VERDICT", "REASON", "ENDPOINT", "FINISHED"}}
+	t.row(r.ID, r.State, r.Verdict, r.Reason, r.Endpoint, r.At)
 	return a.show(r, t)
 }
--- a/internal/cli/version.go
+++ b/internal/cli/version.go
@@ -2,20 +2,10 @@
 
 import (
 	"fmt"
-	"runtime/debug"
 
 	"github.com/spf13/cobra"
 )
 
-// buildVersion returns the version that the build recorded.
-func buildVersion() string {
-	info, ok := debug.ReadBuildInfo()
-	if !ok || info.Main.Version == "" {
-		return "unknown"
-	}
-	return info.Main.Version
-}
-
 // versionCommand shows the program's version.
 func (a *App) versionCommand() *cobra.Command {
 	return &cobra.Command{
--- a/internal/core/entity/entity.go
+++ b/internal/core/entity/entity.go
@@ -91,6 +91,9 @@
 	Region RegionID
 	// PeerAddress is where other instances reach it, host:port.
 	PeerAddress string
+	// AdminAddress is where operators reach it, host:port. Only the platform's
+	// list carries it.
+	AdminAddress string
 	// Leaving is set when the instance has said that it is stopping.
 	Leaving bool
 }
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -38,7 +38,8 @@
 		Membership: membership.DefaultSettings(),
 		Admission:  admission.DefaultSettings(),
 		Request: request.Settings{
-			Self: self.ID, KeepFinished: 4096, RetryInterval: routing.RetryInterval, LookInterval: 250 * time.Millisecond,
+			Self: self.ID, KeepFinished: 4096, RetryInterval: routing.RetryInterval,
+			FirstPatience: 100 * time.Millisecond, MaxPatience: 2 * time.Second,
 		},
 		Retry:        retry.DefaultSettings(),
 		Routing:      routing.DefaultSettings(),
@@ -238,5 +239,13 @@
 // Status returns what this instance knows about a request.
 func (n *Node) Status(id entity.RequestID) (request.Status, bool) { return n.entry.Status(id) }
 
+// EndpointStats returns what is known of an endpoint that is owned here.
+func (n *Node) EndpointStats(id entity.EndpointID) (admission.EndpointStats, bool) {
+	return n.owner.Stats(id)
+}
+
+// Queued returns how many reservations wait here for a pool.
+func (n *Node) Queued(id entity.PoolID) int { return n.owner.Queued(id) }
+
 // OwnerOf returns the owner of an endpoint, empty if there is none.
 func (n *Node) OwnerOf(id entity.EndpointID) entity.InstanceID { return n.owners.Owner(id) }
--- a/internal/core/request/entry.go
+++ b/internal/core/request/entry.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"slices"
 	"time"
 
 	"github.com/google/btree"
@@ -19,8 +20,11 @@
 	// Next returns whom to ask next for w, and false when there is nobody left.
 	Next(now time.Time, w *entity.Work, tried []routing.Choice) (routing.Choice, bool)
 	// MayShed says whether every owner in reach that could serve w has promised,
-	// for this moment, that nothing below w's tier is being served.
-	MayShed(now time.Time, w *entity.Work) bool
+	// for this moment, that nothing below w's tier is being served, or has said
+	// that it could not serve w in time at all.
+	MayShed(now time.Time, w *entity.Work, tried []routing.Choice) bool
+	// Reaches says whether any owner in reach has an endpoint that could serve w.
+	Reaches(now time.Time, w *entity.Work) bool
 	// Granted, Refused, Unreachable and Finished take in what came of a question.
 	Granted(now time.Time, from entity.InstanceID, w *entity.Work, g entity.Grant)
 	Refused(now time.Time, from entity.InstanceID, w *entity.Work, f entity.Refusal, sentAt time.Time)
@@ -57,9 +61,9 @@
 	// RetryInterval is how long a request waits that nobody took and that may
 	// not be shed, before it asks again.
 	RetryInterval time.Duration
-	// LookInterval is how long a request stays in one owner's queue before it
-	// looks for a free slot elsewhere, again and again.
-	LookInterval time.Duration
+	// FirstPatience is how long a request stays in an owner's queue before it
+	// looks for room elsewhere; the pause doubles up to MaxPatience.
+	FirstPatience, MaxPatience time.Duration
 }
 
 // Entry is the table of requests and the systems that run over it.
@@ -155,7 +159,9 @@
 		r.tried = append(r.tried, choice)
 		e.reserve(now, r, choice)
 	case len(r.asks) > 0:
-		e.wakeAfter(now, r, e.settings.LookInterval)
+		e.startRound(r)
+		r.patience = min(2*r.patience, e.settings.MaxPatience)
+		e.wakeAfter(now, r, r.patience)
 	default:
 		e.giveUp(now, r)
 	}
@@ -180,7 +186,8 @@
 		Reservation: entity.Reservation{Work: r.work, From: e.settings.Self, Resume: r.resume, NoWait: c.NoWait},
 	})
 	if !c.NoWait {
-		e.wakeAfter(now, r, e.settings.LookInterval)
+		r.patience = e.settings.FirstPatience
+		e.wakeAfter(now, r, r.patience)
 	}
 }
 
@@ -190,14 +197,22 @@
 	switch {
 	case !e.router.HasEndpoint(&r.work):
 		e.refuse(now, r, verdict.ReasonNoEndpoint, retryAfterNoEndpoint)
-	case r.refused > 0 && e.router.MayShed(now, &r.work):
-		e.refuse(now, r, verdict.ReasonOverload, r.retryAfter)
+	case e.router.Reaches(now, &r.work) && e.router.MayShed(now, &r.work, r.tried):
+		e.refuse(now, r, r.shedReason(), r.retryAfter)
 	default:
-		r.tried, r.refused = nil, 0
+		e.startRound(r)
 		e.wakeAfter(now, r, e.settings.RetryInterval)
 	}
 }
 
+// startRound lets the request ask everybody again but the owners that could
+// not serve it in time at all, and the one in whose queue it waits.
+func (e *Entry) startRound(r *row) {
+	r.tried = slices.DeleteFunc(r.tried, func(c routing.Choice) bool {
+		return !c.Infeasible && (c.NoWait || !r.asked(c.Owner))
+	})
+}
+
 // Granted tells that an owner holds a slot for the request.
 func (e *Entry) Granted(now time.Time, from entity.InstanceID, g entity.Grant) {
 	r, ok := e.rows[g.ID]
@@ -242,14 +257,13 @@
 	}
 	a := r.answered(from)
 	e.router.Refused(now, from, &r.work, f, a.at)
-	r.refused++
 	r.retryAfter = max(r.retryAfter, f.RetryAfter)
+	if f.Infeasible {
+		r.markInfeasible(from)
+	}
 	switch {
 	case r.state == StatePaused:
 		e.wakeAfter(now, r, e.settings.RetryInterval)
-	case f.Infeasible:
-		e.withdraw(r, from)
-		e.refuse(now, r, verdict.ReasonDeadline, f.RetryAfter)
 	case len(r.asks) == 0 || a.NoWait:
 		e.ask(now, r)
 	}
--- a/internal/core/request/row.go
+++ b/internal/core/request/row.go
@@ -48,10 +48,11 @@
 	timer    time.Time // next timer; never after the deadline
 	// owner granted the slot on which the request runs.
 	owner entity.InstanceID
+	// patience is how long it stays in one queue before it looks elsewhere.
+	patience time.Duration
 	// asks are the questions without an answer, tried all owners asked in this round.
 	asks       []ask
 	tried      []routing.Choice
-	refused    int               // answers of this round that were refusals
 	endpoint   entity.EndpointID // where it runs
 	resume     entity.EndpointID // where its paused stream waits
 	dispatches int
@@ -79,6 +80,23 @@
 	return a
 }
 
+// markInfeasible notes that an owner could not serve the request in time at all.
+func (r *row) markInfeasible(owner entity.InstanceID) {
+	for i := range r.tried {
+		if r.tried[i].Owner == owner {
+			r.tried[i].Infeasible = true
+		}
+	}
+}
+
+// shedReason is the deadline where no owner could have met it, else overload.
+func (r *row) shedReason() verdict.Reason {
+	if len(r.tried) > 0 && !slices.ContainsFunc(r.tried, func(c routing.Choice) bool { return !c.Infeasible }) {
+		return verdict.ReasonDeadline
+	}
+	return verdict.ReasonOverload
+}
+
 // sortedRows returns the rows by id, so that loops over them are deterministic.
 func (e *Entry) sortedRows() []*row {
 	rows := make([]*row, 0, len(e.rows))
--- a/internal/core/routing/router.go
+++ b/internal/core/routing/router.go
@@ -140,6 +140,20 @@
 	return true
 }
 
+// Reaches says whether any owner in reach has an endpoint that could serve w.
+func (r *Router) Reaches(now time.Time, w *entity.Work) bool {
+	p := r.pools[w.Pool]
+	if p == nil {
+		return false
+	}
+	for _, o := range p.owners {
+		if r.owner(o).reachable(now) && r.covers(o, w) != 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *Router) promised(now time.Time, o entity.InstanceID, w *entity.Work) bool {
 	covers := r.covers(o, w)
 	return covers == 0 || r.floors.holds(now, o, w, covers)
--- a/internal/daemon/configfollower.go
+++ b/internal/daemon/configfollower.go
@@ -92,6 +92,11 @@
 	}
 }
 
+// age is how long ago the configuration was last known to be the newest.
+func (f *configFollower) age(now time.Time) time.Duration {
+	return now.Sub(time.UnixMilli(f.confirmedAt.Load()))
+}
+
 // ready says whether the instance may serve with what it has.
 func (f *configFollower) ready() (bool, string) {
 	if !f.caughtUp.Load() {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -58,6 +59,7 @@
 	weights    platform.WeightStore
 	logService platform.Log
 	poller     *poller
+	listed     atomic.Pointer[[]entity.Instance] // the list of the platform
 	claims     *claimLog
 	leaving    chan struct{}
 	leaveOnce  sync.Once
@@ -91,7 +93,9 @@
 	d := &Daemon{settings: s, log: log, metrics: telemetry.NewMetrics(), keys: keys, certs: certs, listeners: ls, leaving: make(chan struct{})}
 	d.self = entity.Instance{
 		ID: newInstanceID(s.Name), Zone: s.Zone, Region: s.Region, PeerAddress: advertised(s.AdvertisePeers, ls.peers),
+		AdminAddress: advertised(s.AdvertiseAdmin, ls.admin),
 	}
+	d.listed.Store(&[]entity.Instance{})
 	d.assemble()
 	return d, nil
 }
--- a/internal/daemon/register.go
+++ b/internal/daemon/register.go
@@ -41,6 +41,7 @@
 	if err != nil {
 		return false
 	}
+	d.listed.Store(&instances)
 	d.loop.Post(node.Listed{Instances: instances})
 	return true
 }
--- a/internal/platform/httplist.go
+++ b/internal/platform/httplist.go
@@ -23,11 +23,12 @@
 
 // InstanceRow is one row of the list as it is sent.
 type InstanceRow struct {
-	ID          entity.InstanceID `json:"id"`
-	Zone        entity.ZoneID     `json:"zone"`
-	Region      entity.RegionID   `json:"region,omitempty"`
-	PeerAddress string            `json:"peer_address"`
-	Leaving     bool              `json:"leaving,omitempty"`
+	ID           entity.InstanceID `json:"id"`
+	Zone         entity.ZoneID     `json:"zone"`
+	Region       entity.RegionID   `json:"region,omitempty"`
+	PeerAddress  string            `json:"peer_address"`
+	AdminAddress string            `json:"admin_address,omitempty"`
+	Leaving      bool              `json:"leaving,omitempty"`
 }
 
 // Register implements InstanceList.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,7 +23,9 @@
 	Listen Listen          `json:"listen"`
 	// AdvertisePeers is the address at which other instances reach this one;
 	// empty means the address it listens on.
-	AdvertisePeers string   `json:"advertise_peers"`
+	AdvertisePeers string `json:"advertise_peers"`
+	// AdvertiseAdmin is the address at which operators reach it, likewise.
+	AdvertiseAdmin string   `json:"advertise_admin"`
 	Platform       Platform `json:"platform"`
 	Keys           Keys     `json:"keys"`
 	TLS            TLS      `json:"tls"`
