make demo; an instance is ready only when it has joined its zone

Cause (seen in the demo): an instance served before any peer had answered it, took itself for the owner of everything and showed one member of four. Change: readiness waits until membership has joined, or until no peer answered within its join timeout; the platform's list is read every 300 ms until then.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 LINT          := $(GOBIN)/golangci-lint
 BIN           := bin
 
-.PHONY: help build fmt lint vet check test race clean
+.PHONY: help build fmt lint vet check test race demo clean
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
 
@@ -34,5 +34,8 @@
 race: ## all tests under the race detector
 	$(GO) test -race ./...
 
+demo: ## start two zones on loopback, send one request of each kind, stop all
+	$(GO) run ./test/demo
+
 clean: ## remove what the build made
 	rm -rf $(BIN)
--- a/internal/daemon/lookup.go
+++ b/internal/daemon/lookup.go
@@ -32,6 +32,9 @@
 	if d.loop.Status().Draining {
 		return false, "stopping"
 	}
+	if !d.loop.View().Joined {
+		return false, "looking for the other instances of the zone"
+	}
 	return d.follower.ready()
 }
 
--- a/internal/daemon/register.go
+++ b/internal/daemon/register.go
@@ -25,11 +25,22 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(platform.ListRenewInterval):
+		case <-time.After(d.renewPause()):
 		}
 	}
 }
 
+// joinPause is the time between two looks at the list until a peer has answered.
+const joinPause = 300 * time.Millisecond
+
+// renewPause is the time until the next round with the list.
+func (d *Daemon) renewPause() time.Duration {
+	if !d.loop.View().Joined {
+		return joinPause
+	}
+	return platform.ListRenewInterval
+}
+
 // renew is one round with the list.
 func (d *Daemon) renew(ctx context.Context) bool {
 	self := d.self
--- a/internal/testbed/bed.go
+++ b/internal/testbed/bed.go
@@ -14,6 +14,7 @@
 	"github.com/gravitational/trace"
 	"github.com/oklog/ulid/v2"
 
+	"github.com/medlarhold/medlarhold/internal/adminapi"
 	"github.com/medlarhold/medlarhold/internal/config"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/platform"
@@ -174,6 +175,15 @@
 	})
 }
 
+// WaitMembers waits until the instance sees so many live instances in all zones.
+func (in *Instance) WaitMembers(n int) error {
+	c := adminapi.NewClient(in.Admin, OperatorKey, nil)
+	return Eventually(func() bool {
+		list, err := c.Instances(context.Background())
+		return err == nil && len(list) == n
+	})
+}
+
 // pollPause is the time between two looks of Eventually.
 const pollPause = 20 * time.Millisecond
 
