--- a/internal/core/claim/doc.go
+++ b/internal/core/claim/doc.go
@@ -31,8 +31,10 @@
 //
 // A driver that loses the answer of an append reports AppendUnknown; it never
 // appends a batch again by itself. Messages may be lost or repeated: the entry
-// instance repeats a proposal or an outcome that stays without an answer,
-// also to another home.
+// instance repeats a proposal or an outcome that stays without an answer, also
+// to another home, and the shard repeats a win that stays without an outcome.
+// A key whose entry instance died in between stays taken for the window, and
+// others are told that its request may have run.
 //
 // # The deduplication window
 //
--- a/internal/core/claim/shard.go
+++ b/internal/core/claim/shard.go
@@ -23,6 +23,7 @@
 
 	waiting   map[entity.RequestID]*proposal
 	order     []*proposal // of waiting, by arrival; done ones are skipped
+	wins      wins
 	abandoned *requestSet // refused here while their claim may still land
 	out       Ready
 	stats     Stats
@@ -68,6 +69,7 @@
 		sender:    sender{set: set, num: num},
 		reader:    stream.NewReader(set.reader(num)),
 		waiting:   make(map[entity.RequestID]*proposal),
+		wins:      wins{max: set.MaxPending},
 		abandoned: newRequestSet(set.MaxPending),
 	}, nil
 }
@@ -266,8 +268,6 @@
 	}
 	for i := range rec.Entries {
 		s.table.apply(&rec.Entries[i])
-	}
-	for i := range rec.Entries {
 		s.afterEntry(now, &rec.Entries[i])
 	}
 	for _, e := range s.sender.readBack(now, rec.ID) {
@@ -288,7 +288,7 @@
 		return
 	}
 	if to, ok := s.abandoned.take(e.Request); ok && h != nil && h.request == e.Request {
-		s.win(e.Request, to)
+		s.win(now, e.Request, to, e.Key)
 	}
 }
 
@@ -307,7 +307,7 @@
 func (s *Shard) decide(now time.Time, p *proposal, h *holder) {
 	switch {
 	case h.request == p.Request && h.verdict == "":
-		s.win(p.Request, p.From)
+		s.win(now, p.Request, p.From, p.key)
 	case h.body != p.BodyHash:
 		s.refuseFor(p, h, Decision{Verdict: verdict.NotRun, Reason: verdict.ReasonKeyReused})
 	case h.verdict == verdict.Ran:
@@ -326,6 +326,12 @@
 	return s.logNow(now).After(h.claimed.Add(h.endsIn))
 }
 
+// open says whether a request still holds its key without an outcome.
+func (s *Shard) open(w *win) bool {
+	h := s.table.get(w.key)
+	return h != nil && h.request == w.request && h.verdict == ""
+}
+
 // liveAt estimates whether a holder still stands. A wrong guess is harmless:
 // an early "no" makes a claim that the log decides on.
 func (s *Shard) liveAt(now time.Time, h *holder) bool { return h.live(s.logNow(now)) }
@@ -335,8 +341,13 @@
 	return s.logTime.Add(max(0, now.Sub(s.logTimeRead)))
 }
 
-func (s *Shard) win(r entity.RequestID, to entity.InstanceID) {
+func (s *Shard) win(now time.Time, r entity.RequestID, to entity.InstanceID, key Hash) {
 	s.stats.Won++
+	s.wins.add(now, r, to, key, s.set.DispatchWithin)
+	s.tellWin(r, to)
+}
+
+func (s *Shard) tellWin(r entity.RequestID, to entity.InstanceID) {
 	s.out.Decisions = append(s.out.Decisions,
 		Decision{Request: r, To: to, Won: true, DispatchWithin: s.set.DispatchWithin})
 }
@@ -391,6 +402,9 @@
 		s.ReadFailed(now, platform.ErrUnavailable)
 	}
 	s.sender.tick(now)
+	for _, w := range s.wins.due(now, s.open) {
+		s.tellWin(w.request, w.to)
+	}
 	s.expire(now)
 }
 
--- a/internal/core/claim/ticket.go
+++ b/internal/core/claim/ticket.go
@@ -43,7 +43,7 @@
 	TicketSettle
 )
 
-// Decide takes a decision in.
+// Decide takes a decision in. A win may come several times.
 func (t *Ticket) Decide(d Decision) TicketAction {
 	switch {
 	case t.state == ticketOver && d.Won:
