--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -138,7 +138,6 @@
 func (l *Lease) Fold(now time.Time, records []platform.Record, first, next platform.Offset) {
 	l.now = now
 	if l.reader.Overtaken(first) {
-		l.lose()
 		l.view = view{}
 		l.reader.Restart(first)
 	}
@@ -157,9 +156,6 @@
 	}
 	valid := l.view.fold(now, rec.Offset, &r)
 	if r.From != l.set.Instance {
-		if valid && r.Op == opAcquire {
-			l.lose()
-		}
 		return
 	}
 	sent, known := l.forget(AppendID(r.ID))
@@ -176,9 +172,6 @@
 	}
 }
 
-// lose ends the holding.
-func (l *Lease) lose() { l.heldUntil = time.Time{} }
-
 // forget takes a record off the list of those on their way.
 func (l *Lease) forget(id AppendID) (sentRecord, bool) {
 	for i, s := range l.sent {
