Load tool against the callers' interface

Open loop, so that a slow system doesn't slow its own load. The plan is drawn from a seed before anything is sent. Answers are compared with what the stand-ins give, which shows answers that were cut, mixed up or repeated.

--- a/cmd/medlarhold-standin/main.go
+++ b/cmd/medlarhold-standin/main.go
@@ -17,7 +17,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(engineCommand(), serviceCommand(), relayCommand())
+	root.AddCommand(engineCommand(), serviceCommand(), relayCommand(), loadCommand())
 	if err := root.ExecuteContext(context.Background()); err != nil {
 		fmt.Fprintln(os.Stderr, "error:", err)
 		os.Exit(1)
--- /dev/null
+++ b/internal/standin/load/main_test.go
@@ -0,0 +1,11 @@
+package load
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
--- /dev/null
+++ b/internal/standin/load/plan.go
@@ -0,0 +1,109 @@
+package load
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/prefix"
+)
+
+// Arrival is one planned request.
+type Arrival struct {
+	// Due is when it is sent, from the start of the run.
+	Due       time.Duration
+	ID        entity.RequestID
+	Target    string
+	Profile   Profile
+	Prompt    string
+	MaxTokens int
+	// Key is the request key, empty for none.
+	Key string
+}
+
+// Plan draws the requests of a run.
+func Plan(s Settings) []Arrival {
+	s = s.withDefaults()
+	p := newPlanner(s)
+	var out []Arrival
+	due := time.Duration(0)
+	for i := range s.Requests {
+		due += time.Duration(p.random.ExpFloat64() / s.RatePerSec * float64(time.Second))
+		if due > s.MaxTime {
+			break
+		}
+		out = append(out, p.arrival(i, due))
+	}
+	return out
+}
+
+type planner struct {
+	settings Settings
+	random   *rand.Rand
+	zipf     []*rand.Zipf // by profile
+}
+
+func newPlanner(s Settings) *planner {
+	p := &planner{settings: s, random: rand.New(rand.NewPCG(s.Seed, 0))}
+	for _, profile := range s.Profiles {
+		p.zipf = append(p.zipf, rand.NewZipf(p.random, profile.ZipfExponent, 1, uint64(profile.Templates-1)))
+	}
+	return p
+}
+
+func (p *planner) arrival(n int, due time.Duration) Arrival {
+	s := &p.settings
+	which := p.drawProfile()
+	a := Arrival{
+		Due:     due,
+		ID:      entity.RequestID(fmt.Sprintf("%s-%d", s.Run, n)),
+		Target:  s.Targets[n%len(s.Targets)],
+		Profile: s.Profiles[which],
+	}
+	if a.Profile.Call != nil {
+		if a.Profile.Call.Keyed {
+			a.Key = "key-" + string(a.ID)
+		}
+		return a
+	}
+	template := p.zipf[which].Uint64()
+	own := p.drawLength(a.Profile.Prompt)
+	a.Prompt = text(fmt.Sprintf("%s/%d", a.Profile.Name, template), a.Profile.TemplateTokens) + text(string(a.ID), own)
+	a.MaxTokens = p.drawLength(a.Profile.Output)
+	return a
+}
+
+// drawProfile returns the index of a profile, by the weights.
+func (p *planner) drawProfile() int {
+	total := 0.0
+	for _, profile := range p.settings.Profiles {
+		total += profile.Weight
+	}
+	at := p.random.Float64() * total
+	for i, profile := range p.settings.Profiles {
+		at -= profile.Weight
+		if at < 0 {
+			return i
+		}
+	}
+	return len(p.settings.Profiles) - 1
+}
+
+func (p *planner) drawLength(l Length) int {
+	factor := math.Exp(p.random.NormFloat64() * l.Sigma)
+	factor = min(max(factor, 1/l.Spread), l.Spread)
+	return max(1, int(float64(l.Median)*factor))
+}
+
+// text returns a text of so many tokens that depends on its name only.
+func text(name string, tokens int) string {
+	size := tokens * prefix.BytesPerToken
+	var b strings.Builder
+	for i := 0; b.Len() < size; i++ {
+		fmt.Fprintf(&b, "%s.%d ", name, i)
+	}
+	return b.String()[:size]
+}
--- /dev/null
+++ b/internal/standin/load/plan_test.go
@@ -0,0 +1,128 @@
+package load
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/medlarhold/medlarhold/internal/prefix"
+)
+
+func mixed() Settings {
+	return Settings{
+		Targets: []string{"http://a", "http://b"}, Run: "t", Seed: 7, RatePerSec: 100, Requests: 5000, MaxTime: time.Hour,
+		Profiles: []Profile{
+			{Name: "report", Weight: 3, Tier: "patient", Templates: 50, TemplateTokens: 32, Prompt: Length{Median: 40, Sigma: 2}, Output: Length{Median: 20, Sigma: 1}},
+			{Name: "booking", Weight: 1, Tier: "urgent", Call: &Call{Method: "POST", Path: "/payouts", Body: "{}", Keyed: true}},
+		},
+	}
+}
+
+func TestPlanDependsOnTheSeedOnly(t *testing.T) {
+	s := mixed()
+	s.Requests = 200
+	if diff := cmp.Diff(Plan(s), Plan(s)); diff != "" {
+		t.Fatal(diff)
+	}
+	other := s
+	other.Seed++
+	if cmp.Equal(Plan(s), Plan(other)) {
+		t.Fatal("two seeds, one plan")
+	}
+}
+
+func TestPlanFollowsItsDistributions(t *testing.T) {
+	plan := Plan(mixed())
+	var prompts, outputs []int
+	templates, keys := map[string]int{}, map[string]bool{}
+	for _, a := range plan {
+		if a.Profile.Call != nil {
+			keys[a.Key] = true
+			continue
+		}
+		name, _, _ := strings.Cut(a.Prompt, ".")
+		templates[name]++
+		prompts = append(prompts, prefix.Tokens(a.Prompt)-32)
+		outputs = append(outputs, a.MaxTokens)
+	}
+	mean := plan[len(plan)-1].Due.Seconds() / float64(len(plan))
+	if math.Abs(mean-0.01) > 0.001 {
+		t.Errorf("mean gap %.4f s", mean)
+	}
+	if share := float64(len(keys)) / float64(len(plan)); math.Abs(share-0.25) > 0.03 {
+		t.Errorf("share of bookings %.3f", share)
+	}
+	slices.Sort(prompts)
+	slices.Sort(outputs)
+	if m := prompts[len(prompts)/2]; m < 36 || m > 44 {
+		t.Errorf("median of the prompts %d", m)
+	}
+	if lo, hi := prompts[0], prompts[len(prompts)-1]; lo < 1 || hi > 4000 || hi < 2000 {
+		t.Errorf("prompts from %d to %d tokens", lo, hi)
+	}
+	if hi := outputs[len(outputs)-1]; hi < 200 || hi > 2000 {
+		t.Errorf("longest answer %d", hi)
+	}
+	if templates["report/0"] < 5*templates["report/9"] || len(templates) < 30 {
+		t.Errorf("templates are not used by a Zipf distribution: %v", templates)
+	}
+}
+
+func TestPlanIsBounded(t *testing.T) {
+	s := mixed()
+	s.Requests = 10
+	if n := len(Plan(s)); n != 10 {
+		t.Errorf("%d requests", n)
+	}
+	s.Requests, s.MaxTime = 5000, time.Second
+	plan := Plan(s)
+	if n := len(plan); n < 50 || n > 150 || plan[n-1].Due > time.Second {
+		t.Errorf("%d requests, the last at %v", n, plan[n-1].Due)
+	}
+}
+
+func TestPromptsShareTheirTemplateOnly(t *testing.T) {
+	blocks := map[string]int{}
+	for _, a := range Plan(mixed()) {
+		if a.Profile.Call != nil || len(a.Prompt) < 3*64 {
+			continue
+		}
+		name, _, _ := strings.Cut(a.Prompt, ".")
+		h := prefix.Hash(a.Prompt, 0)
+		blocks[name+"/template"]++
+		if h[1] != prefix.Hash(text(name, 32), 0)[1] {
+			t.Fatalf("%s: the second block is not the template's", a.ID)
+		}
+		if h[2] == prefix.Hash(text(name, 48), 0)[2] {
+			t.Fatalf("%s: the third block is the template's", a.ID)
+		}
+	}
+	if len(blocks) < 20 {
+		t.Fatalf("%d templates seen", len(blocks))
+	}
+}
+
+func TestCheck(t *testing.T) {
+	if err := mixed().Check(); err != nil {
+		t.Fatal(err)
+	}
+	for name, breaks := range map[string]func(*Settings){
+		"targets":  func(s *Settings) { s.Targets = nil },
+		"rate":     func(s *Settings) { s.RatePerSec = 0 },
+		"requests": func(s *Settings) { s.Requests = 0 },
+		"profiles": func(s *Settings) { s.Profiles = nil },
+		"weight":   func(s *Settings) { s.Profiles[0].Weight = -1 },
+		"median":   func(s *Settings) { s.Profiles[0].Output.Median = 0 },
+		"zipf":     func(s *Settings) { s.Profiles[0].ZipfExponent = 1 },
+	} {
+		s := mixed()
+		breaks(&s)
+		if s.Check() == nil {
+			t.Errorf("%s: taken", name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/load/report.go
@@ -0,0 +1,165 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/gravitational/trace"
+	"github.com/olekukonko/tablewriter"
+	"github.com/olekukonko/tablewriter/tw"
+)
+
+// Report is the result of a run.
+type Report struct {
+	Seconds float64      `json:"seconds"`
+	Tiers   []TierReport `json:"tiers"` // by name
+}
+
+// TierReport is the result of one tier.
+type TierReport struct {
+	Tier    string `json:"tier"`
+	Offered int    `json:"offered"`
+	Good    int    `json:"good"`
+	// GoodPerSec is the goodput over the whole run.
+	GoodPerSec float64 `json:"good_per_sec"`
+	Foreign    int     `json:"foreign"`
+	// Verdicts counts the answers by verdict, "none" where no verdict came;
+	// Reasons counts by reason, Errors by error on the caller's side.
+	Verdicts map[string]int `json:"verdicts"`
+	Reasons  map[string]int `json:"reasons"`
+	Errors   map[string]int `json:"errors,omitempty"`
+	// FirstToken and TokenGap are over the good answers.
+	FirstToken Quantiles `json:"first_token_ms"`
+	TokenGap   Quantiles `json:"token_gap_ms"`
+	Whole      Quantiles `json:"whole_ms"`
+}
+
+// Quantiles are times in milliseconds.
+type Quantiles struct {
+	P50 float64 `json:"p50"`
+	P95 float64 `json:"p95"`
+	P99 float64 `json:"p99"`
+}
+
+const (
+	// histogramMax and histogramDigits set the range, in microseconds, and the
+	// precision of histograms.
+	histogramMax    = int64(10 * time.Minute / time.Microsecond)
+	histogramDigits = 3
+)
+
+// latencies collects times.
+type latencies struct {
+	h *hdrhistogram.Histogram
+}
+
+func newLatencies() latencies {
+	return latencies{hdrhistogram.New(1, histogramMax, histogramDigits)}
+}
+
+func (l latencies) add(d time.Duration) {
+	_ = l.h.RecordValue(min(max(d.Microseconds(), 1), histogramMax)) // always in range
+}
+
+func (l latencies) quantiles() Quantiles {
+	at := func(q float64) float64 {
+		return float64(l.h.ValueAtQuantile(q)) / float64(time.Millisecond/time.Microsecond)
+	}
+	return Quantiles{P50: at(50), P95: at(95), P99: at(99)}
+}
+
+// collector gathers the report.
+type collector struct {
+	tiers map[string]*tier
+}
+
+type tier struct {
+	report                    TierReport
+	firstToken, gap, complete latencies
+}
+
+func newCollector() *collector {
+	return &collector{tiers: map[string]*tier{}}
+}
+
+func (c *collector) tier(name string) *tier {
+	t := c.tiers[name]
+	if t == nil {
+		t = &tier{firstToken: newLatencies(), gap: newLatencies(), complete: newLatencies()}
+		t.report = TierReport{Tier: name, Verdicts: map[string]int{}, Reasons: map[string]int{}, Errors: map[string]int{}}
+		c.tiers[name] = t
+	}
+	return t
+}
+
+func (c *collector) add(a *Answer, gaps []time.Duration) {
+	t := c.tier(a.Tier)
+	t.report.Offered++
+	t.report.Verdicts[orDefault(string(a.Verdict), "none")]++
+	if a.Reason != "" {
+		t.report.Reasons[string(a.Reason)]++
+	}
+	if a.Error != "" {
+		t.report.Errors[a.Error]++
+	}
+	if a.Foreign && a.Status != 0 {
+		t.report.Foreign++
+	}
+	if !a.Good() {
+		return
+	}
+	t.report.Good++
+	t.complete.add(a.End.Sub(a.Due))
+	if !a.First.IsZero() {
+		t.firstToken.add(a.First.Sub(a.Due))
+	}
+	for _, gap := range gaps {
+		t.gap.add(gap)
+	}
+}
+
+func (c *collector) result(d time.Duration) Report {
+	r := Report{Seconds: d.Seconds()}
+	for _, name := range slices.Sorted(maps.Keys(c.tiers)) {
+		t := c.tiers[name]
+		t.report.GoodPerSec = float64(t.report.Good) / d.Seconds()
+		t.report.FirstToken = t.firstToken.quantiles()
+		t.report.TokenGap = t.gap.quantiles()
+		t.report.Whole = t.complete.quantiles()
+		r.Tiers = append(r.Tiers, t.report)
+	}
+	return r
+}
+
+// WriteTable writes the report for people.
+func (r Report) WriteTable(w io.Writer) error {
+	table := tablewriter.NewTable(w, tablewriter.WithHeaderAutoFormat(tw.Off))
+	table.Header("tier", "offered", "good", "good/s", "first token ms p50/p95/p99", "token gap ms p50/p95/p99", "verdicts", "reasons")
+	for _, t := range r.Tiers {
+		err := table.Append(t.Tier, t.Offered, t.Good, fmt.Sprintf("%.1f", t.GoodPerSec),
+			t.FirstToken.String(), t.TokenGap.String(), counts(t.Verdicts), counts(t.Reasons))
+		if err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return trace.Wrap(table.Render())
+}
+
+// String shows the three quantiles in milliseconds.
+func (q Quantiles) String() string {
+	return fmt.Sprintf("%.1f / %.1f / %.1f", q.P50, q.P95, q.P99)
+}
+
+// counts shows a map of counts in the order of its keys.
+func counts(m map[string]int) string {
+	var parts []string
+	for _, k := range slices.Sorted(maps.Keys(m)) {
+		parts = append(parts, fmt.Sprintf("%s %d", k, m[k]))
+	}
+	return strings.Join(parts, ", ")
+}
--- /dev/null
+++ b/internal/standin/load/run.go
@@ -0,0 +1,118 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Run sends the requests of a plan and returns the report. Each answer is
+// written to journal as one line of JSON; journal may be nil.
+func Run(ctx context.Context, s Settings, journal io.Writer) (Report, error) {
+	if err := s.Check(); err != nil {
+		return Report{}, trace.Wrap(err)
+	}
+	s = s.withDefaults()
+	r := newRunner(s, journal)
+	defer r.pooled.CloseIdleConnections()
+	started := time.Now()
+	for _, a := range Plan(s) {
+		if !waitUntil(ctx, started.Add(a.Due)) {
+			break
+		}
+		r.send(ctx, a, started.Add(a.Due))
+	}
+	r.inFlight.Wait()
+	return r.report.result(time.Since(started)), trace.Wrap(r.journalErr)
+}
+
+type runner struct {
+	settings Settings
+	// pooled is for requests with a body, which net/http can't send again;
+	// single gives the others a connection of their own for the same reason.
+	pooled, single *http.Transport
+	inFlight       sync.WaitGroup
+	slots          chan struct{}
+
+	mu         sync.Mutex
+	report     *collector
+	journal    *json.Encoder
+	journalErr error
+}
+
+func newRunner(s Settings, journal io.Writer) *runner {
+	r := &runner{
+		settings: s,
+		pooled:   &http.Transport{MaxIdleConnsPerHost: s.MaxInFlight, DisableCompression: true},
+		single:   &http.Transport{DisableKeepAlives: true, DisableCompression: true},
+		slots:    make(chan struct{}, s.MaxInFlight),
+		report:   newCollector(),
+	}
+	if journal != nil {
+		r.journal = json.NewEncoder(journal)
+	}
+	return r
+}
+
+// waitUntil returns false when ctx ends first.
+func waitUntil(ctx context.Context, t time.Time) bool {
+	timer := time.NewTimer(time.Until(t))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// send sends a request in a goroutine of its own, if one is free.
+func (r *runner) send(ctx context.Context, a Arrival, due time.Time) {
+	c := &caller{
+		client:   r.client(a),
+		settings: r.settings,
+		arrival:  a,
+		answer: &Answer{
+			RequestID: a.ID, Profile: a.Profile.Name, Tier: a.Profile.Tier, Target: a.Target, Key: a.Key, Due: due,
+		},
+	}
+	select {
+	case r.slots <- struct{}{}:
+	default:
+		c.answer.Error = "not sent: too many requests in flight"
+		r.done(c)
+		return
+	}
+	r.inFlight.Go(func() {
+		defer func() { <-r.slots }()
+		c.do(ctx)
+		r.done(c)
+	})
+}
+
+// client returns a client that sends the request once and follows no redirect.
+func (r *runner) client(a Arrival) *http.Client {
+	transport := r.pooled
+	if a.Profile.Call != nil && a.Profile.Call.Body == "" {
+		transport = r.single
+	}
+	return &http.Client{
+		Transport:     transport,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// done takes an answer into report and journal.
+func (r *runner) done(c *caller) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.report.add(c.answer, c.gaps)
+	if r.journal != nil && r.journalErr == nil {
+		r.journalErr = r.journal.Encode(c.answer)
+	}
+}
--- /dev/null
+++ b/internal/standin/load/run_test.go
@@ -0,0 +1,242 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/endpoint"
+	"github.com/medlarhold/medlarhold/internal/sse"
+	"github.com/medlarhold/medlarhold/internal/standin/engine"
+	"github.com/medlarhold/medlarhold/internal/verdict"
+)
+
+// instance is a fake of the callers' interface.
+type instance struct {
+	mu   sync.Mutex
+	seen map[string]int
+	// tokens changes how many tokens of an answer are given, end whether its end mark is.
+	tokens func(n int) int
+	end    bool
+	// prompt changes which prompt is answered.
+	prompt func(string) string
+}
+
+func startInstance(t *testing.T) (*instance, string) {
+	in := &instance{seen: map[string]int{}, end: true}
+	in.tokens = func(n int) int { return n }
+	in.prompt = func(p string) string { return p }
+	s := httptest.NewServer(in)
+	t.Cleanup(s.Close)
+	return in, s.URL
+}
+
+func (in *instance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(endpoint.HeaderRequestID)
+	in.mu.Lock()
+	in.seen[id]++
+	in.mu.Unlock()
+	w.Header().Set(endpoint.HeaderRequestID, id)
+	w.Header().Set(headerVerdict, string(verdict.Ran))
+	switch {
+	case r.Header.Get("Authorization") != "Bearer k" || r.Header.Get(headerDeadline) != "30000":
+		w.Header().Set(headerVerdict, string(verdict.NotRun))
+		w.Header().Set(headerReason, string(verdict.ReasonUnauthenticated))
+		w.WriteHeader(http.StatusUnauthorized)
+	case r.URL.Path != "/v1/completions":
+		_, _ = io.WriteString(w, r.Method+" "+r.Header.Get(headerKey))
+	default:
+		in.complete(w, r)
+	}
+}
+
+func (in *instance) complete(w http.ResponseWriter, r *http.Request) {
+	var c completion
+	if err := json.NewDecoder(r.Body).Decode(&c); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	prompt := in.prompt(c.Prompt)
+	if !c.Stream {
+		_ = json.NewEncoder(w).Encode(map[string]string{"text": engine.Answer(prompt, in.tokens(c.MaxTokens))})
+		return
+	}
+	w.Header().Set("Content-Type", sse.ContentType)
+	words := strings.SplitAfter(engine.Answer(prompt, in.tokens(c.MaxTokens)), " ")
+	for i, word := range words[:len(words)-1] {
+		_ = sse.Write(w, endpoint.EventToken, endpoint.Token{Index: i, Text: word})
+	}
+	if in.end {
+		_ = sse.Write(w, endpoint.EventEnd, outcome{Verdict: verdict.Ran})
+	}
+}
+
+// few returns settings of a short run against url.
+func few(url string) Settings {
+	length := Length{Median: 8, Sigma: 0.5}
+	return Settings{
+		Targets: []string{url}, Run: "t", Seed: 1, RatePerSec: 2000, Requests: 40, Verify: true,
+		Profiles: []Profile{
+			{Name: "streamed", Key: "k", Tier: "a", Prompt: length, Output: length},
+			{Name: "whole", Key: "k", Tier: "a", Prompt: length, Output: length, Whole: true},
+			{Name: "booking", Key: "k", Tier: "b", Call: &Call{Method: "POST", Path: "/payouts", Keyed: true}},
+			{Name: "stranger", Key: "x", Tier: "c", Call: &Call{Method: "GET", Path: "/members"}},
+		},
+	}
+}
+
+func run(t *testing.T, s Settings) (Report, []Answer) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	var journal bytes.Buffer
+	report, err := Run(ctx, s, &journal)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var answers []Answer
+	lines := bufio.NewScanner(&journal)
+	for lines.Scan() {
+		var a Answer
+		if err := json.Unmarshal(lines.Bytes(), &a); err != nil {
+			t.Fatal(err)
+		}
+		answers = append(answers, a)
+	}
+	return report, answers
+}
+
+func TestRunReportsWhatCallersSaw(t *testing.T) {
+	in, url := startInstance(t)
+	report, answers := run(t, few(url))
+	if len(answers) != 40 || len(report.Tiers) != 3 {
+		t.Fatalf("%d answers, %+v", len(answers), report)
+	}
+	for i, tier := range report.Tiers[:2] {
+		if tier.Good != tier.Offered || tier.Verdicts["ran"] != tier.Offered || tier.Foreign != 0 {
+			t.Errorf("tier %d: %+v", i, tier)
+		}
+	}
+	refused := report.Tiers[2]
+	if refused.Good != 0 || refused.Verdicts["not_run"] != refused.Offered || refused.Reasons["unauthenticated"] != refused.Offered {
+		t.Errorf("%+v", refused)
+	}
+	if q := report.Tiers[0].FirstToken; q.P50 <= 0 || q.P99 < q.P50 {
+		t.Errorf("%+v", q)
+	}
+	keys := map[string]bool{}
+	for _, a := range answers {
+		if in.seen[string(a.RequestID)] != 1 {
+			t.Errorf("%s was sent %d times", a.RequestID, in.seen[string(a.RequestID)])
+		}
+		if a.Profile == "booking" && (a.Key == "" || keys[a.Key]) {
+			t.Errorf("%s has the key %q", a.RequestID, a.Key)
+		}
+		keys[a.Key] = a.Key != ""
+		if a.Profile == "streamed" && (a.First.IsZero() || a.Tokens == 0 || a.Hash == "") {
+			t.Errorf("%+v", a)
+		}
+	}
+}
+
+func TestRunSeesAnswersThatAreNotWhole(t *testing.T) {
+	for name, breaks := range map[string]func(*instance){
+		"cut off":        func(in *instance) { in.end = false },
+		"a token short":  func(in *instance) { in.tokens = func(n int) int { return n - 1 } },
+		"another answer": func(in *instance) { in.prompt = func(string) string { return "another" } },
+	} {
+		in, url := startInstance(t)
+		breaks(in)
+		s := few(url)
+		s.Profiles = s.Profiles[:1]
+		report, answers := run(t, s)
+		if tier := report.Tiers[0]; tier.Good != 0 || tier.Offered != 40 {
+			t.Errorf("%s: %+v", name, tier)
+		}
+		for _, a := range answers {
+			if a.Complete == (name == "cut off") || a.Foreign == (name == "cut off") {
+				t.Errorf("%s: %+v", name, a)
+			}
+		}
+	}
+}
+
+// firstLine is a journal that tells when its first line is written.
+type firstLine struct {
+	bytes.Buffer
+	once    sync.Once
+	written chan struct{}
+}
+
+func (f *firstLine) Write(p []byte) (int, error) {
+	f.once.Do(func() { close(f.written) })
+	return f.Buffer.Write(p)
+}
+
+// TestRunSendsNothingBeyondItsLimit has an instance that answers only after
+// the first request was not sent.
+func TestRunSendsNothingBeyondItsLimit(t *testing.T) {
+	journal := &firstLine{written: make(chan struct{})}
+	var mu sync.Mutex
+	waiting, most := 0, 0
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		mu.Lock()
+		waiting++
+		most = max(most, waiting)
+		mu.Unlock()
+		<-journal.written
+		mu.Lock()
+		waiting--
+		mu.Unlock()
+	}))
+	t.Cleanup(s.Close)
+	settings := few(s.URL)
+	settings.MaxInFlight = 3
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	report, err := Run(ctx, settings, journal)
+	if err != nil {
+		t.Fatal(err)
+	}
+	unsent := 0
+	for _, tier := range report.Tiers {
+		unsent += tier.Errors["not sent: too many requests in flight"]
+	}
+	if unsent == 0 || most > 3 {
+		t.Fatalf("%d not sent, %d at once", unsent, most)
+	}
+}
+
+func TestTable(t *testing.T) {
+	c := newCollector()
+	due := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	add := func(id string, tier string, v verdict.Verdict, r verdict.Reason, whole time.Duration) {
+		a := Answer{
+			RequestID: entity.RequestID(id), Tier: tier, Due: due, Sent: due, First: due.Add(whole / 2), End: due.Add(whole),
+			Status: 200, Verdict: v, Reason: r, Complete: v == verdict.Ran, InTime: true,
+		}
+		c.add(&a, []time.Duration{whole / 10, whole / 5})
+	}
+	add("1", "urgent", verdict.Ran, "", 100*time.Millisecond)
+	add("2", "urgent", verdict.Ran, "", 200*time.Millisecond)
+	add("3", "patient", verdict.Ran, "", time.Minute)
+	add("4", "patient", verdict.NotRun, verdict.ReasonOverload, time.Millisecond)
+	add("5", "patient", verdict.NotRun, verdict.ReasonDeadline, time.Millisecond)
+	add("6", "patient", "", "", time.Millisecond)
+	var table bytes.Buffer
+	if err := c.result(10 * time.Second).WriteTable(&table); err != nil {
+		t.Fatal(err)
+	}
+	goldie.New(t).Assert(t, "table", table.Bytes())
+}
