--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -23,6 +23,8 @@
 	MaxTiers = 16
 	// MaxKeys bounds the keys of one organisation.
 	MaxKeys = 16
+	// MaxListed bounds any list of names.
+	MaxListed = 256
 	// MaxLabels bounds the work labels of one organisation.
 	MaxLabels = 32
 	// MaxBodyBytes bounds what a pool may allow for a request's body.
@@ -44,6 +46,9 @@
 
 // checkList checks that the names are names and that none stands twice.
 func checkList[T ~string](path string, names []T) []fieldProblem {
+	if len(names) > MaxListed {
+		return []fieldProblem{problemf(path, "at most %d names", MaxListed)}
+	}
 	var out []fieldProblem
 	for i, n := range names {
 		at := path + "/" + strconv.Itoa(i)
--- /dev/null
+++ b/internal/config/fuzz_test.go
@@ -0,0 +1,88 @@
+package config
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/platform"
+)
+
+// FuzzParse feeds files to the parser and the validator. Whatever is accepted
+// must fold without a problem.
+func FuzzParse(f *testing.F) {
+	small, err := os.ReadFile("testdata/small.json")
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(small)
+	f.Add([]byte(`{"kind":"pool","name":"p","delete":true}`))
+	f.Add([]byte("[{\"kind\":\"contract\", // c\n\"name\":\"\xff\",\"spec\":{\"tiers\":[null]}}]"))
+	f.Fuzz(func(t *testing.T, src []byte) {
+		objects, problems := Parse("f", src)
+		for _, p := range problems {
+			if p.Reason == "" || p.File != "f" {
+				t.Fatalf("problem without reason or file: %+v", p)
+			}
+		}
+		if len(problems) == 0 && len(Validate(State{}, objects)) == 0 {
+			publish(t, State{}, objects)
+		}
+	})
+}
+
+// FuzzApply feeds records to the fold. A record never panics, never moves the
+// state by more than itself, and folds the same twice.
+func FuzzApply(f *testing.F) {
+	data, err := EncodeChange(Change{ID: "c", Kind: KindPool, Name: "p", Spec: []byte(poolSpec)})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Add([]byte(`{"change":{"id":"x","kind":"deployment","name":"default","delete":true}}`))
+	f.Add([]byte(`{"change":null,"snapshot":{"part":-1}}`))
+	var base State
+	for _, o := range Ordered(parseFile(f, "small.json")) {
+		c := Change{ID: o.Name, Kind: o.Kind, Name: o.Name, Spec: o.Spec}
+		base, _ = base.Apply(recordOf(f, base.Next(), c))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		rec := platform.Record{Offset: base.Next(), Time: start, Data: data}
+		s, out := base.Apply(rec)
+		again, same := base.Apply(rec)
+		if s.Next() != base.Next()+1 || again.Next() != s.Next() || out.Result != same.Result {
+			t.Fatalf("%+v, then %+v", out, same)
+		}
+		if _, twice := s.Apply(platform.Record{Offset: s.Next(), Time: start, Data: data}); out.Result == ResultApplied && twice.Result != ResultDuplicate {
+			t.Fatalf("applied twice: %+v", twice)
+		}
+	})
+}
+
+// FuzzSnapshot feeds records of the stream of snapshots to a follower.
+func FuzzSnapshot(f *testing.F) {
+	s := publish(f, State{}, parseFile(f, "small.json"))
+	for p, err := range s.Snapshot("s") {
+		if err != nil {
+			f.Fatal(err)
+		}
+		data, _ := EncodeSnapshotPart(p)
+		f.Add(data)
+	}
+	f.Add([]byte(`{"snapshot":{"id":"s","next":3,"part":5,"begin":-7,"last":true,"data":"AAAA"}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		fl := NewFollower()
+		answer := platform.ReadResult{Records: []platform.Record{{Data: data}}, Next: 1}
+		for range 8 {
+			if fl.Ask().Stream == Stream {
+				break
+			}
+			fl.Handle(time.Time{}, answer)
+		}
+		if fl.State().Next() < 0 || fl.CaughtUp() {
+			t.Fatalf("at %d, caught up %v", fl.State().Next(), fl.CaughtUp())
+		}
+		var k Keeper
+		k.Handle(answer)
+	})
+}
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -1,25 +1,49 @@
 package config
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"reflect"
 	"regexp"
+	"slices"
 	"strconv"
+	"strings"
 
 	"github.com/tailscale/hujson"
 )
 
 // MaxFileBytes bounds a configuration file.
-const MaxFileBytes = 64 << 20
+const MaxFileBytes = 32 << 20
 
 // location is where an object stands in its file.
 type location struct {
-	file string
-	src  []byte
-	root *hujson.Value
-	path string // JSON pointer of the object in the file
+	file  string
+	lines lineStarts
+	root  *hujson.Value
+	path  string // JSON pointer of the object in the file
+}
+
+// lineStarts holds the offset at which each line but the first begins.
+type lineStarts []int
+
+// newLineStarts finds the lines of a file.
+func newLineStarts(src []byte) lineStarts {
+	var out lineStarts
+	for i, b := range src {
+		if b == '\n' {
+			out = append(out, i+1)
+		}
+	}
+	return out
+}
+
+// lineAt returns the line of the offset, counted from 1.
+func (l lineStarts) lineAt(offset int) int {
+	i, exact := slices.BinarySearch(l, offset)
+	if exact {
+		i++
+	}
+	return i + 1
 }
 
 // problem places a problem of the object at the path below it.
@@ -27,7 +51,7 @@
 	full := l.path + path
 	p := Problem{File: l.file, Path: full, Reason: reason}
 	if l.root != nil {
-		p.Line = lineOf(l.src, l.root, full)
+		p.Line = l.lines.lineOf(l.root, full)
 	}
 	if p.Path == "" {
 		p.Path = "/"
@@ -36,12 +60,12 @@
 }
 
 // lineOf returns the line of the value at the path, or of its closest parent.
-func lineOf(src []byte, root *hujson.Value, path string) int {
+func (l lineStarts) lineOf(root *hujson.Value, path string) int {
 	for {
 		if v := root.Find(path); v != nil {
-			return 1 + bytes.Count(src[:v.StartOffset], []byte("\n"))
+			return l.lineAt(v.StartOffset)
 		}
-		i := bytes.LastIndexByte([]byte(path), '/')
+		i := strings.LastIndexByte(path, '/')
 		if i < 0 {
 			return 1
 		}
@@ -60,7 +84,7 @@
 	if err != nil {
 		return nil, []Problem{syntaxProblem(file, err)}
 	}
-	loc := location{file: file, src: src, root: &root}
+	loc := location{file: file, lines: newLineStarts(src), root: &root}
 	if arr, ok := root.Value.(*hujson.Array); ok {
 		return parseArray(loc, arr)
 	}
--- /dev/null
+++ b/internal/platform/fuzz_test.go
@@ -0,0 +1,56 @@
+package platform
+
+import (
+	"errors"
+	"net/http"
+	"testing"
+)
+
+// FuzzReadAnswer feeds answers of the log service to the client. An accepted
+// answer is a run of records from the offset that was asked for.
+func FuzzReadAnswer(f *testing.F) {
+	f.Add(http.StatusOK, []byte(`{"records":[{"offset":3,"data":"eA=="}],"first":0,"next":4}`))
+	f.Add(http.StatusOK, []byte(`{"records":[{"offset":2}],"first":9,"next":4}`))
+	f.Add(http.StatusGone, []byte(`{"code":"truncated","first":5,"next":9}`))
+	f.Add(http.StatusBadGateway, []byte(`<html>`))
+	f.Fuzz(func(t *testing.T, status int, body []byte) {
+		const from = 3
+		res, err := reply{status: status, body: body}.readResult(from)
+		if err != nil {
+			if !errors.Is(err, ErrUnavailable) && !errors.Is(err, ErrTruncated) {
+				t.Fatalf("untyped error %v", err)
+			}
+			return
+		}
+		for i, rec := range res.Records {
+			if rec.Offset != from+Offset(i) || rec.Offset >= res.Next {
+				t.Fatalf("accepted %+v", res)
+			}
+		}
+	})
+}
+
+// FuzzAppendAnswer feeds answers to an append to the client. Only an answer
+// that says so may be read as "not appended".
+func FuzzAppendAnswer(f *testing.F) {
+	f.Add(http.StatusOK, []byte(`{"offset":0}`))
+	f.Add(http.StatusOK, []byte(`{}`))
+	f.Add(http.StatusServiceUnavailable, []byte(`{"code":"not_appended"}`))
+	f.Add(http.StatusServiceUnavailable, []byte(``))
+	f.Fuzz(func(t *testing.T, status int, body []byte) {
+		r := reply{status: status, body: body}
+		off, err := r.appended()
+		switch {
+		case err == nil:
+			if status != http.StatusOK || off < 0 {
+				t.Fatalf("status %d accepted with offset %d", status, off)
+			}
+		case errors.Is(err, ErrNotAppended):
+			if status == http.StatusOK || r.errorAnswer().Code != CodeNotAppended {
+				t.Fatalf("status %d read as not appended", status)
+			}
+		case !errors.Is(err, ErrUnknownOutcome):
+			t.Fatalf("untyped error %v", err)
+		}
+	})
+}
