--- a/cmd/medlarhold-standin/main.go
+++ b/cmd/medlarhold-standin/main.go
@@ -15,9 +15,7 @@
 		Short:        "Stand-ins for tests only: platform, engine, plain service",
 		SilenceUsage: true,
 	}
-	root.AddCommand(
-		platformCommand(),
-	)
+	root.AddCommand(platformCommand(), engineCommand(), serviceCommand(), relayCommand())
 	if err := root.Execute(); err != nil {
 		os.Exit(1)
 	}
--- /dev/null
+++ b/internal/core/node/router.go
@@ -0,0 +1,39 @@
+package node
+
+import (
+	"slices"
+
+	"github.com/medlarhold/medlarhold/internal/core/eligible"
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/routing"
+)
+
+// router joins the routing decisions with ownership, as request.Router.
+type router struct {
+	*routing.Router
+	n *Node
+}
+
+// OwnerOf implements request.Router.
+func (r *router) OwnerOf(e entity.EndpointID) (entity.InstanceID, bool) {
+	o := r.n.owners.Owner(e)
+	return o, o != ""
+}
+
+// HasEndpoint implements request.Router.
+func (r *router) HasEndpoint(w *entity.Work) bool {
+	return slices.ContainsFunc(r.n.state.Endpoints(w.Pool), func(e *entity.Endpoint) bool { return eligible.Serves(e, w) })
+}
+
+// setPools tells the routing decisions which endpoints there are and who owns them.
+func (r *router) setPools() {
+	for p := range r.n.state.Pools() {
+		var rows []routing.Owned
+		for _, e := range r.n.state.Endpoints(p.Name) {
+			if owner := r.n.owners.Owner(e.ID); owner != "" {
+				rows = append(rows, routing.Owned{Endpoint: *e, Owner: owner})
+			}
+		}
+		r.SetPool(p.Name, rows)
+	}
+}
--- /dev/null
+++ b/internal/daemon/claimlog.go
@@ -0,0 +1,38 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/node"
+	"github.com/medlarhold/medlarhold/internal/core/stream"
+	"github.com/medlarhold/medlarhold/internal/platform"
+)
+
+// claimExchangeTimeout bounds an exchange about claims with the log service,
+// beyond the time that a read waits for records.
+const claimExchangeTimeout = 2 * time.Second
+
+// claimLog appends and reads the claims' streams for the decision core.
+type claimLog struct {
+	log  platform.Log
+	post func(msg any)
+}
+
+// append appends a batch, once, on a goroutine of its own.
+func (c *claimLog) append(a node.ClaimAppend) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), claimExchangeTimeout)
+		defer cancel()
+		offset, err := c.log.Append(ctx, a.Batch.Stream, a.Batch.Data)
+		c.post(node.ClaimAppended{Shard: a.Shard, Batch: a.Batch.ID, Status: stream.StatusOf(err), Offset: offset})
+	}()
+}
+
+// read makes one read, on a goroutine of its own.
+func (c *claimLog) read(r node.ClaimReadRequest) {
+	go func() {
+		res, err := readStream(c.log, r.Read, claimExchangeTimeout)
+		c.post(node.ClaimRead{Shard: r.Shard, Result: res, Err: err})
+	}()
+}
