--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -42,6 +42,8 @@
 	Last bool `json:"last,omitempty"`
 	// Begin is the offset of part 0 in SnapshotStream; part 0 has none.
 	Begin platform.Offset `json:"begin,omitempty"`
+	// End is the place after the part's last row.
+	End Cursor `json:"end,omitzero"`
 	// Data holds rows as lines of JSON, compressed.
 	Data []byte `json:"data"`
 }
@@ -57,47 +59,74 @@
 	Spec     json.RawMessage `json:"s,omitempty"`
 }
 
+// Cursor is the place in a snapshot after an object; the zero Cursor is the
+// beginning.
+type Cursor struct {
+	Kind Kind   `json:"kind,omitempty"`
+	Name string `json:"name,omitempty"`
+}
+
 // Snapshot ranges over the parts that carry the state, one at a time so that
 // a snapshot never stands in memory whole. The same state yields the same
 // rows in the same parts. Begin is left to whoever appends the parts.
 func (s State) Snapshot(id string) iter.Seq2[SnapshotPart, error] {
 	return func(yield func(SnapshotPart, error) bool) {
-		w := &partWriter{part: SnapshotPart{ID: id, Next: s.Next(), TimeMS: s.tables().timeMS}}
-		w.reset()
-		ok := true
-		s.tables().objects.Ascend(func(it item) bool {
-			if s.expired(it.e) {
-				return true
-			}
-			if w.raw >= snapshotPartBytes {
-				ok = yield(w.finish(false))
+		w := newPartWriter(s, id)
+		var after Cursor
+		for last := false; !last; {
+			p, err := w.write(s, after)
+			if !yield(p, err) || err != nil {
+				return
 			}
-			w.add(it)
-			return ok
-		})
-		if ok {
-			yield(w.finish(true))
+			after, last = p.End, p.Last
 		}
 	}
 }
 
+// Part returns one part of the state's snapshot: the part-th, which begins
+// after the End of the one before. A peer that sends a snapshot in answer to
+// one question a part uses it.
+func (s State) Part(id string, part int, after Cursor) (SnapshotPart, error) {
+	w := newPartWriter(s, id)
+	w.part.Part = part
+	return w.write(s, after)
+}
+
 // partWriter fills one part after the other.
 type partWriter struct {
 	part SnapshotPart
-	buf  *bytes.Buffer
+	buf  bytes.Buffer
 	zip  *gzip.Writer
 	raw  int
 	err  error
 }
 
-// reset begins a new part.
-func (w *partWriter) reset() {
-	w.buf = &bytes.Buffer{}
-	if w.zip == nil {
-		w.zip = gzip.NewWriter(w.buf)
-	}
-	w.zip.Reset(w.buf)
+// newPartWriter returns a writer for the parts of the state's snapshot.
+func newPartWriter(s State, id string) *partWriter {
+	w := &partWriter{part: SnapshotPart{ID: id, Next: s.Next(), TimeMS: s.tables().timeMS}}
+	w.zip = gzip.NewWriter(&w.buf)
+	return w
+}
+
+// write returns the part with the rows after the cursor.
+func (w *partWriter) write(s State, after Cursor) (SnapshotPart, error) {
+	w.buf.Reset()
+	w.zip.Reset(&w.buf)
 	w.raw = 0
+	last := true
+	from := item{rank: after.Kind.rank(), name: after.Name}
+	s.tables().objects.AscendGreaterOrEqual(from, func(it item) bool {
+		if it.rank == from.rank && it.name == from.name || s.expired(it.e) {
+			return true
+		}
+		if w.raw >= snapshotPartBytes {
+			last = false
+			return false
+		}
+		w.add(it)
+		return true
+	})
+	return w.finish(last)
 }
 
 // add writes one row.
@@ -117,17 +146,17 @@
 	line, err2 := json.Marshal(r)
 	n, err3 := w.zip.Write(append(line, '\n'))
 	w.raw += n
+	w.part.End = Cursor{Kind: r.Kind, Name: r.Name}
 	w.err = errors.Join(w.err, err, err2, err3)
 }
 
-// finish returns the part and begins the next one.
+// finish returns the part and counts it.
 func (w *partWriter) finish(last bool) (SnapshotPart, error) {
 	err := errors.Join(w.err, w.zip.Close())
 	p := w.part
 	p.Last = last
-	p.Data = w.buf.Bytes()
+	p.Data = bytes.Clone(w.buf.Bytes())
 	w.part.Part++
-	w.reset()
 	return p, trace.Wrap(err)
 }
 
--- a/internal/config/snapshot_test.go
+++ b/internal/config/snapshot_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -108,7 +109,7 @@
 		}
 	}
 	f := NewFollower()
-	if _, err := f.Sync(ctx, svc, time.Now); err == nil || !f.Lost() || f.CaughtUp() {
+	if _, err := f.Sync(ctx, svc, time.Now); !errors.Is(err, ErrLost) || !f.Lost() || f.CaughtUp() {
 		t.Fatalf("lost %v, caught up %v, error %v", f.Lost(), f.CaughtUp(), err)
 	}
 	peer := State{&tables{next: 3, objects: emptyTables.objects, keys: emptyTables.keys}}
@@ -142,3 +143,26 @@
 		t.Error("not due after many records")
 	}
 }
+
+func TestPartsAskedForOneByOneAreTheSnapshot(t *testing.T) {
+	s := manyContracts(t, 2000)
+	var after Cursor
+	i := 0
+	for want, err := range s.Snapshot("s") {
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := s.Part("s", i, after)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Fatalf("part %d: %s", i, diff)
+		}
+		after = got.End
+		i++
+	}
+	if i < 3 {
+		t.Errorf("%d parts only", i)
+	}
+}
--- a/internal/config/source.go
+++ b/internal/config/source.go
@@ -10,8 +10,13 @@
 	"github.com/medlarhold/medlarhold/internal/platform"
 )
 
+// ErrLost means that retention has passed changes that no snapshot holds. Only
+// a new snapshot or a peer's state helps.
+var ErrLost = errors.New("config: changes are older than the log's retention, and no snapshot holds them")
+
 // Step makes the read that the follower asks for and hands it the answer. With
 // wait > 0 it waits that long for changes once the follower has caught up.
+// After an error the caller pauses, and may look for a newer state at a peer.
 func (f *Follower) Step(ctx context.Context, log platform.Log, now func() time.Time, wait time.Duration) ([]Outcome, error) {
 	ask := f.Ask()
 	if !ask.MayWait {
@@ -19,28 +24,26 @@
 	}
 	asked := now()
 	res, err := log.Read(ctx, ask.Stream, ask.From, ask.Limit, wait)
-	if errors.Is(err, platform.ErrTruncated) {
+	switch {
+	case errors.Is(err, platform.ErrTruncated):
+		lost := f.lost
 		f.HandleTruncated(res)
+		if lost && ask.Stream == Stream {
+			return nil, trace.Wrap(ErrLost)
+		}
 		return nil, nil
-	}
-	if err != nil {
+	case err != nil:
 		return nil, trace.Wrap(err)
+	default:
+		return f.Handle(asked, res), nil
 	}
-	return f.Handle(asked, res), nil
 }
 
 // Sync steps until the follower's state holds all that the log held at some
 // moment after the call.
 func (f *Follower) Sync(ctx context.Context, log platform.Log, now func() time.Time) ([]Outcome, error) {
 	var all []Outcome
-	before := f.confirmations
-	tries := 0
-	for f.confirmations == before {
-		if f.lost {
-			if tries++; tries > maxLostSteps {
-				return all, trace.NotFound("changes after revision %d are older than the log's retention, and no snapshot holds them", f.state.Revision())
-			}
-		}
+	for before := f.confirmations; f.confirmations == before; {
 		out, err := f.Step(ctx, log, now, 0)
 		if err != nil {
 			return all, trace.Wrap(err)
@@ -50,9 +53,6 @@
 	return all, nil
 }
 
-// maxLostSteps is after how many reads Sync gives up on missing changes.
-const maxLostSteps = 100
-
 // AppendSnapshot appends the state's snapshot, part by part. A part whose
 // append has no known outcome ends the attempt: a snapshot without its last
 // part is passed over by all readers.
--- a/internal/daemon/configpeers.go
+++ b/internal/daemon/configpeers.go
@@ -18,6 +18,8 @@
 // configQuestion asks for one part of the configuration in force.
 type configQuestion struct {
 	Part int `json:"part"`
+	// After is the end of the part before.
+	After config.Cursor `json:"after,omitzero"`
 }
 
 // answer gives a peer one part of the configuration in force.
@@ -26,15 +28,8 @@
 	if err := json.Unmarshal(params, &q); err != nil {
 		return nil, trace.BadParameter("malformed question")
 	}
-	for part, err := range f.d.loop.State().Snapshot(string(f.d.self.ID)) {
-		if err != nil {
-			return nil, trace.Wrap(err)
-		}
-		if part.Part == q.Part {
-			return part, nil
-		}
-	}
-	return nil, trace.NotFound("no part %d", q.Part)
+	part, err := f.d.loop.State().Part(string(f.d.self.ID), q.Part, q.After)
+	return part, trace.Wrap(err)
 }
 
 // askPeers takes the newest configuration that a reachable peer has, while the
@@ -59,11 +54,12 @@
 // takeFrom fetches the configuration of a peer part by part.
 func (f *configFollower) takeFrom(ctx context.Context, peer entity.Instance) {
 	var parts config.Assembly
-	for i := 0; ; i++ {
+	for q := (configQuestion{}); ; q.Part++ {
 		var part config.SnapshotPart
-		if f.d.transport.Call(ctx, peer.ID, peer.PeerAddress, methodConfig, configQuestion{Part: i}, &part) != nil {
+		if f.d.transport.Call(ctx, peer.ID, peer.PeerAddress, methodConfig, q, &part) != nil {
 			return
 		}
+		q.After = part.End
 		st, whole, err := parts.Add(part)
 		if err != nil {
 			return
