--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -248,3 +248,30 @@
 		t.Errorf("key %q", k.Key)
 	}
 }
+
+func TestStreamedAnswerIsWholeOrSaidNotToBe(t *testing.T) {
+	const token = "event: token\ndata: {\"choices\":[{\"text\":\"hi \"}]}\n\n"
+	for name, c := range map[string]struct {
+		body string
+		code ExitCode
+	}{
+		"whole":       {token + token + "event: end\ndata: {\"verdict\":\"ran\",\"tokens\":2}\n\n", ExitOK},
+		"token lost":  {token + "event: end\ndata: {\"verdict\":\"ran\",\"tokens\":2}\n\n", ExitMayHaveRun},
+		"no end mark": {token + token, ExitMayHaveRun},
+		"cut off":     {token + "event: end\ndata: {\"verdict\":\"ran\"", ExitMayHaveRun},
+		"refused":     {"event: end\ndata: {\"verdict\":\"not_run\",\"reason\":\"overload\"}\n\n", ExitNotRun},
+		"failed":      {token + "event: end\ndata: {\"verdict\":\"may_have_run\",\"reason\":\"connection_lost\",\"tokens\":1}\n\n", ExitMayHaveRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			w.net.hosts["caller:1"] = http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) {
+				rw.Header().Set("Content-Type", "text/event-stream")
+				fmt.Fprint(rw, c.body)
+			})
+			w.must(c.code, "request", "send", "--model", "m", "--prompt", "p", "--stream")
+			if c.code == ExitOK && w.out.String() != "hi hi \n" {
+				t.Errorf("printed %q", w.out.String())
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/cli/requestsend.go
@@ -0,0 +1,143 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/dghubble/sling"
+	"github.com/gravitational/trace"
+	"github.com/spf13/cobra"
+
+	"github.com/medlarhold/medlarhold/internal/callerapi"
+	"github.com/medlarhold/medlarhold/internal/sse"
+)
+
+// requestSendCommand sends one request.
+func (a *App) requestSendCommand(o *requestOptions) *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "send",
+		Short: "Send one request, once",
+		Long: "Sends a completion to a model, or a call to a plain service. The answer goes to the\n" +
+			"output; the request's id and verdict go to the error output. It is never sent twice.",
+		Example: "  medlarhold request send --model narrative --prompt 'Draft the report' --tier patient\n" +
+			"  medlarhold request send --service ledger --method POST --path /transfers --data @t.json --request-key t-17",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return a.requestSend(cmd.Context(), *o)
+		},
+	}
+	f := cmd.Flags()
+	f.StringVar(&o.model, "model", "", "model to ask")
+	f.StringVar(&o.adapter, "adapter", "", "adapter of the model")
+	f.StringVar(&o.prompt, "prompt", "", "prompt, or @FILE")
+	f.IntVar(&o.maxTokens, "max-tokens", 256, "bound of the answer's tokens")
+	f.BoolVar(&o.stream, "stream", false, "print the answer as it comes")
+	f.StringVar(&o.service, "service", "", "pool of the plain service to call")
+	f.StringVar(&o.method, "method", http.MethodGet, "method of the call")
+	f.StringVar(&o.path, "path", "/", "path of the call")
+	f.StringVar(&o.data, "data", "", "body of the call, or @FILE")
+	f.StringVar(&o.tier, "tier", "", "tier (default: the contract's default tier)")
+	f.StringVar(&o.requestKey, "request-key", "", "idempotency key; needed for calls that may not be repeated")
+	f.StringVar(&o.label, "label", "", "your own label for the work")
+	f.DurationVar(&o.deadline, "deadline", 0, "how long the answer is of use")
+	cmd.MarkFlagsMutuallyExclusive("model", "service")
+	cmd.MarkFlagsOneRequired("model", "service")
+	return cmd
+}
+
+func (a *App) requestSend(ctx context.Context, o requestOptions) error {
+	s, err := a.callerSling(o)
+	if err != nil {
+		return err
+	}
+	if s, err = a.withWork(s, o); err != nil {
+		return err
+	}
+	resp, err := a.exchange(ctx, s)
+	if err != nil {
+		return fail(ExitMayHaveRun, err, "The connection failed after the request was sent, or may have been. Do not repeat it without a request key.")
+	}
+	defer resp.Body.Close()
+	fmt.Fprintf(a.Err, "request %s: status %d, verdict %s\n", cell(resp.Header.Get(callerapi.HeaderRequestID)), resp.StatusCode,
+		cell(resp.Header.Get(callerapi.HeaderVerdict)))
+	if resp.Header.Get(callerapi.HeaderReason) != "" {
+		return a.refusal(resp)
+	}
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), sse.ContentType) {
+		return a.copyStream(resp)
+	}
+	if _, err := io.Copy(a.Out, resp.Body); err != nil {
+		return notWhole(resp, err)
+	}
+	return nil
+}
+
+// notWhole explains that an answer broke off.
+func notWhole(resp *http.Response, err error) error {
+	return fail(ExitMayHaveRun, trace.ConnectionProblem(err, "answer is not whole: %v", err),
+		"Ask what became of it: medlarhold request show "+resp.Header.Get(callerapi.HeaderRequestID))
+}
+
+// withWork adds what the request is about.
+func (a *App) withWork(s *sling.Sling, o requestOptions) (*sling.Sling, error) {
+	for field, value := range map[string]string{
+		callerapi.HeaderTier:       o.tier,
+		callerapi.HeaderRequestKey: o.requestKey,
+		callerapi.HeaderLabel:      o.label,
+	} {
+		if value != "" {
+			s.Set(field, value)
+		}
+	}
+	if o.deadline > 0 {
+		s.Set(callerapi.HeaderDeadlineMS, strconv.FormatInt(o.deadline.Milliseconds(), 10))
+	}
+	text := o.data
+	if o.model != "" {
+		text = o.prompt
+	}
+	body, err := a.argument(text)
+	if err != nil {
+		return nil, err
+	}
+	if o.model != "" {
+		return s.Post(callerapi.PathCompletions).BodyJSON(callerapi.Completion{
+			Model: o.model, Adapter: o.adapter, Prompt: string(body), MaxTokens: o.maxTokens, Stream: o.stream,
+		}), nil
+	}
+	return withMethod(s, o.method, callerapi.PathServices+o.service+"/"+strings.TrimPrefix(o.path, "/"), body)
+}
+
+// withMethod sets method, path and body of a call.
+func withMethod(s *sling.Sling, method, path string, body []byte) (*sling.Sling, error) {
+	set, ok := map[string]func(string) *sling.Sling{
+		http.MethodGet: s.Get, http.MethodHead: s.Head, http.MethodPost: s.Post,
+		http.MethodPut: s.Put, http.MethodPatch: s.Patch, http.MethodDelete: s.Delete,
+	}[strings.ToUpper(method)]
+	if !ok {
+		return nil, fail(ExitUsage, trace.BadParameter("unknown method %q", method), "")
+	}
+	s = set(path)
+	if len(body) > 0 {
+		s.Body(bytes.NewReader(body))
+	}
+	return s, nil
+}
+
+// argument returns the text, or the content of the file that @FILE names.
+func (a *App) argument(text string) ([]byte, error) {
+	name, isFile := strings.CutPrefix(text, "@")
+	if !isFile {
+		return []byte(text), nil
+	}
+	data, err := a.readFile(name)
+	if err != nil {
+		return nil, fail(ExitUsage, err, "")
+	}
+	return data, nil
+}
