Seeded histories of whole fleets of decision cores under faults

Why: the promises were checked on parts; nothing ran the composed core of several instances under kills, cuts, freezes and outages. A virtual clock, one event heap and small fakes at the interfaces bring them about, alone, two at once and the same one twice; package history checks what is seen from outside. The engine model and the stand-in log's storage are the ones in use elsewhere.

--- a/internal/core/node/message.go
+++ b/internal/core/node/message.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"time"
+
 	"github.com/medlarhold/medlarhold/internal/config"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/core/request"
@@ -39,8 +41,9 @@
 	Load struct{ Report entity.LoadReport }
 	// Cache is a cache event of an owned endpoint.
 	Cache struct{ Event entity.CacheEvent }
-	// Drain begins the planned stop.
-	Drain struct{}
+	// Drain begins the planned stop. Callers' requests are still taken in for
+	// Notice, while the balancer learns of it.
+	Drain struct{ Notice time.Duration }
 )
 
 // Messages between instances, beside those of package entity.
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -16,7 +16,7 @@
 // period; then it takes no new connection and waits for what is in flight.
 func (d *Daemon) stop(ctx context.Context, callers *http.Server) error {
 	telemetry.Log(d.log, telemetry.EventDrainBegin, "in_flight", d.loop.Status().InFlight)
-	d.loop.Post(node.Drain{})
+	d.loop.Post(node.Drain{Notice: d.settings.Stop.Notice()})
 	d.renew(ctx)
 	select {
 	case <-ctx.Done():
--- /dev/null
+++ b/internal/fleet/endpoints.go
@@ -0,0 +1,193 @@
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/endpoint"
+	"github.com/medlarhold/medlarhold/internal/history"
+	"github.com/medlarhold/medlarhold/internal/standin/engine/model"
+	"github.com/medlarhold/medlarhold/internal/verdict"
+)
+
+// pollLimit bounds the cache events of one answer.
+const pollLimit = 1000
+
+// endpointFake is what engines and plain services have in common.
+type endpointFake struct {
+	f                        *Fleet
+	row                      entity.Endpoint
+	refusing, dropping, slow int
+}
+
+// reach says whether an instance gets through to the endpoint.
+func (e *endpointFake) reach(in *instance) bool { return e.f.net.reaches(in.zone, e.row.Zone) }
+
+// engine is a model engine with the streams that its clients follow.
+type engine struct {
+	endpointFake
+	model   *model.Engine
+	streams map[entity.RequestID]*stream
+	wakeAt  time.Time
+}
+
+// stream is one request at an engine, kept also after its end.
+type stream struct {
+	j       *job
+	tokens  int
+	end     *endpoint.End
+	running bool
+}
+
+// pump runs the engine's iterations and schedules the next look at it.
+func (e *engine) pump() {
+	for _, ev := range e.model.Advance(e.f.now) {
+		e.happened(ev)
+	}
+	next, ok := e.model.Next()
+	if !ok || (next.Equal(e.wakeAt) && e.wakeAt.After(e.f.now)) {
+		return
+	}
+	e.wakeAt = next
+	e.f.at(next, func() {
+		if e.wakeAt.Equal(next) {
+			e.pump()
+		}
+	})
+}
+
+func (e *engine) happened(ev model.Event) {
+	s := e.streams[ev.ID]
+	switch ev.Kind {
+	case model.EventStarted:
+		e.started(s)
+	case model.EventToken:
+		s.tokens++
+	case model.EventEnded:
+		s.end = &ev.End
+		e.stopped(s, ev.End.FinishReason.Whole())
+		s.j.followEnd(e, s)
+	}
+}
+
+func (e *engine) started(s *stream) {
+	if s.running {
+		return
+	}
+	s.running = true
+	e.f.record(e.f.atEndpoint(history.KindRunStart, s.j.call, &e.row))
+}
+
+func (e *engine) stopped(s *stream, whole bool) {
+	if !s.running && !whole {
+		return
+	}
+	s.running = false
+	ev := e.f.atEndpoint(history.KindRunEnd, s.j.call, &e.row)
+	ev.Whole = whole
+	if whole {
+		ev.Digest = streamDigest(s.j.id, s.tokens)
+	}
+	e.f.record(ev)
+}
+
+// submit takes a new request. The error says that it was refused on admission.
+func (e *engine) submit(j *job) error {
+	w := &j.call.work
+	e.f.record(e.f.atEndpoint(history.KindDispatch, j.call, &e.row))
+	err := e.model.Submit(e.f.now, model.Request{ID: j.id, Model: w.Model, Prefix: w.Prefix,
+		PromptTokens: w.PromptTokens, MaxTokens: w.MaxTokens, OutputTokens: j.call.output})
+	if err == nil {
+		e.streams[j.id] = &stream{j: j}
+	}
+	e.pump()
+	return err
+}
+
+// pause answers true if the stream produces nothing more, as it also does
+// after its end.
+func (e *engine) pause(id entity.RequestID) bool {
+	s := e.streams[id]
+	if s == nil {
+		return false
+	}
+	e.pump()
+	if s.end == nil {
+		if _, err := e.model.Pause(e.f.now, id); err != nil {
+			return false
+		}
+		e.stopped(s, false)
+	}
+	e.pump()
+	return true
+}
+
+func (e *engine) resume(id entity.RequestID) bool {
+	s := e.streams[id]
+	if s == nil {
+		return false
+	}
+	e.pump()
+	if s.end == nil {
+		if _, err := e.model.Resume(e.f.now, id); err != nil {
+			return false
+		}
+		e.started(s)
+	}
+	e.pump()
+	return true
+}
+
+func (e *engine) cancel(id entity.RequestID) {
+	e.pump()
+	if _, err := e.model.Cancel(e.f.now, id); err != nil && !errors.Is(err, model.ErrUnknown) {
+		panic(err)
+	}
+	e.pump()
+}
+
+func streamDigest(id entity.RequestID, tokens int) string { return fmt.Sprintf("%s:%d", id, tokens) }
+
+// service is a plain service.
+type service struct {
+	endpointFake
+	runs int
+}
+
+// call runs a request and answers with its digest. A service that drops
+// connections has run the call all the same, or never sees it.
+func (s *service) call(j *job, done func(digest string, err *verdict.Error)) {
+	if s.dropping > 0 && s.f.chance(0.5) {
+		s.f.after(s.f.between(time.Millisecond, callTimeout), func() { done("", lostCall()) })
+		return
+	}
+	s.f.record(s.f.atEndpoint(history.KindDispatch, j.call, &s.row))
+	s.f.record(s.f.atEndpoint(history.KindRunStart, j.call, &s.row))
+	s.runs++
+	digest := fmt.Sprintf("%s run %d at %s", j.id, s.runs, s.row.ID)
+	took := s.f.between(20*time.Millisecond, 300*time.Millisecond)
+	if s.slow > 0 {
+		took = s.f.between(200*time.Millisecond, 3*time.Second)
+	}
+	s.f.after(took, func() {
+		ev := s.f.atEndpoint(history.KindRunEnd, j.call, &s.row)
+		ev.Whole, ev.Digest = true, digest
+		s.f.record(ev)
+		if s.dropping > 0 || !s.reach(j.in) {
+			s.f.after(callTimeout, func() { done("", lostCall()) })
+			return
+		}
+		done(digest, nil)
+	})
+}
+
+func lostCall() *verdict.Error {
+	return &verdict.Error{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonConnectionLost, Message: "the call's connection was lost"}
+}
+
+func cacheEvent(id entity.EndpointID, ev endpoint.CacheEvent) entity.CacheEvent {
+	return entity.CacheEvent{Endpoint: id, Seq: ev.Seq,
+		Stored: endpoint.FromWire(ev.Stored), Evicted: endpoint.FromWire(ev.Evicted), Cleared: ev.Cleared}
+}
--- /dev/null
+++ b/internal/fleet/faults.go
@@ -0,0 +1,239 @@
+package fleet
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/history"
+)
+
+// Fault names a kind of fault.
+type Fault string
+
+// The kinds of fault.
+const (
+	FaultKill            Fault = "kill"
+	FaultKillZone        Fault = "kill_zone"
+	FaultFreeze          Fault = "freeze"
+	FaultCutZones        Fault = "cut_zones"
+	FaultCutPlatform     Fault = "cut_platform"
+	FaultSilentOneWay    Fault = "silent_one_way"
+	FaultLossyLinks      Fault = "lossy_links"
+	FaultLateMessages    Fault = "late_messages"
+	FaultLogRefuses      Fault = "log_refuses"
+	FaultLogSilent       Fault = "log_silent"
+	FaultLogSlow         Fault = "log_slow"
+	FaultLostAnswers     Fault = "lost_append_answers"
+	FaultListLate        Fault = "list_late"
+	FaultOperatorsRace   Fault = "operators_race"
+	FaultEndpointLeaves  Fault = "endpoint_leaves"
+	FaultEndpointSlow    Fault = "endpoint_slow"
+	FaultEndpointRefuses Fault = "endpoint_refuses"
+	FaultEndpointDrops   Fault = "endpoint_drops_streams"
+	FaultPlannedStop     Fault = "planned_stop"
+	FaultInstanceAdded   Fault = "instance_added"
+)
+
+// faults says how each kind is brought about; the result undoes it, nil if
+// there is nothing to undo.
+var faults = []struct {
+	kind  Fault
+	begin func(f *Fleet) func()
+}{
+	{FaultKill, (*Fleet).killOne},
+	{FaultKillZone, (*Fleet).killZone},
+	{FaultFreeze, (*Fleet).freezeOne},
+	{FaultCutZones, (*Fleet).cutZones},
+	{FaultCutPlatform, (*Fleet).cutPlatform},
+	{FaultSilentOneWay, (*Fleet).silence},
+	{FaultLossyLinks, func(f *Fleet) func() { f.net.loss = 0.03; return func() { f.net.loss = 0 } }},
+	{FaultLateMessages, func(f *Fleet) func() { f.net.late = 0.2; return func() { f.net.late = 0 } }},
+	{FaultLogRefuses, func(f *Fleet) func() { return f.logFails(&f.platform.refusing) }},
+	{FaultLogSilent, func(f *Fleet) func() { return f.logFails(&f.platform.silent) }},
+	{FaultLogSlow, func(f *Fleet) func() { return count(&f.platform.slow) }},
+	{FaultLostAnswers, func(f *Fleet) func() { f.platform.loseAnswers = 0.4; return func() { f.platform.loseAnswers = 0 } }},
+	{FaultListLate, func(f *Fleet) func() { f.platform.freezeList(); return func() { f.platform.listFrozen-- } }},
+	{FaultOperatorsRace, func(f *Fleet) func() { f.race(); return nil }},
+	{FaultEndpointLeaves, (*Fleet).endpointLeaves},
+	{FaultEndpointSlow, (*Fleet).endpointSlow},
+	{FaultEndpointRefuses, func(f *Fleet) func() { return count(&f.endpoint(pick(f.clock, f.endpoints)).refusing) }},
+	{FaultEndpointDrops, func(f *Fleet) func() { return count(&f.endpoint(pick(f.clock, f.endpoints)).dropping) }},
+	{FaultPlannedStop, (*Fleet).stopOne},
+	{FaultInstanceAdded, func(f *Fleet) func() { f.start(pick(f.clock, f.zones)); return nil }},
+}
+
+// count raises a counter and returns what lowers it.
+func count(n *int) func() {
+	*n++
+	return func() { *n-- }
+}
+
+// scheduledFault is one fault of a history's plan.
+type scheduledFault struct {
+	at, lasts time.Duration
+	index     int
+}
+
+// String names the fault with its time.
+func (s scheduledFault) String() string {
+	return fmt.Sprintf("%s at %v for %v", faults[s.index].kind, s.at, s.lasts)
+}
+
+// planFaults draws the faults of a history: some alone, some two at once, some
+// the same one twice.
+func (f *Fleet) planFaults(from, to time.Duration) []scheduledFault {
+	var out []scheduledFault
+	for range 1 + f.rng.Intn(3) {
+		s := scheduledFault{at: f.between(from, to), lasts: f.between(200*time.Millisecond, 6*time.Second), index: f.rng.Intn(len(faults))}
+		out = append(out, s)
+		switch f.rng.Intn(4) {
+		case 0: // another one at the same moment
+			out = append(out, scheduledFault{at: s.at, lasts: f.between(200*time.Millisecond, 6*time.Second), index: f.rng.Intn(len(faults))})
+		case 1: // the same one again
+			out = append(out, scheduledFault{at: s.at + f.between(0, 2*time.Second), lasts: s.lasts, index: s.index})
+		}
+	}
+	return out
+}
+
+func (f *Fleet) inject(s scheduledFault) {
+	f.at(epoch.Add(s.at), func() {
+		f.tracef("fault %v", s)
+		if undo := faults[s.index].begin(f); undo != nil {
+			f.after(s.lasts, func() {
+				f.tracef("end of fault %v", s)
+				undo()
+			})
+		}
+	})
+}
+
+func (f *Fleet) live() (in []*instance) {
+	for _, i := range f.instances {
+		if i.state == stateLive && !i.stopping {
+			in = append(in, i)
+		}
+	}
+	return in
+}
+
+// killOne kills an instance; another one takes its place.
+func (f *Fleet) killOne() func() {
+	if in := pick(f.clock, f.live()); in != nil {
+		in.kill()
+		f.after(f.between(100*time.Millisecond, 3*time.Second), func() { f.start(in.zone) })
+	}
+	return nil
+}
+
+func (f *Fleet) killZone() func() {
+	zone := pick(f.clock, f.zones)
+	for _, in := range f.live() {
+		if in.zone == zone {
+			in.kill()
+			f.after(f.between(100*time.Millisecond, 5*time.Second), func() { f.start(zone) })
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) freezeOne() func() {
+	in := pick(f.clock, f.live())
+	if in == nil {
+		return nil
+	}
+	in.freeze()
+	return in.thaw
+}
+
+func (f *Fleet) cutZones() func() {
+	a, b := pick(f.clock, f.zones), pick(f.clock, f.zones)
+	if a == b {
+		return nil
+	}
+	f.net.cut(a, b, 1)
+	return func() { f.net.cut(a, b, -1) }
+}
+
+func (f *Fleet) cutPlatform() func() {
+	zone := pick(f.clock, f.zones)
+	f.net.cut(zone, platformZone, 1)
+	f.markLog(history.KindDown, zone)
+	return func() {
+		f.net.cut(zone, platformZone, -1)
+		f.markLog(history.KindUp, zone)
+	}
+}
+
+// logFails takes the log away from everyone.
+func (f *Fleet) logFails(counter *int) func() {
+	undo := count(counter)
+	for _, z := range f.zones {
+		f.markLog(history.KindDown, z)
+	}
+	return func() {
+		undo()
+		for _, z := range f.zones {
+			f.markLog(history.KindUp, z)
+		}
+	}
+}
+
+// markLog records that the instances of a zone lost or have the log.
+func (f *Fleet) markLog(kind history.Kind, zone entity.ZoneID) {
+	if kind == history.KindUp && (f.platform.refusing+f.platform.silent > 0 || !f.net.reaches(zone, platformZone)) {
+		return
+	}
+	for _, in := range f.live() {
+		if in.zone == zone && in.ready {
+			f.record(history.Event{Kind: kind, Instance: in.id, Zone: zone})
+		}
+	}
+}
+
+// silence makes the connections between two instances lose what goes one way.
+func (f *Fleet) silence() func() {
+	a, b := pick(f.clock, f.live()), pick(f.clock, f.live())
+	if a != nil && a != b {
+		f.net.silent[peerPair{a.id, b.id}] = true
+	}
+	return nil
+}
+
+func (f *Fleet) endpointLeaves() func() {
+	if f.platform.refusing+f.platform.silent > 0 {
+		return nil
+	}
+	id := pick(f.clock, f.endpoints)
+	f.setLeaving(id, true)
+	return func() { f.setLeaving(id, false) }
+}
+
+func (f *Fleet) endpointSlow() func() {
+	e := f.endpoint(pick(f.clock, f.endpoints))
+	e.slow++
+	if eng := f.engines[e.row.ID]; eng != nil {
+		eng.model.SetSlow(slowFactor)
+	}
+	return func() {
+		if e.slow--; e.slow > 0 {
+			return
+		}
+		if eng := f.engines[e.row.ID]; eng != nil {
+			eng.model.SetSlow(1)
+		}
+	}
+}
+
+// slowFactor is how much longer a slow engine takes.
+const slowFactor = 5
+
+// stopOne stops an instance as planned; another one takes its place.
+func (f *Fleet) stopOne() func() {
+	if in := pick(f.clock, f.live()); in != nil && in.ready {
+		in.stop()
+		f.after(f.between(0, 2*time.Second), func() { f.start(in.zone) })
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/histories/main.go
@@ -0,0 +1,166 @@
+// Command histories plays seeded histories of a fleet of decision cores under
+// faults, and checks the system's promises over each. It is a test tool.
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"runtime"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/medlarhold/medlarhold/internal/fleet"
+	"github.com/medlarhold/medlarhold/internal/history"
+	"github.com/medlarhold/medlarhold/internal/verdict"
+)
+
+// options are the command's flags.
+type options struct {
+	seeds, from, seed int64
+	minutes           float64
+	trace             bool
+	workers           int
+}
+
+// errBroken means that a history broke a promise.
+var errBroken = errors.New("a history broke a promise")
+
+func main() {
+	var o options
+	cmd := &cobra.Command{
+		Use: "histories", Short: "Play seeded histories under faults and check the promises",
+		Args: cobra.NoArgs, SilenceUsage: true, SilenceErrors: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if o.seed != 0 {
+				return replay(cmd.OutOrStdout(), o)
+			}
+			return runMany(cmd.OutOrStdout(), o)
+		},
+	}
+	fl := cmd.Flags()
+	fl.Int64Var(&o.seeds, "seeds", 1000, "how many histories to play; 0 for as many as --minutes allows")
+	fl.Int64Var(&o.from, "from", 0, "first seed; 0 takes one by the clock")
+	fl.Float64Var(&o.minutes, "minutes", 0, "stop after this time; 0 for no bound")
+	fl.Int64Var(&o.seed, "seed", 0, "replay this one seed")
+	fl.BoolVar(&o.trace, "trace", false, "with --seed, print all that happens")
+	fl.IntVar(&o.workers, "workers", runtime.GOMAXPROCS(0), "histories that run side by side")
+	if err := cmd.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "histories:", err)
+		os.Exit(1)
+	}
+}
+
+func replay(out io.Writer, o options) error {
+	w := bufio.NewWriter(out)
+	defer w.Flush()
+	var fo fleet.Options
+	if o.trace {
+		fo.Trace = w
+	}
+	r := fleet.Run(o.seed, fo)
+	fmt.Fprint(w, r)
+	if len(r.Violations) > 0 {
+		return errBroken
+	}
+	return nil
+}
+
+// tally adds up what came of many histories.
+type tally struct {
+	mu                            sync.Mutex
+	next, end                     int64
+	until                         time.Time
+	histories, requests, messages int
+	broken                        []int64
+	faults                        map[fleet.Fault]int
+	promises                      map[history.Promise]int
+	outcomes                      map[verdict.Reason]int
+}
+
+func runMany(out io.Writer, o options) error {
+	if o.from == 0 {
+		o.from = time.Now().UnixNano() / int64(time.Microsecond)
+	}
+	t := &tally{next: o.from, end: o.from + o.seeds, faults: map[fleet.Fault]int{},
+		promises: map[history.Promise]int{}, outcomes: map[verdict.Reason]int{}}
+	if o.minutes > 0 {
+		t.until = time.Now().Add(time.Duration(o.minutes * float64(time.Minute)))
+	}
+	var wg sync.WaitGroup
+	for range o.workers {
+		wg.Go(func() {
+			for seed, ok := t.seed(o); ok; seed, ok = t.seed(o) {
+				t.add(out, fleet.Run(seed, fleet.Options{}))
+			}
+		})
+	}
+	wg.Wait()
+	t.print(out, o.from)
+	if len(t.broken) > 0 {
+		return errBroken
+	}
+	return nil
+}
+
+// seed hands out the next seed; false at the end.
+func (t *tally) seed(o options) (int64, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if o.seeds > 0 && t.next >= t.end || !t.until.IsZero() && time.Now().After(t.until) {
+		return 0, false
+	}
+	t.next++
+	return t.next - 1, true
+}
+
+// maxReports bounds the failures that are printed in full.
+const maxReports = 10
+
+func (t *tally) add(out io.Writer, r fleet.Result) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.histories++
+	t.requests += r.Requests
+	t.messages += r.Messages
+	for _, k := range r.Kinds {
+		t.faults[k]++
+	}
+	for reason, n := range r.Outcomes {
+		t.outcomes[reason] += n
+	}
+	for _, v := range r.Violations {
+		t.promises[v.Promise]++
+	}
+	if len(r.Violations) > 0 {
+		t.broken = append(t.broken, r.Seed)
+		if len(t.broken) <= maxReports {
+			fmt.Fprint(out, r)
+		}
+	}
+}
+
+func (t *tally) print(out io.Writer, from int64) {
+	fmt.Fprintf(out, "%d histories from seed %d: %d requests, %d messages between instances\n", t.histories, from, t.requests, t.messages)
+	fmt.Fprintln(out, "faults:")
+	printCounts(out, t.faults)
+	fmt.Fprintln(out, "answers by reason (whole answers have none):")
+	printCounts(out, t.outcomes)
+	fmt.Fprintf(out, "histories that broke a promise: %d\n", len(t.broken))
+	printCounts(out, t.promises)
+	if len(t.broken) > 0 {
+		fmt.Fprintf(out, "seeds: %v\n", t.broken[:min(len(t.broken), 4*maxReports)])
+	}
+}
+
+func printCounts[K ~string](out io.Writer, counts map[K]int) {
+	for _, k := range slices.Sorted(maps.Keys(counts)) {
+		fmt.Fprintf(out, "  %8d %s\n", counts[k], k)
+	}
+}
--- /dev/null
+++ b/internal/fleet/instance.go
@@ -0,0 +1,330 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/config"
+	"github.com/medlarhold/medlarhold/internal/core/claim"
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/node"
+	"github.com/medlarhold/medlarhold/internal/core/request"
+	"github.com/medlarhold/medlarhold/internal/history"
+	"github.com/medlarhold/medlarhold/internal/platform"
+	"github.com/medlarhold/medlarhold/internal/verdict"
+)
+
+const (
+	configRetryPause = 300 * time.Millisecond
+	configWait       = 2 * time.Second
+	pollInterval     = time.Second
+	// stopNotice is how long a stopping instance still takes requests.
+	stopNotice = time.Second
+)
+
+// liveness is whether a process runs.
+type liveness int
+
+const (
+	stateLive liveness = iota
+	stateFrozen
+	stateDead
+)
+
+// instance is one process: the decision core and its edges.
+type instance struct {
+	f        *Fleet
+	id       entity.InstanceID
+	zone     entity.ZoneID
+	self     entity.Instance
+	state    liveness
+	node     *node.Node
+	follower *config.Follower
+	// backlog is what waits in the buffers of a frozen process.
+	backlog []func()
+	jobs    map[entity.RequestID]*job
+	jobList []*job // in the order of their arrival
+	owned   []entity.Endpoint
+	next    map[entity.EndpointID]uint64
+	ready   bool // serves callers
+	// wasFrozen is set for good by a freeze.
+	wasFrozen bool
+	stopping  bool
+	closed    bool // takes no new connection
+}
+
+// start brings up an instance in a zone.
+func (f *Fleet) start(zone entity.ZoneID) *instance {
+	f.born++
+	id := entity.InstanceID(fmt.Sprintf("%s-i%d", zone, f.born))
+	in := &instance{
+		f: f, id: id, zone: zone, follower: config.NewFollower(),
+		self: entity.Instance{ID: id, Zone: zone, Region: "r", PeerAddress: "peer/" + string(id)},
+		jobs: make(map[entity.RequestID]*job), next: make(map[entity.EndpointID]uint64),
+	}
+	s := node.DefaultSettings(in.self)
+	s.Admission.QueuePerEndpoint = f.plan.queue
+	in.node = node.New(s, rand.New(rand.NewSource(f.rng.Int63())))
+	f.instances = append(f.instances, in)
+	f.byID[id] = in
+	in.tick()
+	in.followConfig()
+	in.renew()
+	in.poll()
+	f.tracef("%s starts", id)
+	return in
+}
+
+// do runs what a process does, later if it is frozen, never if it is dead.
+func (in *instance) do(what func()) {
+	switch in.state {
+	case stateLive:
+		what()
+	case stateFrozen:
+		in.backlog = append(in.backlog, what)
+	case stateDead:
+	}
+}
+
+// every runs what now and then, as long as the process lives.
+func (in *instance) every(d time.Duration, what func()) {
+	in.do(func() {
+		what()
+		in.f.after(d, func() { in.every(d, what) })
+	})
+}
+
+func (in *instance) post(msg any) { in.do(func() { in.step(msg) }) }
+
+func (in *instance) step(msg any) {
+	in.node.Step(in.f.now, msg)
+	in.carryOut()
+}
+
+func (in *instance) tick() {
+	in.every(node.TickInterval, func() {
+		in.node.Tick(in.f.now)
+		in.carryOut()
+	})
+}
+
+// carryOut does what the core has decided.
+func (in *instance) carryOut() {
+	r := in.node.Ready()
+	for _, m := range r.Peers {
+		in.f.send(in, m)
+	}
+	for _, d := range r.Directives {
+		if j := in.jobs[d.ID]; j != nil {
+			j.direct(d)
+		}
+	}
+	for _, a := range r.ClaimAppends {
+		in.appendClaims(a)
+	}
+	for _, q := range r.ClaimReads {
+		in.readClaims(q)
+	}
+	if r.Owned != nil {
+		in.owned = *r.Owned
+	}
+}
+
+func (in *instance) appendClaims(a node.ClaimAppend) {
+	in.f.platform.append(in, a.Batch.Stream, a.Batch.Data, func(off platform.Offset, err error) {
+		status := claim.AppendUnknown
+		switch {
+		case err == nil:
+			status = claim.AppendDone
+		case errors.Is(err, platform.ErrNotAppended):
+			status = claim.AppendFailed
+		}
+		in.step(node.ClaimAppended{Shard: a.Shard, Batch: a.Batch.ID, Status: status, Offset: off})
+	})
+}
+
+func (in *instance) readClaims(q node.ClaimReadRequest) {
+	in.f.platform.read(in, q.Read.Stream, q.Read.From, q.Read.Limit, q.Read.Wait, func(res platform.ReadResult, err error) {
+		in.step(node.ClaimRead{Shard: q.Shard, Result: res, Err: err})
+	})
+}
+
+// followConfig keeps the configuration up to date with the log, or with the
+// peers while there is no log.
+func (in *instance) followConfig() {
+	ask := in.follower.Ask()
+	wait := time.Duration(0)
+	if ask.MayWait {
+		wait = configWait
+	}
+	asked := in.f.now
+	in.f.platform.read(in, ask.Stream, ask.From, ask.Limit, wait, func(res platform.ReadResult, err error) {
+		pause := time.Duration(0)
+		if err == nil {
+			in.follower.Handle(asked, res)
+		} else {
+			in.askPeers()
+			pause = configRetryPause
+		}
+		in.putIntoForce()
+		in.f.after(pause, func() { in.do(in.followConfig) })
+	})
+}
+
+// askPeers takes the newest configuration that a peer in reach has.
+func (in *instance) askPeers() {
+	peer, newest, found := in.node.NewestPeer()
+	if !found {
+		return
+	}
+	from := in.f.byID[peer.ID]
+	if from.state == stateLive && in.f.net.reaches(in.zone, from.zone) {
+		in.follower.Restore(from.follower.State())
+	}
+	in.follower.SettleForPeers(config.Revision(newest))
+}
+
+func (in *instance) putIntoForce() {
+	st := in.follower.State()
+	if st.Revision() != in.node.Revision() {
+		in.step(node.Configured{State: st})
+		in.f.record(history.Event{Kind: history.KindInForce, Instance: in.id, Revision: int64(st.Revision())})
+	}
+	if in.follower.CaughtUp() && !in.ready {
+		in.ready = true
+		in.f.record(history.Event{Kind: history.KindUp, Instance: in.id, Zone: in.zone})
+	}
+}
+
+// renew keeps the instance on the platform's list and reads the list.
+func (in *instance) renew() {
+	in.every(platform.ListRenewInterval, func() {
+		if !in.f.net.reaches(in.zone, platformZone) {
+			return
+		}
+		self := in.self
+		self.Leaving = in.stopping
+		if err := in.f.platform.store.Register(context.Background(), self); err != nil {
+			panic(err) // the store itself never fails
+		}
+		in.step(node.Listed{Instances: in.f.platform.list()})
+	})
+}
+
+// poll asks the owned engines for load and cache events.
+func (in *instance) poll() {
+	in.every(pollInterval, func() {
+		for _, e := range in.owned {
+			if eng := in.f.engines[e.ID]; eng != nil && in.f.net.reaches(in.zone, e.Zone) {
+				in.pollEngine(e.ID, eng)
+			}
+		}
+	})
+}
+
+func (in *instance) pollEngine(id entity.EndpointID, eng *engine) {
+	l := eng.model.Load(in.f.now)
+	events := eng.model.CacheEvents(in.f.now, in.next[id], pollLimit)
+	in.next[id] = events.Next
+	in.f.after(in.f.between(minHop, maxHop), func() {
+		in.post(node.Load{Report: entity.LoadReport{Endpoint: id, At: l.AsOf, Running: l.Running, Waiting: l.Waiting, KVTokens: l.KVTokens}})
+		for _, ev := range events.Events {
+			in.post(node.Cache{Event: cacheEvent(id, ev)})
+		}
+	})
+}
+
+// serve takes a request in, as the callers' edge does.
+func (in *instance) serve(c *call) {
+	in.do(func() {
+		j := &job{in: in, call: c, id: c.work.ID}
+		if !in.ready {
+			j.answer(&verdict.Error{Verdict: verdict.NotRun, Reason: verdict.ReasonNotReady}, "")
+			return
+		}
+		in.jobs[j.id] = j
+		in.jobList = append(in.jobList, j)
+		in.step(node.Arrive{Arrival: request.Arrival{Work: c.work, Key: c.key, BodyHash: c.body}})
+	})
+}
+
+// kill ends the process. Callers see their connections cut.
+func (in *instance) kill() {
+	if in.state == stateDead {
+		return
+	}
+	in.f.tracef("%s dies", in.id)
+	in.state = stateDead
+	in.f.record(history.Event{Kind: history.KindDown, Instance: in.id})
+	for _, j := range in.jobList {
+		if !j.answered {
+			in.f.record(history.Event{Kind: history.KindCut, Request: j.id, Instance: in.id})
+		}
+	}
+}
+
+func (in *instance) freeze() {
+	if in.state != stateLive {
+		return
+	}
+	in.f.tracef("%s freezes", in.id)
+	in.state, in.wasFrozen = stateFrozen, true
+	in.f.record(history.Event{Kind: history.KindDown, Instance: in.id})
+}
+
+func (in *instance) thaw() {
+	if in.state != stateFrozen {
+		return
+	}
+	in.f.tracef("%s thaws", in.id)
+	in.state = stateLive
+	waiting := in.backlog
+	in.backlog = nil
+	for _, what := range waiting {
+		in.do(what)
+	}
+	if in.ready && !in.stopping {
+		in.f.record(history.Event{Kind: history.KindUp, Instance: in.id, Zone: in.zone})
+	}
+}
+
+// stop is the planned stop: notice, then no new connection, then the end once
+// nothing is in flight.
+func (in *instance) stop() {
+	in.do(func() {
+		if in.stopping {
+			return
+		}
+		in.f.tracef("%s stops", in.id)
+		in.stopping = true
+		in.f.record(history.Event{Kind: history.KindStopBegin, Instance: in.id})
+		in.step(node.Drain{Notice: stopNotice})
+		in.f.after(stopNotice, func() { in.closed = true })
+		in.f.after(stopNotice, in.endWhenIdle)
+	})
+}
+
+func (in *instance) endWhenIdle() {
+	in.do(func() {
+		if in.node.InFlight() > 0 || in.unanswered() > 0 {
+			in.f.after(node.TickInterval, in.endWhenIdle)
+			return
+		}
+		in.f.tracef("%s has stopped", in.id)
+		in.f.record(history.Event{Kind: history.KindStopEnd, Instance: in.id})
+		in.state = stateDead
+	})
+}
+
+func (in *instance) unanswered() int {
+	n := 0
+	for _, j := range in.jobList {
+		if !j.answered {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/fleet/job.go
@@ -0,0 +1,196 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/node"
+	"github.com/medlarhold/medlarhold/internal/core/request"
+	"github.com/medlarhold/medlarhold/internal/history"
+	"github.com/medlarhold/medlarhold/internal/verdict"
+)
+
+const (
+	// callTimeout is when a call to a plain service without an answer is given up.
+	callTimeout = 4 * time.Second
+	// controlTimeout bounds a pause, resume or cancel at an engine.
+	controlTimeout = 2 * time.Second
+	// reattachPause and reattachTries bound how a broken stream is taken up again.
+	reattachPause = 300 * time.Millisecond
+	reattachTries = 8
+	connectLimit  = 2 * time.Second
+)
+
+// job carries out the directives of one request, as the callers' edge does.
+type job struct {
+	in       *instance
+	call     *call
+	id       entity.RequestID
+	at       entity.EndpointID
+	aborted  *verdict.Error
+	ended    bool
+	answered bool
+	digest   string
+}
+
+func (j *job) direct(d request.Directive) {
+	j.in.f.tracef("%s: request %s directive %d at %q err=%v", j.in.id, d.ID, d.Kind, d.Endpoint, d.Err)
+	f := j.in.f
+	switch d.Kind {
+	case request.DirectiveDispatch:
+		j.dispatch(d.Endpoint)
+	case request.DirectivePause:
+		j.control(func(e *engine) {
+			if e.pause(j.id) {
+				f.after(f.between(minHop, maxHop), func() { j.in.post(node.Paused{ID: j.id}) })
+			}
+		}, func() {})
+	case request.DirectiveResume:
+		failed := &verdict.Error{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonEndpointFailed}
+		j.control(func(e *engine) {
+			if !e.resume(j.id) {
+				j.abort(failed)
+			}
+		}, func() { j.abort(failed) })
+	case request.DirectiveCancel:
+		j.control(func(e *engine) {
+			e.cancel(j.id)
+			f.after(maxHop, func() { j.abort(d.Err) })
+		}, func() { j.abort(d.Err) })
+	case request.DirectiveFinish:
+		if d.Err == nil && d.Answer != nil && j.digest == "" {
+			j.digest = string(d.Answer.Body)
+		}
+		j.answer(d.Err, j.digest)
+	}
+}
+
+// dispatch sends the request to the endpoint, once.
+func (j *job) dispatch(id entity.EndpointID) {
+	f := j.in.f
+	j.at, j.ended, j.aborted = id, false, nil
+	f.after(f.between(minHop, maxHop), func() {
+		j.in.do(func() { j.arriveAt(id) })
+	})
+}
+
+func (j *job) arriveAt(id entity.EndpointID) {
+	f := j.in.f
+	if _, ok := j.in.follower.State().Endpoint(id); !ok {
+		j.end(&verdict.Error{Verdict: verdict.NotRun, Reason: verdict.ReasonNoEndpoint}, "")
+		return
+	}
+	e := f.endpoint(id)
+	switch {
+	case !e.reach(j.in):
+		f.after(connectLimit, func() {
+			j.end(&verdict.Error{Verdict: verdict.NotRun, Reason: verdict.ReasonConnectionLost}, "")
+		})
+	case e.refusing > 0:
+		j.end(&verdict.Error{Verdict: verdict.NotRun, Reason: verdict.ReasonEndpointRefused}, "")
+	case f.services[id] != nil:
+		f.services[id].call(j, func(digest string, err *verdict.Error) { j.end(err, digest) })
+	default:
+		if err := f.engines[id].submit(j); err != nil {
+			j.end(&verdict.Error{Verdict: verdict.NotRun, Reason: verdict.ReasonEndpointRefused}, "")
+			return
+		}
+		f.after(reattachPause, func() { j.watch(f.engines[id], 0) })
+	}
+}
+
+// watch gives a stream up that makes no progress the client could see.
+func (j *job) watch(e *engine, lost int) {
+	s := e.streams[j.id]
+	if j.ended || s == nil || s.end != nil || j.in.state == stateDead {
+		return
+	}
+	if e.reach(j.in) && e.dropping == 0 {
+		lost = 0
+	} else if lost++; lost > reattachTries {
+		j.end(&verdict.Error{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonConnectionLost}, "")
+		return
+	}
+	j.in.f.after(reattachPause, func() { j.watch(e, lost) })
+}
+
+// followEnd brings the end of a stream to its client, over a new connection if need be.
+func (j *job) followEnd(e *engine, s *stream) { j.fetchEnd(e, s, 0) }
+
+func (j *job) fetchEnd(e *engine, s *stream, tries int) {
+	f := j.in.f
+	f.after(f.between(minHop, maxHop), func() {
+		switch {
+		case e.reach(j.in) && e.dropping == 0:
+			if s.end.FinishReason.Whole() {
+				j.end(nil, streamDigest(j.id, s.tokens))
+				return
+			}
+			j.end(&verdict.Error{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonAnswerIncomplete}, "")
+		case tries >= reattachTries:
+			j.end(&verdict.Error{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonConnectionLost}, "")
+		default:
+			f.after(reattachPause, func() { j.fetchEnd(e, s, tries+1) })
+		}
+	})
+}
+
+// control does something to the stream at its engine; failed comes after the
+// timeout if the engine can't be reached. Plain services have no such calls.
+func (j *job) control(act func(*engine), failed func()) {
+	f := j.in.f
+	e := f.engines[j.at]
+	if e == nil {
+		return
+	}
+	f.after(f.between(minHop, maxHop), func() {
+		switch {
+		case j.in.state == stateDead:
+		case e.reach(j.in) && e.refusing == 0:
+			act(e)
+		default:
+			f.after(controlTimeout, failed)
+		}
+	})
+}
+
+func (j *job) abort(why *verdict.Error) { j.end(why, "") }
+
+// end reports how the dispatch ended, once.
+func (j *job) end(err *verdict.Error, digest string) {
+	j.in.do(func() {
+		if j.ended {
+			return
+		}
+		j.ended = true
+		end := request.End{Err: err, Release: entity.Release{TimeToFirstToken: time.Millisecond}}
+		if err != nil {
+			end.Release.Failed = err.Reason != verdict.ReasonPreempted
+		} else {
+			j.digest = digest
+			if j.call.key != "" {
+				end.Answer = &request.Answer{Status: 200, Body: []byte(digest)}
+			}
+		}
+		j.in.step(node.Ended{ID: j.id, End: end})
+	})
+}
+
+// answer gives the caller its final answer.
+func (j *job) answer(err *verdict.Error, digest string) {
+	j.answered = true
+	f := j.in.f
+	delete(j.in.jobs, j.id)
+	ev := history.Event{Kind: history.KindAnswer, Caller: j.call.caller, Request: j.id, Verdict: verdict.Ran}
+	if err != nil {
+		ev.Verdict, ev.Reason = err.Verdict, err.Reason
+	} else {
+		ev.Whole, ev.Digest = true, digest
+	}
+	if ev.Reason == verdict.ReasonOverload {
+		f.record(f.shed(j))
+	}
+	f.record(ev)
+	f.outcomes[ev.Reason]++
+	j.call.answered(err)
+}
--- /dev/null
+++ b/internal/fleet/platform.go
@@ -0,0 +1,129 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/platform"
+	"github.com/medlarhold/medlarhold/internal/standin/platformsvc"
+)
+
+const (
+	// logTimeout is when an exchange with the log is given up.
+	logTimeout = 2 * time.Second
+	minLogHop  = time.Millisecond
+	maxLogHop  = 5 * time.Millisecond
+	// readPoll is how often a waiting read looks for records.
+	readPoll = 100 * time.Millisecond
+)
+
+// platformFake is the log service and the list, with what fails at the moment.
+type platformFake struct {
+	f     *Fleet
+	store *platformsvc.Service
+	// refusing and silent count the outages that hold; slow delays exchanges.
+	refusing, silent, slow int
+	// loseAnswers is the share of appends whose answer is lost.
+	loseAnswers float64
+	// listFrozen counts the faults that keep the list from changing.
+	listFrozen int
+	frozenList []entity.Instance
+}
+
+func newPlatform(f *Fleet) *platformFake {
+	faults := platformsvc.DefaultFaults()
+	store := platformsvc.New(platformsvc.Options{Now: func() time.Time { return f.now }, Faults: &faults})
+	return &platformFake{f: f, store: store}
+}
+
+func (p *platformFake) hop() time.Duration {
+	if p.slow > 0 {
+		return p.f.between(100*time.Millisecond, 800*time.Millisecond)
+	}
+	return p.f.between(minLogHop, maxLogHop)
+}
+
+// exchange carries a call to the log and its answer back. call runs at the
+// log; done gets refused, lost or nothing, at the latest after the timeout.
+func (p *platformFake) exchange(from *instance, call func(), done func(error)) {
+	answered := false
+	finish := func(err error) {
+		if !answered {
+			answered = true
+			from.do(func() { done(err) })
+		}
+	}
+	p.f.after(logTimeout, func() { finish(platform.ErrUnknownOutcome) })
+	p.f.after(p.hop(), func() {
+		switch {
+		case p.silent > 0 || !p.f.net.reaches(from.zone, platformZone):
+			return
+		case p.refusing > 0:
+			finish(platform.ErrNotAppended)
+			return
+		}
+		call()
+		p.f.after(p.hop(), func() {
+			if p.f.net.reaches(from.zone, platformZone) {
+				finish(nil)
+			}
+		})
+	})
+}
+
+// append appends a record, once, on behalf of an instance.
+func (p *platformFake) append(from *instance, s platform.Stream, data []byte, done func(platform.Offset, error)) {
+	var off platform.Offset
+	var err error
+	p.exchange(from, func() {
+		off, err = p.store.Append(context.Background(), s, data)
+		if p.f.chance(p.loseAnswers) {
+			err = platform.ErrUnknownOutcome
+		}
+	}, func(failed error) {
+		if failed == nil {
+			failed = err
+		}
+		done(off, failed)
+	})
+}
+
+// read reads records on behalf of an instance, waiting up to wait for some.
+func (p *platformFake) read(from *instance, s platform.Stream, at platform.Offset, limit int, wait time.Duration, done func(platform.ReadResult, error)) {
+	var res platform.ReadResult
+	var err error
+	p.exchange(from, func() {
+		res, err = p.store.Read(context.Background(), s, at, limit, 0)
+	}, func(failed error) {
+		switch {
+		case failed != nil:
+			done(platform.ReadResult{}, platform.ErrUnavailable)
+		case err == nil && len(res.Records) == 0 && wait > readPoll:
+			p.f.after(readPoll, func() { p.read(from, s, at, limit, wait-readPoll, done) })
+		case errors.Is(err, platform.ErrTruncated):
+			done(platform.ReadResult{First: res.First, Next: res.Next}, nil)
+		default:
+			done(res, err)
+		}
+	})
+}
+
+// list returns the instances as the platform lists them.
+func (p *platformFake) list() []entity.Instance {
+	if p.listFrozen > 0 {
+		return p.frozenList
+	}
+	list, err := p.store.List(context.Background())
+	if err != nil {
+		panic(err) // the store itself never fails
+	}
+	return list
+}
+
+// freezeList keeps the list as it is, until the fault is over.
+func (p *platformFake) freezeList() {
+	p.frozenList = p.list()
+	p.listFrozen++
+}
