Questions are numbered, so that an overtaken message frees no later grant

The question to resume a paused stream overtook the release of its pause; the owner granted it again on the spot, then the late release freed the slot of the stream that was running. The owner took the slot for empty and gave its promise. The same hole: a grant delivered twice was answered by "unused", which freed the running slot; a late withdrawal cancelled a later question; a refusal of an earlier question was counted from the time of a later one.

Ruled out: ordering at the transport (a message repeated over a fresh connection can't be ordered against what follows it).

Change: each question of a request carries a number, echoed by grant, refusal and preemption, and named by release, withdrawal and the handing over of running work. Owners and entries pass over what belongs to an earlier question; a later question ends what the earlier one held.

--- a/internal/core/admission/job.go
+++ b/internal/core/admission/job.go
@@ -41,6 +41,8 @@
 	tier  int
 	state jobState
 	seq   uint64
+	// question is the entry's number of the question that made the job.
+	question uint32
 	// noWait says that the entry wants a slot or a refusal, no place in the queue.
 	noWait bool
 	// endpoint is where the job runs or is paused; nil while queued.
--- a/internal/core/admission/membership.go
+++ b/internal/core/admission/membership.go
@@ -107,10 +107,14 @@
 
 func (o *Owner) hold(h *entity.Held) {
 	e := o.endpoints[h.Endpoint]
-	if e == nil || o.jobs[h.Work.ID] != nil {
+	if e == nil {
 		return
 	}
-	j := o.newJob(&entity.Reservation{Work: h.Work, From: h.From})
+	if known := o.jobs[h.Work.ID]; known != nil {
+		known.orphanedAt = time.Time{} // its entry is there after all
+		return
+	}
+	j := o.newJob(&entity.Reservation{Work: h.Work, From: h.From, Question: h.Question})
 	o.jobs[j.work.ID] = j
 	e.take(j)
 	e.index.Insert(j.work.Prefix)
--- a/internal/core/admission/owner.go
+++ b/internal/core/admission/owner.go
@@ -79,21 +79,46 @@
 // replaces deals with a reservation for a job that is known already. It
 // returns true if the reservation is to be taken in anew.
 func (o *Owner) replaces(old *job, r *entity.Reservation) bool {
-	switch old.state {
-	case stateRunning, statePreempting:
-		g := entity.Grant{ID: old.work.ID, Endpoint: old.endpoint.row.ID}
-		o.ready.Grants = append(o.ready.Grants, GrantTo{To: old.from, Grant: g})
+	switch {
+	case r.Question < old.question:
+		return false // overtaken by a later question
+	case r.Question > old.question:
+		o.overtaken(old, r)
+		return true
+	case old.state == stateRunning || old.state == statePreempting:
+		o.grantAgain(old)
 		return false
-	case statePaused:
+	case old.state == statePaused:
 		return r.Resume == old.endpoint.row.ID
-	default:
-		return false
 	}
+	return false
+}
+
+// overtaken ends a job whose entry asks anew: what ended it is still on its way.
+func (o *Owner) overtaken(old *job, r *entity.Reservation) {
+	switch {
+	case old.state == stateQueued:
+		o.pool(old.work.Pool).queue.remove(old)
+		if old.endpoint == nil {
+			delete(o.jobs, old.work.ID)
+		}
+	case old.holdsSlot():
+		o.leave(old, r.Resume == old.endpoint.row.ID)
+	}
+}
+
+// grantAgain repeats a grant whose entry may not have it.
+func (o *Owner) grantAgain(j *job) {
+	g := entity.Grant{ID: j.work.ID, Question: j.question, Endpoint: j.endpoint.row.ID}
+	o.ready.Grants = append(o.ready.Grants, GrantTo{To: j.from, Grant: g})
 }
 
 // Release takes a slot back.
 func (o *Owner) Release(now time.Time, r entity.Release) {
 	j := o.jobs[r.ID]
+	if j != nil && r.Question < j.question {
+		return // overtaken by a later question
+	}
 	if j == nil || j.endpoint == nil {
 		o.Cancel(now, r.ID)
 		return
@@ -107,6 +132,13 @@
 	o.schedule(now, o.pool(e.row.Pool))
 }
 
+// Withdraw takes the question of that number back, and all before it.
+func (o *Owner) Withdraw(now time.Time, id entity.RequestID, question uint32) {
+	if j := o.jobs[id]; j != nil && j.question <= question {
+		o.Cancel(now, id)
+	}
+}
+
 // Cancel forgets a request whose entry has given up, queued or not.
 func (o *Owner) Cancel(now time.Time, id entity.RequestID) {
 	j := o.jobs[id]
@@ -169,12 +201,13 @@
 func (o *Owner) newJob(r *entity.Reservation) *job {
 	o.seq++
 	return &job{
-		work:   r.Work,
-		from:   r.From,
-		class:  class{model: r.Work.Model, adapter: r.Work.Adapter, resume: r.Resume},
-		tier:   min(max(int(r.Work.Tier), 0), o.settings.Tiers-1),
-		seq:    o.seq,
-		noWait: r.NoWait,
+		work:     r.Work,
+		from:     r.From,
+		class:    class{model: r.Work.Model, adapter: r.Work.Adapter, resume: r.Resume},
+		tier:     min(max(int(r.Work.Tier), 0), o.settings.Tiers-1),
+		seq:      o.seq,
+		question: r.Question,
+		noWait:   r.NoWait,
 	}
 }
 
--- a/internal/core/admission/shed.go
+++ b/internal/core/admission/shed.go
@@ -10,7 +10,7 @@
 // refuse answers the queued job j with the strongest floor that holds, and
 // forgets it.
 func (o *Owner) refuse(now time.Time, p *pool, j *job) {
-	r := entity.Refusal{ID: j.work.ID, Floor: NoFloor, RetryAfter: o.retryAfter(now, p, j)}
+	r := entity.Refusal{ID: j.work.ID, Question: j.question, Floor: NoFloor, RetryAfter: o.retryAfter(now, p, j)}
 	if lowest, settled := p.lowest(now, j); settled {
 		floor := max(j.tier, lowest)
 		r.Covers = uint64(o.promise(now, p, j, floor))
@@ -21,7 +21,7 @@
 
 // refuseInfeasible answers a job that no endpoint here could end in time.
 func (o *Owner) refuseInfeasible(p *pool, j *job) {
-	o.sendRefusal(p, j, entity.Refusal{ID: j.work.ID, Floor: NoFloor, Infeasible: true})
+	o.sendRefusal(p, j, entity.Refusal{ID: j.work.ID, Question: j.question, Floor: NoFloor, Infeasible: true})
 }
 
 func (o *Owner) sendRefusal(p *pool, j *job, r entity.Refusal) {
--- a/internal/core/entity/peer.go
+++ b/internal/core/entity/peer.go
@@ -9,6 +9,10 @@
 	// From is the entry instance that holds the caller's connection. It alone
 	// dispatches, once, after the owner has granted a slot.
 	From InstanceID
+	// Question numbers the questions of the request, over all owners. What
+	// answers a question or follows from its grant carries the number, so that
+	// a message that was overtaken or repeated is known as such.
+	Question uint32
 	// Resume names the endpoint that holds the request's paused stream; empty
 	// for a request that was never dispatched.
 	Resume EndpointID
@@ -20,6 +24,7 @@
 // Grant is the owner's answer "you may dispatch to this endpoint now".
 type Grant struct {
 	ID       RequestID  `json:"i"`
+	Question uint32     `json:"q,omitempty"`
 	Endpoint EndpointID `json:"e"`
 	// CachedTokens is the owner's estimate of the prompt tokens that the
 	// engine already holds.
@@ -35,6 +40,7 @@
 // from when the asker sent its question.
 type Refusal struct {
 	ID         RequestID     `json:"i"`
+	Question   uint32        `json:"q,omitempty"`
 	Floor      Tier          `json:"f,omitempty"`
 	FloorFor   time.Duration `json:"u,omitempty"`
 	RetryAfter time.Duration `json:"r,omitempty"`
@@ -49,13 +55,17 @@
 // slot back to a higher tier. Pause keeps the stream on the engine to be
 // resumed later; otherwise it is cancelled.
 type Preemption struct {
-	ID    RequestID `json:"i"`
-	Pause bool      `json:"p,omitempty"`
+	ID RequestID `json:"i"`
+	// Question is the one whose grant is taken back.
+	Question uint32 `json:"q,omitempty"`
+	Pause    bool   `json:"p,omitempty"`
 }
 
 // Release gives a granted slot back and reports how it went.
 type Release struct {
-	ID       RequestID  `json:"i"`
+	ID RequestID `json:"i"`
+	// Question is the latest one that is over with this.
+	Question uint32     `json:"q,omitempty"`
 	Endpoint EndpointID `json:"e"`
 	// Unused says that the grant came too late and nothing was dispatched.
 	Unused bool `json:"u,omitempty"`
@@ -94,6 +104,7 @@
 type Held struct {
 	Work     Work
 	From     InstanceID
+	Question uint32
 	Endpoint EndpointID
 	// Paused says that the stream waits on the engine to be resumed.
 	Paused bool
--- a/internal/core/node/message.go
+++ b/internal/core/node/message.go
@@ -50,7 +50,8 @@
 type (
 	// Withdraw takes a reservation back.
 	Withdraw struct {
-		ID entity.RequestID `json:"i"`
+		ID       entity.RequestID `json:"i"`
+		Question uint32           `json:"q,omitempty"`
 	}
 	// Holding tells a new owner what the sender already runs on an endpoint.
 	Holding struct {
@@ -60,6 +61,7 @@
 	// HeldRequest is one running request.
 	HeldRequest struct {
 		ID            entity.RequestID `json:"i"`
+		Question      uint32           `json:"q,omitempty"`
 		Org           entity.OrgID     `json:"o"`
 		Pool          entity.PoolID    `json:"p"`
 		Model         entity.ModelID   `json:"m,omitempty"`
--- a/internal/core/node/peers.go
+++ b/internal/core/node/peers.go
@@ -20,7 +20,7 @@
 	case entity.Release:
 		n.owner.Release(now, m)
 	case Withdraw:
-		n.owner.Cancel(now, m.ID)
+		n.owner.Withdraw(now, m.ID, m.Question)
 	case Holding:
 		n.owner.Hold(now, heldByOwner(from, m))
 	case entity.Grant:
@@ -103,7 +103,7 @@
 		n.send(rel.Owner, rel.Release)
 	}
 	for _, c := range r.Cancels {
-		n.send(c.Owner, Withdraw{ID: c.ID})
+		n.send(c.Owner, Withdraw{ID: c.ID, Question: c.Question})
 	}
 	for _, q := range r.Reservations {
 		n.send(q.Owner, q.Reservation)
--- a/internal/core/request/entry.go
+++ b/internal/core/request/entry.go
@@ -163,8 +163,9 @@
 
 // askToResume asks the present owner of the endpoint that holds the paused stream.
 func (e *Entry) askToResume(now time.Time, r *row) {
-	r.asks = nil
-	if owner, ok := e.router.OwnerOf(r.resume); ok {
+	owner, ok := e.router.OwnerOf(r.resume)
+	e.withdraw(r, owner)
+	if ok {
 		e.reserve(now, r, routing.Choice{Owner: owner, Endpoint: r.resume})
 		return
 	}
@@ -174,16 +175,24 @@
 // reserve sends one question. Only one question at a time may be queued; the
 // others want a slot at once or a refusal.
 func (e *Entry) reserve(now time.Time, r *row, c routing.Choice) {
-	r.asks = append(r.asks, ask{Choice: c, at: now})
-	e.ready.Reservations = append(e.ready.Reservations, ReservationTo{
-		Owner:       c.Owner,
-		Reservation: entity.Reservation{Work: r.work, From: e.settings.Self, Resume: r.resume, NoWait: c.NoWait},
-	})
+	r.questions++
+	a := ask{Choice: c, at: now, number: r.questions}
+	r.asks = append(r.asks, a)
+	e.question(r, a)
 	if !c.NoWait {
 		e.wakeAfter(now, r, e.settings.LookInterval)
 	}
 }
 
+// question sends a question, for the first time or again.
+func (e *Entry) question(r *row, a ask) {
+	e.ready.Reservations = append(e.ready.Reservations, ReservationTo{
+		Owner: a.Owner,
+		Reservation: entity.Reservation{Work: r.work, From: e.settings.Self, Question: a.number,
+			Resume: r.resume, NoWait: a.NoWait},
+	})
+}
+
 // giveUp ends a request that no owner in reach takes, if that is proved; else
 // the request starts again after a pause.
 func (e *Entry) giveUp(now time.Time, r *row) {
@@ -201,21 +210,24 @@
 // Granted tells that an owner holds a slot for the request.
 func (e *Entry) Granted(now time.Time, from entity.InstanceID, g entity.Grant) {
 	r, ok := e.rows[g.ID]
-	if !ok || !r.asked(from) || (r.state != StateAsking && r.state != StatePaused) {
-		e.ready.Releases = append(e.ready.Releases, ReleaseTo{Owner: from, Release: entity.Release{ID: g.ID, Endpoint: g.Endpoint, Unused: true}})
+	if ok && r.endpoint == g.Endpoint && r.granted == g.Question {
+		return // a repetition of the grant that the request was dispatched on
+	}
+	if !ok || !r.awaits(from, g.Question) || (r.state != StateAsking && r.state != StatePaused) {
+		e.unused(from, g)
 		return
 	}
 	e.withdraw(r, from)
 	e.setTimer(r, r.work.Deadline)
 	e.router.Granted(now, from, &r.work, g)
-	r.owner, r.endpoint = from, g.Endpoint
+	r.owner, r.endpoint, r.granted = from, g.Endpoint, g.Question
 	if r.state == StatePaused {
 		r.state = StateRunning
 		e.direct(Directive{ID: g.ID, Kind: DirectiveResume, Endpoint: g.Endpoint})
 		return
 	}
 	if r.work.NonIdempotent && !e.claims.MayDispatch(now, g.ID) {
-		e.ready.Releases = append(e.ready.Releases, ReleaseTo{Owner: from, Release: entity.Release{ID: g.ID, Endpoint: g.Endpoint, Unused: true}})
+		e.unused(from, g)
 		e.refuse(now, r, verdict.ReasonKeyExpired, 0)
 		return
 	}
@@ -224,11 +236,17 @@
 	e.direct(Directive{ID: g.ID, Kind: DirectiveDispatch, Endpoint: g.Endpoint, ImportFrom: g.ImportFrom})
 }
 
+// unused gives a slot back that the request has no use for.
+func (e *Entry) unused(owner entity.InstanceID, g entity.Grant) {
+	e.ready.Releases = append(e.ready.Releases, ReleaseTo{Owner: owner,
+		Release: entity.Release{ID: g.ID, Question: g.Question, Endpoint: g.Endpoint, Unused: true}})
+}
+
 // withdraw takes back all questions but the one to an owner that answered.
 func (e *Entry) withdraw(r *row, answered entity.InstanceID) {
 	for _, a := range r.asks {
 		if a.Owner != answered {
-			e.ready.Cancels = append(e.ready.Cancels, CancelTo{Owner: a.Owner, ID: r.work.ID})
+			e.ready.Cancels = append(e.ready.Cancels, CancelTo{Owner: a.Owner, ID: r.work.ID, Question: a.number})
 		}
 	}
 	r.asks = nil
@@ -237,7 +255,7 @@
 // Refused tells that an owner does not take the request.
 func (e *Entry) Refused(now time.Time, from entity.InstanceID, f entity.Refusal) {
 	r, ok := e.rows[f.ID]
-	if !ok || !r.asked(from) {
+	if !ok || !r.awaits(from, f.Question) {
 		return
 	}
 	a := r.answered(from)
@@ -291,8 +309,7 @@
 	for _, r := range e.sortedRows() {
 		for _, a := range r.asks {
 			if a.Owner == owner {
-				e.ready.Reservations = append(e.ready.Reservations, ReservationTo{Owner: owner,
-					Reservation: entity.Reservation{Work: r.work, From: e.settings.Self, Resume: r.resume, NoWait: a.NoWait}})
+				e.question(r, a)
 			}
 		}
 	}
@@ -301,7 +318,7 @@
 // Preempted tells that an owner wants the slot back for a higher tier.
 func (e *Entry) Preempted(now time.Time, from entity.InstanceID, p entity.Preemption) {
 	r, ok := e.rows[p.ID]
-	if !ok || r.owner != from || r.state != StateRunning {
+	if !ok || r.owner != from || r.granted != p.Question || r.state != StateRunning {
 		return
 	}
 	if !p.Pause {
@@ -331,6 +348,7 @@
 		return
 	}
 	end.Release.ID, end.Release.Endpoint = id, r.endpoint
+	e.withdraw(r, r.owner)
 	e.release(r, end.Release)
 	if end.Err == nil {
 		e.finish(now, r, nil, end.Answer)
--- a/internal/core/request/ready.go
+++ b/internal/core/request/ready.go
@@ -70,8 +70,9 @@
 
 // CancelTo takes a question back.
 type CancelTo struct {
-	Owner entity.InstanceID
-	ID    entity.RequestID
+	Owner    entity.InstanceID
+	ID       entity.RequestID
+	Question uint32
 }
 
 // ReleaseTo gives a slot back.
--- a/internal/core/request/row.go
+++ b/internal/core/request/row.go
@@ -46,8 +46,11 @@
 	state    State
 	arrived  time.Time
 	timer    time.Time // next timer; never after the deadline
-	// owner granted the slot on which the request runs.
-	owner entity.InstanceID
+	// owner granted the slot on which the request runs, in answer to the
+	// question granted. questions counts those asked.
+	owner     entity.InstanceID
+	granted   uint32
+	questions uint32
 	// asks are the questions without an answer, tried all owners asked in this round.
 	asks       []ask
 	tried      []routing.Choice
@@ -63,7 +66,8 @@
 // ask is a question to an owner that has no answer yet.
 type ask struct {
 	routing.Choice
-	at time.Time
+	at     time.Time
+	number uint32
 }
 
 // asked says whether the owner has a question of the request to answer.
@@ -71,6 +75,11 @@
 	return slices.ContainsFunc(r.asks, func(a ask) bool { return a.Owner == owner })
 }
 
+// awaits says whether the answer is to a question that is still open.
+func (r *row) awaits(owner entity.InstanceID, question uint32) bool {
+	return slices.ContainsFunc(r.asks, func(a ask) bool { return a.Owner == owner && a.number == question })
+}
+
 // answered takes the question to the owner off the list and returns it.
 func (r *row) answered(owner entity.InstanceID) ask {
 	i := slices.IndexFunc(r.asks, func(a ask) bool { return a.Owner == owner })
@@ -105,6 +114,7 @@
 // release gives the slot back to the owner that granted it, if it is still known.
 func (e *Entry) release(r *row, rel entity.Release) {
 	e.router.Finished(rel)
+	rel.Question = r.questions
 	if r.owner != "" {
 		e.ready.Releases = append(e.ready.Releases, ReleaseTo{Owner: r.owner, Release: rel})
 	}
--- a/internal/core/request/status.go
+++ b/internal/core/request/status.go
@@ -54,9 +54,9 @@
 		switch r.state {
 		case StateRunning, StatePausing:
 			r.owner = owner
-			held = append(held, entity.Held{Work: r.work, From: e.settings.Self, Endpoint: endpoint})
+			held = append(held, entity.Held{Work: r.work, From: e.settings.Self, Question: r.granted, Endpoint: endpoint})
 		case StatePaused:
-			held = append(held, entity.Held{Work: r.work, From: e.settings.Self, Endpoint: endpoint, Paused: true})
+			held = append(held, entity.Held{Work: r.work, From: e.settings.Self, Question: r.granted, Endpoint: endpoint, Paused: true})
 			e.askToResume(now, r)
 		}
 	}
--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -53,6 +53,7 @@
 			}
 		}, func() { j.abort(failed) })
 	case request.DirectiveCancel:
+		j.aborted = d.Err
 		j.control(func(e *engine) {
 			e.cancel(j.id)
 			f.after(maxHop, func() { j.abort(d.Err) })
@@ -163,6 +164,9 @@
 			return
 		}
 		j.ended = true
+		if err != nil && j.aborted != nil {
+			err = j.aborted
+		}
 		end := request.End{Err: err, Release: entity.Release{TimeToFirstToken: time.Millisecond}}
 		if err != nil {
 			end.Release.Failed = err.Reason != verdict.ReasonPreempted
--- a/internal/fleet/network.go
+++ b/internal/fleet/network.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"github.com/medlarhold/medlarhold/internal/core/entity"
@@ -32,6 +33,7 @@
 	// silent are connections between instances that lost their way; a fresh
 	// connection works.
 	silent map[peerPair]bool
+	conns  map[peerPair]*conn
 	// lastHop keeps messages of one connection in order.
 	lastHop map[peerPair]time.Time
 	// loss and late are shares of the messages.
@@ -39,7 +41,7 @@
 }
 
 func newNetwork() *network {
-	return &network{cuts: make(map[zonePair]int), silent: make(map[peerPair]bool), lastHop: make(map[peerPair]time.Time)}
+	return &network{cuts: make(map[zonePair]int), silent: make(map[peerPair]bool), conns: make(map[peerPair]*conn), lastHop: make(map[peerPair]time.Time)}
 }
 
 func (n *network) cut(a, b entity.ZoneID, by int) {
@@ -49,6 +51,23 @@
 
 func (n *network) reaches(a, b entity.ZoneID) bool { return n.cuts[zonePair{a, b}] == 0 }
 
+// conn is a connection between two instances, from dialling on. It is
+// condemned as a whole by the first exchange that makes no progress.
+type conn struct {
+	from    *instance
+	pair    peerPair
+	proven  bool // something was acknowledged over it
+	lost    bool
+	waiting []*exchange
+}
+
+// exchange is one sending of a message.
+type exchange struct {
+	out     node.Outgoing
+	attempt int
+	done    bool
+}
+
 // send carries a message between instances as package peer does: at least
 // once if it can be delivered, twice at most, and a word to the sender if not.
 func (f *Fleet) send(from *instance, out node.Outgoing) { f.attempt(from, out, 1) }
@@ -57,30 +76,55 @@
 	f.sent++
 	to := f.byID[out.To]
 	pair := peerPair{from.id, out.To}
-	sentAt := f.now
+	x := &exchange{out: out, attempt: n}
 	if to == nil || to.state == stateDead && f.net.reaches(from.zone, to.zone) {
-		f.after(f.between(minHop, maxHop), func() { f.undelivered(from, out, n) })
-		return
-	}
-	lost := f.net.silent[pair] || f.chance(f.net.loss)
-	ackLost := f.net.silent[peerPair{out.To, from.id}] || f.chance(f.net.loss)
-	acked := false
-	if !lost {
-		f.at(f.arrival(pair), func() {
-			if !f.net.reaches(from.zone, to.zone) || to.state == stateDead {
-				return
+		f.after(f.between(minHop, maxHop), func() {
+			if c := f.net.conns[pair]; c != nil {
+				f.condemn(c)
 			}
-			to.do(func() { f.deliver(from, to, sentAt, out.Msg) })
-			acked = !ackLost && to.state == stateLive
+			f.undelivered(from, x)
 		})
+		return
+	}
+	c := f.net.conns[pair]
+	if c == nil {
+		c = &conn{from: from, pair: pair}
+		f.net.conns[pair] = c
 	}
+	c.add(x)
+	f.exchange(c, to, x)
 	f.after(exchangeTimeout, func() {
-		if !acked {
-			f.condemn(from, out, n)
+		if !x.done {
+			f.condemn(c)
+		}
+	})
+}
+
+// exchange has a message arrive, if the network lets it, and its
+// acknowledgement return.
+func (f *Fleet) exchange(c *conn, to *instance, x *exchange) {
+	lost := f.net.silent[c.pair] || f.chance(f.net.loss)
+	ackLost := f.net.silent[peerPair{c.pair.to, c.pair.from}] || f.chance(f.net.loss)
+	if lost {
+		return
+	}
+	sentAt := f.now
+	f.at(f.arrival(c.pair), func() {
+		if !f.net.reaches(c.from.zone, to.zone) || to.state == stateDead {
+			return
+		}
+		to.do(func() { f.deliver(c.from, to, sentAt, x.out.Msg) })
+		if !ackLost && to.state == stateLive && !c.lost {
+			x.done, c.proven = true, true
 		}
 	})
 }
 
+// add notes an exchange and forgets those that are over.
+func (c *conn) add(x *exchange) {
+	c.waiting = append(slices.DeleteFunc(c.waiting, func(x *exchange) bool { return x.done }), x)
+}
+
 // arrival returns when a message arrives; messages of a connection keep their
 // order, but for some that belong to another one.
 func (f *Fleet) arrival(pair peerPair) time.Time {
@@ -95,19 +139,32 @@
 	return at
 }
 
-// condemn gives a connection up that made no progress.
-func (f *Fleet) condemn(from *instance, out node.Outgoing, n int) {
-	delete(f.net.silent, peerPair{from.id, out.To})
-	from.post(node.PeerLost{Peer: out.To})
-	f.undelivered(from, out, n)
+// condemn gives a connection up that made no progress, with all that waits on it.
+func (f *Fleet) condemn(c *conn) {
+	if c.lost {
+		return
+	}
+	c.lost = true
+	delete(f.net.conns, c.pair)
+	delete(f.net.silent, c.pair)
+	if c.proven {
+		c.from.post(node.PeerLost{Peer: c.pair.to})
+	}
+	for _, x := range c.waiting {
+		if !x.done {
+			f.undelivered(c.from, x)
+		}
+	}
 }
 
-func (f *Fleet) undelivered(from *instance, out node.Outgoing, n int) {
-	if n < maxAttempts {
-		f.attempt(from, out, n+1)
+// undelivered sends a message again over a fresh connection, or gives it up.
+func (f *Fleet) undelivered(from *instance, x *exchange) {
+	x.done = true
+	if x.attempt < maxAttempts {
+		f.attempt(from, x.out, x.attempt+1)
 		return
 	}
-	from.post(node.PeerFailed{To: out.To, Msg: out.Msg})
+	from.post(node.PeerFailed{To: x.out.To, Msg: x.out.Msg})
 }
 
 func (f *Fleet) deliver(from, to *instance, sentAt time.Time, msg any) {
