--- /dev/null
+++ b/internal/core/membership/traffic_test.go
@@ -0,0 +1,160 @@
+package membership
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
+
+// meter counts the encoded messages of a cluster, without what the transport adds.
+type meter struct {
+	sent, received map[entity.InstanceID]int
+	messages       int
+}
+
+func (c *cluster) meter() *meter {
+	m := &meter{sent: map[entity.InstanceID]int{}, received: map[entity.InstanceID]int{}}
+	c.traffic = func(from entity.InstanceID, o Outgoing) {
+		data, err := json.Marshal(o.Message)
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		m.messages++
+		m.sent[from] += len(data)
+		m.received[o.To] += len(data)
+	}
+	return m
+}
+
+// report gives bytes sent and received together, as the budget counts them.
+func (m *meter) report(b *testing.B, c *cluster, d time.Duration) {
+	total, worst := 0, 0
+	for _, n := range c.nodes {
+		sum := m.sent[n.self.ID] + m.received[n.self.ID]
+		total += sum
+		worst = max(worst, sum)
+	}
+	perSec := float64(len(c.nodes)) * d.Seconds()
+	b.ReportMetric(float64(total)/perSec, "B/s/instance")
+	b.ReportMetric(float64(worst)/d.Seconds(), "B/s/worst")
+	b.ReportMetric(float64(2*m.messages)/perSec, "msgs/s/instance")
+}
+
+// sizes are the zones and the instances in each that are measured.
+var sizes = []struct{ zones, perZone int }{{1, 6}, {1, 14}, {1, 31}, {4, 4}, {15, 6}, {15, 14}, {15, 31}}
+
+// traffic measures what happens after the views agree.
+func traffic(b *testing.B, d time.Duration, during func(c *cluster)) {
+	for _, s := range sizes {
+		b.Run(fmt.Sprintf("zones=%d/instances=%d", s.zones, s.perZone), func(b *testing.B) {
+			for range b.N {
+				c := newCluster(b, 1)
+				c.fill(s.zones, s.perZone)
+				c.mustAgree(2 * time.Minute)
+				c.run(time.Minute, nil)
+				m := c.meter()
+				end := c.now.Add(d)
+				if during != nil {
+					during(c)
+				}
+				c.run(end.Sub(c.now), nil)
+				m.report(b, c, d)
+			}
+		})
+	}
+}
+
+func BenchmarkTrafficSteady(b *testing.B) { traffic(b, 30*time.Second, nil) }
+
+// BenchmarkTrafficOneKilled measures the 30 s after a death.
+func BenchmarkTrafficOneKilled(b *testing.B) {
+	traffic(b, 30*time.Second, func(c *cluster) { c.nodes[0].dead = true })
+}
+
+// BenchmarkTrafficRollingRestart replaces one zone, an instance every 2 s.
+func BenchmarkTrafficRollingRestart(b *testing.B) {
+	traffic(b, 2*time.Minute, func(c *cluster) {
+		zone := c.nodes[0].self.Zone
+		for _, n := range c.nodes {
+			if n.self.Zone != zone || c.now.Sub(c.listUpdated) > time.Minute {
+				continue
+			}
+			n.leaving = c.now
+			n.core.Leave(c.now)
+			c.collect(n)
+			c.run(2*time.Second, nil)
+			n.dead = true
+			c.add(zone).core.Platform(c.now, c.listed)
+		}
+	})
+}
+
+// BenchmarkTrafficZoneCut measures 30 s with one zone cut off and 30 s after.
+func BenchmarkTrafficZoneCut(b *testing.B) {
+	traffic(b, time.Minute, func(c *cluster) {
+		zone := c.nodes[0].self.Zone
+		c.cut = func(x, y *node) bool { return (x.self.Zone == zone) != (y.self.Zone == zone) }
+		c.run(30*time.Second, nil)
+		c.cut = func(_, _ *node) bool { return false }
+	})
+}
+
+func BenchmarkTick(b *testing.B) {
+	for _, s := range sizes {
+		b.Run(fmt.Sprintf("zones=%d/instances=%d", s.zones, s.perZone), func(b *testing.B) {
+			c := newCluster(b, 1)
+			c.fill(s.zones, s.perZone)
+			c.mustAgree(2 * time.Minute)
+			core, now := c.nodes[0].core, c.now
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				now = now.Add(100 * time.Millisecond)
+				core.Tick(now)
+				for _, o := range core.Ready().Messages {
+					core.Step(now, o.To, Message{Kind: Ack, Seq: o.Message.Seq, Digest: core.table.digest})
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkMemory reports the heap of one instance's table when all is known.
+func BenchmarkMemory(b *testing.B) {
+	for _, s := range sizes {
+		b.Run(fmt.Sprintf("zones=%d/instances=%d", s.zones, s.perZone), func(b *testing.B) {
+			for range b.N {
+				c := newCluster(b, 1)
+				c.fill(s.zones, s.perZone)
+				updates := make([]Update, 0, len(c.nodes))
+				for _, n := range c.nodes {
+					updates = append(updates, n.core.table.byID[n.self.ID].Update)
+				}
+				before := heapInUse()
+				const copies = 20
+				var cores []*Core
+				for range copies {
+					core := New(c.set, c.nodes[0].self, rand.New(rand.NewSource(1)))
+					core.Step(c.now, "x", Message{Kind: Sync, Round: SyncRows, Updates: updates})
+					core.View()
+					core.Ready()
+					cores = append(cores, core)
+				}
+				b.ReportMetric(float64(heapInUse()-before)/copies, "B/core")
+				runtime.KeepAlive(cores)
+			}
+		})
+	}
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
