Membership: two camps in a zone are found, links fetch only what changed

The comparison now rests on how long the two digests have stood, and comes in any case after a few seconds. Instances that left and were declared dead while cut off are probed again too, zones whose members all leave keep their links, and updates that peers already have are no longer passed on.

--- a/internal/core/limit/home.go
+++ b/internal/core/limit/home.go
@@ -24,19 +24,29 @@
 	told  map[entity.InstanceID]uint64
 	// early keeps complete demands made under a view that this instance does
 	// not have yet.
-	early    map[entity.InstanceID]Demand
+	early    map[entity.InstanceID]earlyDemand
 	lastTick time.Time
 	nextTidy time.Time
 	seq      uint64
 	messages []Outgoing
 }
 
+// earlyDemand is a demand that waits for the view to catch up.
+type earlyDemand struct {
+	at time.Time
+	Demand
+}
+
+// earlyFor is how long a demand waits for the view to catch up. A later demand
+// of the same borrower replaces it.
+const earlyFor = 6 * time.Second
+
 // NewHome returns a home that has lent nothing.
 func NewHome(s Settings, self entity.InstanceID, contracts Contracts) *Home {
 	return &Home{
 		settings: s, contracts: contracts, self: self,
 		loans: make(map[entity.OrgID]*loan), told: make(map[entity.InstanceID]uint64),
-		early: make(map[entity.InstanceID]Demand),
+		early: make(map[entity.InstanceID]earlyDemand),
 	}
 }
 
@@ -57,7 +67,7 @@
 	for _, m := range h.zone.members {
 		if d, ok := h.early[m.ID]; ok && d.Members == h.zone.digest {
 			delete(h.early, m.ID)
-			h.Step(now, m.ID, d)
+			h.Step(now, m.ID, d.Demand)
 		}
 	}
 }
@@ -68,6 +78,7 @@
 	lost := !wasHome || h.zone.lostMember(before)
 	if lost {
 		h.movedAt = now
+		clear(h.told)
 	}
 	if lost || now.Sub(h.movedAt) >= h.settings.LeaseFor {
 		h.since = h.since[:0]
@@ -115,9 +126,10 @@
 	if !slices.ContainsFunc(h.zone.members, func(m entity.Instance) bool { return m.ID == from }) {
 		return
 	}
+	delete(h.early, from)
 	if d.Complete {
 		if !slices.Contains(h.since, d.Members) {
-			h.early[from] = d
+			h.early[from] = earlyDemand{at: now, Demand: d}
 			return
 		}
 		h.told[from] = d.Members
@@ -259,6 +271,10 @@
 	for id := range h.told {
 		if !slices.ContainsFunc(h.zone.members, func(m entity.Instance) bool { return m.ID == id }) {
 			delete(h.told, id)
+		}
+	}
+	for id, d := range h.early {
+		if now.Sub(d.at) >= earlyFor {
 			delete(h.early, id)
 		}
 	}
--- a/internal/core/membership/core.go
+++ b/internal/core/membership/core.go
@@ -25,14 +25,14 @@
 	leave leaveNotice
 	seq   uint64
 
-	started      time.Time
-	lastTick     time.Time
-	nextProbe    time.Time
-	nextPrune    time.Time
-	nextSync     time.Time
-	differsSince time.Time
-	probeCount   uint64
-	joined       bool
+	started    time.Time
+	lastTick   time.Time
+	nextProbe  time.Time
+	nextPrune  time.Time
+	lastSync   time.Time
+	own        digestAge
+	probeCount uint64
+	joined     bool
 
 	ready     Ready
 	view      View
@@ -83,20 +83,22 @@
 	if from == c.self {
 		return
 	}
+	spreadAll := c.spreadsAll(from, m)
 	for i := range m.Updates {
-		c.merge(now, m.Updates[i])
+		u := m.Updates[i]
+		c.merge(now, u, spreadAll || u.Zone == c.zone)
 	}
 	c.heard(now, from, m.Revision)
 	switch m.Kind {
 	case Ping:
-		c.send(from, Message{Kind: Ack, Seq: m.Seq})
-		c.compareDigests(from, m.Digests, SyncAnswer)
+		agreed := c.compareDigests(now, from, m.Digests, SyncAnswer)
+		c.send(from, Message{Kind: Ack, Seq: m.Seq, Agreed: agreed})
 	case PingRequest:
 		c.startRelay(now, from, m)
 	case Ack:
-		c.acked(from, m)
+		c.acked(now, from, m)
 	case Sync:
-		c.stepSync(from, m)
+		c.stepSync(now, from, m)
 	}
 	c.notice(now, from, m)
 }
@@ -152,8 +154,16 @@
 	}
 }
 
-// merge takes in one row.
-func (c *Core) merge(now time.Time, u Update) {
+// spreadsAll reports whether all rows of a message are to be passed on. Rows
+// of other zones that a peer of the own zone sends in a Sync are not: the zone
+// has them already, or finds the difference by its digests.
+func (c *Core) spreadsAll(from entity.InstanceID, m Message) bool {
+	r := c.table.byID[from]
+	return m.Kind != Sync || (r != nil && r.Zone != c.zone)
+}
+
+// merge takes in one row, and passes it on if it is news and spread is set.
+func (c *Core) merge(now time.Time, u Update, spread bool) {
 	if u.ID == c.self {
 		c.refute(now, u)
 		return
@@ -173,7 +183,9 @@
 	default:
 		c.table.set(r, u, now)
 	}
-	c.gossip.add(u.ID)
+	if spread {
+		c.gossip.add(u.ID)
+	}
 	c.change()
 }
 
@@ -245,11 +257,20 @@
 	if r := c.table.byID[id]; r != nil && r.PeerAddress != "" {
 		return r.PeerAddress
 	}
-	i, ok := slices.BinarySearchFunc(c.seeds, id, func(in entity.Instance, id entity.InstanceID) int {
+	if i, ok := c.findSeed(id); ok {
+		return c.seeds[i].PeerAddress
+	}
+	return ""
+}
+
+// listed reports whether the platform's list shows an instance.
+func (c *Core) listed(id entity.InstanceID) bool {
+	_, ok := c.findSeed(id)
+	return ok
+}
+
+func (c *Core) findSeed(id entity.InstanceID) (int, bool) {
+	return slices.BinarySearchFunc(c.seeds, id, func(in entity.Instance, id entity.InstanceID) int {
 		return compareIDs(in.ID, id)
 	})
-	if !ok {
-		return ""
-	}
-	return c.seeds[i].PeerAddress
 }
--- a/internal/core/membership/core_test.go
+++ b/internal/core/membership/core_test.go
@@ -119,3 +119,48 @@
 		t.Error("took in a row that is not valid")
 	}
 }
+
+func TestAllRestartedAtOnce(t *testing.T) {
+	c := newCluster(t, 8)
+	c.fill(3, 4)
+	c.mustAgree(convergeWithin)
+	for _, n := range c.nodes[:12] {
+		n.dead = true
+	}
+	for _, n := range c.nodes[:12] {
+		// The list shows only those that are gone.
+		c.add(n.self.Zone).core.Platform(c.now, c.listed)
+	}
+	c.mustAgree(convergeWithin)
+}
+
+func TestFleetCountsUnconfirmedDeaths(t *testing.T) {
+	c := newCluster(t, 9)
+	c.fill(1, 4)
+	c.mustAgree(convergeWithin)
+	c.nodes[1].dead = true
+	c.nodes[2].core.Leave(c.now)
+	c.nodes[2].leaving = c.now
+	c.run(3*time.Second, nil)
+	c.nodes[2].dead = true
+	c.run(convergeWithin, nil)
+	if got := c.nodes[0].core.Fleet(c.now); got != 3 {
+		t.Errorf("got %d while one death is not confirmed", got)
+	}
+	c.run(time.Minute, nil)
+	if got := c.nodes[0].core.Fleet(c.now); got != 2 {
+		t.Errorf("got %d after both deaths are confirmed", got)
+	}
+}
+
+func TestTooManyRowsAreRefused(t *testing.T) {
+	s := DefaultSettings()
+	s.MaxRows = 10
+	c := New(s, entity.Instance{ID: "a", Zone: "z"}, nil)
+	for i := range 100 {
+		c.Step(time.Unix(1, 0), "b", Message{Kind: Sync, Round: SyncRows, Updates: []Update{{ID: entity.InstanceID(rune('A' + i)), Zone: "z"}}})
+	}
+	if n := len(c.table.byID); n > 10 {
+		t.Errorf("%d rows", n)
+	}
+}
--- a/internal/core/membership/gossip.go
+++ b/internal/core/membership/gossip.go
@@ -58,6 +58,19 @@
 	return out
 }
 
+// knownWeight is how many transmissions a peer with equal digests stands for.
+const knownWeight = 2
+
+// known notes that a peer has the same live rows, so that it needs none of the
+// updates; suspicions, which digests don't cover, are passed on still.
+func (g *gossip) known(t *table) {
+	for i := range g.queue {
+		if r := t.byID[g.queue[i].id]; r != nil && r.State != Suspect {
+			g.queue[i].sent += knownWeight
+		}
+	}
+}
+
 // settle clears the marks of take and drops what was passed on often enough.
 func (g *gossip) settle(limit int) {
 	kept := g.queue[:0]
--- a/internal/core/membership/link.go
+++ b/internal/core/membership/link.go
@@ -17,8 +17,18 @@
 	active bool
 	heard  time.Time
 	next   time.Time
+	// agreed is when the two zones last had the same rows of each other.
+	agreed time.Time
 }
 
+// A link asks for the rows that changed since the two zones last agreed, and
+// agreementMargin before, to allow for messages under way; for all rows when
+// that is longer than agreementLimit ago.
+const (
+	agreementMargin = 2 * time.Second
+	agreementLimit  = 10 * time.Second
+)
+
 // linkState returns the link to a zone, in sorted order of zones.
 func (c *Core) linkState(zone entity.ZoneID) *link {
 	i, ok := slices.BinarySearchFunc(c.links, zone, func(l link, z entity.ZoneID) int { return cmp.Compare(l.zone, z) })
@@ -30,6 +40,22 @@
 
 func (c *Core) linkHeard(now time.Time, zone entity.ZoneID) { c.linkState(zone).heard = now }
 
+// linkAgreed notes that an instance of another zone has the same rows.
+func (c *Core) linkAgreed(now time.Time, from entity.InstanceID) {
+	if r := c.table.byID[from]; r != nil && r.Zone != c.zone {
+		c.linkState(r.Zone).agreed = now
+	}
+}
+
+// age returns the age to ask for, in seconds.
+func (l *link) age(now time.Time) int {
+	d := now.Sub(l.agreed)
+	if d > agreementLimit {
+		return 0
+	}
+	return int((d + agreementMargin) / time.Second)
+}
+
 // linkScore ranks an instance as link to a zone; the highest are its links.
 func linkScore(r *row, zone uint64) uint64 {
 	v := r.ring ^ zone
@@ -40,15 +66,18 @@
 }
 
 // isLink reports whether a member of the own zone is a link to another zone.
+// Leaving members are links only when there are too few others.
 func (c *Core) isLink(r *row, zone entity.ZoneID) bool {
 	h := xxhash.Sum64String(string(zone))
 	own, better := linkScore(r, h), 0
 	for _, o := range c.table.zone(c.zone).rows {
-		if o.live() && !o.Leaving && o != r && linkScore(o, h) > own {
+		switch {
+		case !o.live() || o == r:
+		case o.Leaving != r.Leaving && r.Leaving, o.Leaving == r.Leaving && linkScore(o, h) > own:
 			better++
 		}
 	}
-	return better < c.settings.LinksPerZonePair && !r.Leaving
+	return better < c.settings.LinksPerZonePair
 }
 
 // reachable reports whether a link of the own zone reaches another zone: it
@@ -88,7 +117,7 @@
 			l.active, l.heard = true, now
 		}
 		c.reportZone(now, zone, now.Sub(l.heard) >= c.settings.LinkTimeout)
-		c.pingZone(zone)
+		c.pingZone(zone, l.age(now))
 	}
 }
 
@@ -110,10 +139,10 @@
 
 // pingZone sends a Ping with the digests of both zones to an instance of the
 // other zone: one of its members, or now and then one the platform names.
-func (c *Core) pingZone(zone entity.ZoneID) {
+func (c *Core) pingZone(zone entity.ZoneID, age int) {
 	m := Message{Kind: Ping, Seq: c.nextSeq(), Digests: []ZoneDigest{
-		{Zone: c.zone, Digest: c.table.zoneDigest(c.zone)},
-		{Zone: zone, Digest: c.table.zoneDigest(zone)},
+		{Zone: c.zone, Digest: c.table.zoneDigest(c.zone), Age: age},
+		{Zone: zone, Digest: c.table.zoneDigest(zone), Age: age},
 	}}
 	r := c.randomLive(zone)
 	if seed, ok := c.randomSeed(zone); ok && (r == nil || c.rng.Intn(4) == 0) {
--- a/internal/core/membership/message.go
+++ b/internal/core/membership/message.go
@@ -42,13 +42,18 @@
 	// Digest covers the live rows of all zones as the sender has them.
 	Digest  uint64       `json:"d,omitempty"`
 	Digests []ZoneDigest `json:"z,omitempty"`
-	Updates []Update     `json:"u,omitempty"`
+	// Agreed says, in an Ack, that no digest of the Ping differed.
+	Agreed  bool     `json:"e,omitempty"`
+	Updates []Update `json:"u,omitempty"`
 }
 
 // ZoneDigest covers the live rows of one zone.
 type ZoneDigest struct {
 	Zone   entity.ZoneID `json:"z"`
 	Digest uint64        `json:"d"`
+	// Age is how many seconds ago the two sides last agreed on the zone, with
+	// a margin: older rows need not be sent. Zero asks for all rows.
+	Age int `json:"a,omitempty"`
 }
 
 // State is what is believed of an instance. At the same incarnation the
--- a/internal/core/membership/probe.go
+++ b/internal/core/membership/probe.go
@@ -134,7 +134,7 @@
 	if c.rng.Intn(c.table.zone(c.zone).live) > 0 {
 		return
 	}
-	if r := c.randomRow(c.zone, func(r *row) bool { return !r.live() && !r.Leaving }); r != nil {
+	if r := c.randomRow(c.zone, func(r *row) bool { return !r.live() }); r != nil {
 		c.send(r.ID, Message{Kind: Ping, Seq: c.nextSeq()})
 	}
 }
@@ -186,8 +186,11 @@
 }
 
 // acked takes in an Ack, direct or passed on.
-func (c *Core) acked(from entity.InstanceID, m Message) {
+func (c *Core) acked(now time.Time, from entity.InstanceID, m Message) {
 	c.leave.acked(from, m.Seq)
+	if m.Agreed {
+		c.linkAgreed(now, from)
+	}
 	target := from
 	if m.Target != "" {
 		target = m.Target
@@ -229,7 +232,7 @@
 	}
 	u := r.Update
 	u.State = Suspect
-	c.merge(now, u)
+	c.merge(now, u, true)
 	// The suspect itself must hear of it first.
 	c.send(id, Message{Kind: Ping, Seq: c.nextSeq()})
 }
@@ -240,7 +243,7 @@
 		if r.State == Suspect && now.Sub(r.since) >= c.settings.SuspicionTimeout {
 			u := r.Update
 			u.State = Dead
-			c.merge(now, u)
+			c.merge(now, u, true)
 		}
 	}
 }
--- a/internal/core/membership/settings.go
+++ b/internal/core/membership/settings.go
@@ -25,6 +25,8 @@
 	// SyncInterval is the least time between two comparisons that one
 	// instance asks for because digests differ.
 	SyncInterval time.Duration
+	// UnsettledSyncInterval is the same while rows keep changing.
+	UnsettledSyncInterval time.Duration
 	// JoinTimeout is how long a new instance waits for a peer of its zone to
 	// answer before it takes itself for the first.
 	JoinTimeout time.Duration
@@ -37,6 +39,9 @@
 	FreezeGap time.Duration
 	// TombstoneFor is how long a dead instance is remembered.
 	TombstoneFor time.Duration
+	// ConfirmDeathAfter is the least time after which a death counts as
+	// confirmed; it takes the platform's list as well, see Core.Fleet.
+	ConfirmDeathAfter time.Duration
 	// PiggybackBytes bounds the updates that ride on one probe or answer.
 	PiggybackBytes int
 	// MaxRows bounds the table of instances, live and dead.
@@ -46,21 +51,23 @@
 // DefaultSettings returns the settings for zones of up to a few dozen instances.
 func DefaultSettings() Settings {
 	return Settings{
-		ProbeInterval:    500 * time.Millisecond,
-		PingTimeout:      300 * time.Millisecond,
-		ProbeTimeout:     900 * time.Millisecond,
-		SuspicionTimeout: 3 * time.Second,
-		IndirectProbes:   3,
-		LinkInterval:     time.Second,
-		LinkTimeout:      4 * time.Second,
-		LinksPerZonePair: 2,
-		SyncInterval:     2 * time.Second,
-		JoinTimeout:      3 * time.Second,
-		LeaveRepeat:      300 * time.Millisecond,
-		LeaveWindow:      2 * time.Second,
-		FreezeGap:        1500 * time.Millisecond,
-		TombstoneFor:     10 * time.Minute,
-		PiggybackBytes:   600,
-		MaxRows:          4096,
+		ProbeInterval:         500 * time.Millisecond,
+		PingTimeout:           300 * time.Millisecond,
+		ProbeTimeout:          900 * time.Millisecond,
+		SuspicionTimeout:      3 * time.Second,
+		IndirectProbes:        3,
+		LinkInterval:          time.Second,
+		LinkTimeout:           4 * time.Second,
+		LinksPerZonePair:      2,
+		SyncInterval:          2 * time.Second,
+		UnsettledSyncInterval: 8 * time.Second,
+		JoinTimeout:           3 * time.Second,
+		LeaveRepeat:           300 * time.Millisecond,
+		LeaveWindow:           2 * time.Second,
+		FreezeGap:             1500 * time.Millisecond,
+		TombstoneFor:          10 * time.Minute,
+		ConfirmDeathAfter:     time.Minute,
+		PiggybackBytes:        600,
+		MaxRows:               4096,
 	}
 }
--- a/internal/core/membership/sync.go
+++ b/internal/core/membership/sync.go
@@ -13,8 +13,24 @@
 // the time that updates need to reach a zone by riding on probes.
 const differsTolerance = 2 * time.Second
 
-// notice asks a peer for a comparison when it is unknown, or when the two have
-// differed for longer than updates take to spread.
+// digestAge tells since when a digest has been the same.
+type digestAge struct {
+	digest uint64
+	since  time.Time
+}
+
+// settled takes in the digest of now and reports whether it has stood for
+// longer than updates take to spread.
+func (d *digestAge) settled(now time.Time, digest uint64) bool {
+	if d.digest != digest || d.since.IsZero() {
+		*d = digestAge{digest: digest, since: now}
+	}
+	return now.Sub(d.since) >= differsTolerance
+}
+
+// notice asks a peer for a comparison when it is unknown, or when the two
+// differ and updates have had time to spread. That others agree says nothing:
+// there may be two camps.
 func (c *Core) notice(now time.Time, from entity.InstanceID, m Message) {
 	r := c.table.byID[from]
 	if r == nil {
@@ -27,14 +43,16 @@
 		return
 	}
 	if m.Digest == c.table.digest {
-		c.differsSince = time.Time{}
+		c.gossip.known(c.table)
 		return
 	}
-	if c.differsSince.IsZero() {
-		c.differsSince = now
+	peerSettled, ownSettled := r.said.settled(now, m.Digest), c.own.settled(now, c.table.digest)
+	wait := c.settings.SyncInterval
+	if !peerSettled || !ownSettled {
+		wait = c.settings.UnsettledSyncInterval
 	}
-	if now.Sub(c.differsSince) >= differsTolerance && !now.Before(c.nextSync) {
-		c.nextSync = now.Add(c.settings.SyncInterval)
+	if now.Sub(c.lastSync) >= wait {
+		c.lastSync = now
 		c.sendSyncAsk(from)
 	}
 }
@@ -49,15 +67,20 @@
 }
 
 // stepSync takes in a Sync; its rows are merged already.
-func (c *Core) stepSync(from entity.InstanceID, m Message) {
+func (c *Core) stepSync(now time.Time, from entity.InstanceID, m Message) {
 	switch m.Round {
 	case SyncAsk:
-		c.compareDigests(from, c.withMissing(m.Digests), SyncAnswer)
+		if c.compareDigests(now, from, c.withMissing(m.Digests), SyncAnswer) {
+			// The asker waits for an answer, if only to know that it has joined.
+			c.send(from, Message{Kind: Sync, Round: SyncAnswer})
+		}
 	case SyncAnswer:
 		if r := c.table.byID[from]; r != nil && r.Zone == c.zone {
 			c.join()
 		}
-		c.compareDigests(from, m.Digests, SyncRows)
+		if c.compareDigests(now, from, m.Digests, SyncRows) {
+			c.linkAgreed(now, from)
+		}
 	case SyncRows:
 	}
 }
@@ -76,11 +99,9 @@
 	return digests
 }
 
-// compareDigests sends the rows of the zones whose digests differ.
-func (c *Core) compareDigests(to entity.InstanceID, digests []ZoneDigest, round SyncRound) {
-	if len(digests) == 0 {
-		return
-	}
+// compareDigests sends the rows of the zones whose digests differ, and reports
+// whether there were digests and none did.
+func (c *Core) compareDigests(now time.Time, to entity.InstanceID, digests []ZoneDigest, round SyncRound) bool {
 	var rows []Update
 	var own []ZoneDigest
 	for _, d := range digests {
@@ -88,10 +109,21 @@
 		if mine == d.Digest {
 			continue
 		}
-		own = append(own, ZoneDigest{Zone: d.Zone, Digest: mine})
-		rows = append(rows, c.table.zoneRows(d.Zone)...)
+		own = append(own, ZoneDigest{Zone: d.Zone, Digest: mine, Age: d.Age})
+		rows = append(rows, c.table.zoneRows(d.Zone, rowsSince(now, d.Age))...)
+	}
+	if len(own) > 0 {
+		c.sendRows(to, rows, own, round)
+	}
+	return len(digests) > 0 && len(own) == 0
+}
+
+// rowsSince returns from when on rows are wanted by a peer.
+func rowsSince(now time.Time, age int) time.Time {
+	if age <= 0 {
+		return time.Time{}
 	}
-	c.sendRows(to, rows, own, round)
+	return now.Add(-time.Duration(age) * time.Second)
 }
 
 // sendRows sends rows in parts; the digests go with the last one.
--- a/internal/core/membership/table.go
+++ b/internal/core/membership/table.go
@@ -19,6 +19,8 @@
 	ring uint64
 	// revision is the newest configuration revision heard of from the instance itself.
 	revision int64
+	// said is the digest that the instance has announced of late.
+	said digestAge
 }
 
 func (r *row) live() bool { return r.State != Dead }
@@ -63,15 +65,18 @@
 	return t.zones[i]
 }
 
-// zoneRows returns the rows of a zone, live and dead, as they travel.
-func (t *table) zoneRows(id entity.ZoneID) []Update {
+// zoneRows returns the rows of a zone, live and dead, that changed at or after
+// a time, as they travel.
+func (t *table) zoneRows(id entity.ZoneID, since time.Time) []Update {
 	var out []Update
 	for _, z := range t.zones {
 		if z.zone != id {
 			continue
 		}
 		for _, r := range z.rows {
-			out = append(out, r.Update)
+			if !r.since.Before(since) {
+				out = append(out, r.Update)
+			}
 		}
 	}
 	return out
--- a/internal/core/membership/view.go
+++ b/internal/core/membership/view.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 )
@@ -55,6 +56,28 @@
 	return c.view
 }
 
+// Fleet returns how many instances of all zones may be serving callers: the
+// live ones, and those believed dead whose end is not confirmed. A death is
+// confirmed by a leave that was said aloud, or by time together with the
+// absence from the platform's list. What is divided among instances by number
+// must be divided by this one, so that an instance that is cut off does not
+// take the part of those it can't see.
+func (c *Core) Fleet(now time.Time) int {
+	n := 0
+	for _, z := range c.table.zones {
+		n += z.live
+		for _, r := range z.rows {
+			if r.live() || r.Leaving {
+				continue
+			}
+			if now.Sub(r.since) < c.settings.ConfirmDeathAfter || c.listed(r.ID) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 func (c *Core) buildView() {
 	c.viewStale = false
 	v := View{Version: c.version, Joined: c.joined, Zones: make([]ZoneView, 0, len(c.table.zones))}
