--- a/internal/core/placement/planner.go
+++ b/internal/core/placement/planner.go
@@ -13,7 +13,6 @@
 type Planner struct {
 	set       Settings
 	now       time.Time
-	started   time.Time   // the first Tick
 	models    []*model    // by ID
 	endpoints []*endpoint // by ID
 	downloads downloads
@@ -35,6 +34,14 @@
 	reported time.Time
 	assigned []assignment
 	pending  []pendingOrder
+	draining []draining
+}
+
+// draining is an item that is to go: for a while its last work may still be
+// on the way to it.
+type draining struct {
+	item  Item
+	since time.Time
 }
 
 // assignment is a model that an endpoint should hold.
@@ -119,9 +126,6 @@
 // Tick revises the plan and gives the orders that are due.
 func (p *Planner) Tick(now time.Time) {
 	p.now = now
-	if p.started.IsZero() {
-		p.started = now
-	}
 	p.unassignLeaving()
 	for _, m := range p.models {
 		p.scale(m)
@@ -329,7 +333,3 @@
 func (e *endpoint) uses(id entity.ModelID) bool {
 	return slices.ContainsFunc(e.report.InUse, func(it Item) bool { return it.Model == id })
 }
-
-func (e *endpoint) usesVersion(it Item) bool {
-	return slices.ContainsFunc(e.report.InUse, func(u Item) bool { return u.Model == it.Model && u.Version == it.Version })
-}
--- a/internal/core/placement/reconcile.go
+++ b/internal/core/placement/reconcile.go
@@ -3,17 +3,20 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 )
 
 // reconcile compares an endpoint's report with its assignment: what is missing
-// goes to the queue of downloads, what is too much is unloaded if it may go.
+// goes to the queue of downloads, what is too much is drained and unloaded.
 func (p *Planner) reconcile(e *endpoint) {
 	e.pending = slices.DeleteFunc(e.pending, func(o pendingOrder) bool { return p.now.Sub(o.at) >= p.set.OrderRetry })
-	for _, it := range p.surplus(e) {
-		if it.Adapter == "" && it.Version == p.keptVersion(e, it.Model) {
-			p.out.Drains = append(p.out.Drains, Drain{Endpoint: e.ID, Model: it.Model})
+	surplus := p.surplus(e)
+	e.drain(p.now, surplus)
+	for _, it := range surplus {
+		if e.ready(it) {
+			p.out.Drains = append(p.out.Drains, Drain{Endpoint: e.ID, Item: it})
 		}
 		if !e.ordered(it) && p.mayUnload(e, it) {
 			p.order(e, ActionUnload, it, 0)
@@ -26,18 +29,30 @@
 	}
 }
 
-// keptVersion is the version on which a model's work runs while it is not
-// assigned; empty if the model stays.
-func (p *Planner) keptVersion(e *endpoint, id entity.ModelID) string {
-	if e.assignment(id) != nil {
-		return ""
+// drain notes since when each of the items is to go, and forgets the others.
+func (e *endpoint) drain(now time.Time, items []Item) {
+	e.draining = slices.DeleteFunc(e.draining, func(d draining) bool { return !slices.Contains(items, d.item) })
+	for _, it := range items {
+		if _, ok := e.drainingSince(it); !ok {
+			e.draining = append(e.draining, draining{item: it, since: now})
+		}
 	}
-	for _, it := range e.report.Ready {
-		if it.Model == id && it.Adapter == "" {
-			return it.Version
+}
+
+func (e *endpoint) drainingSince(it Item) (time.Time, bool) {
+	for _, d := range e.draining {
+		if d.item == it {
+			return d.since, true
 		}
 	}
-	return ""
+	return time.Time{}, false
+}
+
+// drained says whether an item is without work by a report that is newer than
+// its last work can be, and than any order of an earlier holder.
+func (p *Planner) drained(e *endpoint, it Item) bool {
+	since, ok := e.drainingSince(it)
+	return ok && !slices.Contains(e.report.InUse, it) && p.now.Sub(since) >= p.set.OrderRetry
 }
 
 // desired lists what an endpoint should hold, models before their adapters.
@@ -104,7 +119,7 @@
 // mayUnload says whether an item may go: never while it has requests. The last
 // copies may go only if their new version is ready beside them.
 func (p *Planner) mayUnload(e *endpoint, it Item) bool {
-	if e.usesVersion(it) || p.now.Sub(p.started) < p.set.OrderRetry {
+	if !p.drained(e, it) {
 		return false
 	}
 	if it.Adapter != "" || !e.ready(it) {
--- a/internal/core/placement/types.go
+++ b/internal/core/placement/types.go
@@ -37,7 +37,8 @@
 	Endpoint entity.EndpointID
 	Ready    []Item
 	Loading  []Item
-	// InUse lists the models, by version, with requests on the endpoint.
+	// InUse lists the items with requests on the endpoint; a request for an
+	// adapter uses its model as well.
 	InUse []Item
 }
 
@@ -59,10 +60,11 @@
 	Expires  time.Duration // from when it is sent
 }
 
-// Drain names a copy that is to go: it should get no new work.
+// Drain names an item that is to go from an endpoint: it should get no new
+// work.
 type Drain struct {
 	Endpoint entity.EndpointID
-	Model    entity.ModelID
+	Item     Item
 }
 
 // Ready is what the planner asks for.
@@ -81,8 +83,8 @@
 	// OrderFor is an order's expiry.
 	OrderFor time.Duration
 	// OrderRetry is how long an order may take to show in a report before it
-	// is given again; at least OrderFor and ReportMaxAge together. A new planner
-	// unloads nothing for as long, since reports may lag behind earlier orders.
+	// is given again; at least OrderFor and ReportMaxAge together. A copy is
+	// drained for as long before it is unloaded.
 	OrderRetry time.Duration
 	// ReportMaxAge is how old a report may be to be acted on, its lag included.
 	ReportMaxAge time.Duration
