Claims: a fair budget of appends, and patience with a single failure

Why: with 50 claims a second in a zone, a tenth to a third of the claims were refused after one lost answer, because one failure counted as an outage and emptied the queue; and shards that share a rate limit starved one another.

Change: two failures in a row make the log count as down; Budget serves the shards in turn and replaces the shared limiter.

--- a/internal/core/claim/fifo.go
+++ b/internal/core/claim/fifo.go
@@ -17,6 +17,8 @@
 
 func (f *fifo) push(r ref) { f.refs = append(f.refs, r) }
 
+func (f *fifo) len() int { return len(f.refs) - f.head }
+
 func (f *fifo) popWhile(done func(ref) bool) {
 	for f.head < len(f.refs) && done(f.refs[f.head]) {
 		f.head++
--- a/internal/core/claim/sender.go
+++ b/internal/core/claim/sender.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/stream"
 )
 
 // sender batches entries into appends, one under way at a time.
@@ -14,7 +15,7 @@
 	flight   *flight
 	seq      uint64
 	notUntil time.Time // pause after a failed append
-	failing  bool      // the last append failed
+	failures int       // appends in a row that failed or stayed without an answer
 	outcomes int       // outcomes in the queue
 
 	batches, claims, settles uint64
@@ -41,12 +42,11 @@
 
 func (s *sender) idle() bool { return len(s.queue) == 0 && s.flight == nil }
 
-// down says whether the log refuses appends, as far as is known.
+// down says whether the log seems down to appends: several failed in a row,
+// and the next try isn't due.
 func (s *sender) down(now time.Time) bool {
-	if s.flight != nil && s.flight.state >= flightUnknown {
-		return true
-	}
-	return s.failing && now.Before(s.notUntil)
+	doubtful := s.flight != nil && s.flight.state >= flightUnknown
+	return s.failures >= stream.DownAfter && (doubtful || now.Before(s.notUntil))
 }
 
 func (s *sender) enqueue(e entry) {
@@ -90,7 +90,7 @@
 	if s.flight == nil && len(s.queue) == 0 {
 		return Batch{}, false
 	}
-	if now.Before(s.notUntil) || (s.set.Appends != nil && !s.set.Appends.AllowN(now, 1)) {
+	if now.Before(s.notUntil) || !s.set.Budget.take(now, s.num) {
 		return Batch{}, false
 	}
 	if s.flight == nil {
@@ -128,7 +128,7 @@
 func (s *sender) is(id BatchID) bool { return s.flight != nil && s.flight.id == id }
 
 func (s *sender) appended(now time.Time, id BatchID) {
-	s.failing = false
+	s.failures = 0
 	if s.is(id) {
 		s.flight.state, s.flight.since = flightAppended, now
 	}
@@ -143,13 +143,20 @@
 
 func (s *sender) doubt(now time.Time) {
 	s.flight.state, s.flight.since, s.flight.doubted = flightUnknown, now, true
-	s.failing, s.notUntil = true, now.Add(s.set.AppendBackoff)
+	s.pause(now)
+}
+
+// pause follows a failed append.
+func (s *sender) pause(now time.Time) {
+	s.failures++
+	s.notUntil = now.Add(s.set.AppendBackoff)
 }
 
-// failed drops the batch, which does not stand in the log, and returns its
-// entries; outcomes are queued again. An earlier copy of the batch whose
-// answer was lost may stand there all the same, so a batch that was ever
-// unknown is kept and looked for.
+// failed drops the batch, which does not stand in the log. Its outcomes are
+// queued again; its claims as well, unless the log counts as down, in which
+// case they are returned. An earlier copy of the batch whose answer was lost
+// may stand there all the same, so a batch that was ever unknown is kept and
+// looked for.
 func (s *sender) failed(now time.Time, id BatchID) []entry {
 	if !s.is(id) {
 		return nil
@@ -158,22 +165,23 @@
 		s.doubt(now)
 		return nil
 	}
-	s.failing, s.notUntil = true, now.Add(s.set.AppendBackoff)
+	s.pause(now)
 	entries := s.flight.entries
 	s.flight = nil
-	s.requeueOutcomes(entries)
-	return entries
-}
-
-func (s *sender) requeueOutcomes(entries []entry) {
-	var again []entry
+	var again, refused []entry
 	for _, e := range entries {
-		if e.Op == opSettle {
+		switch {
+		case e.Op == opSettle:
+			s.outcomes++
+			again = append(again, e)
+		case s.failures < stream.DownAfter:
 			again = append(again, e)
+		default:
+			refused = append(refused, e)
 		}
 	}
-	s.outcomes += len(again)
 	s.queue = append(again, s.queue...)
+	return refused
 }
 
 // readBack ends the flight that the record with this id settles and returns
@@ -184,7 +192,7 @@
 	}
 	entries := s.flight.entries
 	s.flight = nil
-	s.failing, s.notUntil = false, now
+	s.failures, s.notUntil = 0, now
 	return entries
 }
 
--- a/internal/core/claim/settings.go
+++ b/internal/core/claim/settings.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/gravitational/trace"
-	"golang.org/x/time/rate"
 
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/core/stream"
@@ -15,9 +14,9 @@
 type Settings struct {
 	// Instance is the home that runs the shard; unique over restarts.
 	Instance entity.InstanceID
-	// Appends bounds the appends of all shards of this instance together. The
-	// shards share one limiter; nil means no bound.
-	Appends *rate.Limiter
+	// Budget bounds the appends of all shards of this instance, which share it;
+	// nil means no bound.
+	Budget *Budget
 	// Window is the deduplication window: two runs under one key start at least
 	// this long apart.
 	Window time.Duration
@@ -55,6 +54,8 @@
 	ReadInterval time.Duration
 	// ReadWait is how long a read waits for records while something is waiting.
 	ReadWait time.Duration
+	// MaxAnswers bounds how many answers are kept; the oldest goes first.
+	MaxAnswers int
 	// MaxKeys bounds the live keys of the shard; proposals above it are refused.
 	MaxKeys int
 	// MaxPending bounds the proposals and the outcomes that wait in the shard.
@@ -74,11 +75,12 @@
 	DefaultRetryAfter      = 2 * time.Second
 	DefaultAppendTimeout   = 2 * time.Second
 	DefaultAppendBackoff   = 500 * time.Millisecond
-	DefaultReadTimeout     = 3 * time.Second
+	DefaultReadTimeout     = 1500 * time.Millisecond
 	DefaultReadBackoff     = 500 * time.Millisecond
 	DefaultReadInterval    = 2 * time.Second
 	DefaultReadWait        = 500 * time.Millisecond
-	DefaultMaxKeys         = 20000
+	DefaultMaxAnswers      = 2000
+	DefaultMaxKeys         = 10000
 	DefaultMaxPending      = 1024
 )
 
@@ -114,6 +116,7 @@
 	setDuration(&s.ReadBackoff, DefaultReadBackoff)
 	setDuration(&s.ReadInterval, DefaultReadInterval)
 	setDuration(&s.ReadWait, DefaultReadWait)
+	setInt(&s.MaxAnswers, DefaultMaxAnswers)
 	setInt(&s.MaxKeys, DefaultMaxKeys)
 	setInt(&s.MaxPending, DefaultMaxPending)
 	return s, s.check()
--- a/internal/core/claim/shard.go
+++ b/internal/core/claim/shard.go
@@ -65,7 +65,7 @@
 	return &Shard{
 		set:       set,
 		num:       num,
-		table:     newTable(set.AnswerFor),
+		table:     newTable(set.AnswerFor, set.MaxAnswers),
 		sender:    sender{set: set, num: num},
 		reader:    stream.NewReader(set.reader(num)),
 		waiting:   make(map[entity.RequestID]*proposal),
@@ -225,7 +225,9 @@
 			s.refuse(p, verdict.NotRun, verdict.ReasonLogUnavailable, s.set.RetryAfter)
 		}
 	}
-	s.refuseQueued()
+	if s.sender.down(s.now) {
+		s.refuseQueued()
+	}
 }
 
 // refuseQueued refuses the proposals whose claims haven't left yet, because
@@ -381,7 +383,7 @@
 	if s.reader.Next() > 0 {
 		s.stats.Resets++
 	}
-	s.table = newTable(s.set.AnswerFor)
+	s.table = newTable(s.set.AnswerFor, s.set.MaxAnswers)
 	s.reader.Restart(first)
 }
 
--- a/internal/core/claim/table.go
+++ b/internal/core/claim/table.go
@@ -30,16 +30,17 @@
 // table is the state of a shard's stream up to an offset. It is a pure
 // function of the records: every reader of the stream has the same.
 type table struct {
-	answerFor time.Duration
-	keys      map[Hash]*holder
-	claims    fifo // live keys in log order, for expiry
-	answers   fifo // keys with an answer in order of settling
-	now       time.Time
-	seq       uint64
+	answerFor  time.Duration
+	maxAnswers int
+	keys       map[Hash]*holder
+	claims     fifo // live keys in log order, for expiry
+	answers    fifo // keys with an answer in order of settling
+	now        time.Time
+	seq        uint64
 }
 
-func newTable(answerFor time.Duration) *table {
-	return &table{answerFor: answerFor, keys: make(map[Hash]*holder)}
+func newTable(answerFor time.Duration, maxAnswers int) *table {
+	return &table{answerFor: answerFor, maxAnswers: maxAnswers, keys: make(map[Hash]*holder)}
 }
 
 // advance moves the log's time, which never goes back.
@@ -79,7 +80,7 @@
 	if h == nil {
 		return true
 	}
-	if t.now.Before(h.settled.Add(t.answerFor)) {
+	if t.answers.len() <= t.maxAnswers && t.now.Before(h.settled.Add(t.answerFor)) {
 		return false
 	}
 	h.answer = nil
@@ -140,6 +141,7 @@
 		h.answer = e.Answer
 		t.answers.push(ref{e.Key, h.seq})
 		t.answers.compact(len(t.keys), t.stale)
+		t.answers.popWhile(t.dropAnswer)
 	}
 }
 
--- a/internal/core/stream/stream.go
+++ b/internal/core/stream/stream.go
@@ -32,6 +32,10 @@
 	return AppendUnknown
 }
 
+// DownAfter is how many failures in a row make the log count as down. One
+// alone may be a lost answer.
+const DownAfter = 2
+
 // ReadRequest asks for records of a stream, as platform.Log.Read.
 type ReadRequest struct {
 	Stream platform.Stream
@@ -64,7 +68,7 @@
 	goal     platform.Offset // where the first read after a start saw the end
 	goalSet  bool
 	caughtUp bool
-	down     bool
+	failures int // in a row
 
 	inFlight bool
 	asked    time.Time
@@ -81,8 +85,9 @@
 // AtEnd says whether everything known to stand in the stream was read.
 func (r *Reader) AtEnd() bool { return r.caughtUp && r.next >= r.end }
 
-// Down says whether the last read failed.
-func (r *Reader) Down() bool { return r.down }
+// Down says whether the log seems down to readers: DownAfter reads failed in a
+// row.
+func (r *Reader) Down() bool { return r.failures >= DownAfter }
 
 // Next is the offset of the next record to fold.
 func (r *Reader) Next() platform.Offset { return r.next }
@@ -112,7 +117,7 @@
 // Done ends a read that was answered, after its records were taken.
 func (r *Reader) Done(now time.Time, end platform.Offset) {
 	r.inFlight = false
-	r.down = false
+	r.failures = 0
 	r.notUntil = now
 	r.end = max(r.end, end)
 	if !r.goalSet {
@@ -126,13 +131,16 @@
 // Failed ends a read that brought nothing.
 func (r *Reader) Failed(now time.Time, err error) {
 	r.inFlight = false
-	r.down = !errors.Is(err, platform.ErrTruncated)
+	r.failures++
+	if errors.Is(err, platform.ErrTruncated) {
+		r.failures = 0 // the log is there
+	}
 	r.notUntil = now.Add(r.set.Backoff)
 }
 
 // Hurry makes a read due at once, unless the log is down.
 func (r *Reader) Hurry(now time.Time) {
-	if r.notUntil.After(now) && !r.down {
+	if r.notUntil.After(now) && r.failures == 0 {
 		r.notUntil = now
 	}
 }
