A promise rests only on endpoints whose work the owner knows; thawed instances ask anew

The new one called it settled after one FloorFor, 250 ms, while entries with an older view were still granted lower work by the other. A frozen owner answered its backlog out of a table that others had overtaken. An entry that was away dispatched on grants that waited in its buffers. An owner that did not answer was left out of MayShed before its endpoints had a new owner. Lost grants, refusals and preemptions were not sent again.

Change: an endpoint proves nothing until it was owned for SettleFor, 3 s, or while its load report shows more running than its owner knows; an owner that was away starts again. An entry that was away withdraws its questions and asks anew, and a dispatch directive has a last moment, after which it ends as not run. MayShed counts every owner of the pool, reachable or not. Messages about a request that were not delivered are sent again while the peer is a member.

--- a/internal/caller/run.go
+++ b/internal/caller/run.go
@@ -59,6 +59,11 @@
 			return at
 		}
 		at = *e
+		if s.opts.Clock().After(d.NotAfter) {
+			s.opts.Control.Ended(d.ID, request.End{Err: &verdict.Error{Verdict: verdict.NotRun,
+				Reason: verdict.ReasonOwnerUnreachable, Message: "the grant of the slot was out of date"}, Release: entity.Release{Unused: true}})
+			return at
+		}
 		go j.dispatch(ctx, at, d)
 	case request.DirectivePause:
 		go j.pause(ctx, at)
--- a/internal/core/admission/endpoint.go
+++ b/internal/core/admission/endpoint.go
@@ -27,8 +27,14 @@
 	kv      int // tokens taken, paused streams included
 	floors  floors
 	index   *prefix.Index
-	// settledAt is when promises of an earlier owner have run out.
-	settledAt      time.Time
+	// quietUntil is when promises of an earlier owner have run out, settledAt
+	// when all that it runs is known.
+	quietUntil time.Time
+	settledAt  time.Time
+	// unknown is set while the endpoint reports more work than is known here;
+	// ended holds when known work ended, since the last report.
+	unknown        bool
+	ended          []time.Time
 	failures       int
 	suspendedUntil time.Time
 	gone           bool
@@ -57,7 +63,7 @@
 
 // allows says that no promise keeps tier t off e.
 func (e *endpoint) allows(now time.Time, t int) bool {
-	if t > 0 && now.Before(e.settledAt) {
+	if t > 0 && now.Before(e.quietUntil) {
 		return false
 	}
 	return e.floors.allow(now, t)
--- a/internal/core/admission/membership.go
+++ b/internal/core/admission/membership.go
@@ -34,7 +34,7 @@
 	e := o.endpoints[row.ID]
 	if e != nil && e.row.Pool == row.Pool {
 		if !slices.Equal(e.row.Models, row.Models) || !slices.Equal(e.row.Adapters, row.Adapters) {
-			e.settledAt = now.Add(o.settings.FloorFor)
+			o.unsettle(now, e)
 		}
 		e.row = *row
 		return
@@ -48,6 +48,25 @@
 	p.endpoints = append(p.endpoints, e)
 }
 
+// unsettle has an endpoint count as one that was just gained.
+func (o *Owner) unsettle(now time.Time, e *endpoint) {
+	e.quietUntil = now.Add(o.settings.FloorFor)
+	e.settledAt = now.Add(o.settings.SettleFor)
+}
+
+// wake unsettles all endpoints after the instance was away: others may have
+// owned them meanwhile.
+func (o *Owner) wake(now time.Time) {
+	if away := now.Sub(o.awake); !o.awake.IsZero() && away > o.settings.FreezeGap {
+		for _, p := range o.pools {
+			for _, e := range p.endpoints {
+				o.unsettle(now, e)
+			}
+		}
+	}
+	o.awake = now
+}
+
 func (o *Owner) loseEndpoint(now time.Time, p *pool, e *endpoint) {
 	e.gone = true
 	p.endpoints = slices.DeleteFunc(p.endpoints, func(f *endpoint) bool { return f == e })
--- a/internal/core/admission/owner.go
+++ b/internal/core/admission/owner.go
@@ -18,6 +18,7 @@
 	jobs      map[entity.RequestID]*job
 	speeds    *speed.Estimator
 	seq       uint64
+	awake     time.Time // the latest step
 	ready     Ready
 }
 
@@ -40,6 +41,7 @@
 
 // Reserve takes in an entry's question for a slot.
 func (o *Owner) Reserve(now time.Time, r entity.Reservation) {
+	o.wake(now)
 	if old := o.jobs[r.Work.ID]; old != nil && !o.replaces(old, &r) {
 		return
 	}
@@ -128,6 +130,7 @@
 		o.speeds.Observe(&e.row, r)
 		e.result(now, r.Failed)
 	}
+	e.ended = append(e.ended, now)
 	o.leave(j, r.Paused)
 	o.schedule(now, o.pool(e.row.Pool))
 }
@@ -158,6 +161,7 @@
 
 // Tick lets time pass: late work is refused, promises end, slots are granted.
 func (o *Owner) Tick(now time.Time) {
+	o.wake(now)
 	for _, p := range o.pools {
 		o.dropOverdueOrphans(now, p)
 		o.expire(now, p)
@@ -261,11 +265,12 @@
 }
 
 func (o *Owner) newEndpoint(now time.Time, row *entity.Endpoint) *endpoint {
-	return &endpoint{
-		row:       *row,
-		running:   make([]int, o.settings.Tiers),
-		floors:    make(floors, o.settings.Tiers),
-		index:     prefix.NewIndex(o.settings.NewEvictor(o.settings.PrefixBlocks)),
-		settledAt: now.Add(o.settings.FloorFor),
+	e := &endpoint{
+		row:     *row,
+		running: make([]int, o.settings.Tiers),
+		floors:  make(floors, o.settings.Tiers),
+		index:   prefix.NewIndex(o.settings.NewEvictor(o.settings.PrefixBlocks)),
 	}
+	o.unsettle(now, e)
+	return e
 }
--- a/internal/core/admission/owner_test.go
+++ b/internal/core/admission/owner_test.go
@@ -25,13 +25,13 @@
 
 func ask(w entity.Work) entity.Reservation { return entity.Reservation{Work: w, From: "entry"} }
 
-// settled returns an owner whose endpoints have no promise of an earlier owner.
+// settled returns an owner that knows all that its endpoints run.
 func settled(rows ...entity.Endpoint) (*Owner, time.Time) {
 	s := DefaultSettings()
 	s.QueuePerEndpoint = 2
 	o := New(s)
 	o.SetEndpoints(epoch, rows)
-	return o, epoch.Add(s.FloorFor)
+	return o, epoch.Add(s.SettleFor)
 }
 
 // said renders what the owner decided, one word each.
--- a/internal/core/admission/pool.go
+++ b/internal/core/admission/pool.go
@@ -31,12 +31,12 @@
 }
 
 // lowest returns the lowest tier that runs on an endpoint that could serve j,
-// or -1; settled is false while an earlier owner's work may run there unseen.
+// or -1; settled is false while work may run there that is not known here.
 func (p *pool) lowest(now time.Time, j *job) (tier int, settled bool) {
 	tier, settled = -1, true
 	p.eligible(j, func(e *endpoint) bool {
 		tier = max(tier, e.lowest())
-		settled = settled && !now.Before(e.settledAt)
+		settled = settled && !e.unknown && !now.Before(e.settledAt)
 		return true
 	})
 	return tier, settled
--- a/internal/core/admission/reports.go
+++ b/internal/core/admission/reports.go
@@ -1,18 +1,22 @@
 package admission
 
 import (
+	"slices"
 	"time"
 
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 )
 
-// Report takes in what an endpoint said of its load. It only settles which
-// slots of gone entry instances are still taken.
+// Report takes in what an endpoint said of its load. It settles which slots of
+// gone entry instances are still taken, and whether anything runs there that
+// is not known here.
 func (o *Owner) Report(now time.Time, r entity.LoadReport) {
 	e := o.endpoints[r.Endpoint]
 	if e == nil {
 		return
 	}
+	e.ended = slices.DeleteFunc(e.ended, func(t time.Time) bool { return t.Before(r.At) })
+	e.unknown = r.Running > e.slots+len(e.ended)
 	orphans := e.orphansBefore(r.At)
 	excess := e.slots - (r.Running + r.Waiting)
 	for i := 0; i < len(orphans) && i < excess; i++ {
--- a/internal/core/admission/settings.go
+++ b/internal/core/admission/settings.go
@@ -30,6 +30,13 @@
 	QueuePerEndpoint int
 	// FloorFor is how long the promise of a Refusal holds.
 	FloorFor time.Duration
+	// SettleFor is how long an endpoint must have been owned before its owner
+	// proves anything by it: until then an earlier owner, or entries that still
+	// ask it, may run work there that the new one has not heard of.
+	SettleFor time.Duration
+	// FreezeGap is the time without a step after which the owner takes itself
+	// to have been away, and its endpoints as if it had come to own them anew.
+	FreezeGap time.Duration
 	// OrphanTimeout is how long past its estimated end a slot stays taken whose
 	// entry instance is gone.
 	OrphanTimeout time.Duration
@@ -49,6 +56,8 @@
 		Tiers:            5,
 		QueuePerEndpoint: 64,
 		FloorFor:         250 * time.Millisecond,
+		SettleFor:        3 * time.Second,
+		FreezeGap:        time.Second,
 		OrphanTimeout:    5 * time.Second,
 		PrefixBlocks:     8192,
 		NewEvictor:       func(n int) prefix.Evictor { return prefix.NewRecency(n) },
--- /dev/null
+++ b/internal/core/admission/settle_test.go
@@ -0,0 +1,52 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
+
+// A promise is given only by an owner that knows all that its endpoints run.
+func TestPromiseNeedsSettledEndpoints(t *testing.T) {
+	s := DefaultSettings()
+	late := epoch.Add(s.SettleFor)
+	report := func(at time.Time, running int) entity.LoadReport {
+		return entity.LoadReport{Endpoint: "e", At: at, Running: running}
+	}
+	tests := []struct {
+		name  string
+		setUp func(*Owner)
+		at    time.Time
+		want  string
+	}{
+		{"just gained", func(*Owner) {}, late.Add(-1), "refuse b"},
+		{"settled", func(o *Owner) { o.Tick(late) }, late, "refuse b floor=1"},
+		{"away for long", func(*Owner) {}, late.Add(time.Hour), "refuse b"},
+		{"unknown work", func(o *Owner) { o.Tick(late); o.Report(late, report(late, 2)) }, late, "refuse b"},
+		{"known work", func(o *Owner) { o.Tick(late); o.Report(late, report(late, 1)) }, late, "refuse b floor=1"},
+		{"work of before", func(o *Owner) {
+			o.Tick(late)
+			o.Release(late, entity.Release{ID: "a", Endpoint: "e"})
+			o.Reserve(late, ask(work("c", 1)))
+			o.Report(late, report(late.Add(-1), 2))
+			o.Ready()
+		}, late, "refuse b floor=1"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			o := New(s)
+			o.SetEndpoints(epoch, []entity.Endpoint{engine("e", 1)})
+			o.Reserve(epoch.Add(s.FloorFor), ask(work("a", 1)))
+			o.Ready()
+			for now := epoch; now.Before(late); now = now.Add(TickInterval) {
+				o.Tick(now)
+			}
+			tt.setUp(o)
+			r := ask(work("b", 1))
+			r.NoWait = true
+			o.Reserve(tt.at, r)
+			expect(t, o, tt.want)
+		})
+	}
+}
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -27,8 +27,12 @@
 	Retry      retry.Settings
 	Routing    routing.Settings
 	Claims     claim.Settings
-	// ReleaseRetry is the pause before a release that was not delivered is sent again.
-	ReleaseRetry time.Duration
+	// ResendAfter is the pause before a message about a request that was not
+	// delivered is sent again.
+	ResendAfter time.Duration
+	// FreezeGap is the time without a step after which the instance takes
+	// itself to have been away.
+	FreezeGap time.Duration
 }
 
 // DefaultSettings returns the settings of an instance where none are given.
@@ -38,12 +42,14 @@
 		Membership: membership.DefaultSettings(),
 		Admission:  admission.DefaultSettings(),
 		Request: request.Settings{
-			Self: self.ID, KeepFinished: 4096, RetryInterval: routing.RetryInterval, LookInterval: 250 * time.Millisecond,
+			Self: self.ID, KeepFinished: 4096, RetryInterval: routing.RetryInterval,
+			LookInterval: 250 * time.Millisecond, DispatchWithin: time.Second,
 		},
-		Retry:        retry.DefaultSettings(),
-		Routing:      routing.DefaultSettings(),
-		Claims:       claim.Settings{Instance: self.ID},
-		ReleaseRetry: 500 * time.Millisecond,
+		Retry:       retry.DefaultSettings(),
+		Routing:     routing.DefaultSettings(),
+		Claims:      claim.Settings{Instance: self.ID},
+		ResendAfter: 500 * time.Millisecond,
+		FreezeGap:   time.Second,
 	}
 }
 
@@ -64,16 +70,17 @@
 	claims   *claims
 	// zoneMembers are the live instances of the own zone.
 	zoneMembers []entity.Instance
-	releases    []undelivered
+	unsent      []undelivered
+	awake       time.Time // the latest step
 	local       []any
 	ready       Ready
 }
 
-// undelivered is a release that waits to be sent again.
+// undelivered is a message that waits to be sent again.
 type undelivered struct {
 	at  time.Time
 	to  entity.InstanceID
-	rel entity.Release
+	msg any
 }
 
 // Ready is a batch of what is to be carried out.
@@ -116,21 +123,31 @@
 
 // Step handles one message.
 func (n *Node) Step(now time.Time, msg any) {
+	n.wake(now)
 	n.handle(now, msg)
 	n.settle(now)
 }
 
 // Tick runs the systems that wait for time.
 func (n *Node) Tick(now time.Time) {
+	n.wake(now)
 	n.members.Tick(now)
 	n.entry.Tick(now)
 	n.owner.Tick(now)
 	n.tickLimits(now)
 	n.tickClaims(now)
-	n.resendReleases(now)
+	n.resend(now)
 	n.settle(now)
 }
 
+// wake finds out whether the instance was away.
+func (n *Node) wake(now time.Time) {
+	if !n.awake.IsZero() && now.Sub(n.awake) > n.settings.FreezeGap {
+		n.entry.Thawed(now)
+	}
+	n.awake = now
+}
+
 // Ready returns what is to be carried out, and clears the batch.
 func (n *Node) Ready() Ready {
 	r := n.ready
--- a/internal/core/node/peers.go
+++ b/internal/core/node/peers.go
@@ -47,33 +47,31 @@
 }
 
 // peerFailed handles a message that did not get through, or may not have.
+// Whatever answers a question or follows from a grant is sent again, for as
+// long as the peer is a member; it names the question, so that it does no harm
+// when it comes late or twice.
 func (n *Node) peerFailed(now time.Time, to entity.InstanceID, msg any) {
 	n.members.ProbeFailed(now, to)
 	switch m := msg.(type) {
 	case entity.Reservation:
-		n.entry.Unreachable(now, to, m.Work.ID)
-	case entity.Grant:
-		// The entry can't have dispatched without the grant; if it got it
-		// after all, its release comes as well and changes nothing.
-		n.owner.Release(now, entity.Release{ID: m.ID, Endpoint: m.Endpoint, Unused: true})
-	case entity.Release:
-		n.releases = append(n.releases, undelivered{at: now.Add(n.settings.ReleaseRetry), to: to, rel: m})
+		n.entry.Unreachable(now, to, m.Work.ID, m.Question)
+	case entity.Grant, entity.Refusal, entity.Preemption, entity.Release, Withdraw, Holding:
+		n.unsent = append(n.unsent, undelivered{at: now.Add(n.settings.ResendAfter), to: to, msg: msg})
 	}
 }
 
-// resendReleases sends the releases again that were not delivered, for as long
-// as their owner is a member.
-func (n *Node) resendReleases(now time.Time) {
-	kept := n.releases[:0]
-	for _, u := range n.releases {
+// resend sends what was not delivered again.
+func (n *Node) resend(now time.Time) {
+	kept := n.unsent[:0]
+	for _, u := range n.unsent {
 		switch {
 		case now.Before(u.at):
 			kept = append(kept, u)
 		case n.isMember(u.to):
-			n.send(u.to, u.rel)
+			n.send(u.to, u.msg)
 		}
 	}
-	n.releases = kept
+	n.unsent = kept
 }
 
 func (n *Node) isMember(id entity.InstanceID) bool {
--- a/internal/core/request/entry.go
+++ b/internal/core/request/entry.go
@@ -60,6 +60,8 @@
 	// LookInterval is how long a request stays in one owner's queue before it
 	// looks for a free slot elsewhere, again and again.
 	LookInterval time.Duration
+	// DispatchWithin is how long a grant may wait for its dispatch.
+	DispatchWithin time.Duration
 }
 
 // Entry is the table of requests and the systems that run over it.
@@ -233,7 +235,8 @@
 	}
 	r.state = StateRunning
 	r.dispatches++
-	e.direct(Directive{ID: g.ID, Kind: DirectiveDispatch, Endpoint: g.Endpoint, ImportFrom: g.ImportFrom})
+	e.direct(Directive{ID: g.ID, Kind: DirectiveDispatch, Endpoint: g.Endpoint, ImportFrom: g.ImportFrom,
+		NotAfter: now.Add(e.settings.DispatchWithin)})
 }
 
 // unused gives a slot back that the request has no use for.
@@ -274,9 +277,9 @@
 }
 
 // Unreachable tells that a question could not be delivered to an owner.
-func (e *Entry) Unreachable(now time.Time, owner entity.InstanceID, id entity.RequestID) {
+func (e *Entry) Unreachable(now time.Time, owner entity.InstanceID, id entity.RequestID, question uint32) {
 	e.router.Unreachable(now, owner)
-	if r, ok := e.rows[id]; ok && r.asked(owner) {
+	if r, ok := e.rows[id]; ok && r.awaits(owner, question) {
 		e.unanswered(now, r, owner)
 	}
 }
@@ -315,6 +318,17 @@
 	}
 }
 
+// Thawed tells that the instance was away. Answers to questions of before may
+// be long out of date, so the requests ask anew.
+func (e *Entry) Thawed(now time.Time) {
+	for _, r := range e.sortedRows() {
+		if len(r.asks) > 0 {
+			e.withdraw(r, "")
+			e.wakeAfter(now, r, 0)
+		}
+	}
+}
+
 // Preempted tells that an owner wants the slot back for a higher tier.
 func (e *Entry) Preempted(now time.Time, from entity.InstanceID, p entity.Preemption) {
 	r, ok := e.rows[p.ID]
--- a/internal/core/request/ready.go
+++ b/internal/core/request/ready.go
@@ -41,6 +41,7 @@
 // The directives.
 const (
 	// DirectiveDispatch sends the request to the endpoint: the irrevocable step.
+	// After NotAfter it must not be taken; the end is then "not run".
 	DirectiveDispatch DirectiveKind = iota
 	// DirectivePause pauses the stream on its endpoint and reports Paused.
 	DirectivePause
@@ -58,6 +59,7 @@
 	Kind       DirectiveKind
 	Endpoint   entity.EndpointID
 	ImportFrom entity.EndpointID
+	NotAfter   time.Time
 	Err        *verdict.Error
 	Answer     *Answer
 }
--- a/internal/core/routing/doc.go
+++ b/internal/core/routing/doc.go
@@ -28,7 +28,7 @@
 // Candidates are ordered by weighted rendezvous hashing on the head of the
 // prompt, so that prompts with the same head meet on the same engine, with
 // bounded load. MayShed is true only while unexpired promises at or above the
-// request's tier are held from every owner of the pool, each for the very
+// request's tier are held from every owner of the pool, reachable or not, each for the very
 // endpoints that the Router knows to be that owner's.
 //
 // The package is pure and not safe for concurrent use.
--- a/internal/core/routing/router.go
+++ b/internal/core/routing/router.go
@@ -118,15 +118,16 @@
 	return Choice{Owner: best.Owner, Endpoint: best.Endpoint.ID}, true
 }
 
-// MayShed says that w may be refused for overload: every owner of the pool
-// that is in reach has promised that it serves nothing below w.
+// MayShed says that w may be refused for overload: every owner of the pool has
+// promised that it serves nothing below w. An owner that does not answer still
+// counts, until membership gives its endpoints to another one.
 func (r *Router) MayShed(now time.Time, w *entity.Work) bool {
 	p := r.pools[w.Pool]
 	if p == nil {
 		return true
 	}
 	for _, o := range p.owners {
-		if r.owner(o).reachable(now) && !r.promised(now, o, w) {
+		if !r.promised(now, o, w) {
 			return false
 		}
 	}
--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -38,7 +38,7 @@
 	f := j.in.f
 	switch d.Kind {
 	case request.DirectiveDispatch:
-		j.dispatch(d.Endpoint)
+		j.dispatch(d)
 	case request.DirectivePause:
 		j.control(func(e *engine) {
 			if e.pause(j.id) {
@@ -67,11 +67,17 @@
 }
 
 // dispatch sends the request to the endpoint, once.
-func (j *job) dispatch(id entity.EndpointID) {
+func (j *job) dispatch(d request.Directive) {
 	f := j.in.f
-	j.at, j.ended, j.aborted = id, false, nil
+	j.at, j.ended, j.aborted = d.Endpoint, false, nil
 	f.after(f.between(minHop, maxHop), func() {
-		j.in.do(func() { j.arriveAt(id) })
+		j.in.do(func() {
+			if f.now.After(d.NotAfter) {
+				j.end(&verdict.Error{Verdict: verdict.NotRun, Reason: verdict.ReasonOwnerUnreachable}, "")
+				return
+			}
+			j.arriveAt(d.Endpoint)
+		})
 	})
 }
 
