--- a/internal/core/node/claims.go
+++ b/internal/core/node/claims.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"github.com/medlarhold/medlarhold/internal/core/claim"
@@ -59,6 +60,7 @@
 type claims struct {
 	settings claim.Settings
 	shards   map[claim.ShardNumber]*claim.Shard
+	order    []claim.ShardNumber // the shards' numbers, sorted
 	tickets  map[entity.RequestID]*ticket
 }
 
@@ -195,6 +197,8 @@
 		panic(err) // the settings were checked by New
 	}
 	n.claims.shards[num] = s
+	i, _ := slices.BinarySearch(n.claims.order, num)
+	n.claims.order = slices.Insert(n.claims.order, i, num)
 	return s
 }
 
@@ -220,18 +224,20 @@
 			n.sendTicket(now, t)
 		}
 	}
-	for _, num := range sortedKeys(n.claims.shards) {
+	n.claims.order = slices.DeleteFunc(n.claims.order, func(num claim.ShardNumber) bool {
 		s := n.claims.shards[num]
 		s.Tick(now)
-		if s.Idle() && n.claimHome(num) != n.settings.Self.ID {
-			delete(n.claims.shards, num)
+		if !s.Idle() || n.claimHome(num) == n.settings.Self.ID {
+			return false
 		}
-	}
+		delete(n.claims.shards, num)
+		return true
+	})
 }
 
 // drainClaims carries out what the shards have decided.
 func (n *Node) drainClaims() {
-	for _, num := range sortedKeys(n.claims.shards) {
+	for _, num := range n.claims.order {
 		r := n.claims.shards[num].Ready()
 		for _, b := range r.Appends {
 			n.ready.ClaimAppends = append(n.ready.ClaimAppends, ClaimAppend{Shard: num, Batch: b})
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -20,8 +20,10 @@
 	// loadLasts is how long they do.
 	loadLasts = 8 * time.Second
 	// coolDown is how long after the load everything must be answered: the
-	// longest deadline, a call's end after it, and a leave under a cut.
-	coolDown = 20 * time.Second
+	// longest deadline, a call's end after it, and a leave under a cut. A
+	// history ends earlier, after minCoolDown, when all is quiet.
+	coolDown    = 25 * time.Second
+	minCoolDown = 7 * time.Second
 	// answerWithin is how long after its deadline a request may stay without
 	// its final answer: as long as it may take until a cancelled stream, or a
 	// call that may not be interrupted, comes to its end.
@@ -91,11 +93,29 @@
 	}
 	f.platform = newPlatform(f)
 	f.build()
-	end := epoch.Add(warmUp + loadLasts + coolDown)
-	f.runUntil(end)
+	f.runUntil(f.plan.loadEnds.Add(minCoolDown))
+	for f.now.Before(f.plan.loadEnds.Add(coolDown)) && !f.quiet() {
+		f.runUntil(f.now.Add(time.Second))
+	}
 	return f.result(seed)
 }
 
+// quiet says that nothing is left to come: no fault, no caller that waits, no
+// instance that stops.
+func (f *Fleet) quiet() bool {
+	for _, s := range f.plan.faults {
+		if f.now.Before(epoch.Add(s.at + s.lasts)) {
+			return false
+		}
+	}
+	for _, in := range f.instances {
+		if in.state == stateLive && (in.stopping || in.node.InFlight() > 0 || in.unanswered() > 0) {
+			return false
+		}
+	}
+	return true
+}
+
 // build sets the scene.
 func (f *Fleet) build() {
 	f.plan = plan{
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -57,7 +57,7 @@
 }
 
 // start brings up an instance in a zone.
-func (f *Fleet) start(zone entity.ZoneID) *instance {
+func (f *Fleet) start(zone entity.ZoneID) {
 	f.born++
 	id := entity.InstanceID(fmt.Sprintf("%s-i%d", zone, f.born))
 	in := &instance{
@@ -75,7 +75,6 @@
 	in.renew()
 	in.poll()
 	f.tracef("%s starts", id)
-	return in
 }
 
 // do runs what a process does, later if it is frozen, never if it is dead.
--- a/internal/fleet/network.go
+++ b/internal/fleet/network.go
@@ -173,6 +173,8 @@
 		r.Work.Deadline = f.now.Add(r.Work.Deadline.Sub(sentAt))
 		msg = r
 	}
-	f.tracef("%s <- %s %T%+v", to.id, from.id, msg, msg)
+	if f.trace != nil {
+		f.tracef("%s <- %s %T%+v", to.id, from.id, msg, msg)
+	}
 	to.step(node.FromPeer{From: from.id, Msg: msg})
 }
