Controls of one request reach its engine one after the other

The caller's edge gave each order to the engine on a goroutine of its own, so the pause overtook the resumption; the stream then ran on without a slot, and its owner, which had the release of the pause, promised that nothing of its tier runs.

Change: pauses, resumptions and the cancellation of a request are made in the order of their directives, each after the end of the one before; the harness does the same. A paused stream that its owner calls infeasible is cancelled at once instead of asking again until its deadline.

--- a/internal/caller/run.go
+++ b/internal/caller/run.go
@@ -30,6 +30,7 @@
 	gone := ctx.Done()
 	work := context.WithoutCancel(ctx)
 	var at entity.Endpoint
+	var orders controls
 	for {
 		select {
 		case <-gone:
@@ -41,7 +42,7 @@
 				j.finish(d)
 				return
 			}
-			at = s.carryOut(work, d, at, j)
+			at = s.carryOut(work, d, at, j, &orders)
 		}
 	}
 }
@@ -49,7 +50,7 @@
 // carryOut acts on one directive and returns the endpoint that the request is
 // at. Pause, resume and cancel go to where it was dispatched, also when the
 // configuration has changed since.
-func (s *Server) carryOut(ctx context.Context, d request.Directive, at entity.Endpoint, j job) entity.Endpoint {
+func (s *Server) carryOut(ctx context.Context, d request.Directive, at entity.Endpoint, j job, orders *controls) entity.Endpoint {
 	switch d.Kind {
 	case request.DirectiveDispatch:
 		e, ok := s.opts.State().Endpoint(d.Endpoint)
@@ -66,11 +67,11 @@
 		}
 		go j.dispatch(ctx, at, d)
 	case request.DirectivePause:
-		go j.pause(ctx, at)
+		orders.add(func() { j.pause(ctx, at) })
 	case request.DirectiveResume:
-		go j.resume(ctx, at)
+		orders.add(func() { j.resume(ctx, at) })
 	case request.DirectiveCancel:
-		go j.cancel(ctx, at, d)
+		orders.add(func() { j.cancel(ctx, at, d) })
 	case request.DirectiveFinish: // handled by run
 	}
 	return at
--- a/internal/core/request/entry.go
+++ b/internal/core/request/entry.go
@@ -266,6 +266,8 @@
 	r.refused++
 	r.retryAfter = max(r.retryAfter, f.RetryAfter)
 	switch {
+	case r.state == StatePaused && f.Infeasible:
+		e.cancelRunning(now, r, verdict.ReasonDeadline)
 	case r.state == StatePaused:
 		e.wakeAfter(now, r, e.settings.RetryInterval)
 	case f.Infeasible:
--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -31,6 +31,8 @@
 	ended    bool
 	answered bool
 	digest   string
+	// controlled is when the latest pause, resumption or cancellation is made.
+	controlled time.Time
 }
 
 func (j *job) direct(d request.Directive) {
@@ -150,12 +152,18 @@
 	if e == nil {
 		return
 	}
-	f.after(f.between(minHop, maxHop), func() {
+	at := f.now.Add(f.between(minHop, maxHop))
+	if !at.After(j.controlled) {
+		at = j.controlled.Add(minHop) // one after the other
+	}
+	j.controlled = at
+	f.at(at, func() {
 		switch {
 		case j.in.state == stateDead:
 		case e.reach(j.in) && e.refusing == 0:
 			act(e)
 		default:
+			j.controlled = f.now.Add(controlTimeout)
 			f.after(controlTimeout, failed)
 		}
 	})
