--- a/internal/core/request/entry.go
+++ b/internal/core/request/entry.go
@@ -64,6 +64,8 @@
 	// FirstPatience is how long a request stays in an owner's queue before it
 	// looks for room elsewhere; the pause doubles up to MaxPatience.
 	FirstPatience, MaxPatience time.Duration
+	// DispatchWithin is how long a grant may wait for its dispatch.
+	DispatchWithin time.Duration
 }
 
 // Entry is the table of requests and the systems that run over it.
@@ -248,7 +250,8 @@
 	}
 	r.state = StateRunning
 	r.dispatches++
-	e.direct(Directive{ID: g.ID, Kind: DirectiveDispatch, Endpoint: g.Endpoint, ImportFrom: g.ImportFrom})
+	e.direct(Directive{ID: g.ID, Kind: DirectiveDispatch, Endpoint: g.Endpoint, ImportFrom: g.ImportFrom,
+		NotAfter: now.Add(e.settings.DispatchWithin)})
 }
 
 // unused gives a slot back that the request has no use for.
@@ -280,6 +283,8 @@
 		r.markInfeasible(from)
 	}
 	switch {
+	case r.state == StatePaused && f.Infeasible:
+		e.cancelRunning(now, r, verdict.ReasonDeadline)
 	case r.state == StatePaused:
 		e.wakeAfter(now, r, e.settings.RetryInterval)
 	case len(r.asks) == 0 || a.NoWait:
@@ -288,9 +293,9 @@
 }
 
 // Unreachable tells that a question could not be delivered to an owner.
-func (e *Entry) Unreachable(now time.Time, owner entity.InstanceID, id entity.RequestID) {
+func (e *Entry) Unreachable(now time.Time, owner entity.InstanceID, id entity.RequestID, question uint32) {
 	e.router.Unreachable(now, owner)
-	if r, ok := e.rows[id]; ok && r.asked(owner) {
+	if r, ok := e.rows[id]; ok && r.awaits(owner, question) {
 		e.unanswered(now, r, owner)
 	}
 }
@@ -329,6 +334,17 @@
 	}
 }
 
+// Thawed tells that the instance was away. Answers to questions of before may
+// be long out of date, so the requests ask anew.
+func (e *Entry) Thawed(now time.Time) {
+	for _, r := range e.sortedRows() {
+		if len(r.asks) > 0 {
+			e.withdraw(r, "")
+			e.wakeAfter(now, r, 0)
+		}
+	}
+}
+
 // Preempted tells that an owner wants the slot back for a higher tier.
 func (e *Entry) Preempted(now time.Time, from entity.InstanceID, p entity.Preemption) {
 	r, ok := e.rows[p.ID]
--- a/internal/core/routing/router.go
+++ b/internal/core/routing/router.go
@@ -124,16 +124,17 @@
 	return Choice{Owner: best.Owner, Endpoint: best.Endpoint.ID}, true
 }
 
-// MayShed says that w may be refused: every owner of the pool that is in reach
-// has promised that it serves nothing below w, or has said that it could not
-// serve w in time at all.
+// MayShed says that w may be refused: every owner of the pool has promised that
+// it serves nothing below w, or has said that it could not serve w in time at
+// all. An owner that does not answer still counts, until membership gives its
+// endpoints to another one.
 func (r *Router) MayShed(now time.Time, w *entity.Work, tried []Choice) bool {
 	p := r.pools[w.Pool]
 	if p == nil {
 		return true
 	}
 	for _, o := range p.owners {
-		if r.owner(o).reachable(now) && !infeasible(tried, o) && !r.promised(now, o, w) {
+		if !infeasible(tried, o) && !r.promised(now, o, w) {
 			return false
 		}
 	}
--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -31,6 +31,8 @@
 	ended    bool
 	answered bool
 	digest   string
+	// controlled is when the latest pause, resumption or cancellation is made.
+	controlled time.Time
 }
 
 func (j *job) direct(d request.Directive) {
@@ -38,7 +40,7 @@
 	f := j.in.f
 	switch d.Kind {
 	case request.DirectiveDispatch:
-		j.dispatch(d.Endpoint)
+		j.dispatch(d)
 	case request.DirectivePause:
 		j.control(func(e *engine) {
 			if e.pause(j.id) {
@@ -67,11 +69,17 @@
 }
 
 // dispatch sends the request to the endpoint, once.
-func (j *job) dispatch(id entity.EndpointID) {
+func (j *job) dispatch(d request.Directive) {
 	f := j.in.f
-	j.at, j.ended, j.aborted = id, false, nil
+	j.at, j.ended, j.aborted = d.Endpoint, false, nil
 	f.after(f.between(minHop, maxHop), func() {
-		j.in.do(func() { j.arriveAt(id) })
+		j.in.do(func() {
+			if f.now.After(d.NotAfter) {
+				j.end(&verdict.Error{Verdict: verdict.NotRun, Reason: verdict.ReasonOwnerUnreachable}, "")
+				return
+			}
+			j.arriveAt(d.Endpoint)
+		})
 	})
 }
 
@@ -144,12 +152,18 @@
 	if e == nil {
 		return
 	}
-	f.after(f.between(minHop, maxHop), func() {
+	at := f.now.Add(f.between(minHop, maxHop))
+	if !at.After(j.controlled) {
+		at = j.controlled.Add(minHop) // one after the other
+	}
+	j.controlled = at
+	f.at(at, func() {
 		switch {
 		case j.in.state == stateDead:
 		case e.reach(j.in) && e.refusing == 0:
 			act(e)
 		default:
+			j.controlled = f.now.Add(controlTimeout)
 			f.after(controlTimeout, failed)
 		}
 	})
