Peer links: no I/O under the lock, one dial for all that waits, questions asked again

Cause: a link dialled while it held its lock, and Send took the same lock under the transport's, so one address that takes connections and says nothing held up the messages to all peers, and the control goroutine with them. Each message to such an address also cost two dials of its own, a question over a silent connection never condemned it, and what waited for a forgotten instance was dropped without a word.

Change: the outbox is a slice under a lock that is never held over I/O (it also no longer takes 196 KB for each peer before the first message); dialling has a semaphore of its own that waits no longer than its context; a failed dial counts for all that waits; Call asks once more over a fresh connection; Forget reports what is left; writes have a deadline; idle links end; frames of strangers are bounded at 4 KB and no frame takes memory before it comes.

Weighed: a goroutine for each message, which loses the order; a pool of connections, which needs none.

--- a/internal/peer/accept.go
+++ b/internal/peer/accept.go
@@ -15,6 +15,11 @@
 // handshakeTimeout bounds how long a stranger may keep a connection open.
 const handshakeTimeout = 2 * time.Second
 
+// acceptedIdleTimeout ends an accepted connection that carries nothing. It is
+// longer than the dialling side keeps one, so it ends only those whose other
+// side is gone.
+const acceptedIdleTimeout = 2*idleTimeout + time.Minute
+
 // maxQueriesPerConn bounds the questions of one peer that are answered at a time.
 const maxQueriesPerConn = 16
 
@@ -32,7 +37,16 @@
 func (t *Transport) accept(conn net.Conn) {
 	c := &accepted{t: t, queries: make(chan struct{}, maxQueriesPerConn)}
 	c.stranger = time.AfterFunc(handshakeTimeout, func() { conn.Close() })
-	t.newConn(conn, c)
+	t.newConn(conn, c, c.frameLimit, acceptedIdleTimeout)
+}
+
+// frameLimit bounds the next frame. It runs on the reading goroutine, as
+// Handle does.
+func (c *accepted) frameLimit() uint64 {
+	if c.proved {
+		return maxFrameBytes
+	}
+	return maxStrangerFrameBytes
 }
 
 // Handle implements jsonrpc2.Handler. Messages are taken over in order.
--- /dev/null
+++ b/internal/peer/conn.go
@@ -0,0 +1,39 @@
+package peer
+
+import (
+	"net"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// boundedConn counts the bytes of a connection and ends it when it makes no
+// progress: a write that is stuck for writeTimeout, and, unless readTimeout is
+// zero, a time that long in which nothing comes.
+type boundedConn struct {
+	net.Conn
+	sent, received            metrics.Counter
+	writeTimeout, readTimeout time.Duration
+}
+
+// Read implements io.Reader.
+func (c boundedConn) Read(p []byte) (int, error) {
+	if c.readTimeout > 0 {
+		if err := c.SetReadDeadline(time.Now().Add(c.readTimeout)); err != nil {
+			return 0, err
+		}
+	}
+	n, err := c.Conn.Read(p)
+	c.received.Inc(int64(n))
+	return n, err
+}
+
+// Write implements io.Writer.
+func (c boundedConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Write(p)
+	c.sent.Inc(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/internal/peer/fixture_test.go
@@ -0,0 +1,170 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"go.uber.org/goleak"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/telemetry"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const (
+	oldKey = "old-key-0123456789"
+	newKey = "new-key-0123456789"
+)
+
+// guard bounds the wait for an event that must come. It is no bound on speed.
+const guard = 30 * time.Second
+
+// note is the message of these tests.
+type note struct {
+	N int `json:"n"`
+}
+
+// delivery is a message that arrived, or one that could not be delivered.
+type delivery struct {
+	peer entity.InstanceID
+	n    int
+}
+
+// side is a transport that listens, with what happened at it.
+type side struct {
+	*Transport
+	address                 string
+	delivered, failed, lost chan delivery
+}
+
+// change adjusts the options of a side before it starts.
+type change func(*Options)
+
+func withKeys(keys ...string) change {
+	return func(o *Options) {
+		o.Keys = func() (all [][]byte) {
+			for _, k := range keys {
+				all = append(all, []byte(k))
+			}
+			return all
+		}
+	}
+}
+
+func withTimeout(d time.Duration) change { return func(o *Options) { o.ExchangeTimeout = d } }
+
+func withTLS(server, client *tls.Config) change {
+	return func(o *Options) { o.ServerTLS, o.ClientTLS = server, client }
+}
+
+// newSide starts a transport, which the test's end closes.
+func newSide(t *testing.T, id entity.InstanceID, changes ...change) *side {
+	t.Helper()
+	s := &side{delivered: make(chan delivery, 10_000), failed: make(chan delivery, 10_000), lost: make(chan delivery, 100)}
+	registry := NewRegistry()
+	Register[note](registry, "note", ClassControl)
+	opts := Options{
+		Self: entity.Instance{ID: id, Zone: "a"}, ExchangeTimeout: 10 * time.Second, Registry: registry,
+		Deliver: func(from entity.Instance, msg any) { s.delivered <- delivery{from.ID, msg.(note).N} },
+		Failed:  func(to entity.InstanceID, msg any) { s.failed <- delivery{to, msg.(note).N} },
+		Lost:    func(to entity.InstanceID) { s.lost <- delivery{peer: to} },
+		Query: func(_ context.Context, _ entity.Instance, method string, _ json.RawMessage) (any, error) {
+			return method, nil
+		},
+		Clock: time.Now, Log: logr.Discard(), Metrics: telemetry.NewMetrics(),
+	}
+	withKeys(newKey)(&opts)
+	for _, c := range changes {
+		c(&opts)
+	}
+	ln := listen(t)
+	s.Transport, s.address = NewTransport(opts), ln.Addr().String()
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(ln) }()
+	t.Cleanup(func() {
+		s.Close()
+		if err := <-served; err != nil {
+			t.Error(err)
+		}
+	})
+	return s
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ln
+}
+
+// blackhole takes connections, which it counts, and never says anything.
+type blackhole struct {
+	address  string
+	accepted chan net.Conn
+}
+
+func newBlackhole(t *testing.T) *blackhole {
+	t.Helper()
+	ln := listen(t)
+	b := &blackhole{address: ln.Addr().String(), accepted: make(chan net.Conn, 100)}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			b.accepted <- conn
+		}
+	}()
+	t.Cleanup(func() {
+		ln.Close()
+		<-done
+		close(b.accepted)
+		for conn := range b.accepted {
+			conn.Close()
+		}
+	})
+	return b
+}
+
+// dialled waits until someone has dialled.
+func (b *blackhole) dialled(t *testing.T) {
+	t.Helper()
+	select {
+	case conn := <-b.accepted:
+		t.Cleanup(func() { conn.Close() })
+	case <-time.After(guard):
+		t.Fatal("no one dialled")
+	}
+}
+
+// next returns the next event of a channel.
+func next(t *testing.T, events <-chan delivery) delivery {
+	t.Helper()
+	select {
+	case d := <-events:
+		return d
+	case <-time.After(guard):
+		t.Fatal("the event did not come")
+		return delivery{}
+	}
+}
+
+// blockingQuery answers questions once release is closed.
+func blockingQuery(asked chan<- struct{}, release <-chan struct{}) func(context.Context, entity.Instance, string, json.RawMessage) (any, error) {
+	return func(context.Context, entity.Instance, string, json.RawMessage) (any, error) {
+		asked <- struct{}{}
+		<-release
+		return struct{}{}, nil
+	}
+}
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -5,18 +5,27 @@
 	"encoding/binary"
 	"encoding/json"
 	"io"
-	"net"
 
 	"github.com/gravitational/trace"
-	"github.com/rcrowley/go-metrics"
 )
 
-// maxFrameBytes bounds one JSON-RPC object of a peer.
-const maxFrameBytes = 4 << 20
+const (
+	// maxFrameBytes bounds one JSON-RPC object of a peer.
+	maxFrameBytes = 4 << 20
+	// maxStrangerFrameBytes bounds one of a side that has not proved the key.
+	maxStrangerFrameBytes = 4 << 10
+	// frameOverheadBytes is more than what JSON-RPC puts around parameters.
+	frameOverheadBytes = 1 << 10
+)
 
 // frameCodec writes JSON-RPC objects behind their length, and refuses larger
-// ones than maxFrameBytes before reading them.
-type frameCodec struct{}
+// ones than limit says before reading them.
+type frameCodec struct {
+	limit func() uint64
+}
+
+// fixedLimit is a limit that never changes.
+func fixedLimit(n uint64) func() uint64 { return func() uint64 { return n } }
 
 // WriteObject implements jsonrpc2.ObjectCodec.
 func (frameCodec) WriteObject(w io.Writer, obj any) error {
@@ -35,38 +44,22 @@
 	return trace.Wrap(err)
 }
 
-// ReadObject implements jsonrpc2.ObjectCodec.
-func (frameCodec) ReadObject(r *bufio.Reader, v any) error {
+// ReadObject implements jsonrpc2.ObjectCodec. The memory it takes grows with
+// what comes, not with the length that was announced.
+func (c frameCodec) ReadObject(r *bufio.Reader, v any) error {
 	size, err := binary.ReadUvarint(r)
 	if err != nil {
 		return err // io.EOF must stay recognisable to the JSON-RPC library
 	}
-	if size > maxFrameBytes {
-		return trace.LimitExceeded("message of %d bytes is over %d", size, maxFrameBytes)
+	if limit := c.limit(); size > limit {
+		return trace.LimitExceeded("message of %d bytes is over %d", size, limit)
 	}
-	data := make([]byte, size)
-	if _, err := io.ReadFull(r, data); err != nil {
+	data, err := io.ReadAll(io.LimitReader(r, int64(size)))
+	if err != nil {
 		return trace.Wrap(err)
 	}
+	if uint64(len(data)) < size {
+		return io.ErrUnexpectedEOF
+	}
 	return trace.Wrap(json.Unmarshal(data, v))
 }
-
-// countingConn counts the bytes of a connection.
-type countingConn struct {
-	net.Conn
-	sent, received metrics.Counter
-}
-
-// Read implements io.Reader.
-func (c countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.received.Inc(int64(n))
-	return n, err
-}
-
-// Write implements io.Writer.
-func (c countingConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.sent.Inc(int64(n))
-	return n, err
-}
--- /dev/null
+++ b/internal/peer/fuzz_test.go
@@ -0,0 +1,69 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
+
+// FuzzFrame: any bytes are read as frames within the limit, or refused, and a
+// frame that was read is read again after it was written.
+func FuzzFrame(f *testing.F) {
+	f.Add([]byte("\x02{}"))
+	f.Add([]byte("\x05[1,2"))
+	f.Add(binary.AppendUvarint(nil, maxFrameBytes+1))
+	f.Add([]byte("\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		codec := frameCodec{limit: fixedLimit(maxStrangerFrameBytes)}
+		r := bufio.NewReader(bytes.NewReader(data))
+		for {
+			var v, again json.RawMessage
+			if codec.ReadObject(r, &v) != nil {
+				return
+			}
+			var out bytes.Buffer
+			if err := codec.WriteObject(&out, v); err != nil {
+				t.Fatal(err)
+			}
+			if err := codec.ReadObject(bufio.NewReader(&out), &again); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
+
+// FuzzMessage: any parameters decode to a message of the method's type or are
+// refused, and a reservation survives the way over the wire.
+func FuzzMessage(f *testing.F) {
+	f.Add("ask", []byte(`{"i":"r","f":"a","o":"bank","p":"reports","h":"AQIDBAUGBwg","d":1000}`))
+	f.Add("ask", []byte(`{"h":"AQID"}`))
+	f.Add("ok", []byte(`{"i":"r","e":"engine-1"}`))
+	f.Add("unknown", []byte(`{}`))
+	registry := NewRegistry()
+	Register[Reservation](registry, "ask", ClassRequest)
+	Register[entity.Grant](registry, "ok", ClassRequest)
+	now := time.Unix(0, 0)
+	f.Fuzz(func(t *testing.T, method string, params []byte) {
+		msg, _, err := registry.decode(method, params)
+		if err != nil {
+			return
+		}
+		w, ok := msg.(Reservation)
+		if !ok {
+			return
+		}
+		r, err := FromWire(now, w)
+		if err != nil {
+			return
+		}
+		again, err := FromWire(now, ToWire(now, r))
+		if err != nil || len(again.Work.Prefix) != len(r.Work.Prefix) || again.Work.ID != r.Work.ID {
+			t.Fatalf("%+v became %+v, %v", r, again, err)
+		}
+	})
+}
--- a/internal/peer/hello.go
+++ b/internal/peer/hello.go
@@ -66,11 +66,12 @@
 	if err := conn.Call(ctx, methodHello, hello{Instance: t.opts.Self, Nonce: mine}, &reply); err != nil {
 		return "", trace.Wrap(err, "hello")
 	}
-	for i, key := range t.opts.Keys() {
+	keys := t.opts.Keys()
+	for i, key := range keys {
 		var back prove
 		err := conn.Call(ctx, methodProve, prove{Proof: proof(key, "dial", t.opts.Self.ID, mine, reply.Nonce)}, &back)
 		if err != nil {
-			if i+1 < len(t.opts.Keys()) {
+			if i+1 < len(keys) {
 				continue
 			}
 			return "", trace.AccessDenied("peer refused the key: %v", err)
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -2,11 +2,10 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"encoding/json"
 	"errors"
-	"net"
 	"sync"
+	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/sourcegraph/jsonrpc2"
@@ -23,16 +22,24 @@
 // connection.
 const maxAttempts = 2
 
+// idleTimeout is how long a link without messages keeps its connection.
+const idleTimeout = 2 * time.Minute
+
 // link is the sending side towards one instance.
 type link struct {
-	t       *Transport
-	to      entity.InstanceID
-	outbox  chan envelope
-	done    chan struct{}
-	once    sync.Once
+	t      *Transport
+	to     entity.InstanceID
+	ctx    context.Context
+	cancel context.CancelFunc
+	// wake says that the outbox has messages, dialling is held while dialling.
+	wake, dialling chan struct{}
+
+	// mu is never held over I/O, so that Send doesn't block.
 	mu      sync.Mutex
 	address string
+	outbox  []envelope
 	conn    *jsonrpc2.Conn
+	ended   bool
 }
 
 // envelope is a message with the number of times that sending it failed.
@@ -42,7 +49,9 @@
 }
 
 func newLink(t *Transport, to entity.InstanceID, address string) *link {
-	return &link{t: t, to: to, address: address, outbox: make(chan envelope, outboxSize), done: make(chan struct{})}
+	ctx, cancel := context.WithCancel(t.ctx)
+	return &link{t: t, to: to, address: address, ctx: ctx, cancel: cancel,
+		wake: make(chan struct{}, 1), dialling: make(chan struct{}, 1)}
 }
 
 func (l *link) setAddress(address string) {
@@ -51,47 +60,111 @@
 	l.address = address
 }
 
-func (l *link) stop() { l.once.Do(func() { close(l.done) }) }
-
-func (l *link) push(msg any) { l.pushEnvelope(envelope{msg: msg}) }
+// push puts a message into the outbox. It returns false when the link has
+// ended and the message needs another one.
+func (l *link) push(e envelope) bool {
+	l.mu.Lock()
+	ended, full := l.ended, len(l.outbox) >= outboxSize
+	if !ended && !full {
+		l.outbox = append(l.outbox, e)
+	}
+	l.mu.Unlock()
+	switch {
+	case ended:
+		return false
+	case full:
+		l.t.opts.Failed(l.to, e.msg)
+	default:
+		l.signal()
+	}
+	return true
+}
 
-func (l *link) pushEnvelope(e envelope) {
+func (l *link) signal() {
 	select {
-	case l.outbox <- e:
+	case l.wake <- struct{}{}:
 	default:
-		l.t.opts.Failed(l.to, e.msg)
 	}
 }
 
+// pop returns the message that is sent next.
+func (l *link) pop() (envelope, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.outbox) == 0 {
+		l.outbox = nil // gives back what a burst took
+		return envelope{}, false
+	}
+	e := l.outbox[0]
+	l.outbox[0] = envelope{}
+	l.outbox = l.outbox[1:]
+	return e, true
+}
+
 // run sends the messages of the outbox in order.
 func (l *link) run() {
 	defer l.t.wg.Done()
-	defer l.drop(nil)
+	defer l.end()
+	idle := time.NewTimer(idleTimeout)
+	defer idle.Stop()
 	for {
+		l.sendWaiting()
+		idle.Reset(idleTimeout)
 		select {
-		case <-l.t.ctx.Done():
+		case <-l.ctx.Done():
 			return
-		case <-l.done:
+		case <-l.wake:
+		case <-idle.C:
+			if l.t.retire(l) {
+				return
+			}
+		}
+	}
+}
+
+// sendWaiting sends what is in the outbox.
+func (l *link) sendWaiting() {
+	for l.ctx.Err() == nil {
+		e, ok := l.pop()
+		if !ok {
 			return
-		case e := <-l.outbox:
-			l.send(e)
 		}
+		l.send(e)
+	}
+}
+
+// end closes the connection. Messages that still wait have failed, unless the
+// whole transport is closed.
+func (l *link) end() {
+	l.cancel()
+	l.mu.Lock()
+	l.ended = true
+	left, conn := l.outbox, l.conn
+	l.outbox, l.conn = nil, nil
+	l.mu.Unlock()
+	if conn != nil {
+		conn.Close()
+	}
+	if l.t.ctx.Err() != nil {
+		return
+	}
+	for _, e := range left {
+		l.t.opts.Failed(l.to, e.msg)
 	}
 }
 
 // send writes one message; a goroutine of its own waits for the acknowledgement.
 func (l *link) send(e envelope) {
-	ctx, cancel := context.WithTimeout(l.t.ctx, l.t.opts.ExchangeTimeout)
 	k, params, err := l.encode(e.msg)
 	if err != nil {
-		cancel()
 		l.t.opts.Failed(l.to, e.msg)
 		return
 	}
+	ctx, cancel := context.WithTimeout(l.ctx, l.t.opts.ExchangeTimeout)
 	conn, err := l.connection(ctx)
 	if err != nil {
 		cancel()
-		l.failed(e)
+		l.outOfReach(e)
 		return
 	}
 	call, err := conn.DispatchCall(ctx, k.method, params)
@@ -118,6 +191,9 @@
 		return kind{}, nil, trace.Wrap(err)
 	}
 	params, err := json.Marshal(msg)
+	if err == nil && len(params)+frameOverheadBytes > maxFrameBytes {
+		err = trace.LimitExceeded("message of %d bytes is over %d", len(params), maxFrameBytes)
+	}
 	return k, params, trace.Wrap(err)
 }
 
@@ -132,103 +208,48 @@
 		l.t.opts.Failed(l.to, e.msg) // the peer is there and won't have it
 		return
 	}
-	if ctx.Err() == context.DeadlineExceeded {
+	l.condemn(ctx, conn)
+	l.failed(e)
+}
+
+// condemn closes a connection over which an exchange came to no end.
+func (l *link) condemn(ctx context.Context, conn *jsonrpc2.Conn) {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		telemetry.Log(l.t.opts.Log, telemetry.EventPeerSilent, "peer", l.to)
 	}
 	l.drop(conn)
-	l.failed(e)
 }
 
 // failed sends a message again over a fresh connection, or gives it up.
 func (l *link) failed(e envelope) {
 	e.attempts++
-	if e.attempts >= maxAttempts || l.t.ctx.Err() != nil {
-		l.t.opts.Failed(l.to, e.msg)
+	if e.attempts < maxAttempts && l.push(e) {
 		return
 	}
-	l.pushEnvelope(e)
-}
-
-// connection returns the open connection, or dials a fresh one.
-func (l *link) connection(ctx context.Context) (*jsonrpc2.Conn, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.conn != nil {
-		select {
-		case <-l.conn.DisconnectNotify():
-			l.conn = nil
-		default:
-			return l.conn, nil
-		}
-	}
-	conn, err := l.dial(ctx)
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	l.conn = conn
-	go l.watch(conn)
-	l.t.opts.Metrics.PeerReconnects.Inc(1)
-	telemetry.Log(l.t.opts.Log, telemetry.EventPeerConnected, "peer", l.to)
-	return conn, nil
-}
-
-// watch tells when the connection has ended.
-func (l *link) watch(conn *jsonrpc2.Conn) {
-	<-conn.DisconnectNotify()
 	if l.t.ctx.Err() == nil {
-		telemetry.Log(l.t.opts.Log, telemetry.EventPeerLost, "peer", l.to)
-		l.t.opts.Lost(l.to)
-	}
-}
-
-func (l *link) dial(ctx context.Context) (*jsonrpc2.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, l.t.opts.ExchangeTimeout)
-	defer cancel()
-	raw, err := l.dialRaw(ctx)
-	if err != nil {
-		return nil, trace.ConnectionProblem(err, "dialling peer %s", l.to)
-	}
-	conn := l.t.newConn(raw, noRequests{})
-	id, err := l.t.greet(ctx, conn)
-	if err == nil && id != l.to {
-		err = trace.NotFound("address of %s answers as %s", l.to, id)
-	}
-	if err != nil {
-		conn.Close()
-		return nil, trace.Wrap(err)
+		l.t.opts.Failed(l.to, e.msg)
 	}
-	return conn, nil
 }
 
-func (l *link) dialRaw(ctx context.Context) (net.Conn, error) {
-	if cfg := l.t.opts.ClientTLS; cfg != nil {
-		return (&tls.Dialer{Config: cfg}).DialContext(ctx, "tcp", l.address)
+// outOfReach counts a failed attempt for a message and for all that wait
+// behind it, so that a dead address costs them no dial each.
+func (l *link) outOfReach(e envelope) {
+	l.mu.Lock()
+	waiting := l.outbox
+	l.outbox = nil
+	l.mu.Unlock()
+	l.failed(e)
+	for _, w := range waiting {
+		l.failed(w)
 	}
-	return (&net.Dialer{}).DialContext(ctx, "tcp", l.address)
 }
 
-// drop closes a condemned connection; nil means the present one.
+// drop closes a connection that carries nothing any more.
 func (l *link) drop(conn *jsonrpc2.Conn) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	if conn == nil {
-		conn = l.conn
-	}
-	if conn == nil {
-		return
-	}
-	conn.Close()
 	if l.conn == conn {
 		l.conn = nil
 	}
-}
-
-// noRequests refuses requests over a connection that this side dialled.
-type noRequests struct{}
-
-// Handle implements jsonrpc2.Handler.
-func (noRequests) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
-	if !req.Notif {
-		_ = conn.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "not served on this connection"})
-	}
+	l.mu.Unlock()
+	conn.Close()
 }
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -62,24 +63,61 @@
 
 // Send queues a message for an instance. It never blocks.
 func (t *Transport) Send(to entity.InstanceID, address string, msg any) {
-	t.link(to, address).push(msg)
+	for {
+		l, ok := t.link(to, address)
+		if !ok {
+			t.opts.Failed(to, msg)
+			return
+		}
+		if l.push(envelope{msg: msg}) {
+			return
+		}
+	}
 }
 
-// Call asks an instance and waits for its answer.
+// Call asks an instance and waits for its answer. A question that gets none
+// within the exchange timeout is asked once more, over a fresh connection.
 func (t *Transport) Call(ctx context.Context, to entity.InstanceID, address, method string, params, result any) error {
-	conn, err := t.link(to, address).connection(ctx)
+	var err error
+	for range maxAttempts {
+		var refused *jsonrpc2.Error
+		err = t.callOnce(ctx, to, address, method, params, result)
+		if err == nil || errors.As(err, &refused) || ctx.Err() != nil {
+			break
+		}
+	}
+	return trace.Wrap(err)
+}
+
+func (t *Transport) callOnce(ctx context.Context, to entity.InstanceID, address, method string, params, result any) error {
+	l, ok := t.link(to, address)
+	if !ok {
+		return trace.NotFound("the address of peer %s is not known", to)
+	}
+	ctx, cancel := context.WithTimeout(ctx, t.opts.ExchangeTimeout)
+	defer cancel()
+	conn, err := l.connection(ctx)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	return trace.Wrap(conn.Call(ctx, method, params, result))
+	err = conn.Call(ctx, method, params, result)
+	var refused *jsonrpc2.Error
+	if err != nil && !errors.As(err, &refused) {
+		l.condemn(ctx, conn)
+	}
+	return err
 }
 
-// link returns the link to an instance, making it if there is none.
-func (t *Transport) link(to entity.InstanceID, address string) *link {
+// link returns the link to an instance, making it if there is none and the
+// address is known.
+func (t *Transport) link(to entity.InstanceID, address string) (*link, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	l, ok := t.links[to]
 	if !ok {
+		if address == "" || t.ctx.Err() != nil {
+			return nil, false
+		}
 		l = newLink(t, to, address)
 		t.links[to] = l
 		t.wg.Add(1)
@@ -88,20 +126,37 @@
 	if address != "" {
 		l.setAddress(address)
 	}
-	return l
+	return l, true
 }
 
-// Forget closes the link to an instance that is gone for good.
+// Forget closes the link to an instance that is gone for good. What still
+// waits for it has failed.
 func (t *Transport) Forget(id entity.InstanceID) {
 	t.mu.Lock()
 	l, ok := t.links[id]
 	delete(t.links, id)
 	t.mu.Unlock()
 	if ok {
-		l.stop()
+		l.cancel()
 	}
 }
 
+// retire takes a link that has nothing to send off the table.
+func (t *Transport) retire(l *link) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.outbox) > 0 {
+		return false
+	}
+	l.ended = true
+	if t.links[l.to] == l {
+		delete(t.links, l.to)
+	}
+	return true
+}
+
 // Serve accepts connections of peers until Close.
 func (t *Transport) Serve(ln net.Listener) error {
 	if t.opts.ServerTLS != nil {
@@ -120,15 +175,25 @@
 	}
 }
 
-// Close ends all connections.
+// Close ends all connections. Messages that still wait are dropped.
 func (t *Transport) Close() {
+	t.mu.Lock()
 	t.cancel()
+	t.mu.Unlock()
 	t.wg.Wait()
 }
 
-// newConn puts JSON-RPC over a connection, counting its bytes.
-func (t *Transport) newConn(conn net.Conn, h jsonrpc2.Handler) *jsonrpc2.Conn {
+// newConn puts JSON-RPC over a connection.
+func (t *Transport) newConn(conn net.Conn, h jsonrpc2.Handler, limit func() uint64, readTimeout time.Duration) *jsonrpc2.Conn {
 	m := t.opts.Metrics
-	counted := countingConn{Conn: conn, sent: m.PeerBytesSent, received: m.PeerBytesReceived}
-	return jsonrpc2.NewConn(t.ctx, jsonrpc2.NewBufferedStream(counted, frameCodec{}), h)
+	bounded := boundedConn{Conn: conn, sent: m.PeerBytesSent, received: m.PeerBytesReceived,
+		writeTimeout: t.opts.ExchangeTimeout, readTimeout: readTimeout}
+	stream := jsonrpc2.NewBufferedStream(bounded, frameCodec{limit: limit})
+	return jsonrpc2.NewConn(t.ctx, stream, h, jsonrpc2.SetLogger(noLogger{}))
 }
+
+// noLogger keeps the JSON-RPC library from logging what strangers send.
+type noLogger struct{}
+
+// Printf implements jsonrpc2.Logger.
+func (noLogger) Printf(string, ...any) {}
--- /dev/null
+++ b/internal/peer/transport_test.go
@@ -0,0 +1,182 @@
+package peer
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/standin/relay"
+)
+
+// TestOrder: messages to one instance arrive in order.
+func TestOrder(t *testing.T) {
+	a, b := newSide(t, "a"), newSide(t, "b")
+	const count = 2000
+	for i := range count {
+		a.Send("b", b.address, note{N: i})
+	}
+	for i := range count {
+		if got := next(t, b.delivered); got != (delivery{"a", i}) {
+			t.Fatalf("delivery %d: %+v", i, got)
+		}
+	}
+}
+
+// TestSilentConnection: a connection that goes silent is replaced, and what was
+// not acknowledged is sent again.
+func TestSilentConnection(t *testing.T) {
+	a, b := newSide(t, "a", withTimeout(300*time.Millisecond)), newSide(t, "b")
+	r, err := relay.Start("127.0.0.1:0", b.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	a.Send("b", r.Address(), note{N: 1})
+	next(t, b.delivered)
+	r.SilenceOpen()
+	for n := 2; n <= 4; n++ {
+		a.Send("b", r.Address(), note{N: n})
+	}
+	seen := map[int]bool{}
+	for len(seen) < 3 {
+		seen[next(t, b.delivered).n] = true
+	}
+	if got := next(t, a.lost); got.peer != "b" {
+		t.Fatalf("lost: %+v", got)
+	}
+	if len(a.failed) != 0 {
+		t.Fatalf("failed: %+v", <-a.failed)
+	}
+}
+
+// TestSilentConnectionCall: a question is asked again over a fresh connection.
+func TestSilentConnectionCall(t *testing.T) {
+	a, b := newSide(t, "a", withTimeout(300*time.Millisecond)), newSide(t, "b")
+	r, err := relay.Start("127.0.0.1:0", b.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), guard)
+	defer cancel()
+	for range 2 {
+		var got string
+		if err := a.Call(ctx, "b", r.Address(), "question", note{}, &got); err != nil || got != "question" {
+			t.Fatalf("%q, %v", got, err)
+		}
+		r.SilenceOpen()
+	}
+}
+
+// TestDeadAddress: while one address takes connections and says nothing, Send
+// doesn't block and messages to others go through.
+func TestDeadAddress(t *testing.T) {
+	a, b := newSide(t, "a", withTimeout(guard)), newSide(t, "b")
+	dead := newBlackhole(t)
+	a.Send("dead", dead.address, note{N: -1})
+	dead.dialled(t)
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		for i := range 100 {
+			a.Send("dead", dead.address, note{N: i})
+			a.Send("b", b.address, note{N: i})
+		}
+	}()
+	for i := range 100 {
+		if got := next(t, b.delivered); got.n != i {
+			t.Fatalf("delivery %d: %+v", i, got)
+		}
+	}
+	<-sent
+	if len(a.failed) != 0 {
+		t.Fatal("given up before the exchange timeout")
+	}
+}
+
+// TestUnreachable: all messages that wait for an instance out of reach fail
+// together, whatever their number.
+func TestUnreachable(t *testing.T) {
+	a := newSide(t, "a", withTimeout(200*time.Millisecond))
+	dead := newBlackhole(t)
+	const count = 500
+	for i := range count {
+		a.Send("dead", dead.address, note{N: i})
+	}
+	seen := map[int]bool{}
+	for len(seen) < count {
+		seen[next(t, a.failed).n] = true
+	}
+}
+
+// TestForget: what still waits for a forgotten instance is reported, and its
+// link ends.
+func TestForget(t *testing.T) {
+	a := newSide(t, "a", withTimeout(guard))
+	dead := newBlackhole(t)
+	for i := range 3 {
+		a.Send("dead", dead.address, note{N: i})
+	}
+	dead.dialled(t)
+	a.Forget("dead")
+	seen := map[int]bool{}
+	for len(seen) < 3 {
+		seen[next(t, a.failed).n] = true
+	}
+}
+
+// TestOutboxBound: what is beyond the bound of the outbox fails at once.
+func TestOutboxBound(t *testing.T) {
+	a := newSide(t, "a", withTimeout(guard))
+	dead := newBlackhole(t)
+	for i := range outboxSize + 2 {
+		a.Send("dead", dead.address, note{N: i})
+	}
+	if got := next(t, a.failed); got.n < outboxSize {
+		t.Fatalf("message %d failed", got.n)
+	}
+}
+
+// TestUnknownMessage: a message without a wire form fails.
+func TestUnknownMessage(t *testing.T) {
+	a, b := newSide(t, "a"), newSide(t, "b")
+	failed := make(chan any, 1)
+	a.opts.Failed = func(_ entity.InstanceID, msg any) { failed <- msg }
+	a.Send("b", b.address, struct{}{})
+	if got := <-failed; got != struct{}{} {
+		t.Fatalf("failed: %+v", got)
+	}
+}
+
+// TestRefusedMessage: a message that the peer can't read fails, and the
+// connection goes on.
+func TestRefusedMessage(t *testing.T) {
+	a, b := newSide(t, "a"), newSide(t, "b")
+	Register[string](a.opts.Registry, "note", ClassControl)
+	failed := make(chan any, 1)
+	a.opts.Failed = func(_ entity.InstanceID, msg any) { failed <- msg }
+	a.Send("b", b.address, "not a note")
+	if got := <-failed; got != "not a note" {
+		t.Fatalf("failed: %+v", got)
+	}
+	a.Send("b", b.address, note{N: 7})
+	if got := next(t, b.delivered); got.n != 7 {
+		t.Fatalf("%+v", got)
+	}
+}
+
+// TestOversizedMessage: a message over the size limit fails at the sender.
+func TestOversizedMessage(t *testing.T) {
+	a, b := newSide(t, "a"), newSide(t, "b")
+	Register[string](a.opts.Registry, "text", ClassControl)
+	failed := make(chan any, 1)
+	a.opts.Failed = func(_ entity.InstanceID, msg any) { failed <- msg }
+	a.Send("b", b.address, strings.Repeat("x", maxFrameBytes))
+	<-failed
+	a.Send("b", b.address, note{N: 1})
+	if got := next(t, b.delivered); got.n != 1 {
+		t.Fatalf("%+v", got)
+	}
+}
