Callers' edge: deadlines for slow callers, cancels that overtake a dispatch, a stop that is seen

Cause, each found by a test that was red before: - a caller that took nothing of its stream held its slot on the engine without end, since no write had a deadline (TestSlowCaller); now it counts as gone after 30 s, and the engine is told to stop; - a cancel that overtook the dispatch was lost, and the stream ran to its end (TestCancelBeforeDispatch); now nothing is sent, and the verdict is not run; - a planned stop that began while nothing was in flight was never published, so balancer and platform list did not learn of it (TestDrainingIsPublished). Besides: an instance that is leaving refused what came during its notice period, where the stop promises to serve it; an instance counted as ready before its control goroutine acted by the configuration; a stop did not wait for outcomes that are not yet in the log.

Weighed and ruled out: a deadline for a whole answer (one answer may be a hundred times longer than another). The server's ReadTimeout was suspected of ending answers that outlast it; it does not (TestAnswerOutlastsReadTimeout was green from the start and stays as a guard).

--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -69,6 +69,7 @@
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
+		w.Header().Set("Connection", "close") // the rest of the body is not read
 		return nil, bad(verdict.ReasonBodyTooLarge, "the body is larger than %d bytes", limit)
 	}
 	if err != nil {
--- a/internal/caller/auth.go
+++ b/internal/caller/auth.go
@@ -31,7 +31,7 @@
 // identify proves the caller's organisation and reads the common headers.
 func (s *Server) identify(r *http.Request, st config.State) (identity, error) {
 	var id identity
-	if ok, why := s.opts.Control.Ready(); !ok {
+	if ok, why := s.opts.Control.Serving(); !ok {
 		return id, verdict.New(verdict.NotRun, verdict.ReasonNotReady, time.Second, "instance is not ready: %s", why)
 	}
 	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
--- a/internal/caller/enginejob.go
+++ b/internal/caller/enginejob.go
@@ -36,12 +36,19 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	j.stop.Store(&cancel)
+	if c := j.cancelled.Load(); c != nil { // before anything was sent
+		j.s.opts.Control.Ended(j.id, request.End{Err: &verdict.Error{Verdict: verdict.NotRun, Reason: c.Reason, Message: c.Message}})
+		return
+	}
 	j.importPrefix(ctx, e, d)
 	start := j.s.opts.Clock()
 	res, err := j.s.opts.Endpoints.Generate(ctx, e.Address, endpoint.GenerateRequest{
 		RequestID: j.id, Model: j.body.Model, Adapter: j.body.Adapter, Prompt: j.body.Prompt, MaxTokens: j.body.MaxTokens, Stream: true,
 	}, func(t endpoint.Token) error { return j.token(start, t) })
 	j.result = res
+	if err != nil && verdict.Of(err).Reason == verdict.ReasonCallerGone && j.cancelled.Load() == nil {
+		j.stopEngine(ctx, e)
+	}
 	j.s.opts.Control.Ended(j.id, j.end(res, err))
 }
 
@@ -114,13 +121,19 @@
 }
 
 func (j *engineJob) cancel(ctx context.Context, e entity.Endpoint, d request.Directive) {
-	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
-	defer cancel()
 	j.cancelled.CompareAndSwap(nil, d.Err)
-	_, _ = j.s.opts.Endpoints.Cancel(ctx, e.Address, j.id)
+	j.stopEngine(ctx, e)
 	j.abort(d.Err)
 }
 
+// stopEngine has the engine stop a stream that no one reads any more. An
+// engine that can't be told stops it after a while without a reader.
+func (j *engineJob) stopEngine(ctx context.Context, e entity.Endpoint) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), controlTimeout)
+	defer cancel()
+	_, _ = j.s.opts.Endpoints.Cancel(ctx, e.Address, j.id)
+}
+
 // abort ends the call to the engine, after which Ended is reported.
 func (j *engineJob) abort(why *verdict.Error) {
 	j.cancelled.CompareAndSwap(nil, why)
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -27,8 +27,11 @@
 	CallerGone(id entity.RequestID)
 	// Status returns what the system knows about a request.
 	Status(ctx context.Context, id entity.RequestID) (request.Status, bool)
-	// Ready says whether the instance may serve, and if not, why.
+	// Ready says whether the balancer should send requests here, and if not, why.
 	Ready() (bool, string)
+	// Serving says whether a request that has come may be served, and if not,
+	// why. An instance that is leaving still serves what comes.
+	Serving() (bool, string)
 }
 
 // Options of a Server.
@@ -50,6 +53,8 @@
 	// PrefixBlockTokens is the length of a prompt block, MaxPrefixBlocks how
 	// many blocks of a prompt are hashed.
 	PrefixBlockTokens, MaxPrefixBlocks int
+	// WriteTimeout bounds how long a caller may take nothing of its answer.
+	WriteTimeout time.Duration
 }
 
 // Server serves callers.
@@ -68,7 +73,7 @@
 	mux.HandleFunc("GET /v1/requests/{id}", s.status)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", s.readyz)
-	return s.recovered(mux)
+	return s.recovered(s.bounded(mux))
 }
 
 // readyz tells the balancer whether to send requests here.
--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -102,8 +102,8 @@
 	if _, err := fmt.Fprintf(s.w, "event: %s\ndata: %s\n\n", name, b); err != nil {
 		return errCallerGone
 	}
-	if f, ok := s.w.(http.Flusher); ok {
-		f.Flush()
+	if err := http.NewResponseController(s.w).Flush(); err != nil {
+		return errCallerGone
 	}
 	return nil
 }
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -183,9 +183,15 @@
 	for _, id := range r.Gone {
 		l.opts.Forget(id)
 	}
-	if n := l.opts.Node.InFlight(); n != l.status.Load().InFlight {
-		l.status.Store(&Status{InFlight: n, Draining: l.opts.Node.Draining()})
-		l.opts.Metrics.InFlight.Update(int64(n))
+	l.publishStatus()
+}
+
+// publishStatus tells other goroutines what has changed.
+func (l *Loop) publishStatus() {
+	now := Status{InFlight: l.opts.Node.InFlight(), Draining: l.opts.Node.Draining()}
+	if now != *l.status.Load() {
+		l.status.Store(&now)
+		l.opts.Metrics.InFlight.Update(int64(now.InFlight))
 	}
 }
 
--- /dev/null
+++ b/internal/control/loop_test.go
@@ -0,0 +1,55 @@
+package control
+
+import (
+	"context"
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/node"
+	"github.com/medlarhold/medlarhold/internal/telemetry"
+)
+
+// newLoop starts a control goroutine without peers.
+func newLoop(t *testing.T) *Loop {
+	t.Helper()
+	self := entity.Instance{ID: "a", Zone: "z", PeerAddress: "127.0.0.1:1"}
+	l := New(Options{
+		Node: node.New(node.DefaultSettings(self), rand.New(rand.NewSource(1))), Clock: time.Now,
+		Send: func(entity.InstanceID, string, any) {}, Forget: func(entity.InstanceID) {}, Owned: func([]entity.Endpoint) {},
+		ClaimAppend: func(node.ClaimAppend) {}, ClaimRead: func(node.ClaimReadRequest) {},
+		Log: logr.Discard(), Metrics: telemetry.NewMetrics(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go l.Run(ctx)
+	t.Cleanup(func() { cancel(); <-l.done })
+	return l
+}
+
+// TestDrainingIsPublished: a stop that begins while nothing is in flight is
+// seen by other goroutines.
+func TestDrainingIsPublished(t *testing.T) {
+	l := newLoop(t)
+	l.Post(node.Drain{})
+	if !l.Do(context.Background(), func(*node.Node) {}) {
+		t.Fatal("the loop has ended")
+	}
+	if !l.Status().Draining {
+		t.Fatal("not draining")
+	}
+}
+
+// TestDoAfterTheEnd: nobody waits for a control goroutine that has ended.
+func TestDoAfterTheEnd(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	l := New(Options{Node: node.New(node.DefaultSettings(entity.Instance{ID: "a"}), rand.New(rand.NewSource(1)))})
+	l.Run(ctx)
+	if l.Do(context.Background(), func(*node.Node) {}) {
+		t.Fatal("done by whom?")
+	}
+	l.Post(node.Drain{})
+}
--- a/internal/daemon/configfollower.go
+++ b/internal/daemon/configfollower.go
@@ -45,18 +45,23 @@
 			f.logDown = false
 			telemetry.Log(f.d.log, telemetry.EventLogBack)
 		}
-		f.publish(before)
+		f.publish(ctx, before)
 	}
 }
 
-// publish puts a newer state into force.
-func (f *configFollower) publish(before config.Revision) {
+// publish puts a newer state into force. The instance is ready only once the
+// control goroutine acts by it.
+func (f *configFollower) publish(ctx context.Context, before config.Revision) {
 	st := f.follower.State()
 	if st.Revision() != before || !f.caughtUp.Load() {
 		f.d.loop.Post(node.Configured{State: st})
 	}
 	f.confirmedAt.Store(f.follower.ConfirmedAt().UnixMilli())
-	if f.follower.CaughtUp() && !f.caughtUp.Swap(true) {
+	if !f.follower.CaughtUp() || f.caughtUp.Load() {
+		return
+	}
+	if f.d.loop.Do(ctx, func(*node.Node) {}) {
+		f.caughtUp.Store(true)
 		telemetry.Log(f.d.log, telemetry.EventConfigCaughtUp, "revision", st.Revision())
 		telemetry.Log(f.d.log, telemetry.EventReady, "instance", f.d.self.ID)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -33,8 +33,10 @@
 	peerExchangeTimeout = time.Second
 	// readHeaderTimeout bounds how long a caller may take to send its headers.
 	readHeaderTimeout = 5 * time.Second
-	// readTimeout bounds how long a caller may take to send its request.
+	// readTimeout bounds how long a request may take to come.
 	readTimeout = 30 * time.Second
+	// writeTimeout bounds how long a caller may take nothing of its answer.
+	writeTimeout = 30 * time.Second
 	// idleTimeout closes callers' connections that carry nothing.
 	idleTimeout = 2 * time.Minute
 )
@@ -125,6 +127,7 @@
 		MaxDeadline:       time.Duration(s.Requests.MaxDeadlineMs) * time.Millisecond,
 		MaxBodyBytes:      s.Requests.MaxBodyBytes,
 		PrefixBlockTokens: s.Requests.PrefixBlockTokens, MaxPrefixBlocks: s.Requests.MaxPrefixBlocks,
+		WriteTimeout: writeTimeout,
 	})
 }
 
--- a/internal/daemon/lookup.go
+++ b/internal/daemon/lookup.go
@@ -32,9 +32,12 @@
 	if d.loop.Status().Draining {
 		return false, "stopping"
 	}
-	return d.follower.ready()
+	return d.Serving()
 }
 
+// Serving implements caller.Control.
+func (d *Daemon) Serving() (bool, string) { return d.follower.ready() }
+
 // Arrive implements caller.Control.
 func (d *Daemon) Arrive(a request.Arrival) <-chan request.Directive { return d.loop.Arrive(a) }
 
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -17,6 +17,7 @@
 func (d *Daemon) stop(ctx context.Context, callers *http.Server) error {
 	telemetry.Log(d.log, telemetry.EventDrainBegin, "in_flight", d.loop.Status().InFlight)
 	d.loop.Post(node.Drain{})
+	d.loop.Do(ctx, func(*node.Node) {}) // from here on the status says so
 	d.renew(ctx)
 	select {
 	case <-ctx.Done():
@@ -29,11 +30,31 @@
 		telemetry.Log(d.log, telemetry.EventDrainTimeout, "in_flight", d.loop.Status().InFlight)
 		return trace.LimitExceeded("requests were still in flight after %v", d.settings.Stop.Timeout())
 	}
+	if !d.settle(wait) {
+		telemetry.Log(d.log, telemetry.EventDrainTimeout, "in_flight", d.loop.Status().InFlight)
+		return trace.LimitExceeded("outcomes were not recorded after %v", d.settings.Stop.Timeout())
+	}
 	d.deregister(ctx)
 	telemetry.Log(d.log, telemetry.EventDrainEnd)
 	return nil
 }
 
+// settlePause is the time between two looks of settle.
+const settlePause = 20 * time.Millisecond
+
+// settle waits until the outcomes of all requests stand in the log, or are
+// given up.
+func (d *Daemon) settle(ctx context.Context) bool {
+	for d.loop.Status().InFlight > 0 {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(settlePause):
+		}
+	}
+	return true
+}
+
 func (d *Daemon) deregister(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, 2*peerExchangeTimeout)
 	defer cancel()
