Work stays where its prompt is held; what is below is cleared before a shed

Change: an owner lets a job wait for the engine that holds its prompt as long as processing it again would take; an entry moves a request only where the home's queue costs more than MoveFactor times the prompt; what refusals say of a queue is kept per tier, and a busy owner is not asked again at once. Before work of tier t is shed, the owner pauses all below t and promises; a job whose time runs out is given back early enough to ask for proof elsewhere, and for proof an entry joins the other queues in turn. Weights of the rendezvous are the configured ones, or each entry would rank by its own estimates. Bounded load at the entry is kept only as a coarse guard (factor 4): the entry sees a fourteenth of the load, and the owner bounds it exactly. The router's test of that plugin therefore sets its factor itself.

Tried without effect: one probe in place of four.

--- a/internal/core/admission/estimate.go
+++ b/internal/core/admission/estimate.go
@@ -34,32 +34,40 @@
 }
 
 // bestRunTime estimates how long j runs on the best endpoint that could serve
-// it, were it idle; ok is false if there is none.
-func (o *Owner) bestRunTime(p *pool, j *job) (best time.Duration, ok bool) {
+// it, were it idle, and the part of it that processes the prompt; ok is false
+// if there is none.
+func (o *Owner) bestRunTime(p *pool, j *job) (best, prefill time.Duration, ok bool) {
 	p.eligible(j, func(e *endpoint) bool {
 		if d := o.runTime(e, j); !ok || d < best {
 			best, ok = d, true
+			prefill = o.prefillTime(e, j, e.cachedTokens(j))
 		}
 		return true
 	})
-	return best, ok
+	return best, prefill, ok
 }
 
 // waitTime estimates when j, last in its tier, would get a slot: when the
 // first slot frees that a lower tier does not hold, and then all that is
-// queued before it, spread over all slots.
+// queued before it, spread over all slots, or over all engines' prompt
+// processing, whichever takes longer.
 func (o *Owner) waitTime(now time.Time, p *pool, j *job) time.Duration {
-	slots := 0
+	var slots, endpoints time.Duration
 	first := maxRetryAfter
 	p.eligible(j, func(e *endpoint) bool {
-		slots += e.row.Slots
+		slots += time.Duration(e.row.Slots)
+		endpoints++
 		first = min(first, e.firstFree(now, j.tier))
-		return first > 0
+		return true
 	})
 	if slots == 0 {
 		return maxRetryAfter
 	}
-	return first + p.queue.workUpTo(j.tier)/time.Duration(slots)
+	work, prefill := p.queue.upTo(j.tier)
+	if j.queued {
+		work, prefill = work-j.run, prefill-j.runPrefill
+	}
+	return first + max(work/slots, prefill/endpoints)
 }
 
 // firstFree estimates when tier t could have a slot of e.
--- a/internal/core/admission/grant.go
+++ b/internal/core/admission/grant.go
@@ -14,7 +14,9 @@
 func (o *Owner) grantAll(now time.Time, p *pool) {
 	for _, e := range p.endpoints {
 		for e.open(now, o.settings.PrefillAhead) {
-			j := p.queue.next(e, func(j *job) bool { return e.couldServe(j) && !j.late(now, o.runTime(e, j)) })
+			j := p.queue.next(e, func(j *job) bool {
+				return e.couldServe(j) && !j.late(now, o.runTime(e, j)) && !o.defers(now, p, j, e)
+			})
 			if j == nil || !o.grantBest(now, p, j) {
 				break
 			}
--- a/internal/core/admission/job.go
+++ b/internal/core/admission/job.go
@@ -41,6 +41,8 @@
 	tier  int
 	state jobState
 	seq   uint64
+	// queued says that the job stands in the queue.
+	queued bool
 	// noWait says that the entry wants a slot or a refusal, no place in the queue.
 	noWait bool
 	// endpoint is where the job runs or is paused; nil while queued.
@@ -53,8 +55,12 @@
 	// job prefill is what was left of it.
 	prefill    time.Duration
 	prefillEnd time.Time
-	// run estimates the running time without any cache, while queued.
-	run time.Duration
+	// deferUntil is how long the job would rather wait for an engine that holds
+	// part of its prompt than have it processed again elsewhere.
+	deferUntil time.Time
+	// run estimates the running time on the best endpoint, were it idle, and
+	// runPrefill the part of it that processes the prompt.
+	run, runPrefill time.Duration
 	// awaited counts the preemptions made for this job and not yet released;
 	// roomFor tells a preempted job whom it makes room for.
 	awaited int
--- a/internal/core/admission/membership.go
+++ b/internal/core/admission/membership.go
@@ -66,7 +66,7 @@
 	var homeless []*job
 	for t := range p.queue.tiers {
 		p.queue.each(t, func(j *job) bool {
-			if _, ok := o.bestRunTime(p, j); !ok {
+			if _, _, ok := o.bestRunTime(p, j); !ok {
 				homeless = append(homeless, j)
 			}
 			return true
--- a/internal/core/admission/owner.go
+++ b/internal/core/admission/owner.go
@@ -45,7 +45,7 @@
 	}
 	p := o.pool(r.Work.Pool)
 	j := o.newJob(&r)
-	run, ok := o.bestRunTime(p, j)
+	run, prefill, ok := o.bestRunTime(p, j)
 	if !ok {
 		o.refuse(now, p, j)
 		return
@@ -54,7 +54,8 @@
 		o.refuseInfeasible(p, j)
 		return
 	}
-	j.run = run
+	j.run, j.runPrefill = run, prefill
+	j.deferUntil = now.Add(o.patience(p, j))
 	o.enqueue(p, j)
 	o.schedule(now, p)
 	if j.state == stateQueued && o.jobs[j.work.ID] == j {
@@ -64,11 +65,13 @@
 
 // settle decides on a job that got no slot at once.
 func (o *Owner) settle(now time.Time, p *pool, j *job) {
-	if o.preemptFor(now, p, j); j.awaited > 0 {
+	if o.preemptFor(now, p, j); j.awaited > 0 || j.class.resume != "" {
 		return
 	}
 	if j.noWait {
-		o.refuse(now, p, j)
+		if !now.Before(j.deferUntil) {
+			o.refuse(now, p, j)
+		}
 		return
 	}
 	if !o.shedDoomed(now, p, j) {
@@ -155,7 +158,7 @@
 			if t < lowest {
 				o.preemptFor(now, p, j)
 			}
-			if j.noWait && j.awaited == 0 {
+			if j.noWait && j.awaited == 0 && !now.Before(j.deferUntil) {
 				refused = append(refused, j)
 			}
 			return true
--- a/internal/core/admission/queue.go
+++ b/internal/core/admission/queue.go
@@ -27,8 +27,9 @@
 	// now is the virtual time: the start tag of the last job served.
 	now   float64
 	count int
-	// work is the estimated running time of all jobs here.
-	work time.Duration
+	// work is the estimated running time of all jobs here, prefill the part of it
+	// that processes prompts.
+	work, prefill time.Duration
 }
 
 func newQueue(tiers int) *queue {
@@ -42,12 +43,14 @@
 
 func (q *queue) add(j *job) {
 	q.count++
+	j.queued = true
 	q.tiers[j.tier].add(j)
 }
 
 func (q *queue) remove(j *job) {
 	if q.tiers[j.tier].remove(j) {
 		q.count--
+		j.queued = false
 	}
 }
 
@@ -95,13 +98,14 @@
 	return nil
 }
 
-// workUpTo is the estimated running time of all jobs of tier t and above.
-func (q *queue) workUpTo(t int) time.Duration {
-	var sum time.Duration
+// upTo is the estimated running time, and the part of it that processes
+// prompts, of all jobs of tier t and above.
+func (q *queue) upTo(t int) (work, prefill time.Duration) {
 	for i := 0; i <= t; i++ {
-		sum += q.tiers[i].work
+		work += q.tiers[i].work
+		prefill += q.tiers[i].prefill
 	}
-	return sum
+	return work, prefill
 }
 
 func (q *tierQueue) add(j *job) {
@@ -118,6 +122,7 @@
 	f.add(j)
 	q.count++
 	q.work += j.run
+	q.prefill += j.runPrefill
 }
 
 func (q *tierQueue) remove(j *job) bool {
@@ -130,6 +135,7 @@
 	}
 	q.count--
 	q.work -= j.run
+	q.prefill -= j.runPrefill
 	return true
 }
 
--- a/internal/core/admission/settings.go
+++ b/internal/core/admission/settings.go
@@ -17,6 +17,9 @@
 	// minRetryAfter and maxRetryAfter bound what refused callers are told.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = time.Minute
+	// lastChance is how long before its time runs out queued work is given back,
+	// so that its entry can still ask elsewhere.
+	lastChance = 500 * time.Millisecond
 	// hardQueueFactor bounds the queue, as a multiple of its limit, where work
 	// may not be shed for lack of proof.
 	hardQueueFactor = 4
--- a/internal/core/admission/shed.go
+++ b/internal/core/admission/shed.go
@@ -48,43 +48,77 @@
 	return settled && lowest <= j.tier
 }
 
-// shedDoomed refuses j if it can't make its deadline from where it stands.
-func (o *Owner) shedDoomed(now time.Time, p *pool, j *job) bool {
-	wait := o.waitTime(now, p, j)
-	if j.awaited > 0 || !j.late(now, wait+j.run) || !p.proven(now, j) {
+// shed refuses j if that is proven, and else starts to clear what stands
+// against it; j stays queued meanwhile.
+func (o *Owner) shed(now time.Time, p *pool, j *job) bool {
+	if !p.proven(now, j) {
+		o.clearBelow(now, p, j)
 		return false
 	}
 	o.refuse(now, p, j)
 	return true
 }
 
-// shedOverflow refuses queued work, lowest first, until the queue is within
-// its bound or nothing more may be refused.
+// clearBelow pauses all that runs below j where j could be served.
+func (o *Owner) clearBelow(now time.Time, p *pool, j *job) {
+	o.promise(now, p, j, j.tier)
+	if j.awaited > 0 {
+		return
+	}
+	p.eligible(j, func(e *endpoint) bool {
+		for _, v := range e.jobs {
+			if v.state == stateRunning && v.tier > j.tier && v.preemptible() {
+				o.preempt(j, v, true)
+			}
+		}
+		return true
+	})
+}
+
+// shedDoomed sheds j if it can't make its deadline from the end of its tier.
+func (o *Owner) shedDoomed(now time.Time, p *pool, j *job) bool {
+	if !j.late(now, o.waitTime(now, p, j)+j.run) {
+		return false
+	}
+	o.shed(now, p, j)
+	return true
+}
+
+// shedOverflow sheds queued work, lowest first, until the queue is within its
+// bound or nothing more may be refused yet.
 func (o *Owner) shedOverflow(now time.Time, p *pool) {
 	limit := o.settings.QueuePerEndpoint * len(p.endpoints)
 	for p.queue.count > limit {
 		j := p.queue.lose()
-		if !p.proven(now, j) && p.queue.count <= hardQueueFactor*limit {
+		if p.queue.count > hardQueueFactor*limit {
+			o.refuse(now, p, j)
+			continue
+		}
+		if !o.shed(now, p, j) {
 			return
 		}
-		o.refuse(now, p, j)
 	}
 }
 
-// expire refuses queued jobs that can't end in time even on an idle endpoint.
+// expire sheds queued jobs whose last chance is elsewhere, and refuses those
+// that can't end in time even on an idle endpoint.
 func (o *Owner) expire(now time.Time, p *pool) {
 	var late []*job
 	for t := range p.queue.tiers {
 		p.queue.each(t, func(j *job) bool {
-			if j.late(now, j.run) {
+			if j.late(now, j.run+lastChance) {
 				late = append(late, j)
 			}
 			return true
 		})
 	}
 	for _, j := range late {
-		if run, ok := o.bestRunTime(p, j); !ok || j.late(now, run) {
+		run, _, ok := o.bestRunTime(p, j)
+		switch {
+		case !ok || j.late(now, run):
 			o.refuseInfeasible(p, j)
+		case j.late(now, run+lastChance) && j.class.resume == "":
+			o.shed(now, p, j)
 		}
 	}
 }
--- a/internal/core/routing/learn.go
+++ b/internal/core/routing/learn.go
@@ -9,22 +9,55 @@
 // unreachableFor is how long an owner that did not answer is not asked.
 const unreachableFor = time.Second
 
+// maxTiers bounds the tiers about which an entry learns apart.
+const maxTiers = 8
+
+// maxBusy bounds how long an owner is passed over after it had no slot.
+const maxBusy = 2 * time.Second
+
 // owner is what an entry has learnt of one owner.
 type owner struct {
 	unreachableUntil time.Time
-	// freeAt is when its queue was said to be gone.
-	freeAt time.Time
+	// freeAt is when, per tier, its queue was said to be gone.
+	freeAt [maxTiers]time.Time
+	// busyTier and busyUntil remember a refusal: work of that tier and below
+	// would be refused again.
+	busyTier  entity.Tier
+	busyUntil time.Time
+}
+
+// busy says that asking for a slot at once would be in vain, as far as is known.
+func (o *owner) busy(now time.Time, t entity.Tier) bool {
+	return t >= o.busyTier && now.Before(o.busyUntil)
+}
+
+// refused remembers that an owner has no slot for tier t.
+func (o *owner) refused(now time.Time, t entity.Tier, retryAfter time.Duration) {
+	o.freeAt[slot(t)] = now.Add(retryAfter)
+	if now.Before(o.busyUntil) && o.busyTier < t {
+		return
+	}
+	o.busyTier = t
+	o.busyUntil = now.Add(min(retryAfter/2, maxBusy))
 }
 
 func (o *owner) reachable(now time.Time) bool { return !now.Before(o.unreachableUntil) }
 
-func (o *owner) wait(now time.Time) time.Duration { return max(0, o.freeAt.Sub(now)) }
+func (o *owner) wait(now time.Time, t entity.Tier) time.Duration {
+	return max(0, o.freeAt[slot(t)].Sub(now))
+}
+
+// slot is the place of a tier in a table; all tiers beyond the last share one.
+func slot(t entity.Tier) int { return min(max(int(t), 0), maxTiers-1) }
 
 // Granted takes in a grant for w by an owner.
-func (r *Router) Granted(now time.Time, from entity.InstanceID, _ *entity.Work, g entity.Grant) {
+func (r *Router) Granted(now time.Time, from entity.InstanceID, w *entity.Work, g entity.Grant) {
 	o := r.owner(from)
+	if w.Tier >= o.busyTier {
+		o.busyUntil = time.Time{}
+	}
 	o.unreachableUntil = time.Time{}
-	o.freeAt = now
+	o.freeAt[slot(w.Tier)] = now
 	if c := r.endpoints[g.Endpoint]; c != nil {
 		c.running++
 	}
@@ -35,7 +68,7 @@
 	o := r.owner(from)
 	o.unreachableUntil = time.Time{}
 	if !refusal.Infeasible {
-		o.freeAt = now.Add(refusal.RetryAfter)
+		o.refused(now, w.Tier, refusal.RetryAfter)
 	}
 	r.floors.add(now, from, w, &refusal, sentAt)
 }
--- a/internal/core/routing/plugins.go
+++ b/internal/core/routing/plugins.go
@@ -6,8 +6,12 @@
 	"time"
 
 	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/speed"
 )
 
+// slowWeight is the share of its usual work that a slow endpoint gets.
+const slowWeight = 0.25
+
 // View is what plugins may know of one endpoint.
 type View struct {
 	Endpoint *entity.Endpoint
@@ -87,9 +91,15 @@
 	}
 }
 
-// weight is an endpoint's share of work. A slow one gets what it can do.
+// weight is an endpoint's share of work, by what is configured: entries must
+// agree on it, or each sends the same prompt elsewhere. Only an endpoint that
+// is found to be slow gets less.
 func (r *Router) weight(ep *entity.Endpoint) float64 {
-	return float64(max(ep.Slots, 1)) * r.speeds.Rates(ep).Decode
+	w := float64(max(ep.Slots, 1)) * speed.Configured(ep).Prefill
+	if r.speeds.Slow(ep) {
+		w *= slowWeight
+	}
+	return w
 }
 
 func compare(a, b ranked) int {
--- a/internal/core/routing/router.go
+++ b/internal/core/routing/router.go
@@ -20,6 +20,8 @@
 	Endpoint entity.EndpointID
 	// NoWait goes into the reservation.
 	NoWait bool
+	// Refused is set by the caller when the owner has refused.
+	Refused bool
 	// Infeasible is set by the caller when the owner said that its endpoints
 	// could not meet the deadline even with no one else there.
 	Infeasible bool
@@ -83,37 +85,64 @@
 	if p == nil {
 		return Choice{}, false
 	}
-	probes, waited := summarise(tried)
+	probes, stage := summarise(tried)
 	order := r.rank(now, p, w)
-	if waited || probes < r.settings.Probes {
-		if c, ok := r.probe(now, w, order, tried); ok || waited {
+	if len(order) == 0 {
+		return Choice{}, false
+	}
+	stays := probes > 0 && stage != stageProving && r.stays(now, w, order[0])
+	if stays && stage == stageWaiting {
+		return Choice{}, false
+	}
+	if stage != stageProbing || (probes < r.settings.Probes && !stays) {
+		if c, ok := r.probe(now, w, order, tried, stage); ok || stage != stageProbing {
 			return c, ok
 		}
 	}
-	return r.join(now, order, tried)
+	return r.join(now, w, order, tried)
 }
 
-// probe returns the first owner that was not tried yet and has not promised
-// that it serves nothing below w.
-func (r *Router) probe(now time.Time, w *entity.Work, order []ranked, tried []Choice) (Choice, bool) {
+// probe returns the first owner that was not tried yet, has not promised that
+// it serves nothing below w, and was not found busy lately. Where proof is
+// looked for, busy owners are asked as well.
+func (r *Router) probe(now time.Time, w *entity.Work, order []ranked, tried []Choice, s stage) (Choice, bool) {
 	for _, c := range order {
-		if wasTried(tried, c.Owner) || r.promised(now, c.Owner, w) {
+		if wasTried(tried, c.Owner, s) || r.promised(now, c.Owner, w) {
 			continue
 		}
-		return Choice{Owner: c.Owner, Endpoint: c.Endpoint.ID, NoWait: true}, true
+		if s != stageProving && r.owner(c.Owner).busy(now, w.Tier) {
+			continue
+		}
+		return Choice{Owner: c.Owner, Endpoint: c.Endpoint.ID, NoWait: s != stageProving}, true
 	}
 	return Choice{}, false
 }
 
-// join returns the owner with the shortest queue, as far as is known.
-func (r *Router) join(now time.Time, order []ranked, tried []Choice) (Choice, bool) {
+// stays says that w is better off waiting for its home, where its prompt is
+// likely to be held, than going elsewhere.
+func (r *Router) stays(now time.Time, w *entity.Work, home ranked) bool {
+	return r.owner(home.Owner).wait(now, w.Tier) < r.moveCost(w, home)
+}
+
+// moveCost is what going elsewhere costs, as waiting time.
+func (r *Router) moveCost(w *entity.Work, home ranked) time.Duration {
+	prefill := r.speeds.Rates(&home.Endpoint).PrefillTime(w.PromptTokens)
+	return time.Duration(r.settings.MoveFactor * float64(prefill))
+}
+
+// join returns the owner with the shortest queue, as far as is known, with a
+// preference for the first in order.
+func (r *Router) join(now time.Time, w *entity.Work, order []ranked, tried []Choice) (Choice, bool) {
 	var best *candidate
 	var shortest time.Duration
-	for _, c := range order {
+	for i, c := range order {
 		if infeasible(tried, c.Owner) {
 			continue
 		}
-		wait := r.owner(c.Owner).wait(now)
+		wait := r.owner(c.Owner).wait(now, w.Tier)
+		if i > 0 {
+			wait += r.moveCost(w, order[0])
+		}
 		if best == nil || wait < shortest {
 			best, shortest = c.candidate, wait
 		}
@@ -188,15 +217,27 @@
 	}
 }
 
-func summarise(tried []Choice) (probes int, waited bool) {
+// stage is how far an entry has come with one request.
+type stage int
+
+const (
+	stageProbing stage = iota // asks for a slot at once
+	stageWaiting              // has a place in a queue
+	stageProving              // was refused there, and looks for room or proof
+)
+
+func summarise(tried []Choice) (probes int, s stage) {
 	for _, c := range tried {
-		if !c.NoWait {
-			waited = true
-			continue
+		switch {
+		case c.NoWait:
+			probes++
+		case !c.Refused:
+			return probes, stageWaiting
+		default:
+			s = stageProving
 		}
-		probes++
 	}
-	return probes, waited
+	return probes, s
 }
 
 func infeasible(tried []Choice, o entity.InstanceID) bool {
@@ -208,9 +249,11 @@
 	return false
 }
 
-func wasTried(tried []Choice, o entity.InstanceID) bool {
+// wasTried says that there is no use in asking o again. For proof, owners that
+// had no slot at once are asked a second time.
+func wasTried(tried []Choice, o entity.InstanceID, s stage) bool {
 	for _, c := range tried {
-		if c.Owner == o {
+		if c.Owner == o && (s != stageProving || !c.NoWait || c.Infeasible) {
 			return true
 		}
 	}
--- a/internal/core/routing/router_test.go
+++ b/internal/core/routing/router_test.go
@@ -53,6 +53,7 @@
 
 func TestBoundedLoadPutsOffTheBusy(t *testing.T) {
 	r := fleet(4)
+	r.picker = BoundedLoad{Factor: 1.25}
 	w := work("a", 7, 0)
 	first, _ := r.Next(epoch, w, nil)
 	for i := range 2 {
@@ -122,6 +123,20 @@
 	if c, ok = r.Next(epoch, w, tried); ok {
 		t.Errorf("choice %v after all were tried", c)
 	}
+	joined := map[entity.InstanceID]bool{tried[4].Owner: true}
+	tried[4].Refused = true
+	for range 5 {
+		c, ok = r.Next(epoch, w, tried)
+		if !ok || c.NoWait || joined[c.Owner] {
+			t.Fatalf("choice %v %v, want proof or a queue at another owner", c, ok)
+		}
+		joined[c.Owner] = true
+		c.Refused = true
+		tried = append(tried, c)
+	}
+	if c, ok = r.Next(epoch, w, tried); ok {
+		t.Errorf("choice %v after all have refused", c)
+	}
 }
 
 func TestUnreachableOwnerIsNotAsked(t *testing.T) {
--- a/internal/core/routing/settings.go
+++ b/internal/core/routing/settings.go
@@ -13,11 +13,14 @@
 	Probes int
 	// HeadBlocks is how many blocks of the prompt decide where it goes.
 	HeadBlocks int
+	// MoveFactor is how much more waiting than processing its prompt again a
+	// request takes, rather than go where its prompt is not held.
+	MoveFactor float64
 	// LoadFactor bounds an endpoint's load, as a multiple of the mean.
 	LoadFactor float64
 }
 
 // DefaultSettings returns the settings used where none are given.
 func DefaultSettings() Settings {
-	return Settings{Probes: 4, HeadBlocks: 4, LoadFactor: 1.25}
+	return Settings{Probes: 4, HeadBlocks: 16, MoveFactor: 6, LoadFactor: 4}
 }
--- a/internal/core/speed/speed.go
+++ b/internal/core/speed/speed.go
@@ -46,7 +46,7 @@
 
 // Rates returns the estimate for ep.
 func (e *Estimator) Rates(ep *entity.Endpoint) Rates {
-	r := configured(ep)
+	r := Configured(ep)
 	if ep.Generation != "" {
 		r = e.generations[ep.Generation].or(r)
 	}
@@ -58,7 +58,7 @@
 	s := sample(rel)
 	e.endpoints[ep.ID] = e.endpoints[ep.ID].or(e.Rates(ep)).toward(s, endpointWeight)
 	if ep.Generation != "" {
-		g := e.generations[ep.Generation].or(configured(ep))
+		g := e.generations[ep.Generation].or(Configured(ep))
 		e.generations[ep.Generation] = g.toward(s, generationWeight)
 	}
 }
@@ -69,7 +69,7 @@
 	if !ok {
 		return false
 	}
-	g := e.generations[ep.Generation].or(configured(ep))
+	g := e.generations[ep.Generation].or(Configured(ep))
 	return own.Decode < slowRatio*g.Decode || own.Prefill < slowRatio*g.Prefill
 }
 
@@ -109,7 +109,8 @@
 	return r
 }
 
-func configured(ep *entity.Endpoint) Rates {
+// Configured returns the rates that ep was configured with, or the defaults.
+func Configured(ep *entity.Endpoint) Rates {
 	r := Rates{Prefill: ep.PrefillTokensPerSec, Decode: ep.DecodeTokensPerSec}
 	return r.or(Rates{Prefill: defaultPrefill, Decode: defaultDecode})
 }
