--- /dev/null
+++ b/internal/core/admission/main_test.go
@@ -0,0 +1,20 @@
+package admission
+
+import (
+	"flag"
+	"os"
+	"testing"
+
+	_ "pgregory.net/rapid" // registers the flags set below
+)
+
+// TestMain pins the seed, so that every run checks the same histories.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "200", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/internal/core/prefix/differential_test.go
@@ -0,0 +1,101 @@
+package prefix
+
+import (
+	"flag"
+	"os"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
+
+// TestMain pins the seed, so that every run checks the same histories.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "300", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// naive is an index as one list of blocks, the most recently used last.
+type naive struct {
+	blocks []entity.BlockHash
+	size   int
+}
+
+func (n *naive) touch(b entity.BlockHash) {
+	n.remove(b)
+	n.blocks = append(n.blocks, b)
+	if len(n.blocks) > n.size {
+		n.blocks = n.blocks[1:]
+	}
+}
+
+func (n *naive) remove(b entity.BlockHash) {
+	n.blocks = slices.DeleteFunc(n.blocks, func(c entity.BlockHash) bool { return c == b })
+}
+
+func (n *naive) match(chain []entity.BlockHash) int {
+	for i, b := range chain {
+		if !slices.Contains(n.blocks, b) {
+			return i
+		}
+	}
+	return len(chain)
+}
+
+func chain(t *rapid.T, name string) []entity.BlockHash {
+	return rapid.SliceOfNDistinct(rapid.Custom(func(t *rapid.T) entity.BlockHash {
+		return entity.BlockHash(rapid.IntRange(1, 12).Draw(t, "block"))
+	}), 0, 6, rapid.ID[entity.BlockHash]).Draw(t, name)
+}
+
+// The index matches what a list of blocks matches, over inserts and events
+// that are late, gappy and old; and it stays within its bound.
+func TestIndexAgreesWithNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.IntRange(1, 8).Draw(t, "size")
+		x, n := NewIndex(NewRecency(size)), &naive{size: size}
+		newest := uint64(0)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "insert") {
+				c := chain(t, "prompt")
+				x.Insert(c)
+				for _, b := range slices.Backward(c) {
+					n.touch(b)
+				}
+			} else {
+				ev := entity.CacheEvent{
+					Seq:    uint64(rapid.IntRange(1, 30).Draw(t, "seq")),
+					Stored: chain(t, "stored"), Evicted: chain(t, "evicted"),
+					Cleared: rapid.IntRange(0, 9).Draw(t, "cleared") == 0,
+				}
+				x.Apply(ev)
+				if ev.Seq > newest && ev.Cleared {
+					n.blocks = nil
+				}
+				for _, b := range ev.Evicted {
+					n.remove(b)
+				}
+				if ev.Seq > newest {
+					newest = ev.Seq
+					for _, b := range ev.Stored {
+						n.touch(b)
+					}
+				}
+			}
+			c := chain(t, "question")
+			if got, want := x.Match(c), n.match(c); got != want {
+				t.Fatalf("Match(%v) = %d, naive %d", c, got, want)
+			}
+			if x.Len() > size || x.Trust() < minTrust || x.Trust() > 1 {
+				t.Fatalf("%d blocks of %d, trust %v", x.Len(), size, x.Trust())
+			}
+		}
+	})
+}
