--- a/internal/core/admission/owner.go
+++ b/internal/core/admission/owner.go
@@ -154,9 +154,12 @@
 	}
 	var refused []*job
 	for t := range p.queue.tiers {
+		var hopeless []class // no victim was found for the first of its class
 		p.queue.each(t, func(j *job) bool {
-			if t < lowest {
-				o.preemptFor(now, p, j)
+			if t < lowest && j.awaited == 0 && !slices.Contains(hopeless, j.class) {
+				if o.preemptFor(now, p, j); j.awaited == 0 {
+					hopeless = append(hopeless, j.class)
+				}
 			}
 			if j.noWait && j.awaited == 0 && !now.Before(j.deferUntil) {
 				refused = append(refused, j)
--- a/internal/core/admission/preempt.go
+++ b/internal/core/admission/preempt.go
@@ -14,10 +14,11 @@
 	}
 	var best *job
 	p.eligible(j, func(e *endpoint) bool {
-		if j.late(now, o.runTime(e, j)) || now.Before(e.suspendedUntil) {
+		if e.lowest() <= j.tier || now.Before(e.suspendedUntil) {
 			return true
 		}
-		if v := e.victim(now, j, o.settings.PrefillAhead); v != nil && (best == nil || worse(v, best)) {
+		v := e.victim(now, j, o.settings.PrefillAhead)
+		if v != nil && (best == nil || worse(v, best)) && !j.late(now, o.runTime(e, j)) {
 			best = v
 		}
 		return true
--- a/internal/core/routing/router.go
+++ b/internal/core/routing/router.go
@@ -45,6 +45,7 @@
 type pool struct {
 	candidates []*candidate
 	owners     []entity.InstanceID // in the order of candidates
+	byOwner    map[entity.InstanceID][]*candidate
 }
 
 // New returns a Router that knows no pools.
@@ -64,14 +65,14 @@
 
 // SetPool replaces the endpoints of a pool.
 func (r *Router) SetPool(id entity.PoolID, rows []Owned) {
-	p := &pool{}
-	seen := make(map[entity.InstanceID]bool)
+	p := &pool{byOwner: make(map[entity.InstanceID][]*candidate)}
 	for i := range rows {
-		p.candidates = append(p.candidates, r.candidate(&rows[i]))
-		if o := rows[i].Owner; !seen[o] {
-			seen[o] = true
+		c, o := r.candidate(&rows[i]), rows[i].Owner
+		p.candidates = append(p.candidates, c)
+		if p.byOwner[o] == nil {
 			p.owners = append(p.owners, o)
 		}
+		p.byOwner[o] = append(p.byOwner[o], c)
 	}
 	if old := r.pools[id]; old != nil {
 		r.forget(old, p)
@@ -177,8 +178,8 @@
 // covers is the digest of o's endpoints that could serve w.
 func (r *Router) covers(o entity.InstanceID, w *entity.Work) eligible.Digest {
 	var d eligible.Digest
-	for _, c := range r.pools[w.Pool].candidates {
-		if c.Owner == o && eligible.Serves(&c.Endpoint, w) {
+	for _, c := range r.pools[w.Pool].byOwner[o] {
+		if eligible.Serves(&c.Endpoint, w) {
 			d ^= c.digest
 		}
 	}
--- /dev/null
+++ b/internal/measure/bench_test.go
@@ -0,0 +1,189 @@
+package measure
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/admission"
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/routing"
+)
+
+// The size of one zone at the target.
+const (
+	zoneEngines   = 353
+	zoneInstances = 31
+	zoneOrgs      = 19_000
+	zoneModels    = 25
+	busy          = 300 // requests under way at one owner
+	waiting       = 200 // requests queued there
+)
+
+func zoneEndpoints() []entity.Endpoint {
+	rows := make([]entity.Endpoint, zoneEngines)
+	for i := range rows {
+		rows[i] = entity.Endpoint{
+			ID: entity.EndpointID(fmt.Sprintf("engine-%03d", i)), Pool: enginePool, Kind: entity.KindEngine,
+			Models: []entity.ModelID{
+				entity.ModelID(fmt.Sprintf("model-%02d", i%zoneModels)),
+				entity.ModelID(fmt.Sprintf("model-%02d", (i+1)%zoneModels)),
+			},
+			Slots: engineSlots, Generation: fmt.Sprintf("g%d", i%2), PrefillTokensPerSec: ratedPrefill, DecodeTokensPerSec: ratedDecode,
+		}
+	}
+	return rows
+}
+
+// zoneWork returns the i-th request: any organisation, a prompt of 32 blocks.
+func zoneWork(rng *rand.Rand, i int, model entity.ModelID) entity.Work {
+	return entity.Work{
+		ID: entity.RequestID(fmt.Sprintf("r%08d", i)), Org: entity.OrgID(fmt.Sprintf("org-%05d", rng.Intn(zoneOrgs))),
+		Pool: enginePool, Model: model, Tier: entity.Tier(rng.Intn(tiers)),
+		Prefix: hashes(nil, uint64(rng.Intn(2000)), 32*blockTokens), PromptTokens: 32 * blockTokens, MaxTokens: 100,
+	}
+}
+
+func modelOf(rng *rand.Rand, rows []entity.Endpoint) entity.ModelID {
+	return rows[rng.Intn(len(rows))].Models[0]
+}
+
+// BenchmarkDecision is one request from its arrival to its release with all
+// bookkeeping: the entry's choice among all engines of the zone, the owner's
+// admission with a queue behind it, and what both learn at the end.
+func BenchmarkDecision(b *testing.B) {
+	rows := zoneEndpoints()
+	owned := make([]routing.Owned, len(rows))
+	var mine []entity.Endpoint
+	for i := range rows {
+		owned[i] = routing.Owned{Endpoint: rows[i], Owner: instanceID(i % zoneInstances)}
+		if i%zoneInstances == 0 {
+			mine = append(mine, rows[i])
+		}
+	}
+	router := routing.New(routing.DefaultSettings())
+	router.SetPool(enginePool, owned)
+	s := admission.DefaultSettings()
+	owner := admission.New(s)
+	now := time.Unix(1_700_000_000, 0)
+	owner.SetEndpoints(now, mine)
+	now = now.Add(s.FloorFor)
+	rng := rand.New(rand.NewSource(1))
+	var running []entity.Grant
+	i, decided := 0, 0
+	reserve := func() {
+		i++
+		w := zoneWork(rng, i, modelOf(rng, mine))
+		if c, ok := router.Next(now, &w, nil); !ok || c.Owner == "" {
+			b.Fatal("no choice")
+		}
+		owner.Reserve(now, entity.Reservation{Work: w, From: "entry"})
+	}
+	take := func() {
+		r := owner.Ready()
+		decided += len(r.Grants) + len(r.Refusals)
+		for _, g := range r.Grants {
+			w := entity.Work{ID: g.Grant.ID, Pool: enginePool}
+			router.Granted(now, "entry", &w, g.Grant)
+			running = append(running, g.Grant)
+		}
+	}
+	for range busy + waiting {
+		now = now.Add(time.Millisecond)
+		reserve()
+		take()
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		now = now.Add(10 * time.Millisecond)
+		reserve()
+		take()
+		if len(running) > busy {
+			rel := entity.Release{
+				ID: running[0].ID, Endpoint: running[0].Endpoint, PrefillTokens: 1000, TimeToFirstToken: 200 * time.Millisecond,
+				GeneratedTokens: 100, DecodeTime: 3 * time.Second,
+			}
+			running = running[1:]
+			owner.Release(now, rel)
+			router.Finished(rel)
+			take()
+		}
+		owner.Tick(now)
+		take()
+	}
+	if decided == 0 {
+		b.Fatal("nothing was decided")
+	}
+}
+
+// naiveRequest is one request of the naive scheduler.
+type naiveRequest struct {
+	work entity.Work
+	at   int // engine, or -1 while queued
+}
+
+// BenchmarkNaiveDecision is the same with one list of all requests of the
+// zone, scanned for every decision: counts per engine, overlap of prompts, and
+// the best queued request.
+func BenchmarkNaiveDecision(b *testing.B) {
+	rows := zoneEndpoints()
+	rng := rand.New(rand.NewSource(1))
+	var all []naiveRequest
+	i := 0
+	arrive := func() {
+		i++
+		all = append(all, naiveRequest{work: zoneWork(rng, i, modelOf(rng, rows)), at: -1})
+	}
+	place := func() {
+		best := -1
+		for k := range all {
+			if all[k].at < 0 && (best < 0 || all[k].work.Tier < all[best].work.Tier) {
+				best = k
+			}
+		}
+		if best >= 0 {
+			all[best].at = naiveEngine(rows, all, &all[best].work)
+		}
+	}
+	for range (busy + waiting) * zoneInstances {
+		arrive()
+		all[len(all)-1].at = rng.Intn(len(rows))
+		if i%(busy+waiting) >= busy {
+			all[len(all)-1].at = -1
+		}
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		arrive()
+		place()
+		all = all[1:]
+	}
+}
+
+func naiveEngine(rows []entity.Endpoint, all []naiveRequest, w *entity.Work) int {
+	best, most := -1, -1
+	for e := range rows {
+		running, overlap := 0, 0
+		for k := range all {
+			if all[k].at == e {
+				running++
+				overlap = max(overlap, common(all[k].work.Prefix, w.Prefix))
+			}
+		}
+		if running < rows[e].Slots && overlap > most {
+			best, most = e, overlap
+		}
+	}
+	return best
+}
+
+func common(a, b []entity.BlockHash) int {
+	n := 0
+	for n < len(a) && n < len(b) && a[n] == b[n] {
+		n++
+	}
+	return n
+}
