--- a/internal/core/admission/owner.go
+++ b/internal/core/admission/owner.go
@@ -47,7 +47,7 @@
 	}
 	p := o.pool(r.Work.Pool)
 	j := o.newJob(&r)
-	run, ok := o.bestRunTime(p, j)
+	run, prefill, ok := o.bestRunTime(p, j)
 	if !ok {
 		o.refuse(now, p, j)
 		return
@@ -56,7 +56,8 @@
 		o.refuseInfeasible(p, j)
 		return
 	}
-	j.run = run
+	j.run, j.runPrefill = run, prefill
+	j.deferUntil = now.Add(o.patience(p, j))
 	o.enqueue(p, j)
 	o.schedule(now, p)
 	if j.state == stateQueued && o.jobs[j.work.ID] == j {
@@ -66,11 +67,13 @@
 
 // settle decides on a job that got no slot at once.
 func (o *Owner) settle(now time.Time, p *pool, j *job) {
-	if o.preemptFor(now, p, j); j.awaited > 0 {
+	if o.preemptFor(now, p, j); j.awaited > 0 || j.class.resume != "" {
 		return
 	}
 	if j.noWait {
-		o.refuse(now, p, j)
+		if !now.Before(j.deferUntil) {
+			o.refuse(now, p, j)
+		}
 		return
 	}
 	if !o.shedDoomed(now, p, j) {
@@ -187,11 +190,14 @@
 	}
 	var refused []*job
 	for t := range p.queue.tiers {
+		var hopeless []class // no victim was found for the first of its class
 		p.queue.each(t, func(j *job) bool {
-			if t < lowest {
-				o.preemptFor(now, p, j)
+			if t < lowest && j.awaited == 0 && !slices.Contains(hopeless, j.class) {
+				if o.preemptFor(now, p, j); j.awaited == 0 {
+					hopeless = append(hopeless, j.class)
+				}
 			}
-			if j.noWait && j.awaited == 0 {
+			if j.noWait && j.awaited == 0 && !now.Before(j.deferUntil) {
 				refused = append(refused, j)
 			}
 			return true
--- a/internal/core/request/entry.go
+++ b/internal/core/request/entry.go
@@ -279,9 +279,7 @@
 	a := r.answered(from)
 	e.router.Refused(now, from, &r.work, f, a.at)
 	r.retryAfter = max(r.retryAfter, f.RetryAfter)
-	if f.Infeasible {
-		r.markInfeasible(from)
-	}
+	r.markRefused(from, f.Infeasible)
 	switch {
 	case r.state == StatePaused && f.Infeasible:
 		e.cancelRunning(now, r, verdict.ReasonDeadline)
--- a/internal/core/request/row.go
+++ b/internal/core/request/row.go
@@ -89,11 +89,12 @@
 	return a
 }
 
-// markInfeasible notes that an owner could not serve the request in time at all.
-func (r *row) markInfeasible(owner entity.InstanceID) {
+// markRefused notes that an owner refused the request in this round, and whether
+// it could not have served it in time at all.
+func (r *row) markRefused(owner entity.InstanceID, infeasible bool) {
 	for i := range r.tried {
 		if r.tried[i].Owner == owner {
-			r.tried[i].Infeasible = true
+			r.tried[i].Refused, r.tried[i].Infeasible = true, infeasible
 		}
 	}
 }
