--- a/internal/config/bench_test.go
+++ b/internal/config/bench_test.go
@@ -83,6 +83,7 @@
 			for b.Loop() {
 				s.Apply(rec)
 			}
+			b.ReportMetric(float64(len(rec.Data)), "B/record")
 		})
 	}
 }
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -159,6 +159,24 @@
 		if e.Pool != m.Pool {
 			out = append(out, problemf("/pool", "endpoint %q of pool %q serves the model", e.ID, e.Pool))
 		}
+		out = append(out, m.checkAdaptersOf(e, s)...)
+	}
+	return out
+}
+
+// checkAdaptersOf checks that the endpoint's adapters are still offered.
+func (m *Model) checkAdaptersOf(e *entity.Endpoint, s State) []fieldProblem {
+	offered := slices.Clone(m.Adapters)
+	for _, id := range e.Models {
+		if other, ok := s.Model(id); ok && id != m.Name {
+			offered = append(offered, other.Adapters...)
+		}
+	}
+	var out []fieldProblem
+	for _, a := range e.Adapters {
+		if !slices.Contains(offered, a) {
+			out = append(out, problemf("/adapters", "endpoint %q serves adapter %q", e.ID, a))
+		}
 	}
 	return out
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -132,3 +132,26 @@
 		}
 	}
 }
+
+func TestWhatIsReferredToStays(t *testing.T) {
+	s := publish(t, State{}, parseFile(t, "small.json"))
+	for name, c := range map[string]Change{
+		"pool in use":       {Kind: KindPool, Name: "reports", Delete: true},
+		"model in use":      {Kind: KindModel, Name: "narrative", Delete: true},
+		"adapter in use":    {Kind: KindModel, Name: "narrative", Spec: []byte(`{"pool":"reports"}`)},
+		"kind of a pool":    {Kind: KindPool, Name: "ledger", Spec: []byte(poolSpec)},
+		"tier in use":       {Kind: KindDeployment, Name: DeploymentName, Spec: []byte(`{"tiers":["standard","patient"]}`)},
+		"deployment":        {Kind: KindDeployment, Name: DeploymentName, Delete: true},
+		"deletion of none":  {Kind: KindPool, Name: "none", Delete: true},
+		"key of another":    {Kind: KindContract, Name: "thief", Spec: []byte(contractWithKey)},
+		"other name inside": {Kind: KindPool, Name: "p", Spec: []byte(`{"name":"q","kind":"engine","queue_per_endpoint":1,"max_body_bytes":1}`)},
+	} {
+		c.ID, c.BasedOn = "x", s.Standing(c.Kind, c.Name).Revision
+		if _, out := s.Apply(recordOf(t, s.Next(), c)); out.Result != ResultInvalid || len(out.Problems) == 0 {
+			t.Errorf("%s: %+v", name, out)
+		}
+	}
+}
+
+const contractWithKey = `{"tiers":["urgent"],"requests_per_sec":1,"burst":1,"max_concurrent":1,` +
+	`"key_hashes":["9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08"]}`
--- a/internal/config/fold_rapid_test.go
+++ b/internal/config/fold_rapid_test.go
@@ -197,12 +197,15 @@
 // keep lets a holder of the housekeeping lease do its work.
 func (m *foldModel) keep(t *rapid.T) {
 	s := rapid.SampledFrom(m.replicas).Draw(t, "holder").f.State()
-	res, err := m.svc.Read(context.Background(), SnapshotStream, m.keeper.Ask().From, snapshotLimit, 0)
-	switch {
-	case errors.Is(err, platform.ErrTruncated):
-		m.keeper.HandleTruncated(res)
-	case err == nil:
-		m.keeper.Handle(res)
+	for range 4 {
+		ask := m.keeper.Ask()
+		res, err := m.svc.Read(context.Background(), ask.Stream, ask.From, ask.Limit, 0)
+		switch {
+		case errors.Is(err, platform.ErrTruncated):
+			m.keeper.HandleTruncated(res)
+		case err == nil:
+			m.keeper.Handle(res)
+		}
 	}
 	if m.keeper.NeedsSnapshot(m.now, 24*time.Hour, s) || rapid.IntRange(0, 3).Draw(t, "eager") == 0 {
 		m.ids++
--- a/internal/config/follower.go
+++ b/internal/config/follower.go
@@ -25,10 +25,8 @@
 type phase int
 
 const (
-	// phaseProbe asks for the bounds of the stream of snapshots.
-	phaseProbe phase = iota
-	// phaseSeek steps back to the beginning of the newest whole snapshot.
-	phaseSeek
+	// phaseSearch looks for the newest whole snapshot.
+	phaseSearch phase = iota
 	// phaseAssemble reads that snapshot.
 	phaseAssemble
 	// phaseFollow reads changes.
@@ -41,12 +39,12 @@
 // returns to the snapshots when retention has passed what it would read next.
 // Its state never goes backwards.
 type Follower struct {
-	state State
-	phase phase
-	// at is the offset to read in the stream of snapshots, first its oldest.
-	at, first platform.Offset
-	// id and begin name the snapshot that is being read.
+	state  State
+	phase  phase
+	search tailSearch
+	// id names the snapshot that is being read, at the offset to go on from.
 	id       string
+	at       platform.Offset
 	assembly Assembly
 	// caughtUp is set for good once the state was the newest.
 	caughtUp bool
@@ -76,10 +74,8 @@
 // Ask returns what to read next.
 func (f *Follower) Ask() Ask {
 	switch f.phase {
-	case phaseProbe:
-		return Ask{Stream: SnapshotStream, Limit: 1}
-	case phaseSeek:
-		return Ask{Stream: SnapshotStream, From: f.at, Limit: 1}
+	case phaseSearch:
+		return f.search.ask()
 	case phaseAssemble:
 		return Ask{Stream: SnapshotStream, From: f.at, Limit: snapshotLimit}
 	default:
@@ -91,10 +87,8 @@
 // record that was folded.
 func (f *Follower) Handle(now time.Time, res platform.ReadResult) []Outcome {
 	switch f.phase {
-	case phaseProbe:
-		f.seek(res.First, res.Next-1)
-	case phaseSeek:
-		f.handleSeek(res)
+	case phaseSearch:
+		f.found(f.search.handle(res))
 	case phaseAssemble:
 		f.handleAssemble(res)
 	default:
@@ -106,16 +100,22 @@
 // HandleTruncated takes the answer that retention has passed what Ask named.
 func (f *Follower) HandleTruncated(res platform.ReadResult) {
 	switch f.phase {
-	case phaseProbe:
-		f.seek(res.First, res.Next-1)
+	case phaseSearch:
+		f.found(f.search.handle(res))
 	case phaseFollow:
 		f.lost = true
-		f.phase = phaseProbe
+		f.searchAgain()
 	default:
-		f.phase = phaseProbe
+		f.searchAgain()
 	}
 }
 
+// searchAgain goes back to the snapshots.
+func (f *Follower) searchAgain() {
+	f.search = tailSearch{}
+	f.phase = phaseSearch
+}
+
 // Restore takes a state from a peer, if it is newer.
 func (f *Follower) Restore(s State) {
 	if s.Next() > f.state.Next() {
@@ -134,36 +134,14 @@
 	}
 }
 
-// seek looks for a whole snapshot that ends at the offset or before.
-func (f *Follower) seek(first, at platform.Offset) {
-	f.first, f.at = first, at
-	f.phase = phaseSeek
-	if at < first {
-		f.phase = phaseFollow
-	}
-}
-
-// handleSeek looks at the last record of a snapshot.
-func (f *Follower) handleSeek(res platform.ReadResult) {
-	f.first = res.First
-	if len(res.Records) == 0 {
-		f.phase = phaseProbe
+// found begins to read the snapshot that the search came upon, if it is of use.
+func (f *Follower) found(snap foundSnapshot, done bool) {
+	if !done {
 		return
 	}
-	p, err := DecodeSnapshotPart(res.Records[0].Data)
-	begin := p.Begin
-	if p.Part == 0 {
-		begin = f.at
-	}
-	switch {
-	case err != nil:
-		f.seek(f.first, f.at-1)
-	case !p.Last || begin < f.first || begin > f.at:
-		f.seek(f.first, min(begin, f.at)-1)
-	case p.Next <= f.state.Next():
-		f.phase = phaseFollow // what stands is as new
-	default:
-		f.id, f.at, f.assembly = p.ID, begin, Assembly{}
+	f.phase = phaseFollow
+	if snap.ok && snap.last.Next > f.state.Next() {
+		f.id, f.at, f.assembly = snap.last.ID, snap.begin, Assembly{}
 		f.phase = phaseAssemble
 	}
 }
@@ -171,7 +149,7 @@
 // handleAssemble adds parts. Records of other snapshots may stand in between.
 func (f *Follower) handleAssemble(res platform.ReadResult) {
 	if len(res.Records) == 0 {
-		f.phase = phaseProbe
+		f.searchAgain()
 		return
 	}
 	for _, rec := range res.Records {
--- a/internal/config/keeper.go
+++ b/internal/config/keeper.go
@@ -11,10 +11,17 @@
 const SnapshotEvery = 2000
 
 // Keeper decides when a new snapshot is due. It runs at the holder of the
-// housekeeping lease only, and reads just the last record of each snapshot.
+// housekeeping lease only. It looks for the newest snapshot from the end of
+// the stream, and then reads what is appended.
 type Keeper struct {
+	// Stagger, from 0 to 1, puts the due time off by up to as much again, so
+	// that the holders of several zones don't all write the same snapshot.
+	Stagger float64
+
+	search tailSearch
+	found  bool // the search is done
 	at     platform.Offset
-	seen   bool
+	seen   bool // there is a snapshot
 	next   platform.Offset
 	taken  time.Time
 	synced bool
@@ -22,23 +29,57 @@
 
 // Ask returns what to read next in SnapshotStream.
 func (k *Keeper) Ask() Ask {
+	if !k.found {
+		return k.search.ask()
+	}
 	return Ask{Stream: SnapshotStream, From: k.at, Limit: snapshotLimit}
 }
 
 // Handle takes the answer to Ask.
 func (k *Keeper) Handle(res platform.ReadResult) {
+	if !k.found {
+		k.handleSearch(res)
+		return
+	}
 	for _, rec := range res.Records {
 		k.at = rec.Offset + 1
-		p, err := DecodeSnapshotPart(rec.Data)
-		if err == nil && p.Last && (!k.seen || p.Next >= k.next) {
-			k.seen, k.next, k.taken = true, p.Next, rec.Time
+		if p, err := DecodeSnapshotPart(rec.Data); err == nil {
+			k.note(p, rec)
 		}
 	}
 	k.synced = k.at >= res.Next
 }
 
 // HandleTruncated takes the answer that retention has passed what Ask named.
-func (k *Keeper) HandleTruncated(res platform.ReadResult) { k.at = res.First }
+func (k *Keeper) HandleTruncated(res platform.ReadResult) {
+	if !k.found {
+		k.handleSearch(res)
+		return
+	}
+	k.at = res.First
+}
+
+// handleSearch goes on with the search for the newest snapshot.
+func (k *Keeper) handleSearch(res platform.ReadResult) {
+	snap, done := k.search.handle(res)
+	if !done {
+		return
+	}
+	k.found, k.at = true, k.search.end
+	if snap.ok {
+		k.note(snap.last, snap.record)
+	}
+}
+
+// note remembers the newest whole snapshot.
+func (k *Keeper) note(p SnapshotPart, rec platform.Record) {
+	if p.Last && (!k.seen || p.Next >= k.next) {
+		k.seen, k.next, k.taken = true, p.Next, rec.Time
+	}
+}
+
+// Synced says that the Keeper has read all that the stream held.
+func (k *Keeper) Synced() bool { return k.synced }
 
 // NeedsSnapshot says whether a snapshot of the state should be appended now.
 // It is due well before retention passes the newest one, and after
@@ -52,6 +93,8 @@
 	case s.Next() < k.next:
 		return false // the holder itself is behind
 	default:
-		return now.Sub(k.taken) >= retention/2 || s.Next()-k.next >= SnapshotEvery
+		byAge := time.Duration(float64(retention/2) * (1 + k.Stagger/2))
+		byCount := SnapshotEvery * (1 + k.Stagger)
+		return now.Sub(k.taken) >= byAge || float64(s.Next()-k.next) >= byCount
 	}
 }
--- a/internal/config/schema_test.go
+++ b/internal/config/schema_test.go
@@ -106,6 +106,21 @@
 	}
 }
 
+func TestReferenceNamesEveryField(t *testing.T) {
+	page, err := os.ReadFile("../../docs/CONFIGURATION.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, def := range readSchema(t) {
+		for field, p := range def.Properties {
+			row := fmt.Sprintf("| `%s` |", field)
+			if !bytes.Contains(page, []byte(row)) || !bytes.Contains(page, []byte(p.Description)) {
+				t.Errorf("docs/CONFIGURATION.md lacks %q of %s, or its description", field, name)
+			}
+		}
+	}
+}
+
 // validator is the compiled schema.
 type validator struct{ schema *jsonschema.Schema }
 
--- a/internal/config/snapshot_test.go
+++ b/internal/config/snapshot_test.go
@@ -126,7 +126,8 @@
 	if k.NeedsSnapshot(start, retention, s) {
 		t.Error("due before the stream was read")
 	}
-	k.Handle(platform.ReadResult{})
+	k.Handle(platform.ReadResult{}) // bounds of the stream
+	k.Handle(platform.ReadResult{}) // nothing after them
 	if !k.NeedsSnapshot(start, retention, s) {
 		t.Error("not due although there is none")
 	}
@@ -138,12 +139,64 @@
 	if !k.NeedsSnapshot(start.Add(retention/2), retention, s) {
 		t.Error("not due after half the retention")
 	}
+	k.Stagger = 1
+	if k.NeedsSnapshot(start.Add(retention*3/4-1), retention, s) || !k.NeedsSnapshot(start.Add(retention*3/4), retention, s) {
+		t.Error("not staggered")
+	}
+	k.Stagger = 0
 	s.t.next += SnapshotEvery
 	if !k.NeedsSnapshot(start, retention, s) {
 		t.Error("not due after many records")
 	}
 }
 
+// countingLog counts the records that are read of each stream.
+type countingLog struct {
+	*platformsvc.Service
+	read map[platform.Stream]int
+}
+
+func (l countingLog) Read(ctx context.Context, s platform.Stream, from platform.Offset, limit int, wait time.Duration) (platform.ReadResult, error) {
+	res, err := l.Service.Read(ctx, s, from, limit, wait)
+	l.read[s] += len(res.Records)
+	return res, err
+}
+
+func TestKeeperAndFollowerReadOnlyTheNewestSnapshot(t *testing.T) {
+	ctx := context.Background()
+	log := countingLog{platformsvc.New(platformsvc.Options{Faults: &platformsvc.Faults{}}), make(map[platform.Stream]int)}
+	s := manyContracts(t, 1500)
+	parts := 0
+	for range s.Snapshot("count") {
+		parts++
+	}
+	for i := range 5 {
+		if err := AppendSnapshot(ctx, log, s, fmt.Sprintf("s%d", i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	f := NewFollower()
+	if _, err := f.Sync(ctx, log, time.Now); err != nil || f.State().Next() != s.Next() {
+		t.Fatalf("at %d: %v", f.State().Next(), err)
+	}
+	if n := log.read[SnapshotStream]; n > parts+2 {
+		t.Errorf("the follower read %d records for %d parts", n, parts)
+	}
+	log.read[SnapshotStream] = 0
+	k := &Keeper{}
+	for !k.Synced() {
+		ask := k.Ask()
+		res, err := log.Read(ctx, ask.Stream, ask.From, ask.Limit, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		k.Handle(res)
+	}
+	if n := log.read[SnapshotStream]; n > 2 || k.NeedsSnapshot(time.Now(), time.Hour, s) {
+		t.Errorf("the keeper read %d records", n)
+	}
+}
+
 func TestPartsAskedForOneByOneAreTheSnapshot(t *testing.T) {
 	s := manyContracts(t, 2000)
 	var after Cursor
--- a/internal/daemon/configfollower.go
+++ b/internal/daemon/configfollower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -37,7 +38,7 @@
 }
 
 func newConfigFollower(d *Daemon, log platform.Log) *configFollower {
-	return &configFollower{d: d, log: log, follower: config.NewFollower()}
+	return &configFollower{d: d, log: log, follower: config.NewFollower(), keeper: config.Keeper{Stagger: rand.Float64()}}
 }
 
 // run follows the stream until ctx ends.
@@ -118,7 +119,7 @@
 			return
 		}
 		f.keeper.Handle(res)
-		if len(res.Records) == 0 || f.keeper.Ask().From >= res.Next {
+		if f.keeper.Synced() {
 			break
 		}
 	}
