--- a/internal/adminapi/types.go
+++ b/internal/adminapi/types.go
@@ -61,7 +61,7 @@
 	Address string              `json:"address"`
 	// Owner is the instance that admits work to the endpoint.
 	Owner entity.InstanceID `json:"owner,omitempty"`
-	// Running and Queued count requests; they are known at the owner.
+	// Running and Queued count requests; only the owner knows, others say 0.
 	Running int  `json:"running"`
 	Queued  int  `json:"queued"`
 	Slots   int  `json:"slots"`
@@ -70,7 +70,8 @@
 	Failing bool `json:"failing,omitempty"`
 }
 
-// Pool is one row of the answer to GET PathPools.
+// Pool is one row of the answer to GET PathPools: what the instance owns of the
+// pool.
 type Pool struct {
 	ID        entity.PoolID       `json:"id"`
 	Kind      entity.EndpointKind `json:"kind"`
--- a/internal/cli/census.go
+++ b/internal/cli/census.go
@@ -37,18 +37,54 @@
 		return nil, err
 	}
 	members := make(census, len(known))
-	g, ctx := errgroup.WithContext(ctx)
+	inParallel(len(known), func(i int) {
+		members[i] = member{Instance: known[i], status: a.statusOf(ctx, known[i].AdminAddress)}
+	})
+	return members, nil
+}
+
+// inParallel calls f for 0 to n-1, censusParallel at a time.
+func inParallel(n int, f func(i int)) {
+	var g errgroup.Group
 	g.SetLimit(censusParallel)
-	for i, in := range known {
+	for i := range n {
 		g.Go(func() error {
-			members[i] = member{Instance: in, status: a.statusOf(ctx, in.AdminAddress)}
+			f(i)
 			return nil
 		})
 	}
-	if err := g.Wait(); err != nil {
-		return nil, trace.Wrap(err)
+	_ = g.Wait() // f returns no error
+}
+
+// answerOf is what one instance answered.
+type answerOf[T any] struct {
+	from entity.InstanceID
+	rows []T
+}
+
+// askAll asks every instance that gave its status, and returns the answers in
+// the census' order.
+func askAll[T any](ctx context.Context, a *App, c census, call func(*adminapi.Client, context.Context) ([]T, error)) []answerOf[T] {
+	answers := make([]*answerOf[T], len(c))
+	inParallel(len(c), func(i int) {
+		if c[i].status == nil {
+			return
+		}
+		client, err := a.client(c[i].AdminAddress)
+		if err != nil {
+			return
+		}
+		if rows, err := call(client, ctx); err == nil {
+			answers[i] = &answerOf[T]{from: c[i].ID, rows: rows}
+		}
+	})
+	var out []answerOf[T]
+	for _, ans := range answers {
+		if ans != nil {
+			out = append(out, *ans)
+		}
 	}
-	return members, nil
+	return out
 }
 
 // discover asks each seed for the instances that it knows of, and merges them.
--- /dev/null
+++ b/internal/cli/endpoints.go
@@ -0,0 +1,90 @@
+package cli
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/spf13/cobra"
+
+	"github.com/medlarhold/medlarhold/internal/adminapi"
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
+
+// endpointsCommand lists the endpoints.
+func (a *App) endpointsCommand() *cobra.Command {
+	var pool string
+	cmd := &cobra.Command{
+		Use:   "endpoints",
+		Short: "List the endpoints with their owners, running and queued requests",
+		Long: "Asks every instance, since only its owner knows what runs on an endpoint. Where the\n" +
+			"owner does not answer, RUNNING and QUEUED are unknown.",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			c, err := a.census(cmd.Context())
+			if err != nil {
+				return err
+			}
+			answers := askAll(cmd.Context(), a, c, (*adminapi.Client).Endpoints)
+			return a.showEndpoints(mergeEndpoints(answers), pool)
+		},
+	}
+	cmd.Flags().StringVar(&pool, "pool", "", "only endpoints of this pool")
+	return cmd
+}
+
+// endpointRow is one row of the list of endpoints.
+type endpointRow struct {
+	adminapi.Endpoint
+	// Unknown says that the owner did not answer.
+	Unknown bool `json:"unknown,omitempty"`
+}
+
+// mergeEndpoints takes each endpoint's row from its owner, or else from anyone.
+func mergeEndpoints(answers []answerOf[adminapi.Endpoint]) []endpointRow {
+	byID := make(map[entity.EndpointID]endpointRow)
+	for _, ans := range answers {
+		for _, e := range ans.rows {
+			fromOwner := e.Owner == ans.from
+			if _, seen := byID[e.ID]; !seen || fromOwner {
+				byID[e.ID] = endpointRow{Endpoint: e, Unknown: !fromOwner}
+			}
+		}
+	}
+	rows := make([]endpointRow, 0, len(byID))
+	for _, r := range byID {
+		rows = append(rows, r)
+	}
+	slices.SortFunc(rows, func(x, y endpointRow) int {
+		return cmp.Or(cmp.Compare(x.Pool, y.Pool), cmp.Compare(x.ID, y.ID))
+	})
+	return rows
+}
+
+func (a *App) showEndpoints(all []endpointRow, pool string) error {
+	rows := make([]endpointRow, 0, len(all))
+	t := table{header: []string{"POOL", "ENDPOINT", "ZONE", "ADDRESS", "OWNER", "RUNNING", "SLOTS", "QUEUED", "STATE"}}
+	for _, e := range all {
+		if pool != "" && string(e.Pool) != pool {
+			continue
+		}
+		rows = append(rows, e)
+		if e.Unknown {
+			t.row(e.Pool, e.ID, e.Zone, e.Address, e.Owner, "", e.Slots, "", "unknown")
+			continue
+		}
+		t.row(e.Pool, e.ID, e.Zone, e.Address, e.Owner, e.Running, e.Slots, e.Queued, endpointState(e.Endpoint))
+	}
+	return a.show(rows, t)
+}
+
+// endpointState names an endpoint's state in one word.
+func endpointState(e adminapi.Endpoint) string {
+	switch {
+	case e.Leaving:
+		return "leaving"
+	case e.Failing:
+		return "failing"
+	default:
+		return "in use"
+	}
+}
--- a/internal/cli/fake_test.go
+++ b/internal/cli/fake_test.go
@@ -136,6 +136,7 @@
 			{ID: "engine-1", Pool: "reports", Zone: "riga-1", Kind: "engine", Address: "10.0.0.1:80", Owner: "instance-0", Running: 3, Queued: 1, Slots: 8},
 			{ID: "engine-2", Pool: "reports", Zone: "riga-1", Kind: "engine", Address: "10.0.0.2:80", Owner: "instance-1", Slots: 8, Leaving: true},
 			{ID: "ledger-1", Pool: "ledger", Zone: "riga-1", Kind: "service", Address: "10.0.0.3:80", Owner: "instance-1", Slots: 4, Failing: true},
+			{ID: "ledger-2", Pool: "ledger", Zone: "riga-2", Kind: "service", Address: "10.0.0.4:80", Owner: "instance-3", Slots: 4},
 		},
 		"GET " + adminapi.PathPools: []adminapi.Pool{
 			{ID: "ledger", Kind: "service", Endpoints: 1, Slots: 4},
--- /dev/null
+++ b/internal/cli/instances.go
@@ -0,0 +1,44 @@
+package cli
+
+import (
+	"github.com/spf13/cobra"
+
+	"github.com/medlarhold/medlarhold/internal/adminapi"
+)
+
+// instancesCommand lists the instances.
+func (a *App) instancesCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "instances",
+		Short: "List the instances and what each says of itself",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			c, err := a.census(cmd.Context())
+			if err != nil {
+				return err
+			}
+			return a.showInstances(c)
+		},
+	}
+}
+
+// instanceRow is one row of the list of instances.
+type instanceRow struct {
+	adminapi.Instance
+	// Status is what the instance says of itself; absent if it did not answer.
+	Status *adminapi.Status `json:"status,omitempty"`
+}
+
+func (a *App) showInstances(c census) error {
+	rows := make([]instanceRow, 0, len(c))
+	t := table{header: []string{"ZONE", "INSTANCE", "STATE", "ADMIN", "READY", "DRAINING", "REVISION", "CONFIG AGE"}}
+	for _, m := range c {
+		rows = append(rows, instanceRow{Instance: m.Instance, Status: m.status})
+		if m.status == nil {
+			t.row(m.Zone, m.ID, m.State, m.AdminAddress, "unreachable", "", "", "")
+			continue
+		}
+		t.row(m.Zone, m.ID, m.State, m.AdminAddress, m.status.Ready, m.status.Draining, m.status.Revision, age(m.status.AgeMS))
+	}
+	return a.show(rows, t)
+}
