--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/sebdah/goldie/v2"
 	"github.com/spf13/cobra"
@@ -275,3 +276,15 @@
 		})
 	}
 }
+
+func TestLargeFileLeavesRoomOnTheLog(t *testing.T) {
+	w := newWorld(t)
+	var objects []string
+	for i := range publishBurst + publishPerSec {
+		objects = append(objects, strings.Replace(fmt.Sprintf(pool, 1), "ledger", fmt.Sprintf("pool-%d", i), 1))
+	}
+	w.must(ExitOK, "config", "publish", w.file("["+strings.Join(objects, ",")+"]"))
+	if took := w.now.Sub(start); took < 900*time.Millisecond || took > 1100*time.Millisecond {
+		t.Errorf("%d changes in %v", len(objects), took)
+	}
+}
--- a/internal/cli/configpublish.go
+++ b/internal/cli/configpublish.go
@@ -8,6 +8,7 @@
 
 	"github.com/gravitational/trace"
 	"github.com/spf13/cobra"
+	"golang.org/x/time/rate"
 
 	"github.com/medlarhold/medlarhold/internal/config"
 )
@@ -72,16 +73,27 @@
 	Unchanged bool `json:"unchanged,omitempty"`
 }
 
+// Pace of publishing. The log service takes several hundred appends a second
+// from everyone together, so that a large file must leave room for the rest.
+const (
+	publishPerSec = 50
+	publishBurst  = 20
+)
+
 // publishAll publishes one object after the other and stops at the first that
 // is not applied.
 func (a *App) publishAll(ctx context.Context, p *config.Publisher, objects []config.Object) ([]published, error) {
 	var done []published
+	pace := rate.NewLimiter(publishPerSec, publishBurst)
 	for _, o := range config.Ordered(objects) {
 		standing := p.Follower.State().Standing(o.Kind, o.Name)
 		if p.Follower.State().Unchanged(o) {
 			done = append(done, published{Outcome: config.Outcome{Standing: standing}, Unchanged: true})
 			continue
 		}
+		if err := a.Sleep(ctx, pace.ReserveN(a.Now(), 1).DelayFrom(a.Now())); err != nil {
+			return done, fail(ExitFailure, trace.Wrap(err), "What is listed was published. Run the same command again for the rest.")
+		}
 		out, err := p.Publish(ctx, a.change(o, standing.Revision))
 		if err != nil {
 			return done, publishFailure(o, err)
