--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -155,3 +155,23 @@
 
 const contractWithKey = `{"tiers":["urgent"],"requests_per_sec":1,"burst":1,"max_concurrent":1,` +
 	`"key_hashes":["9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08"]}`
+
+func TestKeyIsFoundByItsWholeHash(t *testing.T) {
+	s := publish(t, State{}, parseFile(t, "small.json"))
+	sum := sha256.Sum256([]byte("test"))
+	sum[len(sum)-1] ^= 1
+	if c, ok := s.ContractByKeyHash(sum); ok {
+		t.Errorf("half a hash found %q", c.Organisation)
+	}
+}
+
+func TestStateTimeNeverGoesBack(t *testing.T) {
+	first := recordOf(t, 0, Change{})
+	early := recordOf(t, 1, Change{})
+	early.Time = first.Time.Add(-time.Hour)
+	s, _ := State{}.Apply(first)
+	s, _ = s.Apply(early)
+	if !s.Time().Equal(first.Time) {
+		t.Errorf("state's time is %v", s.Time())
+	}
+}
--- a/internal/config/snapshot_test.go
+++ b/internal/config/snapshot_test.go
@@ -243,3 +243,25 @@
 		t.Error("went back to an older state")
 	}
 }
+
+func TestFollowerIsCaughtUpOnlyAtTheEnd(t *testing.T) {
+	ctx := context.Background()
+	svc := platformsvc.New(platformsvc.Options{Faults: &platformsvc.Faults{}})
+	for range followLimit + 1 {
+		if _, err := svc.Append(ctx, Stream, []byte(`{}`)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	f := NewFollower()
+	for f.State().Next() < followLimit {
+		if _, err := f.Step(ctx, svc, time.Now, 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if f.CaughtUp() {
+		t.Error("caught up one record before the end")
+	}
+	if _, err := f.Step(ctx, svc, time.Now, 0); err != nil || !f.CaughtUp() {
+		t.Errorf("not caught up at the end: %v", err)
+	}
+}
