--- a/internal/config/bench_test.go
+++ b/internal/config/bench_test.go
@@ -158,3 +158,66 @@
 		})
 	}
 }
+
+// endpointChange returns the change that makes or replaces the n-th endpoint.
+func endpointChange(n int, basedOn Revision) Change {
+	return Change{
+		ID:       fmt.Sprintf("01JGZ0000000000000%08d", n+int(basedOn)),
+		Kind:     KindEndpoint,
+		Name:     fmt.Sprintf("engine-%05d", n),
+		BasedOn:  basedOn,
+		Operator: "operator-1",
+		Spec: fmt.Appendf(nil, `{"pool":"pool-%d","zone":"zone-%d","address":"10.0.%d.%d:8000","models":["model-%d"],`+
+			`"slots":64,"kv_tokens":400000,"generation":"g2","prefill_tokens_per_sec":9000,"decode_tokens_per_sec":40}`,
+			n%25, n%15, n/250, n%250, n%25),
+	}
+}
+
+// manyEndpoints returns a state with 25 pools of one model each and n endpoints.
+func manyEndpoints(tb testing.TB, n int) State {
+	s := publish(tb, State{}, parseFile(tb, "small.json")[:1])
+	apply := func(c Change) {
+		var out Outcome
+		if s, out = s.Apply(recordOf(tb, s.Next(), c)); out.Result != ResultApplied {
+			tb.Fatal(out)
+		}
+	}
+	for i := range 25 {
+		apply(Change{ID: fmt.Sprintf("p%d", i), Kind: KindPool, Name: fmt.Sprintf("pool-%d", i), Spec: []byte(poolSpec)})
+		apply(Change{ID: fmt.Sprintf("m%d", i), Kind: KindModel, Name: fmt.Sprintf("model-%d", i), Spec: fmt.Appendf(nil, `{"pool":"pool-%d"}`, i)})
+	}
+	for i := range n {
+		apply(endpointChange(i, 0))
+	}
+	return s
+}
+
+// endpointSizes are the numbers of endpoints that the benchmarks run at.
+var endpointSizes = []int{350, 1500, 5300}
+
+func BenchmarkEndpointMemory(b *testing.B) {
+	for _, n := range endpointSizes {
+		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				before := heapBytes()
+				s := manyEndpoints(b, n)
+				b.ReportMetric(float64(heapBytes()-before)/float64(n), "B/endpoint")
+				runtime.KeepAlive(s)
+			}
+		})
+	}
+}
+
+func BenchmarkApplyEndpoint(b *testing.B) {
+	for _, n := range endpointSizes {
+		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
+			s := manyEndpoints(b, n)
+			name := fmt.Sprintf("engine-%05d", n/2)
+			rec := recordOf(b, s.Next(), endpointChange(n/2, s.Standing(KindEndpoint, name).Revision))
+			b.ReportAllocs()
+			for b.Loop() {
+				s.Apply(rec)
+			}
+		})
+	}
+}
