--- a/internal/core/request/entry.go
+++ b/internal/core/request/entry.go
@@ -64,6 +64,8 @@
 	// FirstPatience is how long a request stays in an owner's queue before it
 	// looks for room elsewhere; the pause doubles up to MaxPatience.
 	FirstPatience, MaxPatience time.Duration
+	// DispatchWithin is how long a grant may wait for its dispatch.
+	DispatchWithin time.Duration
 }
 
 // Entry is the table of requests and the systems that run over it.
@@ -169,8 +171,9 @@
 
 // askToResume asks the present owner of the endpoint that holds the paused stream.
 func (e *Entry) askToResume(now time.Time, r *row) {
-	r.asks = nil
-	if owner, ok := e.router.OwnerOf(r.resume); ok {
+	owner, ok := e.router.OwnerOf(r.resume)
+	e.withdraw(r, owner)
+	if ok {
 		e.reserve(now, r, routing.Choice{Owner: owner, Endpoint: r.resume})
 		return
 	}
@@ -180,17 +183,25 @@
 // reserve sends one question. Only one question at a time may be queued; the
 // others want a slot at once or a refusal.
 func (e *Entry) reserve(now time.Time, r *row, c routing.Choice) {
-	r.asks = append(r.asks, ask{Choice: c, at: now})
-	e.ready.Reservations = append(e.ready.Reservations, ReservationTo{
-		Owner:       c.Owner,
-		Reservation: entity.Reservation{Work: r.work, From: e.settings.Self, Resume: r.resume, NoWait: c.NoWait},
-	})
+	r.questions++
+	a := ask{Choice: c, at: now, number: r.questions}
+	r.asks = append(r.asks, a)
+	e.question(r, a)
 	if !c.NoWait {
 		r.patience = e.settings.FirstPatience
 		e.wakeAfter(now, r, r.patience)
 	}
 }
 
+// question sends a question, for the first time or again.
+func (e *Entry) question(r *row, a ask) {
+	e.ready.Reservations = append(e.ready.Reservations, ReservationTo{
+		Owner: a.Owner,
+		Reservation: entity.Reservation{Work: r.work, From: e.settings.Self, Question: a.number,
+			Resume: r.resume, NoWait: a.NoWait},
+	})
+}
+
 // giveUp ends a request that no owner in reach takes, if that is proved; else
 // the request starts again after a pause.
 func (e *Entry) giveUp(now time.Time, r *row) {
@@ -216,34 +227,44 @@
 // Granted tells that an owner holds a slot for the request.
 func (e *Entry) Granted(now time.Time, from entity.InstanceID, g entity.Grant) {
 	r, ok := e.rows[g.ID]
-	if !ok || !r.asked(from) || (r.state != StateAsking && r.state != StatePaused) {
-		e.ready.Releases = append(e.ready.Releases, ReleaseTo{Owner: from, Release: entity.Release{ID: g.ID, Endpoint: g.Endpoint, Unused: true}})
+	if ok && r.endpoint == g.Endpoint && r.granted == g.Question {
+		return // a repetition of the grant that the request was dispatched on
+	}
+	if !ok || !r.awaits(from, g.Question) || (r.state != StateAsking && r.state != StatePaused) {
+		e.unused(from, g)
 		return
 	}
 	e.withdraw(r, from)
 	e.setTimer(r, r.work.Deadline)
 	e.router.Granted(now, from, &r.work, g)
-	r.owner, r.endpoint = from, g.Endpoint
+	r.owner, r.endpoint, r.granted = from, g.Endpoint, g.Question
 	if r.state == StatePaused {
 		r.state = StateRunning
 		e.direct(Directive{ID: g.ID, Kind: DirectiveResume, Endpoint: g.Endpoint})
 		return
 	}
 	if r.work.NonIdempotent && !e.claims.MayDispatch(now, g.ID) {
-		e.ready.Releases = append(e.ready.Releases, ReleaseTo{Owner: from, Release: entity.Release{ID: g.ID, Endpoint: g.Endpoint, Unused: true}})
+		e.unused(from, g)
 		e.refuse(now, r, verdict.ReasonKeyExpired, 0)
 		return
 	}
 	r.state = StateRunning
 	r.dispatches++
-	e.direct(Directive{ID: g.ID, Kind: DirectiveDispatch, Endpoint: g.Endpoint, ImportFrom: g.ImportFrom})
+	e.direct(Directive{ID: g.ID, Kind: DirectiveDispatch, Endpoint: g.Endpoint, ImportFrom: g.ImportFrom,
+		NotAfter: now.Add(e.settings.DispatchWithin)})
+}
+
+// unused gives a slot back that the request has no use for.
+func (e *Entry) unused(owner entity.InstanceID, g entity.Grant) {
+	e.ready.Releases = append(e.ready.Releases, ReleaseTo{Owner: owner,
+		Release: entity.Release{ID: g.ID, Question: g.Question, Endpoint: g.Endpoint, Unused: true}})
 }
 
 // withdraw takes back all questions but the one to an owner that answered.
 func (e *Entry) withdraw(r *row, answered entity.InstanceID) {
 	for _, a := range r.asks {
 		if a.Owner != answered {
-			e.ready.Cancels = append(e.ready.Cancels, CancelTo{Owner: a.Owner, ID: r.work.ID})
+			e.ready.Cancels = append(e.ready.Cancels, CancelTo{Owner: a.Owner, ID: r.work.ID, Question: a.number})
 		}
 	}
 	r.asks = nil
@@ -252,7 +273,7 @@
 // Refused tells that an owner does not take the request.
 func (e *Entry) Refused(now time.Time, from entity.InstanceID, f entity.Refusal) {
 	r, ok := e.rows[f.ID]
-	if !ok || !r.asked(from) {
+	if !ok || !r.awaits(from, f.Question) {
 		return
 	}
 	a := r.answered(from)
@@ -262,6 +283,8 @@
 		r.markInfeasible(from)
 	}
 	switch {
+	case r.state == StatePaused && f.Infeasible:
+		e.cancelRunning(now, r, verdict.ReasonDeadline)
 	case r.state == StatePaused:
 		e.wakeAfter(now, r, e.settings.RetryInterval)
 	case len(r.asks) == 0 || a.NoWait:
@@ -270,9 +293,9 @@
 }
 
 // Unreachable tells that a question could not be delivered to an owner.
-func (e *Entry) Unreachable(now time.Time, owner entity.InstanceID, id entity.RequestID) {
+func (e *Entry) Unreachable(now time.Time, owner entity.InstanceID, id entity.RequestID, question uint32) {
 	e.router.Unreachable(now, owner)
-	if r, ok := e.rows[id]; ok && r.asked(owner) {
+	if r, ok := e.rows[id]; ok && r.awaits(owner, question) {
 		e.unanswered(now, r, owner)
 	}
 }
@@ -305,17 +328,27 @@
 	for _, r := range e.sortedRows() {
 		for _, a := range r.asks {
 			if a.Owner == owner {
-				e.ready.Reservations = append(e.ready.Reservations, ReservationTo{Owner: owner,
-					Reservation: entity.Reservation{Work: r.work, From: e.settings.Self, Resume: r.resume, NoWait: a.NoWait}})
+				e.question(r, a)
 			}
 		}
 	}
 }
 
+// Thawed tells that the instance was away. Answers to questions of before may
+// be long out of date, so the requests ask anew.
+func (e *Entry) Thawed(now time.Time) {
+	for _, r := range e.sortedRows() {
+		if len(r.asks) > 0 {
+			e.withdraw(r, "")
+			e.wakeAfter(now, r, 0)
+		}
+	}
+}
+
 // Preempted tells that an owner wants the slot back for a higher tier.
 func (e *Entry) Preempted(now time.Time, from entity.InstanceID, p entity.Preemption) {
 	r, ok := e.rows[p.ID]
-	if !ok || r.owner != from || r.state != StateRunning {
+	if !ok || r.owner != from || r.granted != p.Question || r.state != StateRunning {
 		return
 	}
 	if !p.Pause {
@@ -345,6 +378,7 @@
 		return
 	}
 	end.Release.ID, end.Release.Endpoint = id, r.endpoint
+	e.withdraw(r, r.owner)
 	e.release(r, end.Release)
 	if end.Err == nil {
 		e.finish(now, r, nil, end.Answer)
