--- a/internal/config/bench_test.go
+++ b/internal/config/bench_test.go
@@ -221,3 +221,17 @@
 		})
 	}
 }
+
+func BenchmarkRestoreEndpoints(b *testing.B) {
+	for _, n := range endpointSizes {
+		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
+			s := manyEndpoints(b, n)
+			b.ReportAllocs()
+			for b.Loop() {
+				if got := reload(b, s); len(got.AllEndpoints()) != n {
+					b.Fatal(len(got.AllEndpoints()))
+				}
+			}
+		})
+	}
+}
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -207,6 +207,7 @@
 	}
 	t := a.t
 	*a = Assembly{}
+	t.indexEndpoints()
 	return State{t}, true, nil
 }
 
@@ -245,6 +246,10 @@
 		State{a.t}.intern(doc)
 		e.doc = doc
 	}
+	if r.Kind == KindEndpoint {
+		a.t.objects.ReplaceOrInsert(item{rank: r.Kind.rank(), name: r.Name, e: e}) // indexed at the end
+		return nil
+	}
 	a.t.put(r.Kind, r.Name, e)
 	return nil
 }
--- a/internal/config/tables.go
+++ b/internal/config/tables.go
@@ -75,6 +75,17 @@
 	}
 }
 
+// indexEndpoints builds the lists of endpoints anew from the table of objects.
+func (t *tables) indexEndpoints() {
+	t.byPool = make(map[entity.PoolID][]*entity.Endpoint)
+	t.all = nil
+	for e := range all[*Endpoint](State{t}, KindEndpoint) {
+		row := e.Entity(t.poolKind(e.Pool))
+		t.byPool[e.Pool] = append(t.byPool[e.Pool], &row)
+		t.all = append(t.all, &row)
+	}
+}
+
 // poolKind returns the kind of the pool's endpoints.
 func (t *tables) poolKind(id entity.PoolID) entity.EndpointKind {
 	p, ok := State{t}.Pool(id)
