Command-line tool over TLS with the operators' own CA

Instances may serve their admin interface over TLS, and the addresses that the tool learns from them carry no scheme. --ca-file names whom to trust, and means TLS for every such address.

--- a/internal/cli/app.go
+++ b/internal/cli/app.go
@@ -29,6 +29,7 @@
 	EnvOperator    = "MEDLARHOLD_OPERATOR"
 	EnvInstance    = "MEDLARHOLD_INSTANCE"
 	EnvKey         = "MEDLARHOLD_KEY"
+	EnvCAFile      = "MEDLARHOLD_CA_FILE"
 )
 
 // App is what the commands share. The zero value is not usable; see NewApp.
@@ -57,6 +58,7 @@
 	admin       []string
 	operator    string
 	operatorKey string // file that holds it
+	caFile      string
 }
 
 // NewApp returns an App for the process.
@@ -118,7 +120,10 @@
 	f.StringSliceVar(&a.flags.admin, "admin", nil, "admin addresses of one or more instances (default $"+EnvAdmin+")")
 	f.StringVar(&a.flags.operator, "operator", "", "operator's name, kept with each change (default $"+EnvOperator+" or $USER)")
 	f.StringVar(&a.flags.operatorKey, "operator-key-file", "", "file with the operator's key (default: key in $"+EnvOperatorKey+")")
-	root.PersistentPreRunE = func(*cobra.Command, []string) error { return a.checkOutput() }
+	f.StringVar(&a.flags.caFile, "ca-file", "", "CA certificates (PEM) to trust; addresses without a scheme are then reached over TLS (default $"+EnvCAFile+")")
+	root.PersistentPreRunE = func(*cobra.Command, []string) error {
+		return errors.Join(a.checkOutput(), a.trustCA())
+	}
 	root.AddCommand(
 		a.configCommand(),
 		a.instancesCommand(),
@@ -197,7 +202,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return adminapi.NewClient(address, key, a.HTTP), nil
+	return adminapi.NewClient(a.url(address), key, a.HTTP), nil
 }
 
 // follower returns a follower that holds the newest configuration.
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"encoding/json"
+	"encoding/pem"
 	"fmt"
+	"io"
+	"log"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -11,6 +15,7 @@
 	"github.com/sebdah/goldie/v2"
 	"github.com/spf13/cobra"
 
+	"github.com/medlarhold/medlarhold/internal/adminapi"
 	"github.com/medlarhold/medlarhold/internal/callerapi"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/standin/platformsvc"
@@ -288,3 +293,20 @@
 		t.Errorf("%d changes in %v", len(objects), took)
 	}
 }
+
+func TestInstancesOverTLS(t *testing.T) {
+	w := newWorld(t)
+	srv := httptest.NewUnstartedServer(nil)
+	addr := srv.Listener.Addr().String()
+	row := adminapi.Instance{ID: "i", Zone: "z", AdminAddress: addr, State: adminapi.InstanceAlive}
+	srv.Config.Handler = instanceHandler(adminapi.Status{Instance: "i", Zone: "z", Revision: 5}, []adminapi.Instance{row})
+	srv.Config.ErrorLog = log.New(io.Discard, "", 0)
+	srv.StartTLS()
+	defer srv.Close()
+	ca := w.file(string(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: srv.Certificate().Raw})))
+	w.must(ExitOK, "--ca-file", ca, "--admin", addr, "instances")
+	if !strings.Contains(w.out.String(), addr) || strings.Contains(w.out.String(), "unreachable") {
+		t.Errorf("got\n%s", &w.out)
+	}
+	w.must(ExitUsage, "--ca-file", w.file("no certificate"), "--admin", addr, "instances")
+}
--- a/internal/cli/request.go
+++ b/internal/cli/request.go
@@ -47,9 +47,6 @@
 	if address == "" {
 		return nil, fail(ExitUsage, trace.BadParameter("no instance is named"), "Give --instance host:port or set "+EnvInstance+".")
 	}
-	if !strings.Contains(address, "://") {
-		address = "http://" + address
-	}
 	key := a.Getenv(EnvKey)
 	if o.keyFile != "" {
 		data, err := a.readFile(o.keyFile)
@@ -58,7 +55,7 @@
 		}
 		key = strings.TrimSpace(string(data))
 	}
-	return sling.New().Base(address).Set("Authorization", "Bearer "+key), nil
+	return sling.New().Base(a.url(address)).Set("Authorization", "Bearer "+key), nil
 }
 
 // exchange sends a request and returns the answer with its body still open.
