--- a/internal/core/request/row.go
+++ b/internal/core/request/row.go
@@ -98,9 +98,10 @@
 	}
 }
 
-// shedReason is the deadline where no owner could have met it, else overload.
+// shedReason is the deadline where an owner could not have met it with nobody
+// else there, so that only the owners that promised were asked for room.
 func (r *row) shedReason() verdict.Reason {
-	if len(r.tried) > 0 && !slices.ContainsFunc(r.tried, func(c routing.Choice) bool { return !c.Infeasible }) {
+	if slices.ContainsFunc(r.tried, func(c routing.Choice) bool { return c.Infeasible }) {
 		return verdict.ReasonDeadline
 	}
 	return verdict.ReasonOverload
