--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -310,3 +310,17 @@
 	}
 	w.must(ExitUsage, "--ca-file", w.file("no certificate"), "--admin", addr, "instances")
 }
+
+func TestCompletionScripts(t *testing.T) {
+	w := newWorld(t)
+	for _, shell := range []string{"bash", "zsh", "fish", "powershell"} {
+		w.must(ExitOK, "completion", shell)
+		if !strings.Contains(w.out.String(), "medlarhold") {
+			t.Errorf("%s: no script", shell)
+		}
+	}
+	w.must(ExitOK, "__complete", "config", "show", "")
+	if !strings.HasPrefix(w.out.String(), "deployment\npool\nmodel\nendpoint\ncontract\n") {
+		t.Errorf("kinds are not completed: %q", w.out.String())
+	}
+}
--- a/internal/platform/faults_test.go
+++ b/internal/platform/faults_test.go
@@ -164,3 +164,24 @@
 func instance(id entity.InstanceID) entity.Instance {
 	return entity.Instance{ID: id, Zone: "z", PeerAddress: "127.0.0.1:1"}
 }
+
+func TestSlowLogDelaysEveryCall(t *testing.T) {
+	var slept []time.Duration
+	svc := platformsvc.New(platformsvc.Options{
+		Faults: &platformsvc.Faults{SlowMS: 700},
+		Sleep: func(_ context.Context, d time.Duration) error {
+			slept = append(slept, d)
+			return nil
+		},
+	})
+	ctx := context.Background()
+	if _, err := svc.Append(ctx, "s", []byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := svc.Read(ctx, "s", 0, 1, 0); err != nil {
+		t.Fatal(err)
+	}
+	if len(slept) != 2 || slept[0] != 700*time.Millisecond || slept[1] != slept[0] {
+		t.Errorf("slept %v", slept)
+	}
+}
