--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -80,11 +80,15 @@
 	if len(src) > MaxFileBytes {
 		return nil, []Problem{{File: file, Path: "/", Reason: fmt.Sprintf("file is longer than %d bytes", MaxFileBytes)}}
 	}
+	lines := newLineStarts(src)
+	if i := tooDeep(src); i >= 0 {
+		return nil, []Problem{{File: file, Line: lines.lineAt(i), Path: "/", Reason: fmt.Sprintf("nested more than %d levels", maxDepth)}}
+	}
 	root, err := hujson.Parse(src)
 	if err != nil {
 		return nil, []Problem{syntaxProblem(file, err)}
 	}
-	loc := location{file: file, lines: newLineStarts(src), root: &root}
+	loc := location{file: file, lines: lines, root: &root}
 	if arr, ok := root.Value.(*hujson.Array); ok {
 		return parseArray(loc, arr)
 	}
--- a/internal/config/schema_test.go
+++ b/internal/config/schema_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"reflect"
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -240,3 +241,22 @@
 		t.Error(diff)
 	}
 }
+
+func TestDeepNestingIsRefused(t *testing.T) {
+	deep := bytes.Repeat([]byte("["), 1<<20)
+	got := problemsOf(append([]byte("// \"[\n"), deep...))
+	if len(got) != 1 || got[0].Line != 2 {
+		t.Errorf("got %v", got)
+	}
+	brackets := string(deep[:2*maxDepth])
+	for _, src := range []string{
+		"// " + brackets + "\n[]", "/* " + brackets + " */ []", "[ // " + brackets + "\n]",
+		`{"kind":"pool","name":"\"` + brackets + `","delete":true}`,
+	} {
+		for _, p := range problemsOf([]byte(src)) {
+			if strings.Contains(p.Reason, "levels") {
+				t.Errorf("%.20s: %v", src, p)
+			}
+		}
+	}
+}
