--- a/cmd/medlarhold-standin/main.go
+++ b/cmd/medlarhold-standin/main.go
@@ -1,10 +1,9 @@
-// Command medlarhold-standin runs stand-ins for what surrounds the system, for
-// tests and demonstrations only.
+// Command medlarhold-standin runs stand-ins for what surrounds the system in
+// tests and demonstrations. It is for tests only: it keeps everything in
+// memory, checks no one's identity and brings about faults on demand.
 package main
 
 import (
-	"context"
-	"fmt"
 	"os"
 
 	"github.com/spf13/cobra"
@@ -12,14 +11,12 @@
 
 func main() {
 	root := &cobra.Command{
-		Use:           "medlarhold-standin",
-		Short:         "Stand-ins for engines and services; for tests only",
-		SilenceUsage:  true,
-		SilenceErrors: true,
+		Use:          "medlarhold-standin",
+		Short:        "Stand-ins for tests only: platform, engine, plain service",
+		SilenceUsage: true,
 	}
-	root.AddCommand(engineCommand(), serviceCommand(), relayCommand(), loadCommand())
-	if err := root.ExecuteContext(context.Background()); err != nil {
-		fmt.Fprintln(os.Stderr, "error:", err)
+	root.AddCommand(platformCommand(), engineCommand(), serviceCommand(), relayCommand(), loadCommand())
+	if err := root.Execute(); err != nil {
 		os.Exit(1)
 	}
 }
--- /dev/null
+++ b/internal/caller/headers.go
@@ -0,0 +1,4 @@
+package caller
+
+// maxKeyBytes bounds a request key.
+const maxKeyBytes = 128
--- /dev/null
+++ b/internal/daemon/messages.go
@@ -0,0 +1,34 @@
+package daemon
+
+import (
+	"github.com/medlarhold/medlarhold/internal/core/claim"
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/limit"
+	"github.com/medlarhold/medlarhold/internal/core/membership"
+	"github.com/medlarhold/medlarhold/internal/core/node"
+	"github.com/medlarhold/medlarhold/internal/core/placement"
+	"github.com/medlarhold/medlarhold/internal/core/steward"
+	"github.com/medlarhold/medlarhold/internal/peer"
+)
+
+// messages lists what travels between instances, and what of it is control.
+func messages() *peer.Registry {
+	r := peer.NewRegistry()
+	peer.Register[membership.Message](r, "m", peer.ClassControl)
+	peer.Register[node.Holding](r, "hold", peer.ClassControl)
+	peer.Register[peer.Reservation](r, "ask", peer.ClassRequest)
+	peer.Register[entity.Grant](r, "ok", peer.ClassRequest)
+	peer.Register[entity.Refusal](r, "no", peer.ClassRequest)
+	peer.Register[entity.Preemption](r, "yield", peer.ClassRequest)
+	peer.Register[entity.Release](r, "free", peer.ClassRequest)
+	peer.Register[node.Withdraw](r, "undo", peer.ClassRequest)
+	peer.Register[limit.Demand](r, "want", peer.ClassControl)
+	peer.Register[limit.Share](r, "lend", peer.ClassControl)
+	peer.Register[claim.Proposal](r, "claim", peer.ClassRequest)
+	peer.Register[claim.Outcome](r, "done", peer.ClassRequest)
+	peer.Register[claim.Decision](r, "won", peer.ClassRequest)
+	peer.Register[claim.Acknowledgement](r, "noted", peer.ClassRequest)
+	peer.Register[steward.Demand](r, "load", peer.ClassControl)
+	peer.Register[placement.Report](r, "held", peer.ClassControl)
+	return r
+}
--- a/internal/standin/load/answer.go
+++ b/internal/standin/load/answer.go
@@ -10,6 +10,9 @@
 // Answer is what became of one request, as its caller saw it. It is one line
 // of the journal.
 type Answer struct {
+	// Number is the request's place in the plan.
+	Number int `json:"number"`
+	// RequestID is the id that the system gave the request; empty if no answer came.
 	RequestID entity.RequestID `json:"request_id"`
 	Profile   string           `json:"profile"`
 	Tier      string           `json:"tier"`
--- a/internal/standin/load/plan_test.go
+++ b/internal/standin/load/plan_test.go
@@ -95,10 +95,10 @@
 		h := prefix.Hash(a.Prompt, 0)
 		blocks[name+"/template"]++
 		if h[1] != prefix.Hash(text(name, 32), 0)[1] {
-			t.Fatalf("%s: the second block is not the template's", a.ID)
+			t.Fatalf("%d: the second block is not the template's", a.Number)
 		}
 		if h[2] == prefix.Hash(text(name, 48), 0)[2] {
-			t.Fatalf("%s: the third block is the template's", a.ID)
+			t.Fatalf("%d: the third block is the template's", a.Number)
 		}
 	}
 	if len(blocks) < 20 {
