Engine calls of the entry: truth and cost of work that is stopped

Seen red: a cancelled request ended before its end mark came, so that its prefill was not counted as wasted; a cancel that came before the dispatch stopped nothing; a stream that was given up on went on at the engine and held its slot. KV cache was asked for without the model, under which engines keep it. A service's 5xx is no longer told as ran. The endpoint client's counters are in the instance's metrics.

--- a/internal/caller/enginejob.go
+++ b/internal/caller/enginejob.go
@@ -37,14 +37,37 @@
 	defer cancel()
 	j.stop.Store(&cancel)
 	j.importPrefix(ctx, e, d)
+	if c := j.cancelled.Load(); c != nil { // the cancel came before there was anything to stop
+		j.s.opts.Control.Ended(j.id, request.End{Err: notRun(c)})
+		return
+	}
 	start := j.s.opts.Clock()
 	res, err := j.s.opts.Endpoints.Generate(ctx, e.Address, endpoint.GenerateRequest{
 		RequestID: j.id, Model: j.body.Model, Adapter: j.body.Adapter, Prompt: j.body.Prompt, MaxTokens: j.body.MaxTokens, Stream: true,
 	}, func(t endpoint.Token) error { return j.token(start, t) })
 	j.result = res
+	if err != nil && verdict.Of(err).Verdict == verdict.MayHaveRun && res.FinishReason == "" {
+		go j.abandon(context.WithoutCancel(ctx), e)
+	}
 	j.s.opts.Control.Ended(j.id, j.end(res, err))
 }
 
+// abandon has the engine drop a stream that no one reads any more, so that it
+// doesn't hold its slot to the end.
+func (j *engineJob) abandon(ctx context.Context, e entity.Endpoint) {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	// Nothing is left to do when it fails: engines drop such streams by themselves.
+	_, _ = j.s.opts.Endpoints.Cancel(ctx, e.Address, j.id)
+}
+
+// notRun is the reason of a cancel for a request that was never sent.
+func notRun(c *verdict.Error) *verdict.Error {
+	out := *c
+	out.Verdict = verdict.NotRun
+	return &out
+}
+
 // importPrefix moves KV cache from another engine before the dispatch. When it
 // fails the engine computes the prompt itself.
 func (j *engineJob) importPrefix(ctx context.Context, e entity.Endpoint, d request.Directive) {
@@ -52,11 +75,21 @@
 	if d.ImportFrom == "" || !ok {
 		return
 	}
+	j.moveKV(ctx, from.Address, e.Address)
+}
+
+// moveKV has the engine at address to fetch what the one at from holds of the prompt.
+func (j *engineJob) moveKV(ctx context.Context, from, to string) {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	blocks, err := j.s.opts.Endpoints.Export(ctx, from.Address, endpoint.ExportRequest{Prefix: endpoint.ToWire(prefix.Hash(j.body.Prompt, prefix.DefaultBlockTokens))})
-	if err == nil && len(blocks.Blocks) > 0 {
-		_, _ = j.s.opts.Endpoints.Import(ctx, e.Address, endpoint.ImportRequest{From: from.Address, Blocks: blocks.Blocks})
+	held, err := j.s.opts.Endpoints.Export(ctx, from, endpoint.ExportRequest{
+		Model: j.body.Model, Adapter: j.body.Adapter,
+		Prefix: endpoint.ToWire(prefix.Hash(j.body.Prompt, j.s.opts.PrefixBlockTokens)),
+	})
+	if err == nil && len(held.Blocks) > 0 {
+		_, _ = j.s.opts.Endpoints.Import(ctx, to, endpoint.ImportRequest{
+			From: from, Model: j.body.Model, Adapter: j.body.Adapter, Blocks: held.Blocks,
+		})
 	}
 }
 
@@ -85,11 +118,14 @@
 		return end
 	}
 	m.WastedPrefillTokens.Inc(int64(res.PrefillTokens))
+	end.Err = verdict.Of(err)
 	if c := j.cancelled.Load(); c != nil {
+		if end.Err.Verdict == verdict.NotRun {
+			c = notRun(c)
+		}
 		end.Err = c
 		return end
 	}
-	end.Err = verdict.Of(err)
 	end.Release.Failed = end.Err.Reason != verdict.ReasonCallerGone
 	return end
 }
@@ -117,8 +153,10 @@
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
 	j.cancelled.CompareAndSwap(nil, d.Err)
-	_, _ = j.s.opts.Endpoints.Cancel(ctx, e.Address, j.id)
-	j.abort(d.Err)
+	// The stream's end mark, which says how much was processed, ends the call.
+	if _, err := j.s.opts.Endpoints.Cancel(ctx, e.Address, j.id); err != nil {
+		j.abort(d.Err)
+	}
 }
 
 // abort ends the call to the engine, after which Ended is reported.
--- a/internal/caller/services.go
+++ b/internal/caller/services.go
@@ -153,7 +153,7 @@
 	case d.Err != nil:
 		writeError(j.w, j.id, d.Err)
 	case j.answered:
-		j.writeResponse(verdict.Ran)
+		j.writeResponse(j.response.Verdict())
 	case d.Answer != nil:
 		j.replay(d.Answer)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -103,7 +103,7 @@
 // assemble connects the parts.
 func (d *Daemon) assemble() {
 	s := d.settings
-	d.endpoints = endpoint.New(endpoint.Options{TLS: d.certs.client()})
+	d.endpoints = endpoint.New(endpoint.Options{TLS: d.certs.client(), Metrics: d.metrics.Registry()})
 	d.poller = newPoller(d.endpoints, func(msg any) { d.loop.Post(msg) }, d.reportHeld)
 	d.transport = peer.NewTransport(peer.Options{
 		Self: d.self, Keys: d.keys.PeerKeys, ServerTLS: d.certs.server(), ClientTLS: d.certs.client(),
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"fmt"
 	"net/http"
 
 	"github.com/cenkalti/backoff/v5"
@@ -10,12 +11,16 @@
 	"github.com/medlarhold/medlarhold/internal/verdict"
 )
 
-// The names of the counters; those that end in a dot are followed by a reason.
+// The names of the counters. MetricFailed takes a reason.
 const (
-	MetricReattach   = "endpoint.reattach"
-	MetricNoProgress = "endpoint.no_progress"
-	MetricRepeated   = "endpoint.control_repeated"
-	MetricFailed     = "endpoint.failed."
+	// MetricReattach counts attachments to streams whose connection was lost.
+	MetricReattach = "medlarhold_endpoint_reattachments_total"
+	// MetricNoProgress counts connections that were given up on for lack of progress.
+	MetricNoProgress = "medlarhold_endpoint_no_progress_total"
+	// MetricRepeated counts second tries of calls that may be repeated.
+	MetricRepeated = "medlarhold_endpoint_repeated_calls_total"
+	// MetricFailed counts failures by reason.
+	MetricFailed = "medlarhold_endpoint_failures_total{reason=%q}"
 )
 
 // Client talks to endpoints. It is safe for use by several goroutines.
@@ -68,6 +73,6 @@
 
 // failed counts err by its reason and returns it.
 func (c *Client) failed(err error) error {
-	c.count(MetricFailed + string(verdict.Of(err).Reason))
+	c.count(fmt.Sprintf(MetricFailed, verdict.Of(err).Reason))
 	return err
 }
--- a/internal/endpoint/generate_test.go
+++ b/internal/endpoint/generate_test.go
@@ -79,25 +79,36 @@
 	wantDispatches(t, e, "a", 0)
 }
 
+// TestMiddleboxThatLosesTrack has the connection go silent while the stream is
+// paused, so that its next tokens are certain to be lost on the way.
 func TestMiddleboxThatLosesTrack(t *testing.T) {
-	e, address := startEngine(t, fastEngine())
+	settings := fastEngine()
+	settings.DecodeTokensPerSec = 1000
+	e, address := startEngine(t, settings)
 	r, err := relay.Start("127.0.0.1:0", address)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(r.Close)
 	c, counters := newClient(t, nil)
+	ctx := testContext(t)
 	var got text
-	_, err = c.Generate(testContext(t), r.Address(), request("a", 200), func(tok endpoint.Token) error {
+	_, err = c.Generate(ctx, r.Address(), request("a", 600), func(tok endpoint.Token) error {
 		if tok.Index == 50 || tok.Index == 120 {
+			if status, err := c.Pause(ctx, address, requestID("a")); err != nil || status.State != endpoint.StatePaused {
+				t.Errorf("pause: %+v, %v", status, err)
+			}
 			r.SilenceOpen()
+			if _, err := c.Resume(ctx, address, requestID("a")); err != nil {
+				t.Error(err)
+			}
 		}
 		return got.take(tok)
 	})
-	wantWhole(t, got.String(), err, 200)
+	wantWhole(t, got.String(), err, 600)
 	wantDispatches(t, e, "a", 1)
-	if n := count(counters, endpoint.MetricNoProgress); n == 0 {
-		t.Fatal("no connection was found to make no progress")
+	if n := count(counters, endpoint.MetricNoProgress); n != 2 {
+		t.Fatalf("%d connections were found to make no progress", n)
 	}
 }
 
@@ -159,7 +170,7 @@
 	wantVerdict(t, err, verdict.NotRun, verdict.ReasonEndpointRefused)
 	_, err = c.Call(testContext(t), address, endpoint.CallRequest{Method: http.MethodPost, Path: "/x"})
 	wantVerdict(t, err, verdict.NotRun, verdict.ReasonEndpointRefused)
-	if n := count(counters, endpoint.MetricFailed+string(verdict.ReasonEndpointRefused)); n != 2 {
+	if n := count(counters, fmt.Sprintf(endpoint.MetricFailed, verdict.ReasonEndpointRefused)); n != 2 {
 		t.Fatalf("%d failures counted", n)
 	}
 }
--- a/internal/standin/engine/handlers.go
+++ b/internal/standin/engine/handlers.go
@@ -79,6 +79,7 @@
 	entry := &Entry{RequestID: req.RequestID, Model: req.Model, Adapter: req.Adapter, Dispatched: now}
 	run := s.nextRun(req.RequestID)
 	s.journal = append(s.journal, entry)
+	s.notify()
 	status := s.faults.RefuseWith
 	if status == 0 {
 		status = admissionStatus(s.model.Submit(now, model.Request{
--- a/internal/standin/engine/journal.go
+++ b/internal/standin/engine/journal.go
@@ -1,9 +1,12 @@
 package engine
 
 import (
+	"context"
 	"slices"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/endpoint"
 )
@@ -40,3 +43,28 @@
 func (s *Server) Dispatches(id entity.RequestID) []Entry {
 	return slices.DeleteFunc(s.Journal(), func(e Entry) bool { return e.RequestID != id })
 }
+
+// Await waits until holds is true for a dispatch of the request, and returns it.
+func (s *Server) Await(ctx context.Context, id entity.RequestID, holds func(Entry) bool) (Entry, error) {
+	for {
+		s.mu.Lock()
+		changed := s.changed
+		s.mu.Unlock()
+		for _, e := range s.Dispatches(id) {
+			if holds(e) {
+				return e, nil
+			}
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return Entry{}, trace.Wrap(ctx.Err())
+		}
+	}
+}
+
+// notify tells those who wait that the journal has changed. The lock is held.
+func (s *Server) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -43,6 +43,7 @@
 	runs    map[entity.RequestID]*record // by the id of the run
 	streams map[entity.RequestID]*record // by the id of the request, the newest run
 	journal []*Entry
+	changed chan struct{} // closed when the journal changes
 	faults  Faults
 	thaw    chan struct{}
 	// connections counts the connections that carried streams, in order;
@@ -72,6 +73,7 @@
 		model:    model.New(settings.Settings),
 		runs:     map[entity.RequestID]*record{},
 		streams:  map[entity.RequestID]*record{},
+		changed:  make(chan struct{}),
 	}
 	s.mux = s.routes()
 	s.stopped.Add(1)
@@ -153,11 +155,13 @@
 	switch ev.Kind {
 	case model.EventStarted:
 		r.entry.Started = ev.At
+		s.notify()
 	case model.EventToken:
 		r.tokens++
 	case model.EventEnded:
 		r.entry.Ended, r.entry.End = ev.At, ev.End
 		r.end = &ev.End
+		s.notify()
 		r.touched = ev.At
 	}
 	r.notify()
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -80,6 +80,10 @@
 	}
 }
 
+// Registry returns where the metrics are registered, for parts that keep
+// counters of their own.
+func (m *Metrics) Registry() metrics.Registry { return m.registry }
+
 // Refused counts one refusal under its reason and verdict.
 func (m *Metrics) Refused(reason verdict.Reason, v verdict.Verdict) {
 	m.counter(fmt.Sprintf(`medlarhold_refusals_total{reason=%q,verdict=%q}`, reason, v)).Inc(1)
