--- a/internal/standin/engine/answer.go
+++ b/internal/standin/engine/answer.go
@@ -26,10 +26,19 @@
 // Answer returns the answer of the stand-in to a prompt, so that callers can
 // check that theirs is whole and their own.
 func Answer(prompt string, tokens int) string {
-	a := newAnswerTo(prompt)
+	return newAnswerTo(prompt).text(tokens)
+}
+
+// text returns the first tokens of the answer.
+func (a answerTo) text(tokens int) string {
 	var b strings.Builder
 	for i := range tokens {
 		b.WriteString(a.token(i))
 	}
 	return b.String()
 }
+
+// Digest returns the xxHash64 of an answer's text in hexadecimal digits.
+func Digest(text string) string {
+	return strconv.FormatUint(xxhash.Sum64String(text), 16)
+}
--- a/internal/standin/engine/handlers.go
+++ b/internal/standin/engine/handlers.go
@@ -132,12 +132,8 @@
 	for {
 		v := rd.view()
 		if v.end != nil {
-			text := ""
-			for i := range v.tokens {
-				text += rec.answer.token(i)
-			}
 			w.Header().Set(endpoint.HeaderRequestID, string(rec.id))
-			serve.JSON(w, http.StatusOK, wholeAnswer{RequestID: rec.id, Text: text, End: *v.end})
+			serve.JSON(w, http.StatusOK, wholeAnswer{RequestID: rec.id, Text: rec.answer.text(v.tokens), End: *v.end})
 			return
 		}
 		select {
--- a/internal/standin/engine/journal.go
+++ b/internal/standin/engine/journal.go
@@ -24,6 +24,8 @@
 	Ended   time.Time `json:"ended,omitzero"`
 	// End is what the end mark said.
 	End endpoint.End `json:"end,omitzero"`
+	// Digest is the xxHash64 of the whole answer's text, empty for another end.
+	Digest string `json:"digest,omitempty"`
 	// Attached counts the attachments to the stream, the first one included.
 	Attached int `json:"attached"`
 }
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -160,6 +160,9 @@
 		r.tokens++
 	case model.EventEnded:
 		r.entry.Ended, r.entry.End = ev.At, ev.End
+		if ev.End.FinishReason.Whole() {
+			r.entry.Digest = Digest(r.answer.text(r.tokens))
+		}
 		r.end = &ev.End
 		s.notify()
 		r.touched = ev.At
--- a/internal/standin/load/answer.go
+++ b/internal/standin/load/answer.go
@@ -37,8 +37,8 @@
 	// InTime says that it came before the deadline.
 	InTime bool `json:"in_time"`
 	Tokens int  `json:"tokens,omitempty"`
-	// Hash is the xxHash64 of the answer's text.
-	Hash string `json:"hash,omitempty"`
+	// Digest is the xxHash64 of the answer's text, or of a call's body.
+	Digest string `json:"digest,omitempty"`
 	// Error is what went wrong on the caller's side.
 	Error string `json:"error,omitempty"`
 }
--- a/internal/standin/load/caller.go
+++ b/internal/standin/load/caller.go
@@ -12,8 +12,6 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/medlarhold/medlarhold/internal/callerapi"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/endpoint"
@@ -73,7 +71,7 @@
 	c.answer.End = time.Now()
 	c.answer.InTime = c.answer.End.Sub(c.answer.Due) <= p.Deadline
 	if c.text.Len() > 0 {
-		c.answer.Hash = strconv.FormatUint(xxhash.Sum64String(c.text.String()), 16)
+		c.answer.Digest = engine.Digest(c.text.String())
 	}
 	if err != nil {
 		c.answer.Complete = false
--- a/internal/standin/load/run_test.go
+++ b/internal/standin/load/run_test.go
@@ -157,7 +157,7 @@
 			t.Errorf("%s has the key %q", a.RequestID, a.Key)
 		}
 		keys[a.Key] = a.Key != ""
-		if a.Profile == "streamed" && (a.First.IsZero() || a.Tokens == 0 || a.Hash == "") {
+		if a.Profile == "streamed" && (a.First.IsZero() || a.Tokens == 0 || a.Digest == "") {
 			t.Errorf("%+v", a)
 		}
 	}
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -7,11 +7,16 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
+
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/endpoint"
 	"github.com/medlarhold/medlarhold/internal/standin/serve"
@@ -51,6 +56,8 @@
 	// Ran says that the call had its effect; Ended is zero until then.
 	Ran   bool      `json:"ran"`
 	Ended time.Time `json:"ended,omitzero"`
+	// Digest is the xxHash64 of the answer's body.
+	Digest string `json:"digest,omitempty"`
 }
 
 // Answer is the body that the service answers with.
@@ -137,12 +144,17 @@
 		http.Error(w, "the service does not run calls now", answerWith)
 		return
 	}
-	answer := s.complete(e)
+	answer, err := s.complete(e)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
 	if s.take(&s.faults.Unanswered) {
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set(endpoint.HeaderRequestID, string(e.RequestID))
-	serve.JSON(w, http.StatusOK, answer)
+	w.Header().Set("Content-Type", "application/json")
+	w.Write(answer)
 }
 
 // receive journals a call and says what is to become of it.
@@ -162,13 +174,20 @@
 	return e, s.faults.AnswerWith, s.settings.Delay + s.faults.Delay
 }
 
-// complete gives a call its effect.
-func (s *Server) complete(e *Entry) Answer {
+// complete gives a call its effect and returns the body of its answer.
+func (s *Server) complete(e *Entry) ([]byte, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.runs++
 	e.Ran, e.Ended = true, time.Now()
-	return Answer{RequestID: e.RequestID, Key: e.Key, Method: e.Method, Path: e.Path, BodyHash: e.BodyHash, Run: s.runs}
+	body, err := json.Marshal(Answer{
+		RequestID: e.RequestID, Key: e.Key, Method: e.Method, Path: e.Path, BodyHash: e.BodyHash, Run: s.runs,
+	})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	e.Digest = strconv.FormatUint(xxhash.Sum64(body), 16)
+	return body, nil
 }
 
 // take uses up one of the times that a fault is to show.
