--- a/internal/core/admission/job.go
+++ b/internal/core/admission/job.go
@@ -41,6 +41,8 @@
 	tier  int
 	state jobState
 	seq   uint64
+	// question is the entry's number of the question that made the job.
+	question uint32
 	// noWait says that the entry wants a slot or a refusal, no place in the queue.
 	noWait bool
 	// endpoint is where the job runs or is paused; nil while queued.
@@ -49,6 +51,10 @@
 	expectEnd time.Time
 	// orphanedAt is when the entry instance was dropped; zero while it lives.
 	orphanedAt time.Time
+	// prefill and prefillEnd estimate the processing of the prompt; for a paused
+	// job prefill is what was left of it.
+	prefill    time.Duration
+	prefillEnd time.Time
 	// run estimates the running time without any cache, while queued.
 	run time.Duration
 	// awaited counts the preemptions made for this job and not yet released;
--- a/internal/core/admission/owner.go
+++ b/internal/core/admission/owner.go
@@ -40,7 +40,7 @@
 
 // Reserve takes in an entry's question for a slot.
 func (o *Owner) Reserve(now time.Time, r entity.Reservation) {
-	if old := o.jobs[r.Work.ID]; old != nil && !o.replaces(old, &r) {
+	if old := o.jobs[r.Work.ID]; old != nil && !o.replaces(now, old, &r) {
 		return
 	}
 	p := o.pool(r.Work.Pool)
@@ -78,22 +78,47 @@
 
 // replaces deals with a reservation for a job that is known already. It
 // returns true if the reservation is to be taken in anew.
-func (o *Owner) replaces(old *job, r *entity.Reservation) bool {
-	switch old.state {
-	case stateRunning, statePreempting:
-		g := entity.Grant{ID: old.work.ID, Endpoint: old.endpoint.row.ID}
-		o.ready.Grants = append(o.ready.Grants, GrantTo{To: old.from, Grant: g})
+func (o *Owner) replaces(now time.Time, old *job, r *entity.Reservation) bool {
+	switch {
+	case r.Question < old.question:
+		return false // overtaken by a later question
+	case r.Question > old.question:
+		o.overtaken(now, old, r)
+		return true
+	case old.state == stateRunning || old.state == statePreempting:
+		o.grantAgain(old)
 		return false
-	case statePaused:
+	case old.state == statePaused:
 		return r.Resume == old.endpoint.row.ID
-	default:
-		return false
 	}
+	return false
+}
+
+// overtaken ends a job whose entry asks anew: what ended it is still on its way.
+func (o *Owner) overtaken(now time.Time, old *job, r *entity.Reservation) {
+	switch {
+	case old.state == stateQueued:
+		o.pool(old.work.Pool).queue.remove(old)
+		if old.endpoint == nil {
+			delete(o.jobs, old.work.ID)
+		}
+	case old.holdsSlot():
+		o.leave(now, old, r.Resume == old.endpoint.row.ID)
+	}
+}
+
+// grantAgain repeats a grant whose entry may not have it.
+func (o *Owner) grantAgain(j *job) {
+	g := entity.Grant{ID: j.work.ID, Question: j.question, Endpoint: j.endpoint.row.ID}
+	o.ready.Grants = append(o.ready.Grants, GrantTo{To: j.from, Grant: g})
 }
 
 // Release takes a slot back.
 func (o *Owner) Release(now time.Time, r entity.Release) {
 	j := o.jobs[r.ID]
+	if j != nil && r.Question < j.question {
+		return // overtaken by a later question
+	}
 	if j == nil || j.endpoint == nil {
 		o.Cancel(now, r.ID)
 		return
@@ -103,10 +128,17 @@
 		o.speeds.Observe(&e.row, r)
 		e.result(now, r.Failed)
 	}
-	o.leave(j, r.Paused)
+	o.leave(now, j, r.Paused)
 	o.schedule(now, o.pool(e.row.Pool))
 }
 
+// Withdraw takes the question of that number back, and all before it.
+func (o *Owner) Withdraw(now time.Time, id entity.RequestID, question uint32) {
+	if j := o.jobs[id]; j != nil && j.question <= question {
+		o.Cancel(now, id)
+	}
+}
+
 // Cancel forgets a request whose entry has given up, queued or not.
 func (o *Owner) Cancel(now time.Time, id entity.RequestID) {
 	j := o.jobs[id]
@@ -118,7 +150,7 @@
 		p.queue.remove(j)
 	}
 	if j.endpoint != nil {
-		o.leave(j, false)
+		o.leave(now, j, false)
 	}
 	delete(o.jobs, id)
 	o.schedule(now, p)
@@ -169,12 +201,13 @@
 func (o *Owner) newJob(r *entity.Reservation) *job {
 	o.seq++
 	return &job{
-		work:   r.Work,
-		from:   r.From,
-		class:  class{model: r.Work.Model, adapter: r.Work.Adapter, resume: r.Resume},
-		tier:   min(max(int(r.Work.Tier), 0), o.settings.Tiers-1),
-		seq:    o.seq,
-		noWait: r.NoWait,
+		work:     r.Work,
+		from:     r.From,
+		class:    class{model: r.Work.Model, adapter: r.Work.Adapter, resume: r.Resume},
+		tier:     min(max(int(r.Work.Tier), 0), o.settings.Tiers-1),
+		seq:      o.seq,
+		question: r.Question,
+		noWait:   r.NoWait,
 	}
 }
 
@@ -185,6 +218,7 @@
 		e := old.endpoint
 		e.jobs[slices.Index(e.jobs, old)] = j
 		j.endpoint = e
+		j.prefill = old.prefill
 	}
 	o.jobs[j.work.ID] = j
 	p.queue.add(j)
@@ -201,7 +235,8 @@
 }
 
 // leave frees j's slot, and its memory unless it is paused.
-func (o *Owner) leave(j *job, paused bool) {
+func (o *Owner) leave(now time.Time, j *job, paused bool) {
+	j.endpoint.endPrefill(now, j)
 	if v := j.roomFor; v != nil {
 		v.awaited--
 		j.roomFor = nil
--- a/internal/core/node/message.go
+++ b/internal/core/node/message.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"time"
+
 	"github.com/medlarhold/medlarhold/internal/config"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/core/request"
@@ -45,15 +47,17 @@
 		Endpoint entity.EndpointID
 		Models   []entity.ModelID
 	}
-	// Drain begins the planned stop.
-	Drain struct{}
+	// Drain begins the planned stop. Callers' requests are still taken in for
+	// Notice, while the balancer learns of it.
+	Drain struct{ Notice time.Duration }
 )
 
 // Messages between instances, beside those of package entity.
 type (
 	// Withdraw takes a reservation back.
 	Withdraw struct {
-		ID entity.RequestID `json:"i"`
+		ID       entity.RequestID `json:"i"`
+		Question uint32           `json:"q,omitempty"`
 	}
 	// Holding tells a new owner what the sender already runs on an endpoint.
 	Holding struct {
@@ -63,6 +67,7 @@
 	// HeldRequest is one running request.
 	HeldRequest struct {
 		ID            entity.RequestID `json:"i"`
+		Question      uint32           `json:"q,omitempty"`
 		Org           entity.OrgID     `json:"o"`
 		Pool          entity.PoolID    `json:"p"`
 		Model         entity.ModelID   `json:"m,omitempty"`
