Owners and engines name prompt blocks alike; restarted engines are noticed

Seen red: with the default settings instances hashed prompts in blocks of 64 tokens and engines in blocks of 16, so that no cache event ever met an entry of the index and no KV cache was ever moved. The chain is now hashed in the engine's blocks and each fourth hash is told to owners: the same bytes on the wire, and the same names. Stored events say where in the prompt they begin, so that the blocks between are left out of the index. An engine that was restarted counts its events from 1 again; it was asked for its old number for ever.

--- a/internal/caller/completions.go
+++ b/internal/caller/completions.go
@@ -106,11 +106,16 @@
 	if !ok {
 		return entity.Work{}, bad(verdict.ReasonUnknownModel, "no model %q is configured", body.Model)
 	}
-	blocks := prefix.Hash(body.Prompt, s.opts.PrefixBlockTokens)
 	return entity.Work{
 		ID: id, Org: who.contract.Organisation, Pool: model.Pool, Model: body.Model, Adapter: body.Adapter,
-		Tier: who.tier, Prefix: blocks[:min(len(blocks), s.opts.MaxPrefixBlocks)],
+		Tier: who.tier, Prefix: s.prefixOf(body.Prompt),
 		PromptTokens: prefix.Tokens(body.Prompt), MaxTokens: body.MaxTokens,
 		Deadline: who.deadline, LoseRank: who.loseRank,
 	}, nil
 }
+
+// prefixOf returns the hashes of a prompt's head by which owners compare it.
+func (s *Server) prefixOf(prompt string) []entity.BlockHash {
+	head := prefix.Head(prompt, s.opts.MaxPrefixBlocks*s.opts.PrefixBlockTokens)
+	return prefix.Sample(prefix.Hash(head, s.opts.EngineBlockTokens), s.opts.PrefixBlockTokens/s.opts.EngineBlockTokens)
+}
--- a/internal/caller/enginejob.go
+++ b/internal/caller/enginejob.go
@@ -84,7 +84,7 @@
 	defer cancel()
 	held, err := j.s.opts.Endpoints.Export(ctx, from, endpoint.ExportRequest{
 		Model: j.body.Model, Adapter: j.body.Adapter,
-		Prefix: endpoint.ToWire(prefix.Hash(j.body.Prompt, j.s.opts.PrefixBlockTokens)),
+		Prefix: endpoint.ToWire(prefix.Hash(j.body.Prompt, j.s.opts.EngineBlockTokens)),
 	})
 	if err == nil && len(held.Blocks) > 0 {
 		_, _ = j.s.opts.Endpoints.Import(ctx, to, endpoint.ImportRequest{
--- a/internal/caller/enginejob_test.go
+++ b/internal/caller/enginejob_test.go
@@ -61,7 +61,7 @@
 	t.Cleanup(b.client.Close)
 	s := NewServer(Options{
 		Control: &endRecorder{ends: b.ends}, Endpoints: b.client, Clock: time.Now, Metrics: b.metrics,
-		PrefixBlockTokens: prefix.DefaultBlockTokens, State: func() config.State { return config.State{} },
+		EngineBlockTokens: prefix.DefaultBlockTokens, PrefixBlockTokens: 64, MaxPrefixBlocks: 64, State: func() config.State { return config.State{} },
 	})
 	b.job = &engineJob{
 		s: s, id: "r-1", body: completionBody{Model: "m", Prompt: jobPrompt, MaxTokens: tokens},
@@ -140,3 +140,32 @@
 		t.Fatalf("%+v", end)
 	}
 }
+
+// TestOwnersAndEnginesNameBlocksAlike compares the prefix that owners are told
+// with what the engine reports as stored.
+func TestOwnersAndEnginesNameBlocksAlike(t *testing.T) {
+	b := newBench(t, 1)
+	b.dispatch()
+	<-b.ends
+	events, err := b.client.CacheEvents(context.Background(), b.endpoint.Address, 0)
+	if err != nil || len(events.Events) != 1 {
+		t.Fatalf("%+v, %v", events, err)
+	}
+	stored := endpoint.FromWire(events.Events[0].Stored)
+	told := b.job.s.prefixOf(jobPrompt)
+	if len(told) != prefix.Tokens(jobPrompt)/64 {
+		t.Fatalf("%d blocks told", len(told))
+	}
+	for i, h := range told {
+		if stored[4*i+3] != h {
+			t.Fatalf("block %d is %x to the owner and %x to the engine", i, h, stored[4*i+3])
+		}
+	}
+}
+
+func TestPrefixIsBounded(t *testing.T) {
+	b := newBench(t, 1)
+	if got := b.job.s.prefixOf(strings.Repeat("x", 1<<20)); len(got) != 64 {
+		t.Fatalf("%d blocks", len(got))
+	}
+}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -47,9 +47,10 @@
 	DefaultDeadline, MaxDeadline time.Duration
 	// MaxBodyBytes bounds bodies where the pool sets no bound.
 	MaxBodyBytes int64
-	// PrefixBlockTokens is the length of a prompt block, MaxPrefixBlocks how
-	// many blocks of a prompt are hashed.
-	PrefixBlockTokens, MaxPrefixBlocks int
+	// EngineBlockTokens is the length of the blocks in which engines cache
+	// prompts, PrefixBlockTokens a multiple of it that owners compare by, and
+	// MaxPrefixBlocks how many of the latter are told to them.
+	EngineBlockTokens, PrefixBlockTokens, MaxPrefixBlocks int
 }
 
 // Server serves callers.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -104,7 +104,7 @@
 func (d *Daemon) assemble() {
 	s := d.settings
 	d.endpoints = endpoint.New(endpoint.Options{TLS: d.certs.client(), Metrics: d.metrics.Registry()})
-	d.poller = newPoller(d.endpoints, func(msg any) { d.loop.Post(msg) }, d.reportHeld)
+	d.poller = newPoller(d.endpoints, s.Requests.PrefixBlockTokens/s.Requests.EngineBlockTokens, func(msg any) { d.loop.Post(msg) }, d.reportHeld)
 	d.transport = peer.NewTransport(peer.Options{
 		Self: d.self, Keys: d.keys.PeerKeys, ServerTLS: d.certs.server(), ClientTLS: d.certs.client(),
 		ExchangeTimeout: peerExchangeTimeout, Registry: messages(),
@@ -134,7 +134,8 @@
 		DefaultDeadline:   time.Duration(s.Requests.DefaultDeadlineMs) * time.Millisecond,
 		MaxDeadline:       time.Duration(s.Requests.MaxDeadlineMs) * time.Millisecond,
 		MaxBodyBytes:      s.Requests.MaxBodyBytes,
-		PrefixBlockTokens: s.Requests.PrefixBlockTokens, MaxPrefixBlocks: s.Requests.MaxPrefixBlocks,
+		EngineBlockTokens: s.Requests.EngineBlockTokens, PrefixBlockTokens: s.Requests.PrefixBlockTokens,
+		MaxPrefixBlocks: s.Requests.MaxPrefixBlocks,
 	})
 }
 
--- a/internal/daemon/poller.go
+++ b/internal/daemon/poller.go
@@ -26,12 +26,14 @@
 	held  func(entity.EndpointID, endpoint.OrderStatus)
 	mu    sync.Mutex
 	owned []entity.Endpoint
-	// next holds the sequence number to ask each engine for. Only run uses it.
-	next map[entity.EndpointID]uint64
+	// stride is how many blocks of an engine make one that owners compare by.
+	stride int
+	// cursors say what to ask each engine for. Only run uses them.
+	cursors map[entity.EndpointID]*cacheCursor
 }
 
-func newPoller(c *endpoint.Client, post func(msg any), held func(entity.EndpointID, endpoint.OrderStatus)) *poller {
-	return &poller{client: c, post: post, held: held, next: make(map[entity.EndpointID]uint64)}
+func newPoller(c *endpoint.Client, stride int, post func(msg any), held func(entity.EndpointID, endpoint.OrderStatus)) *poller {
+	return &poller{client: c, stride: stride, post: post, held: held, cursors: make(map[entity.EndpointID]*cacheCursor)}
 }
 
 // setOwned replaces the endpoints to poll.
@@ -65,7 +67,8 @@
 	events := make([]endpoint.CacheEvents, len(owned))
 	for i, e := range owned {
 		if e.Kind == entity.KindEngine {
-			wg.Go(func() { events[i] = p.poll(ctx, e) })
+			from := p.cursor(e.ID).next
+			wg.Go(func() { events[i] = p.poll(ctx, e, from) })
 		}
 	}
 	wg.Wait()
@@ -75,7 +78,7 @@
 }
 
 // poll asks one engine.
-func (p *poller) poll(ctx context.Context, e entity.Endpoint) endpoint.CacheEvents {
+func (p *poller) poll(ctx context.Context, e entity.Endpoint, from uint64) endpoint.CacheEvents {
 	if l, err := p.client.Load(ctx, e.Address); err == nil {
 		p.post(node.Load{Report: entity.LoadReport{Endpoint: e.ID, At: l.AsOf, Running: l.Running, Waiting: l.Waiting, KVTokens: l.KVTokens}})
 	}
@@ -84,20 +87,27 @@
 			p.held(e.ID, st)
 		}
 	}
-	events, err := p.client.CacheEvents(ctx, e.Address, p.next[e.ID])
+	events, err := p.client.CacheEvents(ctx, e.Address, from)
 	if err != nil {
 		return endpoint.CacheEvents{}
 	}
 	return events
 }
 
+// cursor returns how far the events of an engine have been read.
+func (p *poller) cursor(id entity.EndpointID) *cacheCursor {
+	c := p.cursors[id]
+	if c == nil {
+		c = &cacheCursor{}
+		p.cursors[id] = c
+	}
+	return c
+}
+
 // pass hands the cache events of one engine on.
 func (p *poller) pass(e entity.Endpoint, events endpoint.CacheEvents) {
-	for _, ev := range events.Events {
-		p.post(node.Cache{Event: entity.CacheEvent{Endpoint: e.ID, Seq: ev.Seq,
-			Stored: endpoint.FromWire(ev.Stored), Evicted: endpoint.FromWire(ev.Evicted), Cleared: ev.Cleared}})
-	}
-	if events.Next > 0 {
-		p.next[e.ID] = events.Next
+	for _, ev := range p.cursor(e.ID).read(events, p.stride) {
+		ev.Endpoint = e.ID
+		p.post(node.Cache{Event: ev})
 	}
 }
--- a/internal/endpoint/wire.go
+++ b/internal/endpoint/wire.go
@@ -105,7 +105,10 @@
 
 // CacheEvent is one change of an engine's prefix cache.
 type CacheEvent struct {
-	Seq     uint64      `json:"seq"`
+	Seq uint64 `json:"seq"`
+	// First is the place in its prompt of the first block stored; the others
+	// follow it without a hole.
+	First   int         `json:"first,omitempty"`
 	Stored  []BlockHash `json:"stored,omitempty"`
 	Evicted []BlockHash `json:"evicted,omitempty"`
 	Cleared bool        `json:"cleared,omitempty"`
--- a/internal/prefix/prefix.go
+++ b/internal/prefix/prefix.go
@@ -42,6 +42,22 @@
 	return hashes
 }
 
+// Sample returns every stride-th hash of a chain: the chain of the same prompt
+// in blocks that are stride times as long. A shorter chain stands for a coarser
+// knowledge of the prefix, in the hashes that engines use.
+func Sample(chain []entity.BlockHash, stride int) []entity.BlockHash {
+	out := make([]entity.BlockHash, 0, len(chain)/stride)
+	for i := stride - 1; i < len(chain); i += stride {
+		out = append(out, chain[i])
+	}
+	return out
+}
+
+// Head returns the part of a prompt that has so many tokens.
+func Head(prompt string, tokens int) string {
+	return prompt[:min(len(prompt), tokens*BytesPerToken)]
+}
+
 func hashBlock(parent uint64, block string) uint64 {
 	var head [8]byte
 	binary.LittleEndian.PutUint64(head[:], parent)
--- a/internal/prefix/prefix_test.go
+++ b/internal/prefix/prefix_test.go
@@ -43,6 +43,35 @@
 	})
 }
 
+// TestSampleComparesLongerBlocks compares with the prompts themselves.
+func TestSampleComparesLongerBlocks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		stride := rapid.IntRange(1, 3).Draw(t, "stride")
+		text := rapid.StringMatching(`[ab]{0,40}`)
+		a, b := text.Draw(t, "a"), text.Draw(t, "b")
+		ha, hb := Sample(Hash(a, 1), stride), Sample(Hash(b, 1), stride)
+		size := stride * BytesPerToken
+		if len(ha) != len(a)/size {
+			t.Fatalf("%d blocks of %d bytes", len(ha), len(a))
+		}
+		for i := 0; i < len(ha) && i < len(hb); i++ {
+			end := (i + 1) * size
+			if same := a[:end] == b[:end]; same != (ha[i] == hb[i]) {
+				t.Fatalf("block %d: prefixes equal %v, hashes %x %x", i, same, ha[i], hb[i])
+			}
+		}
+	})
+}
+
+func TestHead(t *testing.T) {
+	if got := Head("abcdefghij", 2); got != "abcdefgh" {
+		t.Errorf("%q", got)
+	}
+	if got := Head("abc", 2); got != "abc" {
+		t.Errorf("%q", got)
+	}
+}
+
 func TestTokensRoundsUp(t *testing.T) {
 	for bytes, want := range map[int]int{0: 0, 1: 1, 4: 1, 5: 2} {
 		if got := Tokens(strings.Repeat("x", bytes)); got != want {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -71,8 +71,10 @@
 	MaxDeadlineMs     int64 `json:"max_deadline_ms"`
 	MaxBodyBytes      int64 `json:"max_body_bytes"`
 	MaxHeaderBytes    int   `json:"max_header_bytes"`
-	// PrefixBlockTokens is the length of the prompt blocks that are compared,
-	// MaxPrefixBlocks how many of them travel with a reservation.
+	// EngineBlockTokens is the length of the blocks in which engines cache prompts.
+	EngineBlockTokens int `json:"engine_block_tokens"`
+	// PrefixBlockTokens is the length of the prompt blocks that are compared, a
+	// multiple of it; MaxPrefixBlocks is how many of them travel with a reservation.
 	PrefixBlockTokens int `json:"prefix_block_tokens"`
 	MaxPrefixBlocks   int `json:"max_prefix_blocks"`
 }
@@ -98,7 +100,7 @@
 		Listen: Listen{Callers: "127.0.0.1:8080", Peers: "127.0.0.1:8081", Admin: "127.0.0.1:8082"},
 		Requests: Requests{
 			DefaultDeadlineMs: 30_000, MaxDeadlineMs: 3_600_000, MaxBodyBytes: 4 << 20, MaxHeaderBytes: 32 << 10,
-			PrefixBlockTokens: 64, MaxPrefixBlocks: 64,
+			EngineBlockTokens: 16, PrefixBlockTokens: 64, MaxPrefixBlocks: 64,
 		},
 		Stop: Stop{NoticeMs: 2_000, TimeoutMs: 600_000},
 	}
@@ -147,13 +149,16 @@
 	}{
 		{"requests.default_deadline_ms", s.Requests.DefaultDeadlineMs}, {"requests.max_deadline_ms", s.Requests.MaxDeadlineMs},
 		{"requests.max_body_bytes", s.Requests.MaxBodyBytes}, {"requests.prefix_block_tokens", int64(s.Requests.PrefixBlockTokens)},
-		{"requests.max_prefix_blocks", int64(s.Requests.MaxPrefixBlocks)}, {"stop.timeout_ms", s.Stop.TimeoutMs},
+		{"requests.engine_block_tokens", int64(s.Requests.EngineBlockTokens)}, {"requests.max_prefix_blocks", int64(s.Requests.MaxPrefixBlocks)}, {"stop.timeout_ms", s.Stop.TimeoutMs},
 	}
 	for _, p := range positive {
 		if p.value <= 0 {
 			return trace.BadParameter("%s must be above zero", p.path)
 		}
 	}
+	if s.Requests.PrefixBlockTokens%s.Requests.EngineBlockTokens != 0 {
+		return trace.BadParameter("requests.prefix_block_tokens must be a multiple of requests.engine_block_tokens")
+	}
 	if (s.TLS.CertFile == "") != (s.TLS.KeyFile == "") {
 		return trace.BadParameter("tls.cert_file and tls.key_file go together")
 	}
--- a/internal/standin/engine/model/cache.go
+++ b/internal/standin/engine/model/cache.go
@@ -95,28 +95,22 @@
 }
 
 // share turns one private block that has been computed into a shared one and
-// pins it. It returns false when the block was shared already.
-func (c *cache) share(k blockKey) bool {
+// pins it.
+func (c *cache) share(k blockKey) {
 	c.private--
 	if c.shared[k] != nil {
 		c.hold([]blockKey{k})
-		return false
+		return
 	}
 	c.shared[k] = &block{key: k, refs: 1}
-	return true
 }
 
-// insert adds an idle block if there is room for it. It returns whether the
-// block is new, and the hashes that it dropped.
-func (c *cache) insert(k blockKey) (bool, []entity.BlockHash) {
-	if c.shared[k] != nil {
-		return false, nil
-	}
-	dropped, ok := c.reserve(1)
-	if !ok {
-		return false, nil
+// insert adds and pins a block if there is room for it. It returns the hashes
+// that it dropped.
+func (c *cache) insert(k blockKey) (dropped []entity.BlockHash, ok bool) {
+	dropped, ok = c.reserve(1)
+	if ok {
+		c.share(k)
 	}
-	c.share(k)
-	c.release([]blockKey{k})
-	return true, dropped
+	return dropped, ok
 }
--- a/internal/standin/engine/model/engine_test.go
+++ b/internal/standin/engine/model/engine_test.go
@@ -380,6 +380,36 @@
 	}
 }
 
+func TestRestartedEngineAnswersFromTheStart(t *testing.T) {
+	e := New(roundEngine())
+	submit(t, e, 0, ask("a", 1, 1))
+	submit(t, e, time.Second, ask("b", 1, 1, 2, 3))
+	got := e.CacheEvents(at(time.Minute), 500, 10)
+	want := []endpoint.CacheEvent{
+		{Seq: 1, Stored: []endpoint.BlockHash{1}},
+		{Seq: 2, First: 1, Stored: []endpoint.BlockHash{2, 3}},
+	}
+	if diff := cmp.Diff(want, got.Events); diff != "" || got.Next != 3 {
+		t.Fatal(got.Next, diff)
+	}
+}
+
+func TestImportStopsWhereThereIsNoRoom(t *testing.T) {
+	s := roundEngine()
+	s.KVTokens = 50
+	e := New(s)
+	submit(t, e, 0, ask("a", 20, 1)) // 3 blocks of 5
+	r := ask("", 1, 1, 2, 3, 4)
+	e.Advance(at(ms)) // block 1 is shared
+	imported, ready := e.Import(at(ms), r)
+	if imported != 2 || !ready.Equal(at(ms+100*time.Microsecond)) {
+		t.Fatalf("%d imported at %v", imported, ready.Sub(start))
+	}
+	if got := e.Export(at(ms), r); len(got.Blocks) != 3 {
+		t.Fatalf("%d blocks held", len(got.Blocks))
+	}
+}
+
 func TestOrdersTakeTimeAndExpire(t *testing.T) {
 	s := roundEngine()
 	s.Models, s.OrderTime = []entity.ModelID{"m"}, time.Second
--- a/internal/standin/engine/model/memory.go
+++ b/internal/standin/engine/model/memory.go
@@ -118,11 +118,7 @@
 	for _, k := range s.keys[s.held:] {
 		s.private--
 		s.held++
-		if e.cache.share(k) {
-			e.events.add(k.hash)
-		}
-	}
-	if s.held > first {
-		e.events.stored(e.now)
+		e.cache.share(k)
 	}
+	e.events.stored(e.now, first, s.req.Prefix[first:])
 }
--- a/internal/standin/engine/model/reports.go
+++ b/internal/standin/engine/model/reports.go
@@ -46,12 +46,11 @@
 
 // eventLog keeps cache events until they are asked for.
 type eventLog struct {
-	delay   time.Duration
-	loss    float64
-	random  *rand.Rand
-	pending []entity.BlockHash
-	list    []cacheEvent
-	seq     uint64
+	delay  time.Duration
+	loss   float64
+	random *rand.Rand
+	list   []cacheEvent
+	seq    uint64
 }
 
 type cacheEvent struct {
@@ -64,16 +63,11 @@
 	return eventLog{delay: s.CacheEventDelay, loss: s.CacheEventLoss, random: rand.New(rand.NewPCG(s.Seed, 1))}
 }
 
-// add collects a block for the next stored event.
-func (l *eventLog) add(h entity.BlockHash) {
-	l.pending = append(l.pending, h)
-}
-
-// stored writes an event for the blocks collected, if any.
-func (l *eventLog) stored(now time.Time) {
-	if len(l.pending) > 0 {
-		l.append(now, endpoint.CacheEvent{Stored: endpoint.ToWire(l.pending)})
-		l.pending = l.pending[:0]
+// stored writes an event for blocks of one prompt, if any; first is the place
+// of the first of them.
+func (l *eventLog) stored(now time.Time, first int, hashes []entity.BlockHash) {
+	if len(hashes) > 0 {
+		l.append(now, endpoint.CacheEvent{First: first, Stored: endpoint.ToWire(hashes)})
 	}
 }
 
@@ -98,9 +92,13 @@
 }
 
 // CacheEvents returns up to limit cache events from a sequence number on, as
-// far as they can be seen at now.
+// far as they can be seen at now. A sequence number that the engine has not
+// come to yet is answered from the start: it was given before a restart.
 func (e *Engine) CacheEvents(now time.Time, from uint64, limit int) endpoint.CacheEvents {
 	e.advance(now)
+	if from > e.events.seq+1 {
+		from = 1
+	}
 	out := endpoint.CacheEvents{Next: max(from, 1)}
 	for _, ev := range e.events.list {
 		if ev.visible.After(now) || len(out.Events) == limit {
--- a/internal/standin/engine/model/step.go
+++ b/internal/standin/engine/model/step.go
@@ -107,16 +107,20 @@
 // the caller answers no sooner.
 func (e *Engine) Import(now time.Time, r Request) (int, time.Time) {
 	e.advance(now)
-	imported := 0
-	for _, k := range newStream(r).keys {
-		fresh, dropped := e.cache.insert(k)
+	keys := newStream(r).keys
+	first := e.cache.match(keys)
+	e.cache.hold(keys[:first])
+	held := first
+	for _, k := range keys[first:] {
+		dropped, ok := e.cache.insert(k)
 		e.events.evicted(e.now, dropped)
-		if fresh {
-			imported++
-			e.events.add(k.hash)
+		if !ok {
+			break
 		}
+		held++
 	}
-	e.events.stored(e.now)
-	seconds := float64(imported*e.settings.BlockTokens) / e.settings.ImportTokensPerSec
-	return imported, now.Add(time.Duration(seconds * float64(time.Second)))
+	e.cache.release(keys[:held])
+	e.events.stored(e.now, first, r.Prefix[first:held])
+	seconds := float64((held-first)*e.settings.BlockTokens) / e.settings.ImportTokensPerSec
+	return held - first, now.Add(time.Duration(seconds * float64(time.Second)))
 }
