--- a/internal/caller/fixture_test.go
+++ b/internal/caller/fixture_test.go
@@ -89,7 +89,7 @@
 	b.options = Options{
 		Control: b.control, State: func() config.State { return state }, Endpoints: endpoints,
 		NewID: func() entity.RequestID { return "request-1" }, Clock: time.Now, Log: logr.Discard(), Metrics: telemetry.NewMetrics(),
-		DefaultDeadline: time.Minute, MaxDeadline: time.Hour, MaxBodyBytes: 64 << 10, PrefixBlockTokens: 64, MaxPrefixBlocks: 64,
+		DefaultDeadline: time.Minute, MaxDeadline: time.Hour, MaxBodyBytes: 64 << 10, EngineBlockTokens: 16, PrefixBlockTokens: 64, MaxPrefixBlocks: 64,
 		WriteTimeout: guard,
 	}
 	for _, c := range changes {
--- a/internal/config/schema_test.go
+++ b/internal/config/schema_test.go
@@ -137,7 +137,7 @@
 // accepts says whether the schema accepts a file.
 func (v validator) accepts(t *testing.T, src []byte) bool {
 	t.Helper()
-	plain, err := hujson.Standardize(slices.Clone(src)) //nolint:misspell // the library's name
+	plain, err := hujson.Standardize(slices.Clone(src))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -105,8 +105,8 @@
 // assemble connects the parts.
 func (d *Daemon) assemble() {
 	s := d.settings
-	d.endpoints = endpoint.New(endpoint.Options{TLS: d.certs.client()})
-	d.poller = newPoller(d.endpoints, func(msg any) { d.loop.Post(msg) }, d.reportHeld)
+	d.endpoints = endpoint.New(endpoint.Options{TLS: d.certs.client(), Metrics: d.metrics.Registry()})
+	d.poller = newPoller(d.endpoints, s.Requests.PrefixBlockTokens/s.Requests.EngineBlockTokens, func(msg any) { d.loop.Post(msg) }, d.reportHeld)
 	d.transport = peer.NewTransport(peer.Options{
 		Self: d.self, Keys: d.keys.PeerKeys, ServerTLS: d.certs.server(), ClientTLS: d.certs.client(),
 		ExchangeTimeout: peerExchangeTimeout, Registry: messages(),
@@ -136,8 +136,9 @@
 		DefaultDeadline:   time.Duration(s.Requests.DefaultDeadlineMs) * time.Millisecond,
 		MaxDeadline:       time.Duration(s.Requests.MaxDeadlineMs) * time.Millisecond,
 		MaxBodyBytes:      s.Requests.MaxBodyBytes,
-		PrefixBlockTokens: s.Requests.PrefixBlockTokens, MaxPrefixBlocks: s.Requests.MaxPrefixBlocks,
-		WriteTimeout: writeTimeout,
+		EngineBlockTokens: s.Requests.EngineBlockTokens, PrefixBlockTokens: s.Requests.PrefixBlockTokens,
+		MaxPrefixBlocks: s.Requests.MaxPrefixBlocks,
+		WriteTimeout:    writeTimeout,
 	})
 }
 
--- a/internal/standin/load/answer.go
+++ b/internal/standin/load/answer.go
@@ -10,6 +10,9 @@
 // Answer is what became of one request, as its caller saw it. It is one line
 // of the journal.
 type Answer struct {
+	// Number is the request's place in the plan.
+	Number int `json:"number"`
+	// RequestID is the id that the system gave the request; empty if no answer came.
 	RequestID entity.RequestID `json:"request_id"`
 	Profile   string           `json:"profile"`
 	Tier      string           `json:"tier"`
@@ -34,8 +37,8 @@
 	// InTime says that it came before the deadline.
 	InTime bool `json:"in_time"`
 	Tokens int  `json:"tokens,omitempty"`
-	// Hash is the xxHash64 of the answer's text.
-	Hash string `json:"hash,omitempty"`
+	// Digest is the xxHash64 of the answer's text, or of a call's body.
+	Digest string `json:"digest,omitempty"`
 	// Error is what went wrong on the caller's side.
 	Error string `json:"error,omitempty"`
 }
--- a/internal/standin/load/run.go
+++ b/internal/standin/load/run.go
@@ -78,7 +78,7 @@
 		settings: r.settings,
 		arrival:  a,
 		answer: &Answer{
-			RequestID: a.ID, Profile: a.Profile.Name, Tier: a.Profile.Tier, Target: a.Target, Key: a.Key, Due: due,
+			Number: a.Number, Profile: a.Profile.Name, Tier: a.Profile.Tier, Target: a.Target, Key: a.Key, Due: due,
 		},
 	}
 	select {
--- a/internal/standin/load/settings.go
+++ b/internal/standin/load/settings.go
@@ -12,7 +12,7 @@
 type Settings struct {
 	// Targets are the base URLs of the instances, taken in turn.
 	Targets []string `json:"targets"`
-	// Run is a prefix of the request ids and keys, so that runs don't share them.
+	// Run is a prefix of prompts and request keys, so that runs don't share them.
 	Run  string `json:"run"`
 	Seed uint64 `json:"seed"`
 	// RatePerSec is the mean rate of arrivals.
