Claims: less memory for a key, and limits on ids

Why: at the target the live keys are the largest state of a home; and an id that doesn't survive its encoding would have spoilt the batch for all in it.

--- a/internal/core/claim/record.go
+++ b/internal/core/claim/record.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"time"
+	"unicode/utf8"
 
 	"github.com/gravitational/trace"
 
@@ -20,6 +21,9 @@
 	Entries []entry `json:"e"`
 }
 
+// maxStatus bounds the status of an outcome.
+const maxStatus = 999
+
 // opCode tells the kinds of entry apart.
 type opCode string
 
@@ -83,10 +87,14 @@
 
 func (e *entry) check() error {
 	switch {
-	case e.Request == "":
-		return trace.BadParameter("claim: entry without request")
+	case !validID(string(e.Request)):
+		return trace.BadParameter("claim: bad request id %q", e.Request)
+	case len(e.Reason) > MaxIDBytes:
+		return trace.LimitExceeded("claim: reason of %d bytes", len(e.Reason))
 	case e.Op == opClaim && e.Window > 0 && e.EndsIn > 0:
 		return nil
+	case e.Status < 0 || e.Status > maxStatus:
+		return trace.BadParameter("claim: status %d", e.Status)
 	case len(e.Answer) > MaxAnswerBytes:
 		return trace.LimitExceeded("claim: answer of %d bytes", len(e.Answer))
 	case e.Op == opSettle && (e.Verdict == verdict.Ran || e.Verdict == verdict.NotRun || e.Verdict == verdict.MayHaveRun):
@@ -95,6 +103,9 @@
 	return trace.BadParameter("claim: bad entry of kind %q", e.Op)
 }
 
+// validID says whether an id can stand in a record and be read back unchanged.
+func validID(id string) bool { return id != "" && len(id) <= MaxIDBytes && utf8.ValidString(id) }
+
 func millis(d time.Duration) int64 { return d.Milliseconds() }
 
 func duration(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
--- a/internal/core/claim/settings.go
+++ b/internal/core/claim/settings.go
@@ -91,6 +91,8 @@
 	MaxAnswerBytes = 512
 	// MaxKeyBytes is the longest key.
 	MaxKeyBytes = 256
+	// MaxIDBytes is the longest request or instance id, and the longest reason.
+	MaxIDBytes = 64
 	// maxBatchEntries bounds the entries of one append.
 	maxBatchEntries = 64
 	// maxRecordBytes is the longest record that is looked at.
--- a/internal/core/claim/shard.go
+++ b/internal/core/claim/shard.go
@@ -127,7 +127,7 @@
 func (s *Shard) check(now time.Time, p *proposal) (verdict.Reason, time.Duration) {
 	made, timed := KeyTime(p.Key)
 	switch {
-	case p.Request == "" || len(p.Key) > MaxKeyBytes || ShardOf(p.Org, p.Key) != s.num:
+	case !validID(string(p.Request)) || len(p.Key) > MaxKeyBytes || ShardOf(p.Org, p.Key) != s.num:
 		return verdict.ReasonBadRequest, 0
 	case p.Key == "":
 		return verdict.ReasonKeyRequired, 0
@@ -172,7 +172,7 @@
 // stands in the log; without one the entry instance sends it again.
 func (s *Shard) Settle(now time.Time, o Outcome) {
 	s.now = now
-	if ShardOf(o.Org, o.Key) != s.num || o.Request == "" {
+	if ShardOf(o.Org, o.Key) != s.num {
 		return
 	}
 	if p := s.waiting[o.Request]; p != nil && o.Verdict == verdict.NotRun {
@@ -313,21 +313,16 @@
 	case h.body != p.BodyHash:
 		s.refuseFor(p, h, Decision{Verdict: verdict.NotRun, Reason: verdict.ReasonKeyReused})
 	case h.verdict == verdict.Ran:
-		s.refuseFor(p, h, Decision{Verdict: verdict.Ran, Reason: h.reason, Status: h.status, Answer: h.answer, AnswerDropped: h.dropped})
+		s.refuseFor(p, h, Decision{Verdict: verdict.Ran, Reason: h.reason, Status: int(h.status), Answer: h.answerBody(), AnswerDropped: h.dropped})
 	case h.verdict == verdict.MayHaveRun:
 		s.refuseFor(p, h, Decision{Verdict: verdict.MayHaveRun, Reason: h.reason})
-	case s.overdue(now, h):
+	case h.overdue(s.logNow(now)):
 		s.refuseFor(p, h, Decision{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonConnectionLost})
 	default:
 		s.refuseFor(p, h, Decision{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonKeyInProgress, RetryAfter: s.set.RetryAfter})
 	}
 }
 
-// overdue says whether a run must be over whose outcome never came.
-func (s *Shard) overdue(now time.Time, h *holder) bool {
-	return s.logNow(now).After(h.claimed.Add(h.endsIn))
-}
-
 // open says whether a request still holds its key without an outcome.
 func (s *Shard) open(w *win) bool {
 	h := s.table.get(w.key)
--- a/internal/core/claim/shard_test.go
+++ b/internal/core/claim/shard_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/oklog/ulid/v2"
 
+	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/core/stream"
 	"github.com/medlarhold/medlarhold/internal/platform"
 	"github.com/medlarhold/medlarhold/internal/verdict"
@@ -240,11 +241,31 @@
 	if h := tb.get(Hash{0}); h.answer != nil || !h.dropped || h.status != 201 || h.verdict != verdict.Ran {
 		t.Errorf("old: %+v", h)
 	}
-	if h := tb.get(Hash{1}); string(h.answer) != "ok" || h.dropped {
+	if h := tb.get(Hash{1}); string(h.answerBody()) != "ok" || h.dropped {
 		t.Errorf("new: %+v", h)
 	}
 }
 
+// What can't be read back as it was written is refused before it is appended:
+// it would spoil the batch for the others in it.
+func TestBadProposalsAreNotAppended(t *testing.T) {
+	var l streamRecords
+	s := caughtUp(t, &l)
+	for _, id := range []string{"", "\xff", string(make([]byte, MaxIDBytes+1))} {
+		p := propose(entity.RequestID(id))
+		s.Propose(start, p)
+		if d := only(t, drive(start, s, &l)); d.Verdict != verdict.NotRun || d.Reason != verdict.ReasonBadRequest {
+			t.Errorf("%q: %+v", id, d)
+		}
+	}
+	s.Settle(start, Outcome{Request: "r1", Org: "org", Key: testKey, Verdict: "maybe"})
+	s.Settle(start, Outcome{Request: "r1", Org: "org", Key: testKey, Verdict: verdict.Ran, Status: 1000})
+	drive(start, s, &l)
+	if len(l) != 0 {
+		t.Errorf("%d records", len(l))
+	}
+}
+
 func TestSettingsThatCannotHoldAreRefused(t *testing.T) {
 	for name, set := range map[string]Settings{
 		"no instance":     {},
--- a/internal/core/claim/table.go
+++ b/internal/core/claim/table.go
@@ -9,21 +9,26 @@
 
 // BytesPerKey is an upper estimate of the memory of one live key without its
 // answer, for sizing MaxKeys.
-const BytesPerKey = 320
+const BytesPerKey = 270
 
-// holder is what the table knows of a key that is taken.
+// holder is what the table knows of a key that is taken. There is one for each
+// live key, so it is kept small; times are Unix milliseconds of the log's clock.
 type holder struct {
-	seq     uint64 // numbers the claims that took a key
 	request entity.RequestID
 	body    Hash
-	claimed time.Time // log time of the claim
-	window  time.Duration
-	endsIn  time.Duration // the run is over by claimed + endsIn
+	seq     uint64 // numbers the claims that took a key
+	until   int64  // when the key is free again
+	endsAt  int64  // when the run must be over
 	verdict verdict.Verdict
 	reason  verdict.Reason
-	status  int
-	answer  []byte
+	answer  *answer
+	status  int16
 	dropped bool // the answer was dropped to save memory
+}
+
+// answer is the body of an outcome.
+type answer struct {
+	body    []byte
 	settled time.Time
 }
 
@@ -80,7 +85,10 @@
 	if h == nil {
 		return true
 	}
-	if t.answers.len() <= t.maxAnswers && t.now.Before(h.settled.Add(t.answerFor)) {
+	if h.answer == nil {
+		return true
+	}
+	if t.answers.len() <= t.maxAnswers && t.now.Before(h.answer.settled.Add(t.answerFor)) {
 		return false
 	}
 	h.answer = nil
@@ -115,9 +123,8 @@
 		seq:     t.seq,
 		request: e.Request,
 		body:    e.Body,
-		claimed: t.now,
-		window:  duration(e.Window),
-		endsIn:  duration(e.EndsIn),
+		until:   t.now.Add(duration(e.Window)).UnixMilli(),
+		endsAt:  t.now.Add(duration(e.EndsIn)).UnixMilli(),
 	}
 	t.keys[e.Key] = h
 	t.claims.push(ref{e.Key, t.seq})
@@ -135,10 +142,9 @@
 		delete(t.keys, e.Key)
 		return
 	}
-	h.verdict, h.reason, h.status = e.Verdict, e.Reason, e.Status
-	h.settled = t.now
+	h.verdict, h.reason, h.status = e.Verdict, e.Reason, int16(e.Status)
 	if len(e.Answer) > 0 {
-		h.answer = e.Answer
+		h.answer = &answer{body: e.Answer, settled: t.now}
 		t.answers.push(ref{e.Key, h.seq})
 		t.answers.compact(len(t.keys), t.stale)
 		t.answers.popWhile(t.dropAnswer)
@@ -151,6 +157,15 @@
 	return at >= e.NotBefore && (e.NotAfter == 0 || at < e.NotAfter)
 }
 
-func (h *holder) live(logTime time.Time) bool {
-	return logTime.Before(h.claimed.Add(h.window))
+func (h *holder) live(logTime time.Time) bool { return logTime.UnixMilli() < h.until }
+
+// overdue says whether the run must be over by now.
+func (h *holder) overdue(logTime time.Time) bool { return logTime.UnixMilli() > h.endsAt }
+
+// answerBody returns the answer that is kept, if any.
+func (h *holder) answerBody() []byte {
+	if h.answer == nil {
+		return nil
+	}
+	return h.answer.body
 }
