--- a/internal/core/schedules/claim_test.go
+++ b/internal/core/schedules/claim_test.go
@@ -327,22 +327,17 @@
 	}
 }
 
-func (w *claimWorld) faults(until time.Duration) {
-	for range 2 + w.rng.Intn(5) {
-		at := w.between(0, until)
-		for range 1 + w.rng.Intn(2) { // often two at once
-			w.after(at, func() { w.log.fault(w.processes(), w.kill) })
-		}
-	}
+func (w *claimWorld) faults(until time.Duration, counts faultCounts) {
+	w.log.plan(2+w.rng.Intn(5), until, counts, w.processes, w.kill)
 }
 
 func TestKeysRunAtMostOnceUnderFaults(t *testing.T) {
 	wins, requests := 0, 0
-	reasons := map[verdict.Reason]int{}
+	reasons, faults := map[verdict.Reason]int{}, faultCounts{}
 	forEachSeed(t, func(t *testing.T, seed int64) {
 		w := newClaimWorld(seed)
 		w.load(scheduleFor)
-		w.faults(scheduleFor)
+		w.faults(scheduleFor, faults)
 		w.runUntil(epoch.Add(scheduleFor + quietFor))
 		lim := history.DefaultLimits
 		lim.Window = testWindow
@@ -358,7 +353,7 @@
 	if wins == 0 || reasons[firstOutcome] == 0 || reasons[verdict.ReasonKeyInProgress] == 0 {
 		t.Errorf("the schedules show too little: %d runs, answers %v", wins, reasons)
 	}
-	t.Logf("%d schedules, %d requests, %d runs, answers %v", *schedules, requests, wins, reasons)
+	t.Logf("%d schedules, faults %v, %d requests, %d runs, answers %v", *schedules, faults, requests, wins, reasons)
 }
 
 // After the faults are over, a fresh key runs and its repetition gets the
@@ -367,7 +362,7 @@
 	forEachSeed(t, func(t *testing.T, seed int64) {
 		w := newClaimWorld(seed)
 		w.load(20 * time.Second)
-		w.faults(20 * time.Second)
+		w.faults(20*time.Second, faultCounts{})
 		w.runUntil(epoch.Add(20*time.Second + quietFor))
 		before := w.wins
 		for range 10 { // a message or an answer may still be lost
--- a/internal/core/schedules/lease_test.go
+++ b/internal/core/schedules/lease_test.go
@@ -164,15 +164,10 @@
 }
 
 func TestLeaseHoldersNeverOverlapUnderFaults(t *testing.T) {
-	changes, refused := 0, 0
+	changes, refused, faults := 0, 0, faultCounts{}
 	forEachSeed(t, func(t *testing.T, seed int64) {
 		w := newLeaseWorld(t, seed)
-		for range 3 + w.rng.Intn(6) {
-			at := w.between(0, scheduleFor)
-			for range 1 + w.rng.Intn(2) {
-				w.after(at, func() { w.log.fault(w.processes(), w.kill) })
-			}
-		}
+		w.log.plan(3+w.rng.Intn(6), scheduleFor, faults, w.processes, w.kill)
 		w.after(w.between(0, scheduleFor), func() { w.resign(w.rng.Intn(3)) })
 		w.runUntil(epoch.Add(scheduleFor + quietFor))
 		if h := w.holders(); len(h) != 1 {
@@ -184,7 +179,7 @@
 	if changes == 0 || refused == 0 {
 		t.Errorf("the schedules show too little: %d changes of holder, %d orders refused by their fence", changes, refused)
 	}
-	t.Logf("%d schedules, %d changes of holder, %d orders refused by their fence", *schedules, changes, refused)
+	t.Logf("%d schedules, faults %v, %d changes of holder, %d orders refused by their fence", *schedules, faults, changes, refused)
 }
 
 // A holder that stands still past its lease writes nothing when it goes on.
--- a/internal/core/schedules/sim_test.go
+++ b/internal/core/schedules/sim_test.go
@@ -286,8 +286,48 @@
 	})
 }
 
-// fault starts a random fault that ends by itself.
-func (l *fakeLog) fault(processes []*process, kill func(int)) {
+// faultKind names a fault. Each ends by itself.
+type faultKind int
+
+const (
+	faultKill faultKind = iota
+	faultFreeze
+	faultCutLog
+	faultCutZones
+	faultOutage
+	faultSlowLog
+	faultLostAnswers
+	faultKinds
+)
+
+func (k faultKind) String() string {
+	return [...]string{"kill", "freeze", "cut from log", "cut between zones", "outage", "slow log", "lost answers"}[k]
+}
+
+// faultCounts counts the faults of all schedules of a test.
+type faultCounts map[faultKind]int
+
+// plan puts faults into a schedule: one alone, two at once, or the same one
+// twice.
+func (l *fakeLog) plan(n int, until time.Duration, counts faultCounts, processes func() []*process, kill func(int)) {
+	for range n {
+		at, kind := l.between(0, until), faultKind(l.rng.Intn(int(faultKinds)))
+		start := func(at time.Duration, k faultKind) {
+			counts[k]++
+			l.after(at, func() { l.fault(k, processes(), kill) })
+		}
+		start(at, kind)
+		switch l.rng.Intn(3) {
+		case 0:
+			start(at, faultKind(l.rng.Intn(int(faultKinds))))
+		case 1:
+			start(at+l.between(0, 10*time.Second), kind)
+		}
+	}
+}
+
+// fault starts a fault at a random place.
+func (l *fakeLog) fault(kind faultKind, processes []*process, kill func(int)) {
 	d := l.between(100*time.Millisecond, 25*time.Second)
 	i := l.rng.Intn(len(processes))
 	zone := processes[i].zone
@@ -295,23 +335,23 @@
 		*n++
 		l.after(d, func() { *n-- })
 	}
-	switch l.rng.Intn(7) {
-	case 0:
+	switch kind {
+	case faultKill:
 		kill(i)
-	case 1:
+	case faultFreeze:
 		processes[i].freeze(d)
-	case 2:
+	case faultCutLog:
 		l.cutLog[zone]++
 		l.after(d, func() { l.cutLog[zone]-- })
-	case 3:
+	case faultCutZones:
 		pair := [2]int{zone, l.rng.Intn(3)}
 		l.cutPeers[pair]++
 		l.after(d, func() { l.cutPeers[pair]-- })
-	case 4:
+	case faultOutage:
 		during(&l.down)
-	case 5:
+	case faultSlowLog:
 		during(&l.slow)
-	case 6:
+	case faultLostAnswers:
 		during(&l.losing)
 	}
 }
