--- a/internal/core/claim/key.go
+++ b/internal/core/claim/key.go
@@ -71,6 +71,13 @@
 	return nil
 }
 
+// Times outside of this range are not taken for times: other keys of 26 digits
+// and letters may read as a ULID too.
+var (
+	earliestKeyTime = time.Date(2020, 1, 1, 0, 0, 0, 0, time.UTC)
+	latestKeyTime   = time.Date(2100, 1, 1, 0, 0, 0, 0, time.UTC)
+)
+
 // KeyTime returns the time of creation that a key carries: a key that is a
 // ULID carries one.
 func KeyTime(key string) (time.Time, bool) {
@@ -78,5 +85,6 @@
 	if err != nil {
 		return time.Time{}, false
 	}
-	return ulid.Time(id.Time()).UTC(), true
+	made := ulid.Time(id.Time()).UTC()
+	return made, made.After(earliestKeyTime) && made.Before(latestKeyTime)
 }
--- a/internal/core/claim/shard_test.go
+++ b/internal/core/claim/shard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strings"
 	"testing"
 	"time"
 
@@ -201,6 +202,20 @@
 	}
 }
 
+func TestKeyTime(t *testing.T) {
+	id := ulid.MustNew(ulid.Timestamp(start), bytes.NewReader(make([]byte, 16))).String()
+	for key, want := range map[string]bool{
+		id:                           true,
+		strings.ToLower(id):          true,
+		"payout-17":                  false,
+		"20260302000000000000000017": false, // reads as a ULID of a far time
+	} {
+		if at, timed := KeyTime(key); timed != want || (timed && !at.Equal(start)) {
+			t.Errorf("%s: %v %v", key, at, timed)
+		}
+	}
+}
+
 // Retention that overtakes the reader makes the home refuse until it has read
 // what is left.
 func TestTruncationMakesTheHomeUnready(t *testing.T) {
