--- a/internal/core/limit/fleet_test.go
+++ b/internal/core/limit/fleet_test.go
@@ -15,7 +15,7 @@
 // fleet runs borrowers and homes under a virtual clock, with a view of the
 // membership that reaches each instance late and at its own time.
 type fleet struct {
-	t         *testing.T
+	t         testing.TB
 	rng       *rand.Rand
 	now       time.Time
 	nodes     []*testNode
@@ -29,7 +29,9 @@
 	refused   map[verdict.Reason]int
 	offered   int
 	messages  int
-	traffic   func(Outgoing)
+	traffic   func(from entity.InstanceID, o Outgoing)
+	// otherZones counts instances that exist for the weights only.
+	otherZones int
 }
 
 type testNode struct {
@@ -70,7 +72,7 @@
 	confirmedAfter = 20 * time.Second
 )
 
-func newFleet(t *testing.T, seed int64, zones, perZone int, contracts map[entity.OrgID]Limit) *fleet {
+func newFleet(t testing.TB, seed int64, zones, perZone int, contracts map[entity.OrgID]Limit) *fleet {
 	f := &fleet{
 		t: t, rng: rand.New(rand.NewSource(seed)), now: time.Unix(1000, 0), contracts: contracts,
 		cut: func(_, _ *testNode) bool { return false }, viewDelay: 5 * time.Second,
@@ -165,7 +167,7 @@
 	}
 	f.messages++
 	if f.traffic != nil {
-		f.traffic(o)
+		f.traffic(from.self.ID, o)
 	}
 	if f.cut(from, to) || f.rng.Float64() < f.loss {
 		return
@@ -185,7 +187,7 @@
 
 // view is what membership would tell an instance in the end.
 func (f *fleet) view(n *testNode) Zone {
-	var z Zone
+	z := Zone{Fleet: f.otherZones}
 	for _, o := range f.nodes {
 		if o.dead && f.now.Sub(o.diedAt) > confirmedAfter {
 			continue
