--- a/internal/core/limit/account.go
+++ b/internal/core/limit/account.go
@@ -10,6 +10,7 @@
 // account is what a borrower keeps of an organisation in use.
 type account struct {
 	org   entity.OrgID
+	home  entity.InstanceID
 	limit Limit
 	bucket
 
@@ -38,8 +39,7 @@
 	// short says that the last answer gave less than was wanted.
 	short bool
 	// told is what the last report said.
-	told       OrgDemand
-	toldDemand float64
+	told OrgDemand
 	// queued marks the account as waiting to be sent in the next Ready.
 	queued bool
 }
@@ -53,19 +53,16 @@
 }
 
 // allowedConcurrent is the bound on requests in flight: the share while the
-// lease lasts, else the one request that each instance may run unasked.
-func (a *account) allowedConcurrent(now time.Time) int {
+// lease lasts, else what each instance may run unasked.
+func (a *account) allowedConcurrent(now time.Time, first int) int {
 	if a.leased(now) {
 		return a.concurrent
 	}
-	return min(firstAllowance, a.limit.Concurrent)
+	return min(first, a.limit.Concurrent)
 }
 
 // spare is how much of the share has been of no use of late.
-func (a *account) spare() float64 { return float64(a.concurrent - a.peak - spareConcurrent) }
-
-// firstAllowance is how many requests an instance may admit unasked.
-const firstAllowance = 1
+func (a *account) spare() int { return a.concurrent - a.peak - 2*spareFor(a.peak) }
 
 // allowedRate is the rate in force, the base included.
 func (a *account) allowedRate(now time.Time, base float64) float64 {
@@ -75,12 +72,12 @@
 	return base
 }
 
-// size is the size of the bucket at a rate.
-func (a *account) size(rate float64) float64 {
+// size is the size of the bucket at a rate, at least first.
+func (a *account) size(rate float64, first int) float64 {
 	if a.limit.Rate <= 0 {
 		return 0
 	}
-	return max(firstAllowance, float64(a.limit.Burst)*rate/a.limit.Rate)
+	return max(float64(first), float64(a.limit.Burst)*rate/a.limit.Rate)
 }
 
 // demandWindow is the time over which arrivals are averaged.
--- a/internal/core/limit/borrower.go
+++ b/internal/core/limit/borrower.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -22,8 +23,10 @@
 	seq        uint64
 	sent       map[uint64]demandSent
 	nextReport time.Time
-	answered   []entity.OrgID
-	now        time.Time
+	// turn counts the homes that have had their turn.
+	turn     int
+	answered []entity.OrgID
+	now      time.Time
 }
 
 // demandSent remembers a demand until it is answered.
@@ -52,12 +55,12 @@
 	b.now = now
 	a.used = now
 	rate := a.allowedRate(now, b.base(a))
-	a.refill(now, rate, a.size(rate))
+	a.refill(now, rate, b.size(a, rate))
 	if !a.leased(now) {
-		a.clamp(a.size(rate))
+		a.clamp(b.size(a, rate))
 	}
 	switch {
-	case a.inFlight >= a.allowedConcurrent(now):
+	case a.inFlight >= a.allowedConcurrent(now, b.settings.FirstConcurrent):
 		reason, retryAfter = verdict.ReasonConcurrencyLimit, b.settings.ReportInterval
 	case a.tokens < 1:
 		reason, retryAfter = verdict.ReasonRateLimit, a.wait(rate)
@@ -96,7 +99,7 @@
 	if !ok {
 		return nil
 	}
-	a := &account{org: org, limit: l, measured: now, bucket: bucket{tokens: firstAllowance, at: now}}
+	a := &account{org: org, home: b.zone.home(org), limit: l, measured: now, bucket: bucket{tokens: float64(min(b.settings.FirstTokens, l.Burst)), at: now}}
 	if l.Rate <= 0 {
 		a.tokens = 0
 	}
@@ -109,6 +112,10 @@
 	return a.limit.Rate * b.settings.BaseFraction / float64(b.zone.fleet)
 }
 
+func (b *Borrower) size(a *account, rate float64) float64 {
+	return a.size(rate, min(b.settings.FirstTokens, a.limit.Burst))
+}
+
 // ask asks the home on behalf of a request, unless it answered just now or
 // does not answer at all.
 func (b *Borrower) ask(now time.Time, a *account) (wait time.Duration, undecided bool) {
@@ -148,7 +155,8 @@
 		return
 	}
 	for _, a := range b.accounts {
-		if before.home(a.org) != b.zone.home(a.org) {
+		if home := b.zone.home(a.org); home != a.home {
+			a.home = home
 			a.seen = 0
 			a.asked = time.Time{}
 		}
@@ -182,7 +190,7 @@
 	}
 	for _, o := range s.Orgs {
 		a := b.accounts[o.Org]
-		if a == nil || s.Seq <= a.seen || b.zone.home(o.Org) != from {
+		if a == nil || s.Seq <= a.seen || a.home != from {
 			continue
 		}
 		b.take(now, a, o, s.Seq)
@@ -196,9 +204,9 @@
 // take puts a share into force.
 func (b *Borrower) take(now time.Time, a *account, o OrgShare, seq uint64) {
 	rate := a.allowedRate(now, b.base(a))
-	a.refill(now, rate, a.size(rate))
+	a.refill(now, rate, b.size(a, rate))
 	a.seen, a.rate, a.concurrent = seq, o.Rate, o.Concurrent
-	a.clamp(a.size(b.base(a) + a.rate))
+	a.clamp(b.size(a, b.base(a)+a.rate))
 	a.tokens += float64(o.Tokens)
 }
 
@@ -222,6 +230,7 @@
 		return
 	}
 	b.nextReport = now.Add(b.settings.ReportInterval)
+	turn := b.nextTurn()
 	var first []*account
 	for org, a := range b.accounts {
 		a.measure(now)
@@ -229,6 +238,7 @@
 		switch {
 		case b.idle(now, a):
 			b.retire(now, a)
+		case !turn[a.home]:
 		case b.due(now, a):
 			b.enqueue(a)
 		case !a.leased(now) && a.inFlight > 0:
@@ -243,7 +253,22 @@
 	}
 }
 
-// reportFirst reports some accounts that live on the base, longest unreported first.
+// homesPerInterval is how many homes are told of changes per report interval,
+// in turn, so that reports to the same home travel together.
+const homesPerInterval = 4
+
+// nextTurn returns the homes whose turn it is.
+func (b *Borrower) nextTurn() map[entity.InstanceID]bool {
+	members := b.zone.members
+	turn := make(map[entity.InstanceID]bool, homesPerInterval)
+	for range min(homesPerInterval, len(members)) {
+		b.turn++
+		turn[members[b.turn%len(members)].ID] = true
+	}
+	return turn
+}
+
+// reportFirst reports accounts that live on the base, longest unreported first.
 func (b *Borrower) reportFirst(first []*account) {
 	slices.SortFunc(first, func(x, y *account) int {
 		return cmp.Or(x.reported.Compare(y.reported), cmp.Compare(x.org, y.org))
@@ -257,7 +282,7 @@
 	return a.inFlight == 0 && now.Sub(a.used) >= b.settings.IdleAfter
 }
 
-// changeWorthTelling is the relative change of demand that is reported before
+// changeWorthTelling is the relative change of demand that is acted on before
 // the renewal is due.
 const changeWorthTelling = 0.2
 
@@ -266,10 +291,12 @@
 	if !a.leased(now) || now.Sub(a.reported) < b.settings.ReportInterval {
 		return false
 	}
-	change := max(a.demand-a.toldDemand, a.toldDemand-a.demand)
-	return now.Sub(a.renewed) >= b.settings.RenewAfter ||
-		change > changeWorthTelling*a.toldDemand+b.base(a) ||
-		a.spare() > changeWorthTelling*float64(a.concurrent)+1
+	if now.Sub(a.renewed) >= b.settings.RenewAfter || a.spare() > a.peak {
+		return true
+	}
+	want := b.want(a)
+	lacks := a.demand > a.rate+b.base(a) && a.demand > a.told.Rate*(1+changeWorthTelling)
+	return lacks || a.rate > 2*want+1
 }
 
 // retire gives the share of an idle account back, and forgets the account
@@ -281,8 +308,8 @@
 		return
 	}
 	base := b.base(a)
-	a.refill(now, base, a.size(base))
-	if a.tokens >= a.size(base) && !a.leased(now) && !a.queued {
+	a.refill(now, base, b.size(a, base))
+	if a.tokens >= b.size(a, base) && !a.leased(now) && !a.queued {
 		delete(b.accounts, a.org)
 	}
 }
@@ -306,7 +333,7 @@
 func (b *Borrower) held(home entity.InstanceID) []*account {
 	var out []*account
 	for _, a := range b.accounts {
-		if (a.inFlight > 0 || a.holds(b.now)) && b.zone.home(a.org) == home {
+		if (a.inFlight > 0 || a.holds(b.now)) && a.home == home {
 			out = append(out, a)
 		}
 	}
@@ -322,7 +349,7 @@
 		if !a.queued {
 			continue
 		}
-		home := b.zone.home(a.org)
+		home := a.home
 		if home == "" {
 			a.queued = false
 			continue
@@ -356,9 +383,21 @@
 	return Outgoing{To: home, Demand: d}
 }
 
-// headroom is what a borrower asks for beyond the demand it measured.
+// headroom is what a borrower asks for beyond the demand it measured, so that
+// neither growth nor chance makes it ask again at once.
 const headroom = 1.25
 
+// want returns the rate to ask for.
+func (b *Borrower) want(a *account) float64 {
+	return roundRate(max(a.demand*headroom+math.Sqrt(a.demand)-b.base(a), 0))
+}
+
+// rateSteps is how many steps a rate of one request a second has in messages.
+const rateSteps = 100
+
+// roundRate cuts a rate to what messages carry.
+func roundRate(r float64) float64 { return math.Floor(r*rateSteps) / rateSteps }
+
 // tokensWanted is the number of requests that wait, and as many again as came
 // since the last report, so that a burst needs few asks.
 func (b *Borrower) tokensWanted(a *account) int {
@@ -372,10 +411,9 @@
 func (b *Borrower) report(a *account) OrgDemand {
 	a.queued = false
 	a.reported = b.now
-	a.toldDemand = a.demand
 	d := OrgDemand{Org: a.org, Seen: a.seen, Waiting: b.tokensWanted(a), InFlight: a.inFlight}
 	d.Spare = a.peak - a.inFlight
-	d.Rate = max(a.demand*headroom-b.base(a), 0)
+	d.Rate = b.want(a)
 	if a.leased(b.now) {
 		d.HoldRate, d.HoldConcurrent = a.rate, a.concurrent
 	}
--- a/internal/core/limit/home.go
+++ b/internal/core/limit/home.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -20,8 +21,8 @@
 	movedAt time.Time
 	// since lists the member digests from movedAt on; told maps a member to
 	// the digest under which it last listed all it holds.
-	since []uint64
-	told  map[entity.InstanceID]uint64
+	since []uint32
+	told  map[entity.InstanceID]uint32
 	// early keeps complete demands made under a view that this instance does
 	// not have yet.
 	early    map[entity.InstanceID]earlyDemand
@@ -45,7 +46,7 @@
 func NewHome(s Settings, self entity.InstanceID, contracts Contracts) *Home {
 	return &Home{
 		settings: s, contracts: contracts, self: self,
-		loans: make(map[entity.OrgID]*loan), told: make(map[entity.InstanceID]uint64),
+		loans: make(map[entity.OrgID]*loan), told: make(map[entity.InstanceID]uint32),
 		early: make(map[entity.InstanceID]earlyDemand),
 	}
 }
@@ -142,7 +143,7 @@
 	}
 	for _, o := range d.Orgs {
 		l := h.loans[o.Org]
-		if l == nil || o.givesBack() {
+		if l == nil || o.givesBack() || (o.onBase() && !l.tight()) {
 			continue
 		}
 		s.Orgs = append(s.Orgs, h.lend(now, l, from, o, s.Seq))
@@ -157,6 +158,12 @@
 	return d.Rate == 0 && d.Waiting == 0 && d.InFlight == 0 && d.HoldRate == 0 && d.HoldConcurrent == 0
 }
 
+// onBase reports whether the demand asks for nothing but only tells what the
+// borrower uses unasked.
+func (d *OrgDemand) onBase() bool {
+	return d.Waiting == 0 && d.HoldRate == 0 && d.HoldConcurrent == 0
+}
+
 func (h *Home) nextSeq() uint64 {
 	h.seq++
 	return h.seq
@@ -195,7 +202,7 @@
 	}
 	b := l.holder(from)
 	b.wantRate = d.Rate
-	b.wantConcurrent = d.InFlight + max(d.Waiting, d.Spare) + spareConcurrent
+	b.wantConcurrent = d.InFlight + max(d.Waiting, d.Spare) + spareFor(d.InFlight+d.Spare)
 	hold := max(d.HoldConcurrent, d.InFlight)
 	l.refresh(now)
 	if d.Seen >= b.seq {
@@ -216,7 +223,8 @@
 		rate, concurrent = min(rate, b.rate), min(concurrent, b.concurrent)
 	}
 	share := OrgShare{Org: l.org}
-	share.Rate = min(rate, max(l.freeRate()+b.rate, 0))
+	rate = roundRate(rate)
+	share.Rate = roundRate(min(rate, max(l.freeRate()+b.rate, 0)))
 	share.Concurrent = min(concurrent, max(l.freeConcurrent()+b.concurrent, 0))
 	if h.settled(now) {
 		share.Tokens = l.takeTokens(d.Waiting)
@@ -241,7 +249,7 @@
 		if b.rate <= rate*(1+changeWorthTelling) && b.concurrent <= concurrent {
 			continue
 		}
-		o := OrgShare{Org: l.org, Rate: min(rate, b.rate), Concurrent: min(concurrent, b.concurrent)}
+		o := OrgShare{Org: l.org, Rate: roundRate(min(rate, b.rate)), Concurrent: min(concurrent, b.concurrent)}
 		if o == b.offered {
 			continue
 		}
@@ -251,9 +259,9 @@
 	}
 }
 
-// spareConcurrent is what a borrower gets beyond its need, so that the next
-// request does not have to ask.
-const spareConcurrent = 1
+// spareFor is what a borrower gets beyond n in flight, so that neither the next
+// request nor chance makes it ask again.
+func spareFor(n int) int { return 2 + int(math.Sqrt(float64(n))) }
 
 // tidyInterval is the time between two looks for loans that have ended.
 const tidyInterval = time.Second
--- a/internal/core/limit/loan.go
+++ b/internal/core/limit/loan.go
@@ -73,6 +73,12 @@
 	return free
 }
 
+// tight reports whether little is left to lend, so that borrowers who live on
+// the base must have a share as well.
+func (l *loan) tight() bool {
+	return 4*l.freeConcurrent() <= l.part.Concurrent || 4*l.freeRate() <= l.part.Rate
+}
+
 // refresh brings the tokens up to date; it is due before lent rates change.
 func (l *loan) refresh(now time.Time) {
 	free := max(l.freeRate(), 0)
--- a/internal/core/limit/settings.go
+++ b/internal/core/limit/settings.go
@@ -21,6 +21,10 @@
 	// BaseFraction is the part of a contract's rate that is not lent but
 	// divided among all instances for good.
 	BaseFraction float64
+	// FirstTokens and FirstConcurrent are what an instance may admit, at once
+	// and in flight, for an organisation that it has no share of.
+	FirstTokens     int
+	FirstConcurrent int
 	// FirstReports bounds, per report interval, the organisations that are
 	// reported without need: in use, but within the base.
 	FirstReports int
@@ -29,13 +33,15 @@
 // DefaultSettings returns the settings that the daemon uses.
 func DefaultSettings() Settings {
 	return Settings{
-		ReportInterval: time.Second,
-		LeaseFor:       15 * time.Second,
-		RenewAfter:     4 * time.Second,
-		AskTimeout:     200 * time.Millisecond,
-		IdleAfter:      5 * time.Second,
-		FreezeGap:      1500 * time.Millisecond,
-		BaseFraction:   0.1,
-		FirstReports:   8,
+		ReportInterval:  time.Second,
+		LeaseFor:        20 * time.Second,
+		RenewAfter:      5 * time.Second,
+		AskTimeout:      200 * time.Millisecond,
+		IdleAfter:       5 * time.Second,
+		FreezeGap:       1500 * time.Millisecond,
+		BaseFraction:    0.5,
+		FirstTokens:     3,
+		FirstConcurrent: 2,
+		FirstReports:    4,
 	}
 }
--- a/internal/core/limit/zone.go
+++ b/internal/core/limit/zone.go
@@ -11,7 +11,7 @@
 type zone struct {
 	members []entity.Instance
 	fleet   int
-	digest  uint64
+	digest  uint32
 }
 
 func newZone(z Zone) zone {
@@ -21,7 +21,7 @@
 		if m.Leaving {
 			h = ^h
 		}
-		out.digest ^= h
+		out.digest ^= uint32(h)
 	}
 	return out
 }
