--- a/internal/core/limit/limit_test.go
+++ b/internal/core/limit/limit_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/verdict"
 )
 
 const org entity.OrgID = "acme"
@@ -53,3 +54,91 @@
 		t.Errorf("only %d in flight on average", sum/600)
 	}
 }
+
+// A contract smaller than the number of instances, offered far more than it
+// allows at every instance: after the first reports the first allowances are
+// no longer of use.
+func TestSmallContractHoldsOnceReported(t *testing.T) {
+	f := newFleet(t, 4, 4, 4, map[entity.OrgID]Limit{org: {Rate: 1000, Burst: 1000, Concurrent: 8}})
+	f.run(30 * time.Second)
+	f.load(org, 100, 500*time.Millisecond, 60*time.Second, f.nodes)
+	f.run(10 * time.Second)
+	worst := 0
+	for range 450 {
+		f.run(tickEvery)
+		worst = max(worst, f.inFlight(org))
+	}
+	if worst > 8+3 {
+		t.Errorf("%d in flight", worst)
+	}
+	if worst < 8 {
+		t.Errorf("never more than %d in flight", worst)
+	}
+}
+
+// All traffic of an organisation comes to one instance: it gets the lent part
+// of its zone and its own base.
+func TestOneInstanceTakesAllTraffic(t *testing.T) {
+	f := newFleet(t, 5, 1, 4, map[entity.OrgID]Limit{org: {Rate: 100, Burst: 10, Concurrent: 1000}})
+	f.run(30 * time.Second)
+	f.load(org, 300, 10*time.Millisecond, 60*time.Second, f.nodes[:1])
+	f.run(60 * time.Second)
+	want := 60 * 100 * (DefaultSettings().BaseFraction/4 + 1 - DefaultSettings().BaseFraction)
+	if got := float64(len(f.admitted[org])); got < 0.9*want || got > want+2*10+3*4 {
+		t.Errorf("admitted %.0f, want about %.0f", got, want)
+	}
+}
+
+// Demand moves from one instance to another: the share follows.
+func TestShareFollowsDemand(t *testing.T) {
+	f := newFleet(t, 6, 1, 4, map[entity.OrgID]Limit{org: {Rate: 100, Burst: 10, Concurrent: 1000}})
+	f.run(30 * time.Second)
+	f.load(org, 100, 10*time.Millisecond, 20*time.Second, f.nodes[:1])
+	f.run(20 * time.Second)
+	f.load(org, 100, 10*time.Millisecond, 20*time.Second, f.nodes[1:2])
+	f.run(10 * time.Second)
+	before := len(f.admitted[org])
+	f.run(10 * time.Second)
+	if got := len(f.admitted[org]) - before; got < 10*55 {
+		t.Errorf("admitted %d in the last 10 s", got)
+	}
+}
+
+func TestHomeCutOffTheLastShareHolds(t *testing.T) {
+	f := newFleet(t, 7, 1, 4, map[entity.OrgID]Limit{org: {Rate: 100, Burst: 10, Concurrent: 1000}})
+	f.run(30 * time.Second)
+	f.load(org, 80, 10*time.Millisecond, 40*time.Second, f.nodes)
+	f.run(20 * time.Second)
+	home := f.homeOf(org, "z0")
+	f.cut = func(a, b *testNode) bool { return a == home || b == home }
+	before := len(f.admitted[org])
+	f.run(10 * time.Second)
+	if got := len(f.admitted[org]) - before; got < 10*80*85/100 {
+		t.Errorf("admitted %d of about 800 while the home was cut off", got)
+	}
+}
+
+func TestIdleOrganisationCostsNothing(t *testing.T) {
+	f := newFleet(t, 8, 2, 4, map[entity.OrgID]Limit{org: {Rate: 1000, Burst: 100, Concurrent: 100}})
+	f.run(30 * time.Second)
+	f.load(org, 200, 100*time.Millisecond, 10*time.Second, f.nodes)
+	f.run(70 * time.Second)
+	before := f.messages
+	f.run(60 * time.Second)
+	if f.messages != before {
+		t.Errorf("%d messages", f.messages-before)
+	}
+	for _, n := range f.nodes {
+		if len(n.borrower.accounts) != 0 || n.home.Loans() != 0 {
+			t.Errorf("%s keeps %d accounts and %d loans", n.self.ID, len(n.borrower.accounts), n.home.Loans())
+		}
+	}
+}
+
+func TestUnknownOrganisation(t *testing.T) {
+	b := NewBorrower(DefaultSettings(), func(entity.OrgID) (Limit, bool) { return Limit{}, false })
+	b.SetZone(time.Unix(1, 0), Zone{Members: []entity.Instance{{ID: "a"}}, Fleet: 1})
+	if ok, reason, _ := b.Take(time.Unix(1, 0), "nobody"); ok || reason != verdict.ReasonUnauthenticated {
+		t.Errorf("got %v %s", ok, reason)
+	}
+}
