--- a/internal/core/limit/home.go
+++ b/internal/core/limit/home.go
@@ -25,7 +25,10 @@
 	told  map[entity.InstanceID]uint32
 	// early keeps complete demands made under a view that this instance does
 	// not have yet.
-	early    map[entity.InstanceID]earlyDemand
+	early map[entity.InstanceID]earlyDemand
+	// joinedAt is when a member appeared; it may come from a part of the zone
+	// that was cut off, and hold shares of a home there.
+	joinedAt map[entity.InstanceID]time.Time
 	lastTick time.Time
 	nextTidy time.Time
 	seq      uint64
@@ -47,7 +50,7 @@
 	return &Home{
 		settings: s, contracts: contracts, self: self,
 		loans: make(map[entity.OrgID]*loan), told: make(map[entity.InstanceID]uint32),
-		early: make(map[entity.InstanceID]earlyDemand),
+		early: make(map[entity.InstanceID]earlyDemand), joinedAt: make(map[entity.InstanceID]time.Time),
 	}
 }
 
@@ -85,6 +88,12 @@
 		h.since = h.since[:0]
 	}
 	h.since = append(h.since, h.zone.digest)
+	for _, m := range h.zone.members {
+		if !before.has(m.ID) {
+			h.joinedAt[m.ID] = now
+			delete(h.told, m.ID)
+		}
+	}
 }
 
 // limits returns the part of a contract that the zone may lend.
@@ -99,10 +108,15 @@
 
 // settled reports whether this home knows all that is lent.
 func (h *Home) settled(now time.Time) bool {
-	if now.Sub(h.movedAt) >= h.settings.LeaseFor {
+	moved := now.Sub(h.movedAt) < h.settings.LeaseFor
+	if !moved && len(h.joinedAt) == 0 {
 		return true
 	}
 	for _, m := range h.zone.members {
+		joined, ok := h.joinedAt[m.ID]
+		if !moved && (!ok || now.Sub(joined) >= h.settings.LeaseFor) {
+			continue
+		}
 		if d, ok := h.told[m.ID]; !ok || !slices.Contains(h.since, d) {
 			return false
 		}
@@ -124,7 +138,7 @@
 // Step takes in a demand.
 func (h *Home) Step(now time.Time, from entity.InstanceID, d Demand) {
 	h.thaw(now)
-	if !slices.ContainsFunc(h.zone.members, func(m entity.Instance) bool { return m.ID == from }) {
+	if !h.zone.has(from) {
 		return
 	}
 	delete(h.early, from)
@@ -277,10 +291,15 @@
 		h.tidy(now, h.loans[org])
 	}
 	for id := range h.told {
-		if !slices.ContainsFunc(h.zone.members, func(m entity.Instance) bool { return m.ID == id }) {
+		if !h.zone.has(id) {
 			delete(h.told, id)
 		}
 	}
+	for id, at := range h.joinedAt {
+		if now.Sub(at) >= h.settings.LeaseFor {
+			delete(h.joinedAt, id)
+		}
+	}
 	for id, d := range h.early {
 		if now.Sub(d.at) >= earlyFor {
 			delete(h.early, id)
--- a/internal/core/limit/zone.go
+++ b/internal/core/limit/zone.go
@@ -1,6 +1,8 @@
 package limit
 
 import (
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/medlarhold/medlarhold/internal/core/entity"
@@ -31,6 +33,10 @@
 
 func (z *zone) home(org entity.OrgID) entity.InstanceID { return ownership.OrgHome(z.members, org) }
 
+func (z *zone) has(id entity.InstanceID) bool {
+	return slices.ContainsFunc(z.members, func(m entity.Instance) bool { return m.ID == id })
+}
+
 // lostMember reports whether an instance that could be a home before can't be now.
 func (z *zone) lostMember(before *zone) bool {
 	now := make(map[entity.InstanceID]bool, len(z.members))
