Membership and limits: hostile values, fuzz targets, tests that pin single mechanisms

Values from peers are bounded: incarnations leave room to be refuted, counts and rates are not negative, probes made for others are limited.

--- a/internal/core/limit/borrower.go
+++ b/internal/core/limit/borrower.go
@@ -193,6 +193,7 @@
 		if a == nil || s.Seq <= a.seen || a.home != from {
 			continue
 		}
+		o.sanitise()
 		b.take(now, a, o, s.Seq)
 		if s.Answers != 0 {
 			a.lease, a.renewed = lease, sentAt
--- /dev/null
+++ b/internal/core/limit/fuzz_test.go
@@ -0,0 +1,74 @@
+package limit
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
+
+func fuzzZone() Zone {
+	return Zone{Members: []entity.Instance{{ID: "a"}, {ID: "b"}}, Fleet: 2}
+}
+
+func fuzzContracts(entity.OrgID) (Limit, bool) {
+	return Limit{Rate: 10, Burst: 5, Concurrent: 4}, true
+}
+
+// FuzzHome feeds demands; what is lent stays within the zone's part.
+func FuzzHome(f *testing.F) {
+	f.Add([]byte(`{"s":1,"m":3,"c":true,"o":[{"o":"x","r":5,"w":2,"f":1}]}`))
+	f.Add([]byte(`{"s":1,"o":[{"o":"x","r":-5,"w":-2,"f":-1,"h":-9,"k":-9,"p":-1},{"o":"x","r":1e300}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var d Demand
+		if json.Unmarshal(data, &d) != nil {
+			t.Skip()
+		}
+		h := NewHome(DefaultSettings(), "a", fuzzContracts)
+		now := time.Unix(1000, 0)
+		h.SetZone(now, fuzzZone())
+		h.Tick(now)
+		for range 30 {
+			now = now.Add(time.Second)
+			h.Tick(now)
+			h.Step(now, "b", d)
+		}
+		for _, o := range h.Ready().Messages {
+			for _, s := range o.Share.Orgs {
+				if s.Rate < 0 || s.Rate > 10 || s.Concurrent < 0 || s.Concurrent > 4 || s.Tokens < 0 {
+					t.Fatalf("lent %+v", s)
+				}
+			}
+		}
+	})
+}
+
+// FuzzBorrower feeds shares; the borrower stays within what was lent.
+func FuzzBorrower(f *testing.F) {
+	f.Add([]byte(`{"s":1,"a":1,"o":[{"o":"x","r":5,"t":3,"k":7}]}`))
+	f.Add([]byte(`{"s":9,"a":1,"o":[{"o":"x","r":-5,"t":-3,"k":-7}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var s Share
+		if json.Unmarshal(data, &s) != nil {
+			t.Skip()
+		}
+		b := NewBorrower(DefaultSettings(), fuzzContracts)
+		now := time.Unix(1000, 0)
+		b.SetZone(now, fuzzZone())
+		taken := 0
+		for range 10 {
+			if ok, _, _ := b.Take(now, "x"); ok {
+				taken++
+			}
+			b.Ready()
+			b.Step(now, "a", s)
+			b.Step(now, "b", s)
+			now = now.Add(100 * time.Millisecond)
+			b.Tick(now)
+		}
+		if got := b.InFlight("x"); got != taken {
+			t.Fatalf("%d in flight, %d taken", got, taken)
+		}
+	})
+}
--- a/internal/core/limit/home.go
+++ b/internal/core/limit/home.go
@@ -150,6 +150,9 @@
 		h.told[from] = d.Members
 	}
 	s := Share{Seq: h.nextSeq(), Answers: d.Seq}
+	for i := range d.Orgs {
+		d.Orgs[i].sanitise()
+	}
 	for _, o := range d.Orgs {
 		if l := h.loan(now, o.Org); l != nil {
 			h.noteDemand(now, l, from, o)
--- a/internal/core/limit/limit_test.go
+++ b/internal/core/limit/limit_test.go
@@ -142,3 +142,38 @@
 		t.Errorf("got %v %s", ok, reason)
 	}
 }
+
+func TestHomeThatWasAwayLendsNothingNew(t *testing.T) {
+	members := []entity.Instance{{ID: "a"}, {ID: "b"}, {ID: "c"}}
+	contracts := func(entity.OrgID) (Limit, bool) { return Limit{Rate: 90, Burst: 9, Concurrent: 9}, true }
+	now := time.Unix(1000, 0)
+	z := newZone(Zone{Members: members, Fleet: 3})
+	h := NewHome(DefaultSettings(), z.home(org), contracts)
+	h.SetZone(now, Zone{Members: members, Fleet: 3})
+	run := func(d time.Duration) {
+		for end := now.Add(d); now.Before(end); {
+			now = now.Add(tickEvery)
+			h.Tick(now)
+		}
+	}
+	ask := func(seq uint64) OrgShare {
+		h.Step(now, "c", Demand{Seq: seq, Members: z.digest, Orgs: []OrgDemand{{Org: org, Waiting: 1, Rate: 5}}})
+		out := h.Ready().Messages
+		if len(out) == 0 {
+			t.Fatal("no answer")
+		}
+		return out[len(out)-1].Share.Orgs[0]
+	}
+	run(DefaultSettings().LeaseFor)
+	if s := ask(1); s.Concurrent == 0 || s.Tokens == 0 {
+		t.Fatalf("a settled home lent %+v", s)
+	}
+	now = now.Add(5 * time.Second)
+	if s := ask(2); s.Concurrent != 0 || s.Tokens != 0 || s.Rate != 0 {
+		t.Errorf("a home that was away lent %+v", s)
+	}
+	run(DefaultSettings().LeaseFor)
+	if s := ask(3); s.Concurrent == 0 {
+		t.Errorf("a home that was away a lease time ago lent %+v", s)
+	}
+}
--- a/internal/core/limit/message.go
+++ b/internal/core/limit/message.go
@@ -42,6 +42,24 @@
 	HoldConcurrent int     `json:"k,omitempty"`
 }
 
+// sanitise replaces values that make no sense.
+func (d *OrgDemand) sanitise() {
+	d.Rate, d.HoldRate = max(d.Rate, 0), max(d.HoldRate, 0)
+	d.Waiting, d.InFlight, d.Spare = bounded(d.Waiting), bounded(d.InFlight), bounded(d.Spare)
+	d.HoldConcurrent = bounded(d.HoldConcurrent)
+}
+
+// maxCount bounds the counts that messages may name.
+const maxCount = 1 << 30
+
+func bounded(n int) int { return min(max(n, 0), maxCount) }
+
+// sanitise replaces values that make no sense.
+func (s *OrgShare) sanitise() {
+	s.Rate = max(s.Rate, 0)
+	s.Tokens, s.Concurrent = bounded(s.Tokens), bounded(s.Concurrent)
+}
+
 // Share is what a home lends.
 type Share struct {
 	// Seq numbers the shares of a home.
--- a/internal/core/membership/core.go
+++ b/internal/core/membership/core.go
@@ -164,11 +164,11 @@
 
 // merge takes in one row, and passes it on if it is news and spread is set.
 func (c *Core) merge(now time.Time, u Update, spread bool) {
-	if u.ID == c.self {
-		c.refute(now, u)
+	if !u.valid() {
 		return
 	}
-	if u.ID == "" || u.Zone == "" || u.State > Dead {
+	if u.ID == c.self {
+		c.refute(now, u)
 		return
 	}
 	r := c.table.byID[u.ID]
--- a/internal/core/membership/core_test.go
+++ b/internal/core/membership/core_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"math/rand"
 	"testing"
 	"time"
 
@@ -164,3 +165,63 @@
 		t.Errorf("%d rows", n)
 	}
 }
+
+func TestFrozenInstanceBlamesNoOne(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := New(DefaultSettings(), entity.Instance{ID: "a", Zone: "z"}, rand.New(rand.NewSource(1)))
+	c.Step(now, "b", Message{Kind: Sync, Round: SyncRows, Updates: []Update{{ID: "b", Zone: "z"}, {ID: "c", Zone: "z", State: Suspect}}})
+	c.Tick(now)
+	c.Tick(now.Add(DefaultSettings().ProbeInterval))
+	if len(c.probes) == 0 {
+		t.Fatal("no probe under way")
+	}
+	thawed := now.Add(time.Minute)
+	c.Tick(thawed)
+	if b, suspect := c.table.byID["b"], c.table.byID["c"]; b.State != Alive || suspect.State != Suspect {
+		t.Errorf("b is %d, c is %d after the thaw", b.State, suspect.State)
+	}
+	for range 80 {
+		thawed = thawed.Add(testStep)
+		c.Tick(thawed)
+	}
+	if c.table.byID["c"].State != Dead {
+		t.Error("the suspect was never given up")
+	}
+}
+
+func TestLeaveIsRepeatedToThoseWhoMissedIt(t *testing.T) {
+	c := newCluster(t, 10)
+	c.fill(1, 12)
+	c.mustAgree(convergeWithin)
+	c.loss = 1
+	n := c.nodes[0]
+	n.leaving = c.now
+	n.core.Leave(c.now)
+	c.run(250*time.Millisecond, nil)
+	c.loss = 0
+	c.run(1750*time.Millisecond, nil)
+	if w := c.wrong(); w != "" {
+		t.Error(w)
+	}
+	if !n.core.LeaveHeard() {
+		t.Error("the leaver was not answered by all")
+	}
+}
+
+func TestBrokenPathBetweenTwoMembersHarmsNoOne(t *testing.T) {
+	c := newCluster(t, 11)
+	c.fill(1, 4)
+	c.mustAgree(convergeWithin)
+	a, b := c.nodes[0], c.nodes[1]
+	c.cut = func(x, y *node) bool { return (x == a && y == b) || (x == b && y == a) }
+	c.run(time.Minute, func() {
+		if w := c.wrong(); w != "" {
+			t.Fatal(w)
+		}
+	})
+	for _, n := range c.nodes {
+		if i := n.core.View().Self.Incarnation; i != 0 {
+			t.Errorf("%s had to refute %d times", n.self.ID, i)
+		}
+	}
+}
--- a/internal/core/membership/message.go
+++ b/internal/core/membership/message.go
@@ -80,6 +80,14 @@
 	Unreachable []entity.ZoneID `json:"x,omitempty"`
 }
 
+// maxIncarnation bounds incarnations, so that each can be refuted by a higher one.
+const maxIncarnation = 1 << 62
+
+// valid reports whether the row may be taken in.
+func (u *Update) valid() bool {
+	return u.ID != "" && u.Zone != "" && u.State <= Dead && u.Incarnation < maxIncarnation
+}
+
 // updateOverheadBytes is the encoded size of an Update besides its strings.
 const updateOverheadBytes = 40
 
--- a/internal/core/membership/probe.go
+++ b/internal/core/membership/probe.go
@@ -11,6 +11,9 @@
 // joinSeeds is how many seeds a new instance asks in one round.
 const joinSeeds = 3
 
+// maxProbes bounds the probes under way, above which none is made for others.
+const maxProbes = 256
+
 // probe is a Ping that waits for its Ack.
 type probe struct {
 	target   entity.InstanceID
@@ -157,7 +160,7 @@
 		return
 	}
 	r := c.table.byID[m.Target]
-	if r == nil || r.Zone != c.zone {
+	if r == nil || r.Zone != c.zone || len(c.probes) >= maxProbes {
 		return
 	}
 	p := probe{target: m.Target, seq: c.nextSeq(), sent: now, relayTo: from, relaySeq: m.Seq}
--- a/internal/core/membership/sync.go
+++ b/internal/core/membership/sync.go
@@ -118,9 +118,10 @@
 	return len(digests) > 0 && len(own) == 0
 }
 
-// rowsSince returns from when on rows are wanted by a peer.
+// rowsSince returns from when on rows are wanted by a peer that asks for the
+// given age; all rows if the age isn't one that links ask for.
 func rowsSince(now time.Time, age int) time.Time {
-	if age <= 0 {
+	if age <= 0 || time.Duration(age)*time.Second > agreementLimit+agreementMargin {
 		return time.Time{}
 	}
 	return now.Add(-time.Duration(age) * time.Second)
