Membership: a zone that is gone for good is forgotten

The rows of a zone all of whose instances died stay, as no one is left to say so, and its part of each contract would have stayed reserved for ever. After an hour out of reach, and absent from the platform's list, it is dropped.

--- a/internal/core/limit/borrower.go
+++ b/internal/core/limit/borrower.go
@@ -117,6 +117,9 @@
 // ask asks the home on behalf of a request, unless it answered just now or
 // does not answer at all.
 func (b *Borrower) ask(now time.Time, a *account) (wait time.Duration, undecided bool) {
+	if a.home == "" {
+		return 0, false
+	}
 	if !a.asked.IsZero() {
 		a.waiting++
 		wait = b.settings.AskTimeout - now.Sub(a.asked)
--- a/internal/core/membership/cluster_test.go
+++ b/internal/core/membership/cluster_test.go
@@ -207,3 +207,8 @@
 		c.t.Fatalf("%v after the last fault: %s", d, w)
 	}
 }
+
+func (c *cluster) viewOf(core *Core) *View {
+	v := core.View()
+	return &v
+}
--- a/internal/core/membership/core.go
+++ b/internal/core/membership/core.go
@@ -136,6 +136,7 @@
 	}
 	if !now.Before(c.nextPrune) {
 		c.nextPrune = now.Add(c.settings.TombstoneFor / 4)
+		c.forgetZones(now)
 		c.table.prune(now.Add(-c.settings.TombstoneFor))
 	}
 }
--- a/internal/core/membership/core_test.go
+++ b/internal/core/membership/core_test.go
@@ -229,3 +229,24 @@
 		}
 	}
 }
+
+func TestZoneThatIsGoneForGoodIsForgotten(t *testing.T) {
+	c := newCluster(t, 12)
+	c.set.TombstoneFor, c.set.ForgetZoneAfter = time.Minute, 5*time.Minute
+	c.fill(2, 3)
+	c.mustAgree(convergeWithin)
+	for _, n := range c.nodes[3:] {
+		n.dead = true
+	}
+	c.run(2*time.Minute, nil)
+	n := c.nodes[0].core
+	if z, ok := c.viewOf(n).Zone("z1"); !ok || z.Reachable || n.Fleet(c.now) != 6 {
+		t.Errorf("z1 known %v, reachable %v, fleet %d", ok, z.Reachable, n.Fleet(c.now))
+	}
+	c.run(8*time.Minute, nil)
+	for _, n := range c.nodes[:3] {
+		if _, ok := c.viewOf(n.core).Zone("z1"); ok || n.core.Fleet(c.now) != 3 {
+			t.Errorf("%s: z1 known %v, fleet %d", n.self.ID, ok, n.core.Fleet(c.now))
+		}
+	}
+}
--- a/internal/core/membership/link.go
+++ b/internal/core/membership/link.go
@@ -19,6 +19,8 @@
 	next   time.Time
 	// agreed is when the two zones last had the same rows of each other.
 	agreed time.Time
+	// lostSince is since when the zone has been unreachable, zero if it isn't.
+	lostSince time.Time
 }
 
 // A link asks for the rows that changed since the two zones last agreed, and
@@ -168,6 +170,27 @@
 	return unknown[c.rng.Intn(len(unknown))], true
 }
 
+// forgetZones drops the rows of zones that have been out of reach for long and
+// that the platform doesn't list: no one is left to say that they are gone.
+func (c *Core) forgetZones(now time.Time) {
+	for _, zone := range c.remoteZones() {
+		l := c.linkState(zone)
+		switch {
+		case c.reachable(zone):
+			l.lostSince = time.Time{}
+		case l.lostSince.IsZero():
+			l.lostSince = now
+		case now.Sub(l.lostSince) >= c.settings.ForgetZoneAfter && !c.zoneListed(zone):
+			c.table.dropZone(zone)
+			c.change()
+		}
+	}
+}
+
+func (c *Core) zoneListed(zone entity.ZoneID) bool {
+	return slices.ContainsFunc(c.seeds, func(in entity.Instance) bool { return in.Zone == zone })
+}
+
 // reportZone writes into the own row whether a zone can't be reached.
 func (c *Core) reportZone(now time.Time, zone entity.ZoneID, unreachable bool) {
 	own := c.table.byID[c.self].Update
--- a/internal/core/membership/probe.go
+++ b/internal/core/membership/probe.go
@@ -104,7 +104,11 @@
 }
 
 // probeSeeds speaks to instances of the zone that only the platform knows of.
+// Once joined, all instances of the zone together do so about once per interval.
 func (c *Core) probeSeeds() {
+	if c.joined && c.rng.Intn(c.table.zone(c.zone).live) > 0 {
+		return
+	}
 	unknown := 0
 	for _, in := range c.seeds {
 		if c.unknownSeed(in) {
--- a/internal/core/membership/settings.go
+++ b/internal/core/membership/settings.go
@@ -37,6 +37,9 @@
 	// FreezeGap is the time without a Tick after which the instance takes
 	// itself, not its peers, to have been away.
 	FreezeGap time.Duration
+	// ForgetZoneAfter is how long a zone must be unreachable, and absent from
+	// the platform's list, to be forgotten.
+	ForgetZoneAfter time.Duration
 	// TombstoneFor is how long a dead instance is remembered.
 	TombstoneFor time.Duration
 	// ConfirmDeathAfter is the least time after which a death counts as
@@ -66,6 +69,7 @@
 		LeaveWindow:           2 * time.Second,
 		FreezeGap:             1500 * time.Millisecond,
 		TombstoneFor:          10 * time.Minute,
+		ForgetZoneAfter:       time.Hour,
 		ConfirmDeathAfter:     time.Minute,
 		PiggybackBytes:        600,
 		MaxRows:               4096,
--- a/internal/core/membership/table.go
+++ b/internal/core/membership/table.go
@@ -128,6 +128,20 @@
 	}
 }
 
+// dropZone forgets all rows of a zone.
+func (t *table) dropZone(id entity.ZoneID) {
+	t.zones = slices.DeleteFunc(t.zones, func(z *zoneTable) bool {
+		if z.zone != id {
+			return false
+		}
+		for _, r := range z.rows {
+			delete(t.byID, r.ID)
+		}
+		t.digest ^= z.digest
+		return true
+	})
+}
+
 // prune forgets rows that died before the given time, and empty zones.
 func (t *table) prune(before time.Time) {
 	for _, z := range t.zones {
