--- a/internal/core/limit/limit_test.go
+++ b/internal/core/limit/limit_test.go
@@ -177,3 +177,50 @@
 		t.Errorf("a home that was away a lease time ago lent %+v", s)
 	}
 }
+
+func TestMemberThatJoinsMayHoldShares(t *testing.T) {
+	contracts := func(entity.OrgID) (Limit, bool) { return Limit{Rate: 90, Burst: 9, Concurrent: 9}, true }
+	all := Zone{Members: []entity.Instance{{ID: "a"}, {ID: "b"}, {ID: "c"}}, Fleet: 3}
+	z := newZone(all)
+	self := z.home(org)
+	now := time.Unix(1000, 0)
+	h := NewHome(DefaultSettings(), self, contracts)
+	h.SetZone(now, Zone{Members: []entity.Instance{{ID: self}}, Fleet: 3})
+	for range 300 {
+		now = now.Add(tickEvery)
+		h.Tick(now)
+	}
+	h.SetZone(now, all)
+	ask := func(seq uint64) OrgShare {
+		h.Step(now, self, Demand{Seq: seq, Members: z.digest, Orgs: []OrgDemand{{Org: org, Waiting: 9}}})
+		out := h.Ready().Messages
+		return out[len(out)-1].Share.Orgs[0]
+	}
+	if s := ask(1); s.Concurrent != 0 {
+		t.Errorf("lent %+v before the others told what they hold", s)
+	}
+	for _, m := range all.Members {
+		if m.ID == self {
+			continue
+		}
+		held := []OrgDemand{{Org: org, InFlight: 2, HoldConcurrent: 3}}
+		h.Step(now, m.ID, Demand{Seq: 1, Members: z.digest, Complete: true, Orgs: held})
+	}
+	if s := ask(2); s.Concurrent == 0 || s.Concurrent > 9-2*3 {
+		t.Errorf("lent %+v with 6 of 9 in other hands", s)
+	}
+}
+
+func TestNewHomeLendsSoonAfterThePlannedLeave(t *testing.T) {
+	f := newFleet(t, 9, 1, 4, map[entity.OrgID]Limit{org: {Rate: 1000, Burst: 100, Concurrent: 100}})
+	f.run(30 * time.Second)
+	f.load(org, 20, 100*time.Millisecond, 40*time.Second, f.nodes[:1])
+	f.run(10 * time.Second)
+	old := f.homeOf(org, "z0")
+	old.self.Leaving = true
+	f.spreadViews()
+	f.run(f.viewDelay + 2*time.Second)
+	if h := f.homeOf(org, "z0"); h == old || !h.home.settled(f.now) {
+		t.Errorf("%s is not settled %v after the home left", h.self.ID, f.viewDelay+2*time.Second)
+	}
+}
