--- a/internal/core/limit/bench_test.go
+++ b/internal/core/limit/bench_test.go
@@ -160,7 +160,7 @@
 				for _, o := range names {
 					br.Take(time.Unix(1000, 0), o)
 				}
-				b.ReportMetric(float64(heapInUse()-before)/float64(orgs), "B/org")
+				b.ReportMetric((float64(heapInUse())-float64(before))/float64(orgs), "B/org")
 				runtime.KeepAlive(br)
 			}
 		})
--- a/internal/core/membership/traffic_test.go
+++ b/internal/core/membership/traffic_test.go
@@ -145,8 +145,10 @@
 					core.Ready()
 					cores = append(cores, core)
 				}
-				b.ReportMetric(float64(heapInUse()-before)/copies, "B/core")
+				b.ReportMetric((float64(heapInUse())-float64(before))/copies, "B/core")
 				runtime.KeepAlive(cores)
+				runtime.KeepAlive(c)
+				runtime.KeepAlive(updates)
 			}
 		})
 	}
