--- a/internal/core/limit/borrower.go
+++ b/internal/core/limit/borrower.go
@@ -36,7 +36,7 @@
 // NewBorrower returns a borrower that holds nothing.
 func NewBorrower(s Settings, contracts Contracts) *Borrower {
 	return &Borrower{
-		settings: s, contracts: contracts,
+		settings: s, contracts: contracts, zone: newZone(Zone{}),
 		accounts: make(map[entity.OrgID]*account), sent: make(map[uint64]demandSent),
 	}
 }
--- a/internal/core/limit/home.go
+++ b/internal/core/limit/home.go
@@ -47,7 +47,7 @@
 // NewHome returns a home that has lent nothing.
 func NewHome(s Settings, self entity.InstanceID, contracts Contracts) *Home {
 	return &Home{
-		settings: s, contracts: contracts, self: self,
+		settings: s, contracts: contracts, self: self, zone: newZone(Zone{}),
 		loans: make(map[entity.OrgID]*loan), told: make(map[entity.InstanceID]uint32),
 		early: make(map[entity.InstanceID]earlyDemand), joinedAt: make(map[entity.InstanceID]time.Time),
 	}
--- a/internal/core/limit/limit_test.go
+++ b/internal/core/limit/limit_test.go
@@ -224,3 +224,18 @@
 		t.Errorf("%s is not settled %v after the home left", h.self.ID, f.viewDelay+2*time.Second)
 	}
 }
+
+func TestTakeBeforeTheFirstViewIsBounded(t *testing.T) {
+	b := NewBorrower(DefaultSettings(), func(entity.OrgID) (Limit, bool) { return Limit{Rate: 10, Burst: 10, Concurrent: 10}, true })
+	now, taken := time.Unix(1000, 0), 0
+	for range 100 {
+		now = now.Add(10 * time.Millisecond)
+		if ok, _, _ := b.Take(now, org); ok {
+			taken++
+			b.Done(now, org)
+		}
+	}
+	if taken == 0 || taken > 10+10 {
+		t.Errorf("took %d in a second", taken)
+	}
+}
