--- a/internal/core/limit/limit_test.go
+++ b/internal/core/limit/limit_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/verdict"
 )
 
 const org entity.OrgID = "acme"
@@ -53,3 +54,188 @@
 		t.Errorf("only %d in flight on average", sum/600)
 	}
 }
+
+// A contract smaller than the number of instances, offered far more than it
+// allows at every instance: after the first reports the first allowances are
+// no longer of use.
+func TestSmallContractHoldsOnceReported(t *testing.T) {
+	f := newFleet(t, 4, 4, 4, map[entity.OrgID]Limit{org: {Rate: 1000, Burst: 1000, Concurrent: 8}})
+	f.run(30 * time.Second)
+	f.load(org, 100, 500*time.Millisecond, 60*time.Second, f.nodes)
+	f.run(10 * time.Second)
+	worst := 0
+	for range 450 {
+		f.run(tickEvery)
+		worst = max(worst, f.inFlight(org))
+	}
+	if worst > 8+3 {
+		t.Errorf("%d in flight", worst)
+	}
+	if worst < 8 {
+		t.Errorf("never more than %d in flight", worst)
+	}
+}
+
+// All traffic of an organisation comes to one instance: it gets the lent part
+// of its zone and its own base.
+func TestOneInstanceTakesAllTraffic(t *testing.T) {
+	f := newFleet(t, 5, 1, 4, map[entity.OrgID]Limit{org: {Rate: 100, Burst: 10, Concurrent: 1000}})
+	f.run(30 * time.Second)
+	f.load(org, 300, 10*time.Millisecond, 60*time.Second, f.nodes[:1])
+	f.run(60 * time.Second)
+	want := 60 * 100 * (DefaultSettings().BaseFraction/4 + 1 - DefaultSettings().BaseFraction)
+	if got := float64(len(f.admitted[org])); got < 0.9*want || got > want+2*10+3*4 {
+		t.Errorf("admitted %.0f, want about %.0f", got, want)
+	}
+}
+
+// Demand moves from one instance to another: the share follows.
+func TestShareFollowsDemand(t *testing.T) {
+	f := newFleet(t, 6, 1, 4, map[entity.OrgID]Limit{org: {Rate: 100, Burst: 10, Concurrent: 1000}})
+	f.run(30 * time.Second)
+	f.load(org, 100, 10*time.Millisecond, 20*time.Second, f.nodes[:1])
+	f.run(20 * time.Second)
+	f.load(org, 100, 10*time.Millisecond, 20*time.Second, f.nodes[1:2])
+	f.run(10 * time.Second)
+	before := len(f.admitted[org])
+	f.run(10 * time.Second)
+	if got := len(f.admitted[org]) - before; got < 10*55 {
+		t.Errorf("admitted %d in the last 10 s", got)
+	}
+}
+
+func TestHomeCutOffTheLastShareHolds(t *testing.T) {
+	f := newFleet(t, 7, 1, 4, map[entity.OrgID]Limit{org: {Rate: 100, Burst: 10, Concurrent: 1000}})
+	f.run(30 * time.Second)
+	f.load(org, 80, 10*time.Millisecond, 40*time.Second, f.nodes)
+	f.run(20 * time.Second)
+	home := f.homeOf(org, "z0")
+	f.cut = func(a, b *testNode) bool { return a == home || b == home }
+	before := len(f.admitted[org])
+	f.run(10 * time.Second)
+	if got := len(f.admitted[org]) - before; got < 10*80*85/100 {
+		t.Errorf("admitted %d of about 800 while the home was cut off", got)
+	}
+}
+
+func TestIdleOrganisationCostsNothing(t *testing.T) {
+	f := newFleet(t, 8, 2, 4, map[entity.OrgID]Limit{org: {Rate: 1000, Burst: 100, Concurrent: 100}})
+	f.run(30 * time.Second)
+	f.load(org, 200, 100*time.Millisecond, 10*time.Second, f.nodes)
+	f.run(70 * time.Second)
+	before := f.messages
+	f.run(60 * time.Second)
+	if f.messages != before {
+		t.Errorf("%d messages", f.messages-before)
+	}
+	for _, n := range f.nodes {
+		if len(n.borrower.accounts) != 0 || n.home.Loans() != 0 {
+			t.Errorf("%s keeps %d accounts and %d loans", n.self.ID, len(n.borrower.accounts), n.home.Loans())
+		}
+	}
+}
+
+func TestUnknownOrganisation(t *testing.T) {
+	b := NewBorrower(DefaultSettings(), func(entity.OrgID) (Limit, bool) { return Limit{}, false })
+	b.SetZone(time.Unix(1, 0), Zone{Members: []entity.Instance{{ID: "a"}}, Fleet: 1})
+	if ok, reason, _ := b.Take(time.Unix(1, 0), "nobody"); ok || reason != verdict.ReasonUnauthenticated {
+		t.Errorf("got %v %s", ok, reason)
+	}
+}
+
+func TestHomeThatWasAwayLendsNothingNew(t *testing.T) {
+	members := []entity.Instance{{ID: "a"}, {ID: "b"}, {ID: "c"}}
+	contracts := func(entity.OrgID) (Limit, bool) { return Limit{Rate: 90, Burst: 9, Concurrent: 9}, true }
+	now := time.Unix(1000, 0)
+	z := newZone(Zone{Members: members, Fleet: 3})
+	h := NewHome(DefaultSettings(), z.home(org), contracts)
+	h.SetZone(now, Zone{Members: members, Fleet: 3})
+	run := func(d time.Duration) {
+		for end := now.Add(d); now.Before(end); {
+			now = now.Add(tickEvery)
+			h.Tick(now)
+		}
+	}
+	ask := func(seq uint64) OrgShare {
+		h.Step(now, "c", Demand{Seq: seq, Members: z.digest, Orgs: []OrgDemand{{Org: org, Waiting: 1, Rate: 5}}})
+		out := h.Ready().Messages
+		if len(out) == 0 {
+			t.Fatal("no answer")
+		}
+		return out[len(out)-1].Share.Orgs[0]
+	}
+	run(DefaultSettings().LeaseFor)
+	if s := ask(1); s.Concurrent == 0 || s.Tokens == 0 {
+		t.Fatalf("a settled home lent %+v", s)
+	}
+	now = now.Add(5 * time.Second)
+	if s := ask(2); s.Concurrent != 0 || s.Tokens != 0 || s.Rate != 0 {
+		t.Errorf("a home that was away lent %+v", s)
+	}
+	run(DefaultSettings().LeaseFor)
+	if s := ask(3); s.Concurrent == 0 {
+		t.Errorf("a home that was away a lease time ago lent %+v", s)
+	}
+}
+
+func TestMemberThatJoinsMayHoldShares(t *testing.T) {
+	contracts := func(entity.OrgID) (Limit, bool) { return Limit{Rate: 90, Burst: 9, Concurrent: 9}, true }
+	all := Zone{Members: []entity.Instance{{ID: "a"}, {ID: "b"}, {ID: "c"}}, Fleet: 3}
+	z := newZone(all)
+	self := z.home(org)
+	now := time.Unix(1000, 0)
+	h := NewHome(DefaultSettings(), self, contracts)
+	h.SetZone(now, Zone{Members: []entity.Instance{{ID: self}}, Fleet: 3})
+	for range 300 {
+		now = now.Add(tickEvery)
+		h.Tick(now)
+	}
+	h.SetZone(now, all)
+	ask := func(seq uint64) OrgShare {
+		h.Step(now, self, Demand{Seq: seq, Members: z.digest, Orgs: []OrgDemand{{Org: org, Waiting: 9}}})
+		out := h.Ready().Messages
+		return out[len(out)-1].Share.Orgs[0]
+	}
+	if s := ask(1); s.Concurrent != 0 {
+		t.Errorf("lent %+v before the others told what they hold", s)
+	}
+	for _, m := range all.Members {
+		if m.ID == self {
+			continue
+		}
+		held := []OrgDemand{{Org: org, InFlight: 2, HoldConcurrent: 3}}
+		h.Step(now, m.ID, Demand{Seq: 1, Members: z.digest, Complete: true, Orgs: held})
+	}
+	if s := ask(2); s.Concurrent == 0 || s.Concurrent > 9-2*3 {
+		t.Errorf("lent %+v with 6 of 9 in other hands", s)
+	}
+}
+
+func TestNewHomeLendsSoonAfterThePlannedLeave(t *testing.T) {
+	f := newFleet(t, 9, 1, 4, map[entity.OrgID]Limit{org: {Rate: 1000, Burst: 100, Concurrent: 100}})
+	f.run(30 * time.Second)
+	f.load(org, 20, 100*time.Millisecond, 40*time.Second, f.nodes[:1])
+	f.run(10 * time.Second)
+	old := f.homeOf(org, "z0")
+	old.self.Leaving = true
+	f.spreadViews()
+	f.run(f.viewDelay + 2*time.Second)
+	if h := f.homeOf(org, "z0"); h == old || !h.home.settled(f.now) {
+		t.Errorf("%s is not settled %v after the home left", h.self.ID, f.viewDelay+2*time.Second)
+	}
+}
+
+func TestTakeBeforeTheFirstViewIsBounded(t *testing.T) {
+	b := NewBorrower(DefaultSettings(), func(entity.OrgID) (Limit, bool) { return Limit{Rate: 10, Burst: 10, Concurrent: 10}, true })
+	now, taken := time.Unix(1000, 0), 0
+	for range 100 {
+		now = now.Add(10 * time.Millisecond)
+		if ok, _, _ := b.Take(now, org); ok {
+			taken++
+			b.Done(now, org)
+		}
+	}
+	if taken == 0 || taken > 10+10 {
+		t.Errorf("took %d in a second", taken)
+	}
+}
