Control and request bytes counted exactly, by cause, at every path

Why: control bytes were the peer bytes less an estimate of 98 bytes an exchange for requests, and platform bytes left headers out with a constant; polls of endpoints were not counted at all. Weighed: parsing each frame for its method (costs CPU per frame) against the JSON-RPC library's OnSend/OnRecv hooks, which name the question of an answer. Change: each frame is counted with its length and envelope under the cause of its question; platform and polls are counted at the TCP connection. Process and Go runtime metrics come from the Prometheus collectors; log and list calls are counted.

--- a/internal/core/stream/stream.go
+++ b/internal/core/stream/stream.go
@@ -38,6 +38,8 @@
 	From   platform.Offset
 	Limit  int
 	Wait   time.Duration
+	// Idle says that nothing waits for the records.
+	Idle bool
 }
 
 // ReaderSettings of a Reader.
@@ -152,7 +154,7 @@
 	if !behind && !waiting && now.Before(r.asked.Add(r.set.Interval)) {
 		return nil
 	}
-	req := &ReadRequest{Stream: r.set.Stream, From: r.next, Limit: r.set.Limit}
+	req := &ReadRequest{Stream: r.set.Stream, From: r.next, Limit: r.set.Limit, Idle: !waiting}
 	if waiting && !behind {
 		req.Wait = r.set.Wait
 	}
--- a/internal/daemon/claimlog.go
+++ b/internal/daemon/claimlog.go
@@ -15,9 +15,13 @@
 const claimExchangeTimeout = 2 * time.Second
 
 // claimLog appends and reads the claims' streams for the decision core.
+//
+// The two clients of the log service differ in where their bytes are counted:
+// busy carries what requests cause, idle the reads that keep a home up to date
+// while no request waits for it.
 type claimLog struct {
-	log  platform.Log
-	post func(msg any)
+	busy, idle platform.Log
+	post       func(msg any)
 }
 
 // append appends a batch, once, on a goroutine of its own.
@@ -25,7 +29,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), claimExchangeTimeout)
 		defer cancel()
-		offset, err := c.log.Append(ctx, a.Batch.Stream, a.Batch.Data)
+		offset, err := c.busy.Append(ctx, a.Batch.Stream, a.Batch.Data)
 		c.post(node.ClaimAppended{Shard: a.Shard, Batch: a.Batch.ID, Status: appendStatus(err), Offset: offset})
 	}()
 }
@@ -46,7 +50,11 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), claimExchangeTimeout+r.Read.Wait)
 		defer cancel()
-		res, err := c.log.Read(ctx, r.Read.Stream, r.Read.From, r.Read.Limit, r.Read.Wait)
+		log := c.busy
+		if r.Read.Idle {
+			log = c.idle
+		}
+		res, err := log.Read(ctx, r.Read.Stream, r.Read.From, r.Read.Limit, r.Read.Wait)
 		if errors.Is(err, platform.ErrTruncated) {
 			res.Records, err = nil, nil // Fold learns from First that records are gone
 		}
--- /dev/null
+++ b/internal/daemon/countedlog.go
@@ -0,0 +1,27 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/platform"
+	"github.com/medlarhold/medlarhold/internal/telemetry"
+)
+
+// countedLog counts the calls of the log service.
+type countedLog struct {
+	platform.Log
+	metrics *telemetry.Metrics
+}
+
+// Append implements platform.Log.
+func (c countedLog) Append(ctx context.Context, s platform.Stream, data []byte) (platform.Offset, error) {
+	c.metrics.LogCall("append", string(s))
+	return c.Log.Append(ctx, s, data)
+}
+
+// Read implements platform.Log.
+func (c countedLog) Read(ctx context.Context, s platform.Stream, from platform.Offset, limit int, wait time.Duration) (platform.ReadResult, error) {
+	c.metrics.LogCall("read", string(s))
+	return c.Log.Read(ctx, s, from, limit, wait)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -97,7 +97,7 @@
 func (d *Daemon) assemble() {
 	s := d.settings
 	d.endpoints = endpoint.New(endpoint.Options{TLS: d.certs.client()})
-	d.poller = newPoller(d.endpoints, func(msg any) { d.loop.Post(msg) })
+	d.poller = newPoller(endpoint.New(endpoint.Options{TLS: d.certs.client(), Wrap: d.metrics.PollControl.Conn}), func(msg any) { d.loop.Post(msg) })
 	d.transport = peer.NewTransport(peer.Options{
 		Self: d.self, Keys: d.keys.PeerKeys, ServerTLS: d.certs.server(), ClientTLS: d.certs.client(),
 		ExchangeTimeout: peerExchangeTimeout, Registry: messages(),
@@ -113,9 +113,10 @@
 		ClaimAppend: func(a node.ClaimAppend) { d.claims.append(a) }, ClaimRead: func(r node.ClaimReadRequest) { d.claims.read(r) },
 		Log: d.log, Metrics: d.metrics,
 	})
-	hc := &http.Client{Transport: d.countPlatform(&http.Transport{TLSClientConfig: d.certs.client(), MaxIdleConnsPerHost: platformConns})}
-	logService := platform.NewHTTPLog(s.Platform.Log, hc)
-	d.claims = &claimLog{log: logService, post: d.loop.Post}
+	hc := d.platformClient(d.metrics.PlatformControl)
+	logService := countedLog{Log: platform.NewHTTPLog(s.Platform.Log, hc), metrics: d.metrics}
+	claimService := countedLog{Log: platform.NewHTTPLog(s.Platform.Log, d.platformClient(d.metrics.PlatformRequest)), metrics: d.metrics}
+	d.claims = &claimLog{busy: claimService, idle: logService, post: d.loop.Post}
 	d.follower = newConfigFollower(d, logService)
 	d.list = platform.NewHTTPInstanceList(s.Platform.InstanceList, hc)
 	d.caller = caller.NewServer(caller.Options{
--- a/internal/daemon/messages.go
+++ b/internal/daemon/messages.go
@@ -26,5 +26,7 @@
 	peer.Register[claim.Outcome](r, "done", peer.ClassRequest)
 	peer.Register[claim.Decision](r, "won", peer.ClassRequest)
 	peer.Register[claim.Acknowledgement](r, "noted", peer.ClassRequest)
+	r.Query(methodConfig, peer.ClassControl)
+	r.Query(methodLookup, peer.ClassRequest)
 	return r
 }
--- a/internal/daemon/register.go
+++ b/internal/daemon/register.go
@@ -34,9 +34,11 @@
 func (d *Daemon) renew(ctx context.Context) bool {
 	self := d.self
 	self.Leaving = d.loop.Status().Draining
+	d.metrics.ListCall("renew")
 	if err := d.list.Register(ctx, self); err != nil {
 		return false
 	}
+	d.metrics.ListCall("read")
 	instances, err := d.list.List(ctx)
 	if err != nil {
 		return false
@@ -45,26 +47,9 @@
 	return true
 }
 
-// countingTransport counts the bytes of bodies to and from the platform.
-type countingTransport struct {
-	next http.RoundTripper
-	d    *Daemon
-}
-
-func (d *Daemon) countPlatform(next http.RoundTripper) http.RoundTripper {
-	return countingTransport{next: next, d: d}
-}
-
-// headerBytes is what the headers of one exchange take in each direction,
-// which the HTTP library does not tell.
-const headerBytes = 160
-
-// RoundTrip implements http.RoundTripper.
-func (c countingTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	c.d.metrics.PlatformBytesSent.Inc(headerBytes + max(0, r.ContentLength))
-	res, err := c.next.RoundTrip(r)
-	if err == nil {
-		c.d.metrics.PlatformBytesReceived.Inc(headerBytes + max(0, res.ContentLength))
-	}
-	return res, err
+// platformClient returns an HTTP client towards the platform whose bytes are counted.
+func (d *Daemon) platformClient(t telemetry.Traffic) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		TLSClientConfig: d.certs.client(), MaxIdleConnsPerHost: platformConns, DialContext: t.DialContext,
+	}}
 }
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -31,8 +31,8 @@
 // New returns a Client.
 func New(o Options) *Client {
 	o = o.withDefaults()
-	engines := &dialer{timeout: o.DialTimeout, noProgress: o.NoProgress, tls: o.TLS}
-	services := &dialer{timeout: o.DialTimeout, noProgress: o.CallNoProgress, tls: o.TLS}
+	engines := &dialer{timeout: o.DialTimeout, noProgress: o.NoProgress, tls: o.TLS, wrap: o.Wrap}
+	services := &dialer{timeout: o.DialTimeout, noProgress: o.CallNoProgress, tls: o.TLS, wrap: o.Wrap}
 	return &Client{
 		opts:   o,
 		single: newTransport(engines, false),
--- a/internal/endpoint/conn.go
+++ b/internal/endpoint/conn.go
@@ -60,6 +60,7 @@
 	timeout    time.Duration
 	noProgress time.Duration
 	tls        *tls.Config
+	wrap       func(net.Conn) net.Conn
 }
 
 // dial opens a connection; with a TLS configuration the handshake is over when
@@ -71,6 +72,9 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	if d.wrap != nil {
+		raw = d.wrap(raw)
+	}
 	if d.tls == nil {
 		return &conn{Conn: raw, noProgress: d.noProgress}, nil
 	}
--- a/internal/endpoint/options.go
+++ b/internal/endpoint/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/tls"
+	"net"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -24,6 +25,8 @@
 	// TLS is used towards endpoints; nil means plain TCP. Certificates are
 	// replaced through the callbacks of tls.Config.
 	TLS *tls.Config
+	// Wrap, if set, is put around each connection, beneath TLS.
+	Wrap func(net.Conn) net.Conn
 	// DialTimeout bounds the opening of a connection, TLS included.
 	DialTimeout time.Duration
 	// NoProgress is how long a connection to an engine may go without a byte
--- a/internal/peer/accept.go
+++ b/internal/peer/accept.go
@@ -54,11 +54,10 @@
 
 // deliver hands one message over.
 func (c *accepted) deliver(method string, params json.RawMessage) error {
-	msg, k, err := c.t.opts.Registry.decode(method, params)
+	msg, err := c.t.opts.Registry.decode(method, params)
 	if err != nil {
 		return err
 	}
-	c.t.countReceived(k, len(params))
 	if w, ok := msg.(Reservation); ok {
 		if msg, err = FromWire(c.t.opts.Clock(), w); err != nil {
 			return err
--- a/internal/peer/account.go
+++ b/internal/peer/account.go
@@ -1,25 +1,90 @@
 package peer
 
-// exchangeOverheadBytes is what one exchange costs beside its parameters: the
-// JSON-RPC envelope of the call and of its acknowledgement, as written by
-// frameCodec with a method of seven letters and an id of six digits.
-const exchangeOverheadBytes = 98
-
-// countSent accounts for a message sent. All bytes of connections are counted
-// at the connection; this tells how many of them a request caused.
-func (t *Transport) countSent(k kind, paramBytes int) {
-	if k.class != ClassRequest {
-		return
+import (
+	"bufio"
+	"io"
+	"sync"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/medlarhold/medlarhold/internal/telemetry"
+)
+
+// account counts the bytes of one connection by cause, envelopes and
+// acknowledgements included: an answer has the cause of its question.
+//
+// The JSON-RPC connection calls sending before each write, under its lock, and
+// received after each read, on its reading goroutine; so the size of a frame
+// and its cause need no lock of their own.
+type account struct {
+	registry         *Registry
+	control, request telemetry.Traffic
+	writing          telemetry.Traffic
+	readBytes        int64
+	// answers holds the questions of the other side that requests caused and
+	// that have no answer yet.
+	mu      sync.Mutex
+	answers map[jsonrpc2.ID]struct{}
+}
+
+func (t *Transport) newAccount() *account {
+	m := t.opts.Metrics
+	return &account{registry: t.opts.Registry, control: m.PeerControl, request: m.PeerRequest, answers: make(map[jsonrpc2.ID]struct{})}
+}
+
+// ofMethod returns where the bytes of a question are counted.
+func (a *account) ofMethod(method string) telemetry.Traffic {
+	if a.registry.classOf(method) == ClassRequest {
+		return a.request
 	}
-	t.opts.Metrics.RequestBytesSent.Inc(int64(paramBytes + exchangeOverheadBytes/2))
-	t.opts.Metrics.RequestBytesReceived.Inc(exchangeOverheadBytes / 2)
+	return a.control
 }
 
-// countReceived accounts for a message received, and for its acknowledgement.
-func (t *Transport) countReceived(k kind, paramBytes int) {
-	if k.class != ClassRequest {
-		return
+// sending is told what is written next.
+func (a *account) sending(req *jsonrpc2.Request, resp *jsonrpc2.Response) {
+	switch {
+	case req != nil:
+		a.writing = a.ofMethod(req.Method)
+	case a.answered(resp.ID):
+		a.writing = a.request
+	default:
+		a.writing = a.control
 	}
-	t.opts.Metrics.RequestBytesReceived.Inc(int64(paramBytes + exchangeOverheadBytes/2))
-	t.opts.Metrics.RequestBytesSent.Inc(exchangeOverheadBytes / 2)
+}
+
+// answered says whether a request caused the question with this id, and forgets it.
+func (a *account) answered(id jsonrpc2.ID) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	_, ok := a.answers[id]
+	delete(a.answers, id)
+	return ok
+}
+
+// received is told what was read last; with an answer comes its question.
+func (a *account) received(req *jsonrpc2.Request, resp *jsonrpc2.Response) {
+	cause := a.control
+	if req != nil {
+		cause = a.ofMethod(req.Method)
+	}
+	cause.Received.Inc(a.readBytes)
+	if req != nil && resp == nil && !req.Notif && a.registry.classOf(req.Method) == ClassRequest {
+		a.mu.Lock()
+		a.answers[req.ID] = struct{}{}
+		a.mu.Unlock()
+	}
+}
+
+// WriteObject implements jsonrpc2.ObjectCodec.
+func (a *account) WriteObject(w io.Writer, obj any) error {
+	n, err := writeFrame(w, obj)
+	a.writing.Sent.Inc(int64(n))
+	return err
+}
+
+// ReadObject implements jsonrpc2.ObjectCodec.
+func (a *account) ReadObject(r *bufio.Reader, v any) error {
+	n, err := readFrame(r, v)
+	a.readBytes = int64(n)
+	return err
 }
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -101,7 +101,6 @@
 		l.failed(e)
 		return
 	}
-	l.t.countSent(k, len(params))
 	go func() {
 		defer cancel()
 		l.await(ctx, conn, call, e)
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -34,11 +34,13 @@
 type Registry struct {
 	byType   map[reflect.Type]kind
 	byMethod map[string]kind
+	// queries are the questions whose class is not ClassControl.
+	queries map[string]Class
 }
 
 // NewRegistry returns a registry without messages.
 func NewRegistry() *Registry {
-	return &Registry{byType: make(map[reflect.Type]kind), byMethod: make(map[string]kind)}
+	return &Registry{byType: make(map[reflect.Type]kind), byMethod: make(map[string]kind), queries: make(map[string]Class)}
 }
 
 // Register adds the type T under a method name; short names save bytes.
@@ -48,6 +50,18 @@
 	r.byMethod[method] = k
 }
 
+// Query says what causes a question, which travels beside the messages.
+func (r *Registry) Query(method string, class Class) { r.queries[method] = class }
+
+// classOf returns what causes a message or question; the handshake and what
+// is unknown count as control.
+func (r *Registry) classOf(method string) Class {
+	if k, ok := r.byMethod[method]; ok {
+		return k.class
+	}
+	return r.queries[method]
+}
+
 // kindOf returns the wire kind of a message.
 func (r *Registry) kindOf(msg any) (kind, error) {
 	k, ok := r.byType[reflect.TypeOf(msg)]
@@ -58,16 +72,16 @@
 }
 
 // decode reads a message of the method from its parameters.
-func (r *Registry) decode(method string, params []byte) (any, kind, error) {
+func (r *Registry) decode(method string, params []byte) (any, error) {
 	k, ok := r.byMethod[method]
 	if !ok {
-		return nil, kind{}, trace.BadParameter("unknown method %q", method)
+		return nil, trace.BadParameter("unknown method %q", method)
 	}
 	v := reflect.New(k.typ)
 	if err := json.Unmarshal(params, v.Interface()); err != nil {
-		return nil, k, trace.BadParameter("method %s: %v", method, err)
+		return nil, trace.BadParameter("method %s: %v", method, err)
 	}
-	return v.Elem().Interface(), k, nil
+	return v.Elem().Interface(), nil
 }
 
 // Reservation is the wire form of entity.Reservation. The deadline travels as
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -128,7 +128,6 @@
 
 // newConn puts JSON-RPC over a connection, counting its bytes.
 func (t *Transport) newConn(conn net.Conn, h jsonrpc2.Handler) *jsonrpc2.Conn {
-	m := t.opts.Metrics
-	counted := countingConn{Conn: conn, sent: m.PeerBytesSent, received: m.PeerBytesReceived}
-	return jsonrpc2.NewConn(t.ctx, jsonrpc2.NewBufferedStream(counted, frameCodec{}), h)
+	a := t.newAccount()
+	return jsonrpc2.NewConn(t.ctx, jsonrpc2.NewBufferedStream(conn, a), h, jsonrpc2.OnSend(a.sending), jsonrpc2.OnRecv(a.received))
 }
--- a/internal/telemetry/expose.go
+++ b/internal/telemetry/expose.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rcrowley/go-metrics"
 )
@@ -15,7 +16,8 @@
 // Handler serves the metrics in the Prometheus text format.
 func (m *Metrics) Handler() http.Handler {
 	reg := prometheus.NewRegistry()
-	reg.MustRegister(&collector{registry: m.registry})
+	reg.MustRegister(&collector{registry: m.registry}, collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+		collectors.NewGoCollector())
 	return promhttp.HandlerFor(reg, promhttp.HandlerOpts{})
 }
 
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -27,19 +27,18 @@
 	PrefillTokens metrics.Counter
 	// GeneratedTokens counts the tokens of answers.
 	GeneratedTokens metrics.Counter
-	// PlatformBytesSent and PlatformBytesReceived count bytes to and from the
-	// platform that no request caused: configuration, leases, the instance list.
-	PlatformBytesSent, PlatformBytesReceived metrics.Counter
-	// RequestBytesSent and RequestBytesReceived count bytes between instances
-	// that ride on a request: reservations, grants, refusals, releases. What
-	// remains of the peer bytes is control.
-	RequestBytesSent, RequestBytesReceived metrics.Counter
+	// PeerControl and PeerRequest count the bytes between instances.
+	PeerControl, PeerRequest Traffic
+	// PlatformControl and PlatformRequest count the bytes to and from the
+	// platform; the claims of requests are all that rides on requests there.
+	PlatformControl, PlatformRequest Traffic
+	// PollControl and PollRequest count the bytes of polling endpoints for
+	// load and cache events: those at rest, and those that run requests.
+	PollControl, PollRequest Traffic
 	// ControlNanoseconds is the time the control goroutine spent on work that no request caused.
 	ControlNanoseconds metrics.Counter
 	// RequestNanoseconds is the time the control goroutine spent on requests.
 	RequestNanoseconds metrics.Counter
-	// PeerBytesSent and PeerBytesReceived count all bytes between instances.
-	PeerBytesSent, PeerBytesReceived metrics.Counter
 	// PeerReconnects counts connections to peers that were opened again.
 	PeerReconnects metrics.Counter
 	// InFlight is the number of requests without a final answer.
@@ -58,28 +57,43 @@
 func NewMetrics() *Metrics {
 	r := metrics.NewRegistry()
 	return &Metrics{
-		registry:              r,
-		WastedPrefillTokens:   metrics.GetOrRegisterCounter("medlarhold_wasted_prefill_tokens_total", r),
-		PrefillTokens:         metrics.GetOrRegisterCounter("medlarhold_prefill_tokens_total", r),
-		GeneratedTokens:       metrics.GetOrRegisterCounter("medlarhold_generated_tokens_total", r),
-		PlatformBytesSent:     metrics.GetOrRegisterCounter("medlarhold_platform_bytes_sent_total", r),
-		PlatformBytesReceived: metrics.GetOrRegisterCounter("medlarhold_platform_bytes_received_total", r),
-		PeerBytesSent:         metrics.GetOrRegisterCounter("medlarhold_peer_bytes_sent_total", r),
-		PeerBytesReceived:     metrics.GetOrRegisterCounter("medlarhold_peer_bytes_received_total", r),
-		RequestBytesSent:      metrics.GetOrRegisterCounter("medlarhold_request_bytes_sent_total", r),
-		RequestBytesReceived:  metrics.GetOrRegisterCounter("medlarhold_request_bytes_received_total", r),
-		ControlNanoseconds:    metrics.GetOrRegisterCounter("medlarhold_control_nanoseconds_total", r),
-		RequestNanoseconds:    metrics.GetOrRegisterCounter("medlarhold_request_nanoseconds_total", r),
-		PeerReconnects:        metrics.GetOrRegisterCounter("medlarhold_peer_reconnects_total", r),
-		InFlight:              metrics.GetOrRegisterGauge("medlarhold_requests_in_flight", r),
-		Queued:                metrics.GetOrRegisterGauge("medlarhold_reservations_queued", r),
-		ConfigRevision:        metrics.GetOrRegisterGauge("medlarhold_config_revision", r),
-		Members:               metrics.GetOrRegisterGauge("medlarhold_zone_members", r),
-		FirstTokenMillis:      metrics.GetOrRegisterHistogram("medlarhold_first_token_milliseconds", r, metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
-		TokenGapMicros:        metrics.GetOrRegisterHistogram("medlarhold_token_gap_microseconds", r, metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
+		registry:            r,
+		WastedPrefillTokens: metrics.GetOrRegisterCounter("medlarhold_wasted_prefill_tokens_total", r),
+		PrefillTokens:       metrics.GetOrRegisterCounter("medlarhold_prefill_tokens_total", r),
+		GeneratedTokens:     metrics.GetOrRegisterCounter("medlarhold_generated_tokens_total", r),
+		PeerControl:         newTraffic(r, "peer", CauseControl),
+		PeerRequest:         newTraffic(r, "peer", CauseRequest),
+		PlatformControl:     newTraffic(r, "platform", CauseControl),
+		PlatformRequest:     newTraffic(r, "platform", CauseRequest),
+		PollControl:         newTraffic(r, "poll", CauseControl),
+		PollRequest:         newTraffic(r, "poll", CauseRequest),
+		ControlNanoseconds:  metrics.GetOrRegisterCounter("medlarhold_control_nanoseconds_total", r),
+		RequestNanoseconds:  metrics.GetOrRegisterCounter("medlarhold_request_nanoseconds_total", r),
+		PeerReconnects:      metrics.GetOrRegisterCounter("medlarhold_peer_reconnects_total", r),
+		InFlight:            metrics.GetOrRegisterGauge("medlarhold_requests_in_flight", r),
+		Queued:              metrics.GetOrRegisterGauge("medlarhold_reservations_queued", r),
+		ConfigRevision:      metrics.GetOrRegisterGauge("medlarhold_config_revision", r),
+		Members:             metrics.GetOrRegisterGauge("medlarhold_zone_members", r),
+		FirstTokenMillis:    metrics.GetOrRegisterHistogram("medlarhold_first_token_milliseconds", r, metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
+		TokenGapMicros:      metrics.GetOrRegisterHistogram("medlarhold_token_gap_microseconds", r, metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
 	}
 }
 
+// LogCall counts one append to or read from a stream of the log service.
+func (m *Metrics) LogCall(call, stream string) {
+	m.counter(fmt.Sprintf(`medlarhold_log_calls_total{call=%q,stream=%q}`, call, stream)).Inc(1)
+}
+
+// ListCall counts one renewal or read of the platform's list of instances.
+func (m *Metrics) ListCall(call string) {
+	m.counter(fmt.Sprintf(`medlarhold_list_calls_total{call=%q}`, call)).Inc(1)
+}
+
+// Polled counts one look at an endpoint that is at rest or runs requests.
+func (m *Metrics) Polled(cause Cause) {
+	m.counter(fmt.Sprintf(`medlarhold_endpoint_polls_total{cause=%q}`, cause)).Inc(1)
+}
+
 // Refused counts one refusal under its reason and verdict.
 func (m *Metrics) Refused(reason verdict.Reason, v verdict.Verdict) {
 	m.counter(fmt.Sprintf(`medlarhold_refusals_total{reason=%q,verdict=%q}`, reason, v)).Inc(1)
