--- /dev/null
+++ b/cmd/medlarhold-capacity/bench.go
@@ -0,0 +1,140 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"context"
+	"fmt"
+	"math"
+	"os"
+	"os/exec"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/gravitational/trace"
+)
+
+// benchPackages hold the benchmarks of the pure cores.
+const benchPackages = "./internal/config ./internal/core/..."
+
+// benchTime is how long each size of a benchmark runs.
+const benchTime = "0.2s"
+
+// steep is the exponent above which a slope counts as worse than linear.
+const steep = 1.15
+
+// point is one size of a benchmark with its figures by unit.
+type point struct {
+	size  float64
+	units map[string]float64
+}
+
+// series is a benchmark over several sizes.
+type series struct {
+	pkg, name, variable string
+	points              []point
+}
+
+// benchmarks runs the benchmarks of all cores.
+func benchmarks(ctx context.Context) ([]series, error) {
+	args := append([]string{"test", "-run", "^$", "-bench", ".", "-benchmem", "-benchtime", benchTime}, strings.Fields(benchPackages)...)
+	out, err := exec.CommandContext(ctx, "go", args...).Output()
+	if err != nil {
+		return nil, trace.Wrap(err, "go test -bench: %s", out)
+	}
+	fmt.Fprintf(os.Stderr, "%s", out)
+	return parseBenchmarks(out), nil
+}
+
+// sized matches the last part of a benchmark's name: variable=size-procs.
+var sized = regexp.MustCompile(`^(Benchmark\S*)/(\w+)=(\d+)(?:-\d+)?$`)
+
+// parseBenchmarks reads the output of go test -bench.
+func parseBenchmarks(out []byte) []series {
+	var all []series
+	pkg := ""
+	lines := bufio.NewScanner(bytes.NewReader(out))
+	for lines.Scan() {
+		f := strings.Fields(lines.Text())
+		if len(f) >= 2 && f[0] == "pkg:" {
+			pkg = f[1][strings.Index(f[1], "/internal/")+len("/internal/"):]
+		}
+		if len(f) < 4 {
+			continue
+		}
+		m := sized.FindStringSubmatch(f[0])
+		if m == nil {
+			continue
+		}
+		size, _ := strconv.ParseFloat(m[3], 64)
+		p := point{size: size, units: make(map[string]float64)}
+		for i := 2; i+1 < len(f); i += 2 {
+			if v, err := strconv.ParseFloat(f[i], 64); err == nil {
+				p.units[f[i+1]] = v
+			}
+		}
+		i := slices.IndexFunc(all, func(s series) bool { return s.pkg == pkg && s.name == m[1] && s.variable == m[2] })
+		if i < 0 {
+			all = append(all, series{pkg: pkg, name: m[1], variable: m[2]})
+			i = len(all) - 1
+		}
+		all[i].points = append(all[i].points, p)
+	}
+	return all
+}
+
+// exponent fits a power law through the points: 1 is linear, 0 is constant.
+func exponent(points []point, unit string) float64 {
+	var n, sx, sy, sxx, sxy float64
+	for _, p := range points {
+		if p.units[unit] <= 0 || p.size <= 0 {
+			continue
+		}
+		x, y := math.Log(p.size), math.Log(p.units[unit])
+		n, sx, sy, sxx, sxy = n+1, sx+x, sy+y, sxx+x*x, sxy+x*y
+	}
+	if n < 2 || n*sxx == sx*sx {
+		return 0
+	}
+	return (n*sxy - sx*sy) / (n*sxx - sx*sx)
+}
+
+// slopeTable renders the benchmarks, one line for each unit that matters.
+func slopeTable(all []series) string {
+	head := []string{"package", "benchmark", "by", "unit", "figures at the sizes", "exponent", ""}
+	var rows [][]string
+	for _, s := range all {
+		for _, unit := range units(s.points) {
+			e := exponent(s.points, unit)
+			mark := ""
+			if e > steep {
+				mark = "**worse than linear**"
+			}
+			rows = append(rows, []string{s.pkg, strings.TrimPrefix(s.name, "Benchmark"), s.variable, unit, figures(s.points, unit), fmt.Sprintf("%.2f", e), mark})
+		}
+	}
+	return table(head, rows)
+}
+
+// units returns the units of a series in order; allocations are left out.
+func units(points []point) []string {
+	var out []string
+	for unit := range points[0].units {
+		if unit != "allocs/op" {
+			out = append(out, unit)
+		}
+	}
+	slices.SortFunc(out, func(a, b string) int { return cmp.Compare(a, b) })
+	return out
+}
+
+func figures(points []point, unit string) string {
+	var parts []string
+	for _, p := range points {
+		parts = append(parts, fmt.Sprintf("%g: %.4g", p.size, p.units[unit]))
+	}
+	return strings.Join(parts, ", ")
+}
--- /dev/null
+++ b/cmd/medlarhold-capacity/main.go
@@ -0,0 +1,102 @@
+// Command medlarhold-capacity measures what control costs an instance and
+// rewrites the measured tables of docs/CAPACITY.md. It is for measurements
+// only and runs the programs and the stand-ins on loopback.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/spf13/cobra"
+)
+
+// options say what is measured.
+type options struct {
+	page     string
+	sizes    []int
+	states   []int
+	seconds  int
+	settle   int
+	noBench  bool
+	noFleet  bool
+	noStates bool
+	perZone  int
+}
+
+func (o options) window() time.Duration { return time.Duration(o.seconds) * time.Second }
+
+func main() {
+	var o options
+	cmd := &cobra.Command{
+		Use:           "medlarhold-capacity",
+		Short:         "Measure the cost of control and rewrite the tables of docs/CAPACITY.md",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE:          func(cmd *cobra.Command, _ []string) error { return run(cmd.Context(), o) },
+	}
+	f := cmd.Flags()
+	f.StringVar(&o.page, "page", "docs/CAPACITY.md", "page whose tables are rewritten; empty prints them")
+	f.IntSliceVar(&o.sizes, "sizes", []int{6, 14, 31}, "instances in one zone")
+	f.IntSliceVar(&o.states, "states", []int{1000, 5000, 19000}, "contracts in force")
+	f.IntVar(&o.seconds, "seconds", 15, "length of each window in seconds")
+	f.IntVar(&o.settle, "settle", 10, "pause in seconds before the first window")
+	f.IntVar(&o.perZone, "per-zone", 6, "instances in each zone of the run with two zones, 0 for none")
+	f.BoolVar(&o.noBench, "no-bench", false, "leave the benchmarks out")
+	f.BoolVar(&o.noFleet, "no-fleet", false, "leave the runs with processes out")
+	f.BoolVar(&o.noStates, "no-states", false, "leave the runs with large configurations out")
+	if err := cmd.ExecuteContext(context.Background()); err != nil {
+		fmt.Fprintln(os.Stderr, "medlarhold-capacity:", trace.UserMessage(err))
+		os.Exit(1)
+	}
+}
+
+// run measures and writes each table as soon as it stands.
+func run(ctx context.Context, o options) error {
+	p := &page{path: o.page, commit: commit()}
+	if !o.noBench {
+		rows, err := benchmarks(ctx)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		if err := p.replace("slopes", slopeTable(rows)); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	programs, cleanup, err := build()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer cleanup()
+	if !o.noFleet {
+		results, err := fleets(ctx, o, programs)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		if err := p.replace("processes", phaseTable(results)); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	if !o.noStates {
+		results, err := states(ctx, o, programs)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		return trace.Wrap(p.replace("states", stateTable(results)))
+	}
+	return nil
+}
+
+// commit names the commit that is measured, marked when files differ from it.
+func commit() string {
+	out, err := exec.Command("git", "describe", "--always", "--dirty", "--exclude=*").Output()
+	if err != nil {
+		return "unknown"
+	}
+	return strings.TrimSpace(string(out))
+}
--- /dev/null
+++ b/cmd/medlarhold-capacity/phases.go
@@ -0,0 +1,186 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/testbed"
+)
+
+// phase is what was measured in one window of a run.
+type phase struct {
+	fleet, name             string
+	mean                    rates
+	maxControl, maxResident float64
+	note                    string
+}
+
+// frozenShare is the part of the instances that the cut takes away.
+const frozenShare = 6
+
+// fleets measures runs of several sizes in one zone, and one with two zones.
+func fleets(ctx context.Context, o options, programs testbed.Programs) ([]phase, error) {
+	var out []phase
+	for _, n := range o.sizes {
+		phases, err := oneFleet(ctx, o, programs, []entity.ZoneID{"a"}, n)
+		out = append(out, phases...)
+		if err != nil {
+			return out, trace.Wrap(err)
+		}
+	}
+	if o.perZone == 0 {
+		return out, nil
+	}
+	phases, err := oneFleet(ctx, o, programs, []entity.ZoneID{"a", "b"}, o.perZone)
+	return append(out, phases...), trace.Wrap(err)
+}
+
+// oneFleet runs one fleet through all windows.
+func oneFleet(ctx context.Context, o options, programs testbed.Programs, zones []entity.ZoneID, perZone int) ([]phase, error) {
+	f, err := newFleet(ctx, programs, zones, perZone, 0)
+	defer f.close()
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if err := f.fill(perZone); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	r := &recorder{fleet: f, name: fmt.Sprintf("%d zone × %d", len(zones), perZone), window: o.window()}
+	time.Sleep(time.Duration(o.settle) * time.Second)
+	steps := []func(context.Context) error{r.idle, r.loaded, r.rolling, r.cut, r.healed}
+	for _, step := range steps {
+		if err := step(ctx); err != nil {
+			return r.phases, trace.Wrap(err)
+		}
+	}
+	return r.phases, nil
+}
+
+// recorder measures the windows of one fleet.
+type recorder struct {
+	fleet  *fleet
+	name   string
+	window time.Duration
+	phases []phase
+	frozen []*testbed.Instance
+}
+
+// record measures the instances that live through a window.
+func (r *recorder) record(name, note string, instances []*testbed.Instance, during func() error) error {
+	before := make([]sample, len(instances))
+	for i, in := range instances {
+		s, err := take(in)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		before[i] = s
+	}
+	if err := during(); err != nil {
+		return trace.Wrap(err)
+	}
+	all := make([]rates, len(instances))
+	for i, in := range instances {
+		s, err := take(in)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		all[i] = between(before[i], s)
+	}
+	p := phase{fleet: r.name, name: name, note: note}
+	p.mean, p.maxControl, p.maxResident = mean(all)
+	r.phases = append(r.phases, p)
+	fmt.Fprintf(os.Stderr, "%s %s: control %.0f B/s (max %.0f), cpu %.2f%%, resident %.1f MB\n",
+		p.fleet, p.name, p.mean.control, p.maxControl, 100*p.mean.cpu, p.mean.residentMB)
+	return nil
+}
+
+func (r *recorder) wait() error {
+	time.Sleep(r.window)
+	return nil
+}
+
+func (r *recorder) idle(context.Context) error {
+	return r.record("idle", "no requests", r.fleet.instances, r.wait)
+}
+
+func (r *recorder) loaded(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var l load
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		l.run(ctx, r.fleet.instances, loadPerSecond)
+	}()
+	time.Sleep(2 * time.Second)
+	err := r.record("loaded", "", r.fleet.instances, r.wait)
+	cancel()
+	<-done
+	if err == nil {
+		r.phases[len(r.phases)-1].note = fmt.Sprintf("%d calls/s in all, %d tokens each; %d of %d whole", loadPerSecond, loadTokens, l.ok.Load(), l.sent.Load())
+	}
+	return trace.Wrap(err)
+}
+
+// rolling replaces half of the instances, one after the other, and measures
+// the other half.
+func (r *recorder) rolling(context.Context) error {
+	f := r.fleet
+	half := len(f.instances) / 2
+	replaced, staying := slices.Clone(f.instances[:half]), slices.Clone(f.instances[half:])
+	note := fmt.Sprintf("%d instances replaced one after the other", half)
+	err := r.record("rolling restart", note, staying, func() error {
+		for _, in := range replaced {
+			if err := in.Signal(syscall.SIGTERM); err != nil {
+				return trace.Wrap(err)
+			}
+			<-in.Done()
+			next, err := f.start(f.zones[0])
+			if err != nil {
+				return trace.Wrap(err)
+			}
+			if err := next.WaitReady(); err != nil {
+				return trace.Wrap(err)
+			}
+		}
+		return nil
+	})
+	f.instances = slices.DeleteFunc(f.instances, func(in *testbed.Instance) bool { return slices.Contains(replaced, in) })
+	return trace.Wrap(err)
+}
+
+// cut freezes some instances and takes the platform away.
+func (r *recorder) cut(context.Context) error {
+	f := r.fleet
+	n := max(1, len(f.instances)/frozenShare)
+	r.frozen = slices.Clone(f.instances[:n])
+	for _, in := range r.frozen {
+		if err := in.Signal(syscall.SIGSTOP); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	if err := f.setFaults(`{"log_outage":"refuse","list_outage":"refuse"}`); err != nil {
+		return trace.Wrap(err)
+	}
+	return r.record("cut", fmt.Sprintf("%d instances frozen, platform refusing", n), f.instances[n:], r.wait)
+}
+
+// healed measures the window after the cut has ended.
+func (r *recorder) healed(context.Context) error {
+	if err := r.fleet.setFaults(`{"log_outage":"","list_outage":""}`); err != nil {
+		return trace.Wrap(err)
+	}
+	for _, in := range r.frozen {
+		if err := in.Signal(syscall.SIGCONT); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return r.record("healed", "the window that follows", r.fleet.instances, r.wait)
+}
