--- a/cmd/medlarhold-capacity/bench.go
+++ b/cmd/medlarhold-capacity/bench.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"cmp"
 	"context"
 	"fmt"
 	"math"
@@ -127,7 +126,7 @@
 			out = append(out, unit)
 		}
 	}
-	slices.SortFunc(out, func(a, b string) int { return cmp.Compare(a, b) })
+	slices.Sort(out)
 	return out
 }
 
--- /dev/null
+++ b/internal/core/admission/bench_test.go
@@ -0,0 +1,98 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
+
+// benchOwner returns an owner of n engines with one slot taken in two.
+func benchOwner(n int) (*Owner, time.Time) {
+	o := New(DefaultSettings())
+	var rows []entity.Endpoint
+	for i := range n {
+		rows = append(rows, engine(fmt.Sprintf("engine-%03d", i), 16))
+	}
+	o.SetEndpoints(epoch, rows)
+	now := epoch.Add(DefaultSettings().FloorFor)
+	for i := range n * 8 {
+		o.Reserve(now, ask(work(fmt.Sprintf("running-%d", i), 0)))
+	}
+	o.Ready()
+	return o, now
+}
+
+// benchPrefix is the chain of a prompt of 1,000 tokens.
+func benchPrefix(n int) []entity.BlockHash {
+	chain := make([]entity.BlockHash, 64)
+	for i := range chain {
+		chain[i] = entity.BlockHash(n*1000 + i)
+	}
+	return chain
+}
+
+// BenchmarkGrantRelease takes one request through the owner.
+func BenchmarkGrantRelease(b *testing.B) {
+	for _, n := range []int{3, 11, 44} {
+		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
+			o, now := benchOwner(n)
+			i := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				i++
+				w := work(fmt.Sprintf("r-%d", i), 0)
+				w.Prefix = benchPrefix(i % 200)
+				o.Reserve(now, ask(w))
+				r := o.Ready()
+				if len(r.Grants) != 1 {
+					b.Fatalf("%+v", r)
+				}
+				o.Release(now, entity.Release{ID: w.ID, Endpoint: r.Grants[0].Grant.Endpoint, PrefillTokens: 100, GeneratedTokens: 50,
+					TimeToFirstToken: time.Second, DecodeTime: time.Second})
+			}
+		})
+	}
+}
+
+// BenchmarkTick lets time pass over an owner whose queue has so many waiting.
+func BenchmarkTick(b *testing.B) {
+	for _, queued := range []int{1, 70, 700} {
+		b.Run(fmt.Sprintf("queued=%d", queued), func(b *testing.B) {
+			o, now := benchOwner(11)
+			for i := range 11*8 + queued {
+				w := work(fmt.Sprintf("r-%d", i), entity.Tier(1+i%4))
+				w.Deadline = now.Add(time.Hour)
+				o.Reserve(now, ask(w))
+			}
+			o.Ready()
+			b.ReportAllocs()
+			for b.Loop() {
+				o.Tick(now)
+				o.Ready()
+			}
+		})
+	}
+}
+
+// BenchmarkPrefixMemory reports what the prefix index of an engine takes.
+func BenchmarkPrefixMemory(b *testing.B) {
+	for _, blocks := range []int{2048, 8192, 32768} {
+		b.Run(fmt.Sprintf("blocks=%d", blocks), func(b *testing.B) {
+			for b.Loop() {
+				before := heapBytes()
+				o, _ := benchOwner(1)
+				o.settings.PrefixBlocks = blocks
+				e := o.newEndpoint(epoch, &entity.Endpoint{ID: "e"})
+				for i := 0; i < blocks; i += 64 {
+					e.index.Insert(benchPrefix(i))
+				}
+				b.ReportMetric(float64(heapBytes()-before), "B/endpoint")
+				if e.index.Len() == 0 {
+					b.Fatal("empty")
+				}
+			}
+		})
+	}
+}
--- a/internal/core/claim/settings.go
+++ b/internal/core/claim/settings.go
@@ -76,7 +76,7 @@
 	DefaultAppendBackoff   = 500 * time.Millisecond
 	DefaultReadTimeout     = 3 * time.Second
 	DefaultReadBackoff     = 500 * time.Millisecond
-	DefaultReadInterval    = 2 * time.Second
+	DefaultReadInterval    = 10 * time.Second
 	DefaultReadWait        = 500 * time.Millisecond
 	DefaultMaxKeys         = 20000
 	DefaultMaxPending      = 1024
--- /dev/null
+++ b/internal/core/limit/bench_test.go
@@ -0,0 +1,98 @@
+package limit
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
+
+// orgsInUse are organisations that send through one instance.
+var orgsInUse = []int{100, 1000, 10000}
+
+func benchOrg(i int) entity.OrgID { return entity.OrgID(fmt.Sprintf("organisation-%05d", i)) }
+
+// benchBorrower returns a borrower in a zone of 31 with so many accounts open.
+func benchBorrower(n int) (*Borrower, time.Time) {
+	now := time.Unix(1000, 0)
+	b := NewBorrower(DefaultSettings(), func(entity.OrgID) (Limit, bool) { return Limit{Rate: 2000, Burst: 4000, Concurrent: 3000}, true })
+	z := Zone{Fleet: 470}
+	for i := range 31 {
+		z.Members = append(z.Members, entity.Instance{ID: entity.InstanceID(fmt.Sprintf("i%02d", i))})
+	}
+	b.SetZone(now, z)
+	for i := range n {
+		b.Take(now, benchOrg(i))
+		b.Done(now, benchOrg(i))
+	}
+	b.Ready()
+	return b, now
+}
+
+func BenchmarkTake(b *testing.B) {
+	for _, n := range orgsInUse {
+		b.Run(fmt.Sprintf("orgs=%d", n), func(b *testing.B) {
+			br, now := benchBorrower(n)
+			i := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				i++
+				org := benchOrg(i % n)
+				br.Take(now, org)
+				br.Done(now, org)
+			}
+		})
+	}
+}
+
+// BenchmarkBorrowerSecond lets a second pass over accounts that are in use,
+// and reports the bytes of the demands.
+func BenchmarkBorrowerSecond(b *testing.B) {
+	for _, n := range orgsInUse {
+		b.Run(fmt.Sprintf("orgs=%d", n), func(b *testing.B) {
+			br, now := benchBorrower(n)
+			size, seconds := 0, 0
+			for b.Loop() {
+				for i := range n {
+					br.Take(now, benchOrg(i))
+					br.Done(now, benchOrg(i))
+				}
+				for range 20 {
+					now = now.Add(50 * time.Millisecond)
+					br.Tick(now)
+				}
+				for _, m := range br.Ready().Messages {
+					data, _ := json.Marshal(m.Demand)
+					size += len(data)
+				}
+				seconds++
+			}
+			b.ReportMetric(float64(size)/float64(seconds), "B/s")
+		})
+	}
+}
+
+func BenchmarkAccountMemory(b *testing.B) {
+	for _, n := range orgsInUse {
+		b.Run(fmt.Sprintf("orgs=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				before := heapBytes()
+				br, _ := benchBorrower(n)
+				b.ReportMetric(float64(heapBytes()-before)/float64(n), "B/org")
+				runtime.KeepAlive(br)
+			}
+		})
+	}
+}
+
+// heapBytes returns the bytes in use on the heap.
+func heapBytes() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/internal/core/membership/cluster_test.go
+++ b/internal/core/membership/cluster_test.go
@@ -11,7 +11,7 @@
 
 // cluster runs cores under a virtual clock over a lossy network.
 type cluster struct {
-	t     *testing.T
+	t     testing.TB
 	rng   *rand.Rand
 	set   Settings
 	now   time.Time
@@ -51,7 +51,7 @@
 	testMinDelay = time.Millisecond
 )
 
-func newCluster(t *testing.T, seed int64) *cluster {
+func newCluster(t testing.TB, seed int64) *cluster {
 	return &cluster{
 		t: t, rng: rand.New(rand.NewSource(seed)), set: DefaultSettings(),
 		now: time.Unix(1000, 0), byID: map[entity.InstanceID]*node{},
--- /dev/null
+++ b/internal/core/node/bench_test.go
@@ -0,0 +1,158 @@
+package node
+
+import (
+	"fmt"
+	"math/rand"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/config"
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/request"
+	"github.com/medlarhold/medlarhold/internal/platform"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// benchState returns a configuration with engines in zone "z".
+func benchState(tb testing.TB, engines int) config.State {
+	tb.Helper()
+	var st config.State
+	next := platform.Offset(0)
+	apply := func(kind config.Kind, name, spec string) {
+		data, err := config.EncodeChange(config.Change{ID: fmt.Sprintf("01JGZ0000000000000%08d", next), Kind: kind, Name: name, Operator: "o", Spec: []byte(spec)})
+		if err != nil {
+			tb.Fatal(err)
+		}
+		var out config.Outcome
+		if st, out = st.Apply(platform.Record{Offset: next, Time: epoch, Data: data}); out.Result != config.ResultApplied {
+			tb.Fatalf("%+v", out)
+		}
+		next++
+	}
+	apply(config.KindDeployment, "default", `{"tiers":["urgent","standard","patient"],"scores":{"goodput":0.5,"wasted_prefill":0.5}}`)
+	apply(config.KindPool, "reports", `{"kind":"engine","queue_per_endpoint":8,"max_body_bytes":1048576,"retry_budget":0.1}`)
+	apply(config.KindModel, "narrative", `{"pool":"reports","version":"1","weights":"w","min_copies":1}`)
+	apply(config.KindContract, "org", `{"tiers":["urgent"],"default_tier":"urgent","requests_per_sec":1000000,"burst":1000000,"max_concurrent":1000000,"key_hashes":["9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08"]}`)
+	for i := range engines {
+		apply(config.KindEndpoint, fmt.Sprintf("engine-%05d", i), `{"pool":"reports","zone":"z","address":"127.0.0.1:9","models":["narrative"],"slots":16,"kv_tokens":4000000}`)
+	}
+	return st
+}
+
+// benchNode returns a node that owns all of its engines.
+func benchNode(tb testing.TB, engines int) (*Node, time.Time) {
+	tb.Helper()
+	n := New(DefaultSettings(entity.Instance{ID: "self", Zone: "z"}), rand.New(rand.NewSource(1)))
+	now := epoch
+	for range 100 {
+		now = now.Add(TickInterval)
+		n.Tick(now)
+		n.Ready()
+	}
+	n.Step(now, Configured{State: benchState(tb, engines)})
+	n.Ready()
+	return n, now.Add(time.Second)
+}
+
+// fleetEngines are the engines of a node, of a zone and of the target.
+var fleetEngines = []int{11, 353, 5300}
+
+// BenchmarkConfigured puts a configuration into force that moves nothing.
+func BenchmarkConfigured(b *testing.B) {
+	for _, engines := range fleetEngines {
+		b.Run(fmt.Sprintf("endpoints=%d", engines), func(b *testing.B) {
+			n, now := benchNode(b, engines)
+			st := n.state
+			b.ReportAllocs()
+			for b.Loop() {
+				n.Step(now, Configured{State: st})
+				n.Ready()
+			}
+		})
+	}
+}
+
+// BenchmarkTick lets a tick pass over a node with so many requests running.
+func BenchmarkTick(b *testing.B) {
+	for _, running := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprintf("requests=%d", running), func(b *testing.B) {
+			n, now := benchNode(b, 100)
+			for i := range running {
+				arrive(n, now, i)
+			}
+			n.Ready()
+			b.ReportAllocs()
+			for b.Loop() {
+				n.Tick(now)
+				n.Ready()
+			}
+		})
+	}
+}
+
+func arrive(n *Node, now time.Time, i int) entity.RequestID {
+	id := entity.RequestID(fmt.Sprintf("request-%08d", i))
+	chain := make([]entity.BlockHash, 64)
+	for k := range chain {
+		chain[k] = entity.BlockHash(i%200*1000 + k)
+	}
+	n.Step(now, Arrive{Arrival: request.Arrival{Work: entity.Work{ID: id, Org: "org", Pool: "reports", Model: "narrative",
+		Prefix: chain, PromptTokens: 1000, MaxTokens: 100, Deadline: now.Add(time.Hour)}}})
+	return id
+}
+
+// BenchmarkRequest takes one request through entry and owner on one node that
+// knows so many endpoints and has 100 requests running.
+func BenchmarkRequest(b *testing.B) {
+	for _, engines := range fleetEngines {
+		b.Run(fmt.Sprintf("endpoints=%d", engines), func(b *testing.B) {
+			n, now := benchNode(b, engines)
+			for i := range 100 {
+				arrive(n, now, i)
+			}
+			n.Ready()
+			i := 1000
+			b.ReportAllocs()
+			for b.Loop() {
+				i++
+				id := arrive(n, now, i)
+				r := n.Ready()
+				if len(r.Directives) == 0 || r.Directives[0].Kind != request.DirectiveDispatch {
+					b.Fatalf("%+v", r.Directives)
+				}
+				n.Step(now, Ended{ID: id, End: request.End{Release: entity.Release{ID: id, Endpoint: r.Directives[0].Endpoint, PrefillTokens: 500,
+					GeneratedTokens: 100, TimeToFirstToken: time.Second, DecodeTime: time.Second}}})
+				n.Ready()
+			}
+		})
+	}
+}
+
+// BenchmarkRequestMemory reports what a running request takes in entry and owner.
+func BenchmarkRequestMemory(b *testing.B) {
+	for _, running := range []int{100, 400, 1600} {
+		b.Run(fmt.Sprintf("requests=%d", running), func(b *testing.B) {
+			for b.Loop() {
+				n, now := benchNode(b, 200)
+				before := heapBytes()
+				for i := range running {
+					arrive(n, now, i)
+					n.Ready()
+				}
+				b.ReportMetric(float64(heapBytes()-before)/float64(running), "B/request")
+				runtime.KeepAlive(n)
+			}
+		})
+	}
+}
+
+// heapBytes returns the bytes in use on the heap.
+func heapBytes() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/internal/core/stream/stream.go
+++ b/internal/core/stream/stream.go
@@ -144,6 +144,17 @@
 	return r.inFlight && !now.Before(r.asked.Add(r.set.Timeout))
 }
 
+// downInterval bounds the pause between reads while the log is down.
+const downInterval = 2 * time.Second
+
+// interval is the pause between reads while nothing waits.
+func (r *Reader) interval() time.Duration {
+	if r.down {
+		return min(r.set.Interval, downInterval)
+	}
+	return r.set.Interval
+}
+
 // Request returns the next read if one is due: at once while the reader is
 // behind or something waits for the log, else every Interval.
 func (r *Reader) Request(now time.Time, waiting bool) *ReadRequest {
@@ -151,7 +162,7 @@
 		return nil
 	}
 	behind := !r.caughtUp || r.next < r.end
-	if !behind && !waiting && now.Before(r.asked.Add(r.set.Interval)) {
+	if !behind && !waiting && now.Before(r.asked.Add(r.interval())) {
 		return nil
 	}
 	req := &ReadRequest{Stream: r.set.Stream, From: r.next, Limit: r.set.Limit, Idle: !waiting}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -97,7 +97,10 @@
 func (d *Daemon) assemble() {
 	s := d.settings
 	d.endpoints = endpoint.New(endpoint.Options{TLS: d.certs.client()})
-	d.poller = newPoller(endpoint.New(endpoint.Options{TLS: d.certs.client(), Wrap: d.metrics.PollControl.Conn}), func(msg any) { d.loop.Post(msg) })
+	d.poller = newPoller(
+		endpoint.New(endpoint.Options{TLS: d.certs.client(), Wrap: d.metrics.PollRequest.Conn}),
+		endpoint.New(endpoint.Options{TLS: d.certs.client(), Wrap: d.metrics.PollControl.Conn}),
+		d.metrics, func(msg any) { d.loop.Post(msg) })
 	d.transport = peer.NewTransport(peer.Options{
 		Self: d.self, Keys: d.keys.PeerKeys, ServerTLS: d.certs.server(), ClientTLS: d.certs.client(),
 		ExchangeTimeout: peerExchangeTimeout, Registry: messages(),
@@ -166,6 +169,7 @@
 	d.transport.Close()
 	background.Wait()
 	d.endpoints.Close()
+	d.poller.close()
 	return err
 }
 
--- a/internal/daemon/poller.go
+++ b/internal/daemon/poller.go
@@ -8,11 +8,15 @@
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/core/node"
 	"github.com/medlarhold/medlarhold/internal/endpoint"
+	"github.com/medlarhold/medlarhold/internal/telemetry"
 )
 
 const (
-	// pollInterval is the time between two looks at an endpoint's load and cache.
+	// pollInterval is the time between two looks at an engine that runs requests.
 	pollInterval = time.Second
+	// maxRestInterval bounds the time between two looks at an engine at rest,
+	// which doubles from look to look.
+	maxRestInterval = 16 * time.Second
 	// pollTimeout bounds one look.
 	pollTimeout = 2 * time.Second
 )
@@ -20,16 +24,39 @@
 // poller asks the engines that this instance owns for their load and for the
 // changes of their prefix caches.
 type poller struct {
-	client *endpoint.Client
-	post   func(msg any)
-	mu     sync.Mutex
-	owned  []entity.Endpoint
-	// next holds the sequence number to ask each engine for. Only run uses it.
-	next map[entity.EndpointID]uint64
+	// busy and rest differ in where their bytes are counted.
+	busy, rest *endpoint.Client
+	metrics    *telemetry.Metrics
+	post       func(msg any)
+	mu         sync.Mutex
+	owned      []entity.Endpoint
+	// looks holds what is known of each engine. Only run uses it.
+	looks map[entity.EndpointID]*look
 }
 
-func newPoller(c *endpoint.Client, post func(msg any)) *poller {
-	return &poller{client: c, post: post, next: make(map[entity.EndpointID]uint64)}
+// look is what the last look at an engine brought.
+type look struct {
+	// next is the sequence number to ask for.
+	next     uint64
+	inUse    bool
+	interval time.Duration
+	due      time.Time
+}
+
+// seen takes in whether the engine was in use at the last look.
+func (l *look) seen(now time.Time, inUse bool) {
+	l.inUse = inUse
+	if inUse {
+		l.interval = pollInterval
+	} else {
+		l.interval = min(max(2*l.interval, pollInterval), maxRestInterval)
+	}
+	// Rounds come each pollInterval; half of one keeps a look in its round.
+	l.due = now.Add(l.interval - pollInterval/2)
+}
+
+func newPoller(busy, rest *endpoint.Client, m *telemetry.Metrics, post func(msg any)) *poller {
+	return &poller{busy: busy, rest: rest, metrics: m, post: post, looks: make(map[entity.EndpointID]*look)}
 }
 
 // setOwned replaces the endpoints to poll.
@@ -53,44 +80,65 @@
 	}
 }
 
+// pollAll looks at the engines that are due.
 func (p *poller) pollAll(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	p.mu.Lock()
 	owned := p.owned
 	p.mu.Unlock()
+	now := time.Now()
+	looks := make(map[entity.EndpointID]*look, len(owned))
 	var wg sync.WaitGroup
-	events := make([]endpoint.CacheEvents, len(owned))
-	for i, e := range owned {
-		if e.Kind == entity.KindEngine {
-			wg.Go(func() { events[i] = p.poll(ctx, e) })
+	for _, e := range owned {
+		if e.Kind != entity.KindEngine {
+			continue
+		}
+		l := p.looks[e.ID]
+		if l == nil {
+			l = &look{}
+		}
+		looks[e.ID] = l
+		if !now.Before(l.due) {
+			wg.Go(func() { p.look(ctx, now, e, l) })
 		}
 	}
 	wg.Wait()
-	for i, e := range owned {
-		p.pass(e, events[i])
-	}
+	p.looks = looks
 }
 
-// poll asks one engine.
-func (p *poller) poll(ctx context.Context, e entity.Endpoint) endpoint.CacheEvents {
-	if l, err := p.client.Load(ctx, e.Address); err == nil {
-		p.post(node.Load{Report: entity.LoadReport{Endpoint: e.ID, At: l.AsOf, Running: l.Running, Waiting: l.Waiting, KVTokens: l.KVTokens}})
+// look asks one engine.
+func (p *poller) look(ctx context.Context, now time.Time, e entity.Endpoint, l *look) {
+	client, cause := p.rest, telemetry.CauseControl
+	if l.inUse {
+		client, cause = p.busy, telemetry.CauseRequest
+	}
+	p.metrics.Polled(cause)
+	inUse := false
+	if r, err := client.Load(ctx, e.Address); err == nil {
+		inUse = r.Running+r.Waiting > 0
+		p.post(node.Load{Report: entity.LoadReport{Endpoint: e.ID, At: r.AsOf, Running: r.Running, Waiting: r.Waiting, KVTokens: r.KVTokens}})
 	}
-	events, err := p.client.CacheEvents(ctx, e.Address, p.next[e.ID])
-	if err != nil {
-		return endpoint.CacheEvents{}
+	if events, err := client.CacheEvents(ctx, e.Address, l.next); err == nil {
+		p.pass(e, l, events)
+		inUse = inUse || len(events.Events) > 0
 	}
-	return events
+	l.seen(now, inUse)
 }
 
 // pass hands the cache events of one engine on.
-func (p *poller) pass(e entity.Endpoint, events endpoint.CacheEvents) {
+func (p *poller) pass(e entity.Endpoint, l *look, events endpoint.CacheEvents) {
 	for _, ev := range events.Events {
 		p.post(node.Cache{Event: entity.CacheEvent{Endpoint: e.ID, Seq: ev.Seq,
 			Stored: endpoint.FromWire(ev.Stored), Evicted: endpoint.FromWire(ev.Evicted), Cleared: ev.Cleared}})
 	}
 	if events.Next > 0 {
-		p.next[e.ID] = events.Next
+		l.next = events.Next
 	}
 }
+
+// close closes the connections to engines.
+func (p *poller) close() {
+	p.busy.Close()
+	p.rest.Close()
+}
--- a/internal/daemon/register.go
+++ b/internal/daemon/register.go
@@ -16,8 +16,16 @@
 // register keeps the instance on the platform's list and reads the list.
 func (d *Daemon) register(ctx context.Context) {
 	down := false
+	started := time.Now()
+	var readAt time.Time
 	for {
 		ok := d.renew(ctx)
+		if now := time.Now(); ok && !now.Before(readAt) {
+			var rows int
+			rows, ok = d.readList(ctx)
+			searching := now.Sub(started) < searchFor || d.alone()
+			readAt = now.Add(jittered(listInterval(rows, searching)))
+		}
 		if !ok && !down && ctx.Err() == nil {
 			telemetry.Log(d.log, telemetry.EventListUnavailable)
 		}
@@ -30,21 +38,30 @@
 	}
 }
 
-// renew is one round with the list.
+// alone says whether the instance knows no other in its zone.
+func (d *Daemon) alone() bool {
+	view := d.loop.View()
+	own, _ := view.Zone(d.self.Zone)
+	return !view.Joined || len(own.Members) < 2
+}
+
+// renew tells the list that the instance is there, or leaving.
 func (d *Daemon) renew(ctx context.Context) bool {
 	self := d.self
 	self.Leaving = d.loop.Status().Draining
 	d.metrics.ListCall("renew")
-	if err := d.list.Register(ctx, self); err != nil {
-		return false
-	}
+	return d.list.Register(ctx, self) == nil
+}
+
+// readList reads the list and returns the number of its rows.
+func (d *Daemon) readList(ctx context.Context) (int, bool) {
 	d.metrics.ListCall("read")
 	instances, err := d.list.List(ctx)
 	if err != nil {
-		return false
+		return 0, false
 	}
 	d.loop.Post(node.Listed{Instances: instances})
-	return true
+	return len(instances), true
 }
 
 // platformClient returns an HTTP client towards the platform whose bytes are counted.
