--- a/internal/daemon/pace_test.go
+++ b/internal/daemon/pace_test.go
@@ -36,3 +36,17 @@
 		t.Fatalf("in use: %+v", l)
 	}
 }
+
+// TestNewOwnerAsksForTheLastEvents starts looks at engines of several ages.
+func TestNewOwnerAsksForTheLastEvents(t *testing.T) {
+	for newest, want := range map[uint64]uint64{0: 0, newcomerEvents: 0, 4000: 4000 - newcomerEvents} {
+		l := &look{}
+		if l.begin(newest); l.next != want {
+			t.Errorf("newest event %d: asks from %d, want %d", newest, l.next, want)
+		}
+	}
+	l := &look{next: 7}
+	if l.begin(4000); l.next != 7 {
+		t.Errorf("an owner that is not new asks from %d", l.next)
+	}
+}
--- a/internal/daemon/poller.go
+++ b/internal/daemon/poller.go
@@ -17,6 +17,9 @@
 	// maxRestInterval bounds the time between two looks at an engine at rest,
 	// which doubles from look to look.
 	maxRestInterval = 16 * time.Second
+	// newcomerEvents is how many cache events an owner asks for that is new to
+	// an engine; what it does not hear of it learns from the work it grants.
+	newcomerEvents = 50
 	// pollTimeout bounds one look.
 	pollTimeout = 2 * time.Second
 )
@@ -43,6 +46,13 @@
 	due      time.Time
 }
 
+// begin has a look start near the newest cache event.
+func (l *look) begin(newest uint64) {
+	if l.next == 0 && newest > newcomerEvents {
+		l.next = newest - newcomerEvents
+	}
+}
+
 // seen takes in whether the engine was in use at the last look.
 func (l *look) seen(now time.Time, inUse bool) {
 	l.inUse = inUse
@@ -117,6 +127,7 @@
 	inUse := false
 	if r, err := client.Load(ctx, e.Address); err == nil {
 		inUse = r.Running+r.Waiting > 0
+		l.begin(r.CacheSeq)
 		p.post(node.Load{Report: entity.LoadReport{Endpoint: e.ID, At: r.AsOf, Running: r.Running, Waiting: r.Waiting, KVTokens: r.KVTokens}})
 	}
 	if events, err := client.CacheEvents(ctx, e.Address, l.next); err == nil {
--- a/internal/endpoint/wire.go
+++ b/internal/endpoint/wire.go
@@ -95,6 +95,9 @@
 	Waiting  int       `json:"waiting"`
 	KVTokens int       `json:"kv_tokens"`
 	AsOf     time.Time `json:"as_of"`
+	// CacheSeq is the number of the newest cache event; zero if there is none
+	// or the engine doesn't tell.
+	CacheSeq uint64 `json:"cache_seq,omitempty"`
 }
 
 // CacheEvents is a batch of changes of an engine's prefix cache.
--- a/internal/standin/engine/model/engine.go
+++ b/internal/standin/engine/model/engine.go
@@ -167,7 +167,9 @@
 // Load returns the load report that the engine gives at now.
 func (e *Engine) Load(now time.Time) endpoint.Load {
 	e.advance(now)
-	return e.reports.at(now.Add(-e.settings.LoadLag))
+	l := e.reports.at(now.Add(-e.settings.LoadLag))
+	l.CacheSeq = e.events.newest(now)
+	return l
 }
 
 // advance moves the time on, iteration by iteration.
--- a/internal/standin/engine/model/reports.go
+++ b/internal/standin/engine/model/reports.go
@@ -97,6 +97,16 @@
 	}
 }
 
+// newest returns the number of the newest event that can be seen at now.
+func (l *eventLog) newest(now time.Time) uint64 {
+	for i := len(l.list) - 1; i >= 0; i-- {
+		if !l.list[i].visible.After(now) {
+			return l.list[i].event.Seq
+		}
+	}
+	return 0
+}
+
 // CacheEvents returns up to limit cache events from a sequence number on, as
 // far as they can be seen at now.
 func (e *Engine) CacheEvents(now time.Time, from uint64, limit int) endpoint.CacheEvents {
