--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -38,7 +38,8 @@
 		Membership: membership.DefaultSettings(),
 		Admission:  admission.DefaultSettings(),
 		Request: request.Settings{
-			Self: self.ID, KeepFinished: 4096, RetryInterval: routing.RetryInterval, LookInterval: 250 * time.Millisecond,
+			Self: self.ID, KeepFinished: 4096, RetryInterval: routing.RetryInterval,
+			FirstPatience: 100 * time.Millisecond, MaxPatience: 2 * time.Second,
 		},
 		Retry:        retry.DefaultSettings(),
 		Routing:      routing.DefaultSettings(),
@@ -61,7 +62,9 @@
 	address  map[entity.InstanceID]string
 	draining bool
 	limits   *limits
-	claims   *claims
+	// loaded holds the models that owned endpoints report which take orders.
+	loaded map[entity.EndpointID][]entity.ModelID
+	claims *claims
 	// zoneMembers are the live instances of the own zone.
 	zoneMembers []entity.Instance
 	releases    []undelivered
@@ -105,6 +108,7 @@
 		owner:    admission.New(s.Admission),
 		retries:  retry.New(s.Retry, rng),
 		address:  make(map[entity.InstanceID]string),
+		loaded:   make(map[entity.EndpointID][]entity.ModelID),
 	}
 	n.router = &router{Router: routing.New(s.Routing), n: n}
 	n.entry = request.New(s.Request, n.router, n.retries, n)
@@ -161,6 +165,9 @@
 		n.members.Platform(now, m.Instances)
 	case Load:
 		n.owner.Report(now, m.Report)
+	case Loaded:
+		n.loaded[m.Endpoint] = m.Models
+		n.setOwned(now)
 	case Cache:
 		n.owner.CacheEvents(now, m.Event)
 	case ClaimAppended:
@@ -223,11 +230,22 @@
 	return waiting
 }
 
+// InFlightByModel counts the requests without a final answer by model.
+func (n *Node) InFlightByModel() map[entity.ModelID]int { return n.entry.InFlightByModel() }
+
 // Draining says whether the planned stop has begun.
 func (n *Node) Draining() bool { return n.draining }
 
 // Status returns what this instance knows about a request.
 func (n *Node) Status(id entity.RequestID) (request.Status, bool) { return n.entry.Status(id) }
 
+// EndpointStats returns what is known of an endpoint that is owned here.
+func (n *Node) EndpointStats(id entity.EndpointID) (admission.EndpointStats, bool) {
+	return n.owner.Stats(id)
+}
+
+// Queued returns how many reservations wait here for a pool.
+func (n *Node) Queued(id entity.PoolID) int { return n.owner.Queued(id) }
+
 // OwnerOf returns the owner of an endpoint, empty if there is none.
 func (n *Node) OwnerOf(id entity.EndpointID) entity.InstanceID { return n.owners.Owner(id) }
--- a/internal/core/routing/bench_test.go
+++ b/internal/core/routing/bench_test.go
@@ -35,7 +35,7 @@
 				r.Refused(epoch, id, w, entity.Refusal{ID: "a", FloorFor: 1 << 40, Covers: uint64(r.covers(id, w))}, epoch)
 			}
 			for b.Loop() {
-				r.MayShed(epoch, w)
+				r.MayShed(epoch, w, nil)
 			}
 		})
 	}
--- a/internal/core/routing/router.go
+++ b/internal/core/routing/router.go
@@ -20,6 +20,9 @@
 	Endpoint entity.EndpointID
 	// NoWait goes into the reservation.
 	NoWait bool
+	// Infeasible is set by the caller when the owner said that its endpoints
+	// could not meet the deadline even with no one else there.
+	Infeasible bool
 }
 
 // Router decides whom an entry instance asks.
@@ -40,6 +43,7 @@
 type pool struct {
 	candidates []*candidate
 	owners     []entity.InstanceID // in the order of candidates
+	byOwner    map[entity.InstanceID][]*candidate
 }
 
 // New returns a Router that knows no pools.
@@ -59,14 +63,14 @@
 
 // SetPool replaces the endpoints of a pool.
 func (r *Router) SetPool(id entity.PoolID, rows []Owned) {
-	p := &pool{}
-	seen := make(map[entity.InstanceID]bool)
+	p := &pool{byOwner: make(map[entity.InstanceID][]*candidate)}
 	for i := range rows {
-		p.candidates = append(p.candidates, r.candidate(&rows[i]))
-		if o := rows[i].Owner; !seen[o] {
-			seen[o] = true
-			p.owners = append(p.owners, o)
+		c := r.candidate(&rows[i])
+		p.candidates = append(p.candidates, c)
+		if len(p.byOwner[c.Owner]) == 0 {
+			p.owners = append(p.owners, c.Owner)
 		}
+		p.byOwner[c.Owner] = append(p.byOwner[c.Owner], c)
 	}
 	if old := r.pools[id]; old != nil {
 		r.forget(old, p)
@@ -87,7 +91,7 @@
 			return c, ok
 		}
 	}
-	return r.join(now, order)
+	return r.join(now, order, tried)
 }
 
 // probe returns the first owner that was not tried yet and has not promised
@@ -103,10 +107,13 @@
 }
 
 // join returns the owner with the shortest queue, as far as is known.
-func (r *Router) join(now time.Time, order []ranked) (Choice, bool) {
+func (r *Router) join(now time.Time, order []ranked, tried []Choice) (Choice, bool) {
 	var best *candidate
 	var shortest time.Duration
 	for _, c := range order {
+		if infeasible(tried, c.Owner) {
+			continue
+		}
 		wait := r.owner(c.Owner).wait(now)
 		if best == nil || wait < shortest {
 			best, shortest = c.candidate, wait
@@ -118,21 +125,36 @@
 	return Choice{Owner: best.Owner, Endpoint: best.Endpoint.ID}, true
 }
 
-// MayShed says that w may be refused for overload: every owner of the pool
-// that is in reach has promised that it serves nothing below w.
-func (r *Router) MayShed(now time.Time, w *entity.Work) bool {
+// MayShed says that w may be refused: every owner of the pool that is in reach
+// has promised that it serves nothing below w, or has said that it could not
+// serve w in time at all.
+func (r *Router) MayShed(now time.Time, w *entity.Work, tried []Choice) bool {
 	p := r.pools[w.Pool]
 	if p == nil {
 		return true
 	}
 	for _, o := range p.owners {
-		if r.owner(o).reachable(now) && !r.promised(now, o, w) {
+		if r.owner(o).reachable(now) && !infeasible(tried, o) && !r.promised(now, o, w) {
 			return false
 		}
 	}
 	return true
 }
 
+// Reaches says whether any owner in reach has an endpoint that could serve w.
+func (r *Router) Reaches(now time.Time, w *entity.Work) bool {
+	p := r.pools[w.Pool]
+	if p == nil {
+		return false
+	}
+	for _, o := range p.owners {
+		if r.owner(o).reachable(now) && r.covers(o, w) != 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *Router) promised(now time.Time, o entity.InstanceID, w *entity.Work) bool {
 	covers := r.covers(o, w)
 	return covers == 0 || r.floors.holds(now, o, w, covers)
@@ -141,8 +163,8 @@
 // covers is the digest of o's endpoints that could serve w.
 func (r *Router) covers(o entity.InstanceID, w *entity.Work) eligible.Digest {
 	var d eligible.Digest
-	for _, c := range r.pools[w.Pool].candidates {
-		if c.Owner == o && eligible.Serves(&c.Endpoint, w) {
+	for _, c := range r.pools[w.Pool].byOwner[o] {
+		if eligible.Serves(&c.Endpoint, w) {
 			d ^= c.digest
 		}
 	}
@@ -192,6 +214,15 @@
 	return probes, waited
 }
 
+func infeasible(tried []Choice, o entity.InstanceID) bool {
+	for _, c := range tried {
+		if c.Owner == o && c.Infeasible {
+			return true
+		}
+	}
+	return false
+}
+
 func wasTried(tried []Choice, o entity.InstanceID) bool {
 	for _, c := range tried {
 		if c.Owner == o {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -21,6 +22,7 @@
 	"github.com/medlarhold/medlarhold/internal/control"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/core/node"
+	"github.com/medlarhold/medlarhold/internal/core/steward"
 	"github.com/medlarhold/medlarhold/internal/endpoint"
 	"github.com/medlarhold/medlarhold/internal/peer"
 	"github.com/medlarhold/medlarhold/internal/platform"
@@ -41,23 +43,26 @@
 
 // Daemon is one instance of the system.
 type Daemon struct {
-	settings  settings.Settings
-	self      entity.Instance
-	log       logr.Logger
-	metrics   *telemetry.Metrics
-	keys      *settings.KeyRing
-	certs     *certificates
-	listeners listeners
-	transport *peer.Transport
-	loop      *control.Loop
-	endpoints *endpoint.Client
-	caller    *caller.Server
-	follower  *configFollower
-	list      platform.InstanceList
-	poller    *poller
-	claims    *claimLog
-	leaving   chan struct{}
-	leaveOnce sync.Once
+	settings   settings.Settings
+	self       entity.Instance
+	log        logr.Logger
+	metrics    *telemetry.Metrics
+	keys       *settings.KeyRing
+	certs      *certificates
+	listeners  listeners
+	transport  *peer.Transport
+	loop       *control.Loop
+	endpoints  *endpoint.Client
+	caller     *caller.Server
+	follower   *configFollower
+	list       platform.InstanceList
+	weights    platform.WeightStore
+	logService platform.Log
+	poller     *poller
+	listed     atomic.Pointer[[]entity.Instance] // the list of the platform
+	claims     *claimLog
+	leaving    chan struct{}
+	leaveOnce  sync.Once
 }
 
 // listeners are the instance's three listening sockets.
@@ -88,7 +93,9 @@
 	d := &Daemon{settings: s, log: log, metrics: telemetry.NewMetrics(), keys: keys, certs: certs, listeners: ls, leaving: make(chan struct{})}
 	d.self = entity.Instance{
 		ID: newInstanceID(s.Name), Zone: s.Zone, Region: s.Region, PeerAddress: advertised(s.AdvertisePeers, ls.peers),
+		AdminAddress: advertised(s.AdvertiseAdmin, ls.admin),
 	}
+	d.listed.Store(&[]entity.Instance{})
 	d.assemble()
 	return d, nil
 }
@@ -100,7 +107,7 @@
 	d.poller = newPoller(
 		endpoint.New(endpoint.Options{TLS: d.certs.client(), Wrap: d.metrics.PollRequest.Conn}),
 		endpoint.New(endpoint.Options{TLS: d.certs.client(), Wrap: d.metrics.PollControl.Conn}),
-		d.metrics, func(msg any) { d.loop.Post(msg) })
+		d.metrics, func(msg any) { d.loop.Post(msg) }, d.reportHeld)
 	d.transport = peer.NewTransport(peer.Options{
 		Self: d.self, Keys: d.keys.PeerKeys, ServerTLS: d.certs.server(), ClientTLS: d.certs.client(),
 		ExchangeTimeout: peerExchangeTimeout, Registry: messages(),
@@ -114,14 +121,17 @@
 		Node: node.New(node.DefaultSettings(d.self), mathrand.New(seed)), Clock: time.Now,
 		Send: d.transport.Send, Forget: d.transport.Forget, Owned: d.poller.setOwned,
 		ClaimAppend: func(a node.ClaimAppend) { d.claims.append(a) }, ClaimRead: func(r node.ClaimReadRequest) { d.claims.read(r) },
+		Steward:     steward.New(steward.DefaultSettings(d.self)),
+		LeaseAppend: d.leaseAppend, LeaseRead: d.leaseRead, Order: d.order,
 		Log: d.log, Metrics: d.metrics,
 	})
 	hc := d.platformClient(d.metrics.PlatformControl)
-	logService := countedLog{Log: platform.NewHTTPLog(s.Platform.Log, hc), metrics: d.metrics}
+	d.logService = countedLog{Log: platform.NewHTTPLog(s.Platform.Log, hc), metrics: d.metrics}
 	claimService := countedLog{Log: platform.NewHTTPLog(s.Platform.Log, d.platformClient(d.metrics.PlatformRequest)), metrics: d.metrics}
-	d.claims = &claimLog{busy: claimService, idle: logService, post: d.loop.Post}
-	d.follower = newConfigFollower(d, logService)
+	d.claims = &claimLog{busy: claimService, idle: d.logService, post: d.loop.Post}
+	d.follower = newConfigFollower(d, d.logService)
 	d.list = platform.NewHTTPInstanceList(s.Platform.InstanceList, hc)
+	d.weights = platform.NewHTTPWeightStore(s.Platform.WeightStore, hc)
 	d.caller = caller.NewServer(caller.Options{
 		Control: d, State: d.loop.State, Endpoints: d.endpoints, NewID: d.newRequestID, Clock: time.Now,
 		Log: d.log, Metrics: d.metrics,
@@ -145,7 +155,7 @@
 	defer cancel()
 	telemetry.Log(d.log, telemetry.EventStarting, "instance", d.self.ID, "zone", d.self.Zone)
 	var background sync.WaitGroup
-	for _, f := range []func(context.Context){d.loop.Run, d.follower.run, d.register, d.poller.run} {
+	for _, f := range []func(context.Context){d.loop.Run, d.follower.run, d.register, d.poller.run, d.keepSnapshots, d.sizeWeights} {
 		background.Go(func() { f(ctx) })
 	}
 	callers := d.httpServer(d.caller.Handler())
--- a/internal/daemon/poller.go
+++ b/internal/daemon/poller.go
@@ -31,8 +31,10 @@
 	busy, rest *endpoint.Client
 	metrics    *telemetry.Metrics
 	post       func(msg any)
-	mu         sync.Mutex
-	owned      []entity.Endpoint
+	// held is told what an engine holds that takes orders.
+	held  func(entity.EndpointID, endpoint.OrderStatus)
+	mu    sync.Mutex
+	owned []entity.Endpoint
 	// looks holds what is known of each engine. Only run uses it.
 	looks map[entity.EndpointID]*look
 }
@@ -65,8 +67,9 @@
 	l.due = now.Add(l.interval - pollInterval/2)
 }
 
-func newPoller(busy, rest *endpoint.Client, m *telemetry.Metrics, post func(msg any)) *poller {
-	return &poller{busy: busy, rest: rest, metrics: m, post: post, looks: make(map[entity.EndpointID]*look)}
+func newPoller(busy, rest *endpoint.Client, m *telemetry.Metrics, post func(msg any),
+	held func(entity.EndpointID, endpoint.OrderStatus)) *poller {
+	return &poller{busy: busy, rest: rest, metrics: m, post: post, held: held, looks: make(map[entity.EndpointID]*look)}
 }
 
 // setOwned replaces the endpoints to poll.
@@ -130,6 +133,11 @@
 		l.begin(r.CacheSeq)
 		p.post(node.Load{Report: entity.LoadReport{Endpoint: e.ID, At: r.AsOf, Running: r.Running, Waiting: r.Waiting, KVTokens: r.KVTokens}})
 	}
+	if e.WeightBytes > 0 {
+		if st, err := client.Orders(ctx, e.Address); err == nil {
+			p.held(e.ID, st)
+		}
+	}
 	if events, err := client.CacheEvents(ctx, e.Address, l.next); err == nil {
 		p.pass(e, l, events)
 		inUse = inUse || len(events.Events) > 0
--- a/internal/daemon/register.go
+++ b/internal/daemon/register.go
@@ -33,7 +33,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(platform.ListRenewInterval):
+		case <-time.After(d.renewPause()):
 		}
 	}
 }
@@ -45,6 +45,17 @@
 	return !view.Joined || len(own.Members) < 2
 }
 
+// joinPause is the time between two looks at the list until a peer has answered.
+const joinPause = 300 * time.Millisecond
+
+// renewPause is the time until the next round with the list.
+func (d *Daemon) renewPause() time.Duration {
+	if !d.loop.View().Joined {
+		return joinPause
+	}
+	return platform.ListRenewInterval
+}
+
 // renew tells the list that the instance is there, or leaving.
 func (d *Daemon) renew(ctx context.Context) bool {
 	self := d.self
@@ -60,6 +71,7 @@
 	if err != nil {
 		return 0, false
 	}
+	d.listed.Store(&instances)
 	d.loop.Post(node.Listed{Instances: instances})
 	return len(instances), true
 }
