--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 LINT          := $(GOBIN)/golangci-lint
 BIN           := bin
 
-.PHONY: help build fmt lint vet check test race demo clean
+.PHONY: help build fmt lint vet check test race demo capacity clean
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
 
@@ -37,5 +37,8 @@
 demo: ## start two zones on loopback, send one request of each kind, stop all
 	$(GO) run ./test/demo
 
+capacity: ## measure the cost of control and rewrite the tables of docs/CAPACITY.md
+	$(GO) run ./cmd/medlarhold-capacity
+
 clean: ## remove what the build made
 	rm -rf $(BIN)
--- a/cmd/medlarhold-capacity/phases.go
+++ b/cmd/medlarhold-capacity/phases.go
@@ -19,6 +19,7 @@
 	fleet, name             string
 	mean                    rates
 	maxControl, maxResident float64
+	length                  time.Duration
 	note                    string
 }
 
@@ -82,9 +83,11 @@
 		}
 		before[i] = s
 	}
+	begin := time.Now()
 	if err := during(); err != nil {
 		return trace.Wrap(err)
 	}
+	length := time.Since(begin)
 	all := make([]rates, len(instances))
 	for i, in := range instances {
 		s, err := take(in)
@@ -93,7 +96,7 @@
 		}
 		all[i] = between(before[i], s)
 	}
-	p := phase{fleet: r.name, name: name, note: note}
+	p := phase{fleet: r.name, name: name, length: length, note: note}
 	p.mean, p.maxControl, p.maxResident = mean(all)
 	r.phases = append(r.phases, p)
 	fmt.Fprintf(os.Stderr, "%s %s: control %.0f B/s (max %.0f), cpu %.2f%%, resident %.1f MB\n",
--- a/internal/core/limit/bench_test.go
+++ b/internal/core/limit/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand"
 	"runtime"
 	"testing"
 	"time"
@@ -75,6 +76,42 @@
 	}
 }
 
+// targetOrgs are the organisations at the target, a few of them large.
+const targetOrgs = 19_000
+
+// BenchmarkBorrowerAtRate lets seconds pass with so many requests in each, of
+// organisations with Zipf's frequencies, and reports the demands and the
+// accounts that are open. The home answers nothing.
+func BenchmarkBorrowerAtRate(b *testing.B) {
+	for _, perSec := range []int{21, 85, 340} {
+		b.Run(fmt.Sprintf("requests=%d", perSec), func(b *testing.B) {
+			br, now := benchBorrower(0)
+			zipf := rand.NewZipf(rand.New(rand.NewSource(1)), 1.1, 10, targetOrgs-1)
+			size, seconds, messages := 0, 0, 0
+			for b.Loop() {
+				for range perSec {
+					org := benchOrg(int(zipf.Uint64()))
+					br.Take(now, org)
+					br.Done(now, org)
+				}
+				for range 20 {
+					now = now.Add(50 * time.Millisecond)
+					br.Tick(now)
+				}
+				for _, m := range br.Ready().Messages {
+					data, _ := json.Marshal(m.Demand)
+					size += len(data)
+					messages++
+				}
+				seconds++
+			}
+			b.ReportMetric(float64(size)/float64(seconds), "B/s")
+			b.ReportMetric(float64(messages)/float64(seconds), "messages/s")
+			b.ReportMetric(float64(len(br.accounts)), "accounts")
+		})
+	}
+}
+
 func BenchmarkAccountMemory(b *testing.B) {
 	for _, n := range orgsInUse {
 		b.Run(fmt.Sprintf("orgs=%d", n), func(b *testing.B) {
