Routing: a request ranks a shortlist of its own zone, not the pool

Why: an entry ranked every endpoint of the pool for each request. Weighed: two random choices (loses the meeting of equal heads on one engine); sampling; a ring by hash, entered at the prompt's head. The ring keeps affinity, since equal heads meet in one shortlist. Change: pools of more than 64 endpoints rank 64 from the own zone first and all only when none of those is left. Busy engines are polled every 2 s.

--- a/internal/core/limit/bench_test.go
+++ b/internal/core/limit/bench_test.go
@@ -79,35 +79,84 @@
 // targetOrgs are the organisations at the target, a few of them large.
 const targetOrgs = 19_000
 
+// benchZone is a borrower with the homes of its zone.
+type benchZone struct {
+	borrower *Borrower
+	homes    map[entity.InstanceID]*Home
+	now      time.Time
+	// bytes and messages count demands and shares.
+	bytes, messages int
+}
+
+func newBenchZone() *benchZone {
+	br, now := benchBorrower(0)
+	z := &benchZone{borrower: br, homes: make(map[entity.InstanceID]*Home), now: now}
+	view := Zone{Fleet: 470}
+	for i := range 31 {
+		view.Members = append(view.Members, entity.Instance{ID: entity.InstanceID(fmt.Sprintf("i%02d", i))})
+	}
+	for _, m := range view.Members {
+		h := NewHome(DefaultSettings(), m.ID, br.contracts)
+		h.SetZone(now, view)
+		z.homes[m.ID] = h
+	}
+	return z
+}
+
+// second lets a second pass; every message arrives at the next tick.
+func (z *benchZone) second() {
+	const ticks = 20
+	for range ticks {
+		z.now = z.now.Add(time.Second / ticks)
+		z.borrower.Tick(z.now)
+		for _, m := range z.borrower.Ready().Messages {
+			z.count(m.Demand)
+			z.homes[m.To].Step(z.now, "i00", *m.Demand)
+		}
+		for id, h := range z.homes {
+			h.Tick(z.now)
+			for _, m := range h.Ready().Messages {
+				z.count(m.Share)
+				z.borrower.Step(z.now, id, *m.Share)
+			}
+		}
+	}
+}
+
+func (z *benchZone) count(msg any) {
+	data, _ := json.Marshal(msg)
+	z.bytes += len(data)
+	z.messages++
+}
+
 // BenchmarkBorrowerAtRate lets seconds pass with so many requests in each, of
-// organisations with Zipf's frequencies, and reports the demands and the
-// accounts that are open. The home answers nothing.
+// organisations with Zipf's frequencies, and reports the demands and shares of
+// one borrower and the accounts that it has open.
 func BenchmarkBorrowerAtRate(b *testing.B) {
 	for _, perSec := range []int{21, 85, 340} {
 		b.Run(fmt.Sprintf("requests=%d", perSec), func(b *testing.B) {
-			br, now := benchBorrower(0)
+			z := newBenchZone()
 			zipf := rand.NewZipf(rand.New(rand.NewSource(1)), 1.1, 10, targetOrgs-1)
-			size, seconds, messages := 0, 0, 0
-			for b.Loop() {
+			second := func() {
 				for range perSec {
 					org := benchOrg(int(zipf.Uint64()))
-					br.Take(now, org)
-					br.Done(now, org)
-				}
-				for range 20 {
-					now = now.Add(50 * time.Millisecond)
-					br.Tick(now)
-				}
-				for _, m := range br.Ready().Messages {
-					data, _ := json.Marshal(m.Demand)
-					size += len(data)
-					messages++
+					z.borrower.Take(z.now, org)
+					z.borrower.Done(z.now, org)
 				}
+				z.second()
+			}
+			for range 30 {
+				second()
+			}
+			z.bytes, z.messages = 0, 0
+			seconds := 0
+			for b.Loop() {
+				second()
 				seconds++
 			}
-			b.ReportMetric(float64(size)/float64(seconds), "B/s")
-			b.ReportMetric(float64(messages)/float64(seconds), "messages/s")
-			b.ReportMetric(float64(len(br.accounts)), "accounts")
+			b.ReportMetric(float64(z.bytes)/float64(seconds), "B/s")
+			b.ReportMetric(float64(z.messages)/float64(seconds), "messages/s")
+			b.ReportMetric(float64(len(z.borrower.accounts)), "accounts")
 		})
 	}
 }
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -33,6 +33,8 @@
 
 // DefaultSettings returns the settings of an instance where none are given.
 func DefaultSettings(self entity.Instance) Settings {
+	routes := routing.DefaultSettings()
+	routes.Zone = self.Zone
 	return Settings{
 		Self:       self,
 		Membership: membership.DefaultSettings(),
@@ -42,7 +44,7 @@
 			FirstPatience: 100 * time.Millisecond, MaxPatience: 2 * time.Second,
 		},
 		Retry:        retry.DefaultSettings(),
-		Routing:      routing.DefaultSettings(),
+		Routing:      routes,
 		Claims:       claim.Settings{Instance: self.ID},
 		ReleaseRetry: 500 * time.Millisecond,
 	}
--- a/internal/core/routing/doc.go
+++ b/internal/core/routing/doc.go
@@ -27,7 +27,9 @@
 //
 // Candidates are ordered by weighted rendezvous hashing on the head of the
 // prompt, so that prompts with the same head meet on the same engine, with
-// bounded load. MayShed is true only while unexpired promises at or above the
+// bounded load. In a pool of more than Settings.Shortlist endpoints, as many
+// from the entry's own zone are ranked first, chosen by the same head, and the
+// whole pool only where none of those is left to ask. MayShed is true only while unexpired promises at or above the
 // request's tier are held from every owner of the pool, each for the very
 // endpoints that the Router knows to be that owner's.
 //
--- a/internal/core/routing/plugins.go
+++ b/internal/core/routing/plugins.go
@@ -46,21 +46,34 @@
 	putOff bool
 }
 
-// rank orders the endpoints of p for w, the best first.
+// rank orders all endpoints of p for w, the best first.
 func (r *Router) rank(now time.Time, p *pool, w *entity.Work) []ranked {
 	order := r.order[:0]
-	weight, running := 0.0, 0
 	for _, c := range p.candidates {
-		// Plugins see the row in the scratch table, so that none escapes to the heap.
-		order = append(order, ranked{candidate: c, view: r.view(now, c)})
-		x := &order[len(order)-1]
-		if !r.keep(&x.view, w) {
-			order = order[:len(order)-1]
-			continue
-		}
-		x.score = r.scorer.Score(&x.view, w)
-		weight += x.view.Weight
-		running += x.view.Running
+		order = r.keepRanked(now, order, c, w)
+	}
+	return r.sortRanked(order)
+}
+
+// keepRanked appends c with its score if it could serve w. Plugins see the row
+// in the scratch table, so that none escapes to the heap.
+func (r *Router) keepRanked(now time.Time, order []ranked, c *candidate, w *entity.Work) []ranked {
+	order = append(order, ranked{candidate: c, view: r.view(now, c)})
+	x := &order[len(order)-1]
+	if !r.keep(&x.view, w) {
+		return order[:len(order)-1]
+	}
+	x.score = r.scorer.Score(&x.view, w)
+	return order
+}
+
+// sortRanked puts the best first, and those last that have more than their
+// share of the work.
+func (r *Router) sortRanked(order []ranked) []ranked {
+	weight, running := 0.0, 0
+	for i := range order {
+		weight += order[i].view.Weight
+		running += order[i].view.Running
 	}
 	for i := range order {
 		order[i].putOff = r.picker.PutOff(&order[i].view, weight, running)
--- a/internal/core/routing/rendezvous.go
+++ b/internal/core/routing/rendezvous.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 )
 
@@ -16,19 +14,12 @@
 
 // Score implements Scorer.
 func (r Rendezvous) Score(v *View, w *entity.Work) float64 {
-	h := mix(v.Hash ^ mix(r.key(w)))
+	h := mix(v.Hash ^ mix(headKey(w, r.HeadBlocks)))
 	// The top 53 bits as a number in (0, 1).
 	u := (float64(h>>11) + 0.5) / (1 << 53)
 	return -v.Weight / math.Log(u)
 }
 
-func (r Rendezvous) key(w *entity.Work) uint64 {
-	if len(w.Prefix) == 0 || r.HeadBlocks <= 0 {
-		return xxhash.Sum64String(string(w.ID))
-	}
-	return uint64(w.Prefix[min(r.HeadBlocks, len(w.Prefix))-1])
-}
-
 // mix is the finaliser of SplitMix64.
 func mix(x uint64) uint64 {
 	x ^= x >> 30
--- a/internal/core/routing/router.go
+++ b/internal/core/routing/router.go
@@ -44,6 +44,7 @@
 	candidates []*candidate
 	owners     []entity.InstanceID // in the order of candidates
 	byOwner    map[entity.InstanceID][]*candidate
+	ring       []*candidate
 }
 
 // New returns a Router that knows no pools.
@@ -72,6 +73,7 @@
 		}
 		p.byOwner[c.Owner] = append(p.byOwner[c.Owner], c)
 	}
+	p.ring = r.ring(p.candidates)
 	if old := r.pools[id]; old != nil {
 		r.forget(old, p)
 	}
@@ -84,8 +86,17 @@
 	if p == nil {
 		return Choice{}, false
 	}
+	if p.ring != nil {
+		if c, ok := r.choose(now, w, r.shortlist(now, p, w), tried); ok {
+			return c, true
+		}
+	}
+	return r.choose(now, w, r.rank(now, p, w), tried)
+}
+
+// choose returns whom to ask next among the endpoints in order.
+func (r *Router) choose(now time.Time, w *entity.Work, order []ranked, tried []Choice) (Choice, bool) {
 	probes, waited := summarise(tried)
-	order := r.rank(now, p, w)
 	if waited || probes < r.settings.Probes {
 		if c, ok := r.probe(now, w, order, tried); ok || waited {
 			return c, ok
--- a/internal/core/routing/settings.go
+++ b/internal/core/routing/settings.go
@@ -1,6 +1,10 @@
 package routing
 
-import "time"
+import (
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
 
 // RetryInterval is how long an entry waits before it asks again where nobody
 // granted and it may not shed.
@@ -15,9 +19,15 @@
 	HeadBlocks int
 	// LoadFactor bounds an endpoint's load, as a multiple of the mean.
 	LoadFactor float64
+	// Zone is the entry's own availability zone. Pools of more than Shortlist
+	// endpoints are tried there first.
+	Zone entity.ZoneID
+	// Shortlist bounds the endpoints that are ranked for a request before all
+	// of the pool are.
+	Shortlist int
 }
 
 // DefaultSettings returns the settings used where none are given.
 func DefaultSettings() Settings {
-	return Settings{Probes: 4, HeadBlocks: 4, LoadFactor: 1.25}
+	return Settings{Probes: 4, HeadBlocks: 4, LoadFactor: 1.25, Shortlist: 64}
 }
--- a/internal/daemon/poller.go
+++ b/internal/daemon/poller.go
@@ -12,8 +12,10 @@
 )
 
 const (
+	// pollRound is the time between two rounds over the engines that are due.
+	pollRound = time.Second
 	// pollInterval is the time between two looks at an engine that runs requests.
-	pollInterval = time.Second
+	pollInterval = 2 * time.Second
 	// maxRestInterval bounds the time between two looks at an engine at rest,
 	// which doubles from look to look.
 	maxRestInterval = 16 * time.Second
@@ -63,8 +65,8 @@
 	} else {
 		l.interval = min(max(2*l.interval, pollInterval), maxRestInterval)
 	}
-	// Rounds come each pollInterval; half of one keeps a look in its round.
-	l.due = now.Add(l.interval - pollInterval/2)
+	// Half a round less keeps a look in its round.
+	l.due = now.Add(l.interval - pollRound/2)
 }
 
 func newPoller(busy, rest *endpoint.Client, m *telemetry.Metrics, post func(msg any),
@@ -81,7 +83,7 @@
 
 // run polls until ctx ends.
 func (p *poller) run(ctx context.Context) {
-	t := time.NewTicker(pollInterval)
+	t := time.NewTicker(pollRound)
 	defer t.Stop()
 	for {
 		select {
