--- a/cmd/medlarhold-capacity/fleet.go
+++ b/cmd/medlarhold-capacity/fleet.go
@@ -16,9 +16,10 @@
 
 const (
 	// enginesPerInstance is how many engines an instance owns at the target.
+	// One of them is a process of its own and takes the load; the others share
+	// a process and are at rest, so that a run needs no more than a few
+	// hundred processes.
 	enginesPerInstance = 11
-	// engineProcesses stand behind all endpoints of a run, which share them.
-	engineProcesses = 6
 	// slotsPerEngine is more than the load of a run needs.
 	slotsPerEngine = 64
 )
@@ -26,7 +27,8 @@
 // fleet is a set of instances with what they need.
 type fleet struct {
 	bed       *testbed.Bed
-	engines   []*testbed.Server
+	engines   []*testbed.Server // one for each instance
+	resting   *testbed.Server
 	instances []*testbed.Instance
 	zones     []entity.ZoneID
 	started   int
@@ -42,9 +44,10 @@
 	return p, func() { os.RemoveAll(dir) }, trace.Wrap(err)
 }
 
-// newFleet starts the platform and the engines, and publishes a configuration
-// with so many contracts, and engines for so many instances in each zone.
-func newFleet(ctx context.Context, programs testbed.Programs, zones []entity.ZoneID, perZone, contracts int) (*fleet, error) {
+// newFleet starts the platform and the engines, so many of which take load, and
+// publishes a configuration with so many contracts, and engines for so many
+// instances in each zone.
+func newFleet(ctx context.Context, programs testbed.Programs, zones []entity.ZoneID, perZone, contracts, loaded int) (*fleet, error) {
 	dir, err := os.MkdirTemp("", "medlarhold-capacity-run-")
 	if err != nil {
 		return nil, trace.ConvertSystemError(err)
@@ -57,19 +60,31 @@
 	if err := f.setFaults(`{"appends_per_sec":0}`); err != nil {
 		return f, trace.Wrap(err)
 	}
-	for range engineProcesses {
-		e, err := bed.Standin("engine", map[string]any{
+	if err := f.startEngines(loaded); err != nil {
+		return f, trace.Wrap(err)
+	}
+	if err := bed.Publish(ctx, f.configuration(perZone, contracts)); err != nil {
+		return f, trace.Wrap(err)
+	}
+	return f, trace.Wrap(f.setFaults(`{"appends_per_sec":400}`))
+}
+
+// startEngines starts the engines that take load, and one for all others.
+func (f *fleet) startEngines(loaded int) error {
+	for i := range loaded + 1 {
+		e, err := f.bed.Standin("engine", map[string]any{
 			"kv_tokens": 4_000_000, "max_running": 1024, "prefill_tokens_per_sec": 1e6, "decode_tokens_per_sec": 100, "batch_slowdown": 1e-6,
 		})
 		if err != nil {
-			return f, trace.Wrap(err)
+			return trace.Wrap(err)
+		}
+		if i == loaded {
+			f.resting = e
+			return nil
 		}
 		f.engines = append(f.engines, e)
 	}
-	if err := bed.Publish(ctx, f.configuration(perZone, contracts)); err != nil {
-		return f, trace.Wrap(err)
-	}
-	return f, trace.Wrap(f.setFaults(`{"appends_per_sec":400}`))
+	return nil
 }
 
 // close ends all processes of the fleet.
@@ -86,11 +101,19 @@
 	b.WriteString(`[{"kind":"deployment","name":"default","spec":{"tiers":["urgent","high","standard","low","patient"],"scores":{"goodput":0.5,"wasted_prefill":0.5}}},
 {"kind":"pool","name":"reports","spec":{"kind":"engine","queue_per_endpoint":8,"max_body_bytes":1048576,"retry_budget":0.1}},
 {"kind":"model","name":"narrative","spec":{"pool":"reports","version":"1","weights":"narrative-1","min_copies":1}},
+{"kind":"pool","name":"resting","spec":{"kind":"engine","queue_per_endpoint":8,"max_body_bytes":1048576,"retry_budget":0.1}},
+{"kind":"model","name":"unused","spec":{"pool":"resting","version":"1","weights":"unused-1","min_copies":1}},
 `)
+	loaded := f.engines
 	for _, z := range f.zones {
 		for i := range perZone * enginesPerInstance {
-			fmt.Fprintf(&b, `{"kind":"endpoint","name":"engine-%s-%03d","spec":{"pool":"reports","zone":%q,"address":%q,"models":["narrative"],"slots":%d,"kv_tokens":4000000}},`+"\n",
-				z, i, z, f.engines[i%len(f.engines)].Address, slotsPerEngine)
+			pool, model, address := "resting", "unused", f.resting.Address
+			if i%enginesPerInstance == 0 && len(loaded) > 0 {
+				pool, model, address = "reports", "narrative", loaded[0].Address
+				loaded = loaded[1:]
+			}
+			fmt.Fprintf(&b, `{"kind":"endpoint","name":"engine-%s-%04d","spec":{"pool":%q,"zone":%q,"address":%q,"models":[%q],"slots":%d,"kv_tokens":4000000}},`+"\n",
+				z, i, pool, z, address, model, slotsPerEngine)
 		}
 	}
 	for i := range contracts {
--- a/cmd/medlarhold-capacity/phases.go
+++ b/cmd/medlarhold-capacity/phases.go
@@ -45,7 +45,7 @@
 
 // oneFleet runs one fleet through all windows.
 func oneFleet(ctx context.Context, o options, programs testbed.Programs, zones []entity.ZoneID, perZone int) ([]phase, error) {
-	f, err := newFleet(ctx, programs, zones, perZone, 0)
+	f, err := newFleet(ctx, programs, zones, perZone, 0, len(zones)*perZone)
 	defer f.close()
 	if err != nil {
 		return nil, trace.Wrap(err)
--- a/cmd/medlarhold-capacity/states.go
+++ b/cmd/medlarhold-capacity/states.go
@@ -41,7 +41,7 @@
 func oneState(ctx context.Context, o options, programs testbed.Programs, contracts int) (stateResult, error) {
 	perZone := max(1, targetInstances*contracts/targetContracts)
 	r := stateResult{contracts: contracts, endpoints: perZone * enginesPerInstance}
-	f, err := newFleet(ctx, programs, []entity.ZoneID{"far"}, perZone, contracts)
+	f, err := newFleet(ctx, programs, []entity.ZoneID{"far"}, perZone, contracts, 0)
 	defer f.close()
 	if err != nil {
 		return r, trace.Wrap(err)
--- a/cmd/medlarhold-capacity/tables.go
+++ b/cmd/medlarhold-capacity/tables.go
@@ -4,7 +4,7 @@
 
 // phaseTable renders what processes spent in each window, per instance.
 func phaseTable(phases []phase) string {
-	head := []string{"instances", "window", "s", "control B/s (largest)", "of it peer", "platform", "polls", "riding on requests B/s", "requests/s",
+	head := []string{"instances", "window", "s", "control B/s (largest)", "of it peer", "platform", "polls at rest", "riding on requests B/s", "of it polls", "requests/s",
 		"CPU % of a core", "control goroutine: control %", "requests %", "resident MB (largest)", "heap MB", "goroutines", "log calls/s", "note"}
 	var rows [][]string
 	for _, p := range phases {
@@ -12,7 +12,7 @@
 		rows = append(rows, []string{
 			p.fleet, p.name, fmt.Sprintf("%.0f", p.length.Seconds()), fmt.Sprintf("%.0f (%.0f)", m.control, p.maxControl),
 			fmt.Sprintf("%.0f", m.bytes[traffic{"peer", "control"}]), fmt.Sprintf("%.0f", m.bytes[traffic{"platform", "control"}]),
-			fmt.Sprintf("%.0f", m.bytes[traffic{"poll", "control"}]), fmt.Sprintf("%.0f", m.request), fmt.Sprintf("%.1f", m.completed),
+			fmt.Sprintf("%.0f", m.bytes[traffic{"poll", "control"}]), fmt.Sprintf("%.0f", m.request), fmt.Sprintf("%.0f", m.bytes[traffic{"poll", "request"}]), fmt.Sprintf("%.1f", m.completed),
 			percent(m.cpu), percent(m.controlCPU), percent(m.requestCPU),
 			fmt.Sprintf("%.1f (%.1f)", m.residentMB, p.maxResident), fmt.Sprintf("%.1f", m.heapMB), fmt.Sprintf("%.0f", m.goroutines),
 			fmt.Sprintf("%.2f", m.logCalls), p.note,
