--- a/cmd/medlarhold-capacity/main.go
+++ b/cmd/medlarhold-capacity/main.go
@@ -8,7 +8,9 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"os/signal"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -50,7 +52,9 @@
 	f.BoolVar(&o.noBench, "no-bench", false, "leave the benchmarks out")
 	f.BoolVar(&o.noFleet, "no-fleet", false, "leave the runs with processes out")
 	f.BoolVar(&o.noStates, "no-states", false, "leave the runs with large configurations out")
-	if err := cmd.ExecuteContext(context.Background()); err != nil {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := cmd.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "medlarhold-capacity:", trace.UserMessage(err))
 		os.Exit(1)
 	}
@@ -92,6 +96,16 @@
 	return nil
 }
 
+// pause waits, or returns early with an error when the run is stopped.
+func pause(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return trace.Wrap(ctx.Err())
+	case <-time.After(d):
+		return nil
+	}
+}
+
 // commit names the commit that is measured, marked when files differ from it.
 func commit() string {
 	out, err := exec.Command("git", "describe", "--always", "--dirty", "--exclude=*").Output()
--- a/cmd/medlarhold-capacity/phases.go
+++ b/cmd/medlarhold-capacity/phases.go
@@ -23,6 +23,9 @@
 	note                    string
 }
 
+// loadWarmUp is how long the load runs before its window.
+const loadWarmUp = 2 * time.Second
+
 // frozenShare is the part of the instances that the cut takes away.
 const frozenShare = 6
 
@@ -54,7 +57,9 @@
 		return nil, trace.Wrap(err)
 	}
 	r := &recorder{fleet: f, name: fmt.Sprintf("%d zone × %d", len(zones), perZone), window: o.window()}
-	time.Sleep(time.Duration(o.settle) * time.Second)
+	if err := pause(ctx, time.Duration(o.settle)*time.Second); err != nil {
+		return nil, trace.Wrap(err)
+	}
 	steps := []func(context.Context) error{r.idle, r.loaded, r.rolling, r.cut, r.healed}
 	for _, step := range steps {
 		if err := step(ctx); err != nil {
@@ -104,26 +109,27 @@
 	return nil
 }
 
-func (r *recorder) wait() error {
-	time.Sleep(r.window)
-	return nil
+func (r *recorder) wait(ctx context.Context) func() error {
+	return func() error { return pause(ctx, r.window) }
 }
 
-func (r *recorder) idle(context.Context) error {
-	return r.record("idle", "no requests", r.fleet.instances, r.wait)
+func (r *recorder) idle(ctx context.Context) error {
+	return r.record("idle", "no requests", r.fleet.instances, r.wait(ctx))
 }
 
 func (r *recorder) loaded(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
+	loading, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var l load
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		l.run(ctx, r.fleet.instances, loadPerSecond)
+		l.run(loading, r.fleet.instances, loadPerSecond)
 	}()
-	time.Sleep(2 * time.Second)
-	err := r.record("loaded", "", r.fleet.instances, r.wait)
+	err := pause(ctx, loadWarmUp)
+	if err == nil {
+		err = r.record("loaded", "", r.fleet.instances, r.wait(ctx))
+	}
 	cancel()
 	<-done
 	if err == nil {
@@ -134,13 +140,16 @@
 
 // rolling replaces half of the instances, one after the other, and measures
 // the other half.
-func (r *recorder) rolling(context.Context) error {
+func (r *recorder) rolling(ctx context.Context) error {
 	f := r.fleet
 	half := len(f.instances) / 2
 	replaced, staying := slices.Clone(f.instances[:half]), slices.Clone(f.instances[half:])
 	note := fmt.Sprintf("%d instances replaced one after the other", half)
 	err := r.record("rolling restart", note, staying, func() error {
 		for _, in := range replaced {
+			if ctx.Err() != nil {
+				return trace.Wrap(ctx.Err())
+			}
 			if err := in.Signal(syscall.SIGTERM); err != nil {
 				return trace.Wrap(err)
 			}
@@ -160,7 +169,7 @@
 }
 
 // cut freezes some instances and takes the platform away.
-func (r *recorder) cut(context.Context) error {
+func (r *recorder) cut(ctx context.Context) error {
 	f := r.fleet
 	n := max(1, len(f.instances)/frozenShare)
 	r.frozen = slices.Clone(f.instances[:n])
@@ -172,11 +181,11 @@
 	if err := f.setFaults(`{"log_outage":"refuse","list_outage":"refuse"}`); err != nil {
 		return trace.Wrap(err)
 	}
-	return r.record("cut", fmt.Sprintf("%d instances frozen, platform refusing", n), f.instances[n:], r.wait)
+	return r.record("cut", fmt.Sprintf("%d instances frozen, platform refusing", n), f.instances[n:], r.wait(ctx))
 }
 
 // healed measures the window after the cut has ended.
-func (r *recorder) healed(context.Context) error {
+func (r *recorder) healed(ctx context.Context) error {
 	if err := r.fleet.setFaults(`{"log_outage":"","list_outage":""}`); err != nil {
 		return trace.Wrap(err)
 	}
@@ -185,5 +194,5 @@
 			return trace.Wrap(err)
 		}
 	}
-	return r.record("healed", "the window that follows", r.fleet.instances, r.wait)
+	return r.record("healed", "the window that follows", r.fleet.instances, r.wait(ctx))
 }
--- a/cmd/medlarhold-capacity/states.go
+++ b/cmd/medlarhold-capacity/states.go
@@ -59,12 +59,16 @@
 		return r, trace.Wrap(err)
 	}
 	r.ready = time.Since(begin)
-	time.Sleep(time.Duration(o.settle) * time.Second)
+	if err := pause(ctx, time.Duration(o.settle)*time.Second); err != nil {
+		return r, trace.Wrap(err)
+	}
 	before, err := take(in)
 	if err != nil {
 		return r, trace.Wrap(err)
 	}
-	time.Sleep(o.window())
+	if err := pause(ctx, o.window()); err != nil {
+		return r, trace.Wrap(err)
+	}
 	after, err := take(in)
 	r.rates = between(before, after)
 	return r, trace.Wrap(err)
