--- a/cmd/medlarhold-capacity/main.go
+++ b/cmd/medlarhold-capacity/main.go
@@ -53,8 +53,9 @@
 	f.BoolVar(&o.noFleet, "no-fleet", false, "leave the runs with processes out")
 	f.BoolVar(&o.noStates, "no-states", false, "leave the runs with large configurations out")
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	if err := cmd.ExecuteContext(ctx); err != nil {
+	err := cmd.ExecuteContext(ctx)
+	stop()
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "medlarhold-capacity:", trace.UserMessage(err))
 		os.Exit(1)
 	}
