--- a/internal/core/stream/stream.go
+++ b/internal/core/stream/stream.go
@@ -32,6 +32,10 @@
 	return AppendUnknown
 }
 
+// DownAfter is how many failures in a row make the log count as down. One
+// alone may be a lost answer.
+const DownAfter = 2
+
 // ReadRequest asks for records of a stream, as platform.Log.Read.
 type ReadRequest struct {
 	Stream platform.Stream
@@ -66,7 +70,7 @@
 	goal     platform.Offset // where the first read after a start saw the end
 	goalSet  bool
 	caughtUp bool
-	down     bool
+	failures int // in a row
 
 	inFlight bool
 	asked    time.Time
@@ -83,8 +87,9 @@
 // AtEnd says whether everything known to stand in the stream was read.
 func (r *Reader) AtEnd() bool { return r.caughtUp && r.next >= r.end }
 
-// Down says whether the last read failed.
-func (r *Reader) Down() bool { return r.down }
+// Down says whether the log seems down to readers: DownAfter reads failed in a
+// row.
+func (r *Reader) Down() bool { return r.failures >= DownAfter }
 
 // Next is the offset of the next record to fold.
 func (r *Reader) Next() platform.Offset { return r.next }
@@ -114,7 +119,7 @@
 // Done ends a read that was answered, after its records were taken.
 func (r *Reader) Done(now time.Time, end platform.Offset) {
 	r.inFlight = false
-	r.down = false
+	r.failures = 0
 	r.notUntil = now
 	r.end = max(r.end, end)
 	if !r.goalSet {
@@ -128,13 +133,16 @@
 // Failed ends a read that brought nothing.
 func (r *Reader) Failed(now time.Time, err error) {
 	r.inFlight = false
-	r.down = !errors.Is(err, platform.ErrTruncated)
+	r.failures++
+	if errors.Is(err, platform.ErrTruncated) {
+		r.failures = 0 // the log is there
+	}
 	r.notUntil = now.Add(r.set.Backoff)
 }
 
 // Hurry makes a read due at once, unless the log is down.
 func (r *Reader) Hurry(now time.Time) {
-	if r.notUntil.After(now) && !r.down {
+	if r.notUntil.After(now) && r.failures == 0 {
 		r.notUntil = now
 	}
 }
@@ -144,17 +152,6 @@
 	return r.inFlight && !now.Before(r.asked.Add(r.set.Timeout))
 }
 
-// downInterval bounds the pause between reads while the log is down.
-const downInterval = 2 * time.Second
-
-// interval is the pause between reads while nothing waits.
-func (r *Reader) interval() time.Duration {
-	if r.down {
-		return min(r.set.Interval, downInterval)
-	}
-	return r.set.Interval
-}
-
 // Request returns the next read if one is due: at once while the reader is
 // behind or something waits for the log, else every Interval.
 func (r *Reader) Request(now time.Time, waiting bool) *ReadRequest {
@@ -162,7 +159,7 @@
 		return nil
 	}
 	behind := !r.caughtUp || r.next < r.end
-	if !behind && !waiting && now.Before(r.asked.Add(r.interval())) {
+	if !behind && !waiting && now.Before(r.asked.Add(r.set.Interval)) {
 		return nil
 	}
 	req := &ReadRequest{Stream: r.set.Stream, From: r.next, Limit: r.set.Limit, Idle: !waiting}
