--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -37,6 +37,8 @@
 
 // DefaultSettings returns the settings of an instance where none are given.
 func DefaultSettings(self entity.Instance) Settings {
+	routes := routing.DefaultSettings()
+	routes.Zone = self.Zone
 	return Settings{
 		Self:       self,
 		Membership: membership.DefaultSettings(),
@@ -47,7 +49,7 @@
 			DispatchWithin: time.Second,
 		},
 		Retry:       retry.DefaultSettings(),
-		Routing:     routing.DefaultSettings(),
+		Routing:     routes,
 		Claims:      claim.Settings{Instance: self.ID},
 		ResendAfter: 500 * time.Millisecond,
 		FreezeGap:   time.Second,
--- a/internal/core/routing/router.go
+++ b/internal/core/routing/router.go
@@ -46,6 +46,7 @@
 	candidates []*candidate
 	owners     []entity.InstanceID // in the order of candidates
 	byOwner    map[entity.InstanceID][]*candidate
+	ring       []*candidate
 }
 
 // New returns a Router that knows no pools.
@@ -74,6 +75,7 @@
 		}
 		p.byOwner[o] = append(p.byOwner[o], c)
 	}
+	p.ring = r.ring(p.candidates)
 	if old := r.pools[id]; old != nil {
 		r.forget(old, p)
 	}
@@ -86,21 +88,33 @@
 	if p == nil {
 		return Choice{}, false
 	}
+	if p.ring != nil {
+		if c, ok, stays := r.choose(now, w, r.shortlist(now, p, w), tried); ok || stays {
+			return c, ok
+		}
+	}
+	c, ok, _ := r.choose(now, w, r.rank(now, p, w), tried)
+	return c, ok
+}
+
+// choose returns whom to ask next among the endpoints in order; stays says that
+// the request is to wait where it is.
+func (r *Router) choose(now time.Time, w *entity.Work, order []ranked, tried []Choice) (c Choice, ok, stays bool) {
 	probes, stage := summarise(tried)
-	order := r.rank(now, p, w)
 	if len(order) == 0 {
-		return Choice{}, false
+		return Choice{}, false, false
 	}
-	stays := probes > 0 && stage != stageProving && r.stays(now, w, order[0])
+	stays = probes > 0 && stage != stageProving && r.stays(now, w, order[0])
 	if stays && stage == stageWaiting {
-		return Choice{}, false
+		return Choice{}, false, true
 	}
 	if stage != stageProbing || (probes < r.settings.Probes && !stays) {
-		if c, ok := r.probe(now, w, order, tried, stage); ok || stage != stageProbing {
-			return c, ok
+		if c, ok = r.probe(now, w, order, tried, stage); ok || stage != stageProbing {
+			return c, ok, false
 		}
 	}
-	return r.join(now, w, order, tried)
+	c, ok = r.join(now, w, order, tried)
+	return c, ok, false
 }
 
 // probe returns the first owner that was not tried yet, has not promised that
--- a/internal/core/routing/settings.go
+++ b/internal/core/routing/settings.go
@@ -1,6 +1,10 @@
 package routing
 
-import "time"
+import (
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
 
 // RetryInterval is how long an entry waits before it asks again where nobody
 // granted and it may not shed.
@@ -18,9 +22,15 @@
 	MoveFactor float64
 	// LoadFactor bounds an endpoint's load, as a multiple of the mean.
 	LoadFactor float64
+	// Zone is the entry's own availability zone. Pools of more than Shortlist
+	// endpoints are tried there first.
+	Zone entity.ZoneID
+	// Shortlist bounds the endpoints that are ranked for a request before all
+	// of the pool are.
+	Shortlist int
 }
 
 // DefaultSettings returns the settings used where none are given.
 func DefaultSettings() Settings {
-	return Settings{Probes: 4, HeadBlocks: 16, MoveFactor: 6, LoadFactor: 4}
+	return Settings{Probes: 4, HeadBlocks: 16, MoveFactor: 6, LoadFactor: 4, Shortlist: 64}
 }
--- a/internal/core/steward/orders.go
+++ b/internal/core/steward/orders.go
@@ -5,11 +5,33 @@
 	"slices"
 	"time"
 
+	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/core/placement"
 )
 
-// Tell passes on what an endpoint that this instance owns says that it holds.
-func (s *Steward) Tell(r placement.Report) {
+// tellAgain is when a report is sent once more that says nothing new.
+const tellAgain = time.Minute
+
+// told is the last report of an endpoint that was sent, and to whom.
+type told struct {
+	report placement.Report
+	to     []entity.InstanceID
+	at     time.Time
+}
+
+// stands says whether a report would say nothing new.
+func (t *told) stands(now time.Time, r *placement.Report, to []entity.InstanceID) bool {
+	return now.Sub(t.at) < tellAgain && slices.Equal(t.to, to) &&
+		slices.Equal(t.report.Ready, r.Ready) && slices.Equal(t.report.Loading, r.Loading) && slices.Equal(t.report.InUse, r.InUse)
+}
+
+// Tell passes on what an endpoint that this instance owns says that it holds,
+// if that has changed, or the candidates have.
+func (s *Steward) Tell(now time.Time, r placement.Report) {
+	if t, ok := s.told[r.Endpoint]; ok && t.stands(now, &r, s.orders.candidates) {
+		return
+	}
+	s.told[r.Endpoint] = told{report: r, to: s.orders.candidates, at: now}
 	for _, to := range s.orders.candidates {
 		s.ready.Reports = append(s.ready.Reports, ReportTo{To: to, Report: r})
 	}
--- a/internal/daemon/claimlog.go
+++ b/internal/daemon/claimlog.go
@@ -14,9 +14,13 @@
 const claimExchangeTimeout = 2 * time.Second
 
 // claimLog appends and reads the claims' streams for the decision core.
+//
+// The two clients of the log service differ in where their bytes are counted:
+// busy carries what requests cause, idle the reads that keep a home up to date
+// while no request waits for it.
 type claimLog struct {
-	log  platform.Log
-	post func(msg any)
+	busy, idle platform.Log
+	post       func(msg any)
 }
 
 // append appends a batch, once, on a goroutine of its own.
@@ -24,7 +28,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), claimExchangeTimeout)
 		defer cancel()
-		offset, err := c.log.Append(ctx, a.Batch.Stream, a.Batch.Data)
+		offset, err := c.busy.Append(ctx, a.Batch.Stream, a.Batch.Data)
 		c.post(node.ClaimAppended{Shard: a.Shard, Batch: a.Batch.ID, Status: stream.StatusOf(err), Offset: offset})
 	}()
 }
@@ -32,7 +36,11 @@
 // read makes one read, on a goroutine of its own.
 func (c *claimLog) read(r node.ClaimReadRequest) {
 	go func() {
-		res, err := readStream(c.log, r.Read, claimExchangeTimeout)
+		log := c.busy
+		if r.Read.Idle {
+			log = c.idle
+		}
+		res, err := readStream(log, r.Read, claimExchangeTimeout)
 		c.post(node.ClaimRead{Shard: r.Shard, Result: res, Err: err})
 	}()
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -106,7 +106,11 @@
 func (d *Daemon) assemble() {
 	s := d.settings
 	d.endpoints = endpoint.New(endpoint.Options{TLS: d.certs.client(), Metrics: d.metrics.Registry()})
-	d.poller = newPoller(d.endpoints, s.Requests.PrefixBlockTokens/s.Requests.EngineBlockTokens, func(msg any) { d.loop.Post(msg) }, d.reportHeld)
+	d.poller = newPoller(
+		endpoint.New(endpoint.Options{TLS: d.certs.client(), Wrap: d.metrics.PollRequest.Conn}),
+		endpoint.New(endpoint.Options{TLS: d.certs.client(), Wrap: d.metrics.PollControl.Conn}),
+		s.Requests.PrefixBlockTokens/s.Requests.EngineBlockTokens, d.metrics,
+		func(msg any) { d.loop.Post(msg) }, d.reportHeld)
 	d.transport = peer.NewTransport(peer.Options{
 		Self: d.self, Keys: d.keys.PeerKeys, ServerTLS: d.certs.server(), ClientTLS: d.certs.client(),
 		ExchangeTimeout: peerExchangeTimeout, Registry: messages(),
@@ -124,9 +128,10 @@
 		LeaseAppend: d.leaseAppend, LeaseRead: d.leaseRead, Order: d.order,
 		Log: d.log, Metrics: d.metrics,
 	})
-	hc := &http.Client{Transport: d.countPlatform(&http.Transport{TLSClientConfig: d.certs.client(), MaxIdleConnsPerHost: platformConns})}
-	d.logService = platform.NewHTTPLog(s.Platform.Log, hc)
-	d.claims = &claimLog{log: d.logService, post: d.loop.Post}
+	hc := d.platformClient(d.metrics.PlatformControl)
+	d.logService = countedLog{Log: platform.NewHTTPLog(s.Platform.Log, hc), metrics: d.metrics}
+	claimService := countedLog{Log: platform.NewHTTPLog(s.Platform.Log, d.platformClient(d.metrics.PlatformRequest)), metrics: d.metrics}
+	d.claims = &claimLog{busy: claimService, idle: d.logService, post: d.loop.Post}
 	d.follower = newConfigFollower(d, d.logService)
 	d.list = platform.NewHTTPInstanceList(s.Platform.InstanceList, hc)
 	d.weights = platform.NewHTTPWeightStore(s.Platform.WeightStore, hc)
@@ -179,6 +184,7 @@
 	d.transport.Close()
 	background.Wait()
 	d.endpoints.Close()
+	d.poller.close()
 	return err
 }
 
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -3,16 +3,13 @@
 import (
 	"net"
 	"time"
-
-	"github.com/rcrowley/go-metrics"
 )
 
-// boundedConn counts the bytes of a connection and ends it when it makes no
-// progress: a write that is stuck for writeTimeout, and, unless readTimeout is
-// zero, a time that long in which nothing comes.
+// boundedConn is a connection that ends when it makes no progress: a write
+// that is stuck for writeTimeout, and, unless readTimeout is zero, a time that
+// long in which nothing comes.
 type boundedConn struct {
 	net.Conn
-	sent, received            metrics.Counter
 	writeTimeout, readTimeout time.Duration
 }
 
@@ -23,9 +20,7 @@
 			return 0, err
 		}
 	}
-	n, err := c.Conn.Read(p)
-	c.received.Inc(int64(n))
-	return n, err
+	return c.Conn.Read(p)
 }
 
 // Write implements io.Writer.
@@ -33,7 +28,5 @@
 	if err := c.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
 		return 0, err
 	}
-	n, err := c.Conn.Write(p)
-	c.sent.Inc(int64(n))
-	return n, err
+	return c.Conn.Write(p)
 }
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -19,16 +19,18 @@
 )
 
 // frameCodec writes JSON-RPC objects behind their length, and refuses larger
-// ones than limit says before reading them.
+// ones than limit says before reading them. account, if set, is told the size
+// of each frame.
 type frameCodec struct {
-	limit func() uint64
+	limit   func() uint64
+	account *account
 }
 
 // fixedLimit is a limit that never changes.
 func fixedLimit(n uint64) func() uint64 { return func() uint64 { return n } }
 
 // WriteObject implements jsonrpc2.ObjectCodec.
-func (frameCodec) WriteObject(w io.Writer, obj any) error {
+func (c frameCodec) WriteObject(w io.Writer, obj any) error {
 	data, err := json.Marshal(obj)
 	if err != nil {
 		return trace.Wrap(err)
@@ -40,8 +42,11 @@
 	if _, err := w.Write(head); err != nil {
 		return trace.Wrap(err)
 	}
-	_, err = w.Write(data)
-	return trace.Wrap(err)
+	if _, err := w.Write(data); err != nil {
+		return trace.Wrap(err)
+	}
+	c.account.wrote(len(head) + len(data))
+	return nil
 }
 
 // ReadObject implements jsonrpc2.ObjectCodec. The memory it takes grows with
@@ -61,5 +66,6 @@
 	if uint64(len(data)) < size {
 		return io.ErrUnexpectedEOF
 	}
+	c.account.read(len(binary.AppendUvarint(nil, size)) + len(data))
 	return trace.Wrap(json.Unmarshal(data, v))
 }
--- a/internal/peer/fuzz_test.go
+++ b/internal/peer/fuzz_test.go
@@ -49,7 +49,7 @@
 	Register[entity.Grant](registry, "ok", ClassRequest)
 	now := time.Unix(0, 0)
 	f.Fuzz(func(t *testing.T, method string, params []byte) {
-		msg, _, err := registry.decode(method, params)
+		msg, err := registry.decode(method, params)
 		if err != nil {
 			return
 		}
