Processes on loopback under failure: harness and first scenarios

Callers, journals and instances of each run are joined into one history that internal/history checks.

Found and mended: a request that an engine refused was granted to the same engine three times while another was free (TestRefusedRequestGoesElsewhere and TestEngineFails were red; a failure now weighs in the choice); a prompt that an engine can't take counted against the engine, so bad input could suspend it (TestRefusedPrompt).

--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/medlarhold/medlarhold/internal/core/request"
+	"github.com/medlarhold/medlarhold/internal/standin/engine"
 	"github.com/medlarhold/medlarhold/internal/verdict"
 )
 
@@ -141,6 +142,17 @@
 	}
 }
 
+// TestRefusedPrompt: a prompt that the engine can't take says nothing about
+// the engine.
+func TestRefusedPrompt(t *testing.T) {
+	b := newBed(t)
+	b.engine.SetFaults(engine.Faults{RefuseWith: http.StatusRequestEntityTooLarge})
+	readUntil(t, b.dial(t, fmt.Sprintf(streamed, 5)), "bad_request")
+	if end := await(t, b.control.ended); end.Release.Failed || end.Err.Verdict != verdict.NotRun {
+		t.Fatalf("%+v", end)
+	}
+}
+
 // TestOversizedBody: a body over the bound is refused as such.
 func TestOversizedBody(t *testing.T) {
 	b := newBed(t)
--- a/internal/caller/enginejob.go
+++ b/internal/caller/enginejob.go
@@ -97,10 +97,15 @@
 		return end
 	}
 	end.Err = verdict.Of(err)
-	end.Release.Failed = end.Err.Reason != verdict.ReasonCallerGone
+	end.Release.Failed = !callersFault(end.Err.Reason)
 	return end
 }
 
+// callersFault says that a failure tells nothing about the engine.
+func callersFault(r verdict.Reason) bool {
+	return r == verdict.ReasonCallerGone || r == verdict.ReasonBadRequest
+}
+
 func (j *engineJob) pause(ctx context.Context, e entity.Endpoint) {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
--- a/internal/core/admission/grant.go
+++ b/internal/core/admission/grant.go
@@ -10,6 +10,10 @@
 // than an idle one's.
 const loadPenalty = 0.5
 
+// failurePenalty is how much each failure in a row counts, so that a request
+// that an endpoint refused is not granted there again while another is free.
+const failurePenalty = 1
+
 // grantAll gives free slots to queued jobs, in the queue's order.
 func (o *Owner) grantAll(now time.Time, p *pool) {
 	for _, e := range p.endpoints {
@@ -50,7 +54,7 @@
 
 func loaded(e *endpoint, run time.Duration) time.Duration {
 	load := float64(e.slots) / float64(e.row.Slots)
-	return time.Duration(float64(run) * (1 + loadPenalty*load))
+	return time.Duration(float64(run) * (1 + loadPenalty*load + failurePenalty*float64(e.failures)))
 }
 
 func (o *Owner) grant(now time.Time, p *pool, j *job, e *endpoint) {
--- a/internal/testbed/bed.go
+++ b/internal/testbed/bed.go
@@ -52,6 +52,8 @@
 type Server struct {
 	*Process
 	Address string `json:"address"`
+	// Control is where faults are set, if that is elsewhere.
+	Control string `json:"control"`
 }
 
 // New starts the stand-in platform. dir takes settings and logs.
--- /dev/null
+++ b/test/e2e/cluster_test.go
@@ -0,0 +1,157 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/ownership"
+	"github.com/medlarhold/medlarhold/internal/history"
+	"github.com/medlarhold/medlarhold/internal/testbed"
+)
+
+// standin is a stand-in endpoint with its row of the configuration.
+type standin struct {
+	*testbed.Server
+	row entity.Endpoint
+}
+
+// cluster is a platform with endpoints and instances, and the history of what
+// its callers saw.
+type cluster struct {
+	*testbed.Bed
+	t         *testing.T
+	engines   []*standin
+	services  []*standin
+	instances []*testbed.Instance
+	calls     *calls
+	history   history.Recorder
+}
+
+// zone describes what a zone has at the start.
+type zone struct {
+	id                 entity.ZoneID
+	instances, engines int
+}
+
+// newCluster starts endpoints and instances and waits until all may serve and
+// know each other. Each zone has one plain service.
+func newCluster(t *testing.T, engine map[string]any, zones ...zone) *cluster {
+	t.Helper()
+	b, err := testbed.New(t.TempDir(), programs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.Close)
+	c := &cluster{Bed: b, t: t, calls: newCalls()}
+	for _, z := range zones {
+		for range z.engines {
+			c.engines = append(c.engines, c.standin("engine", engine, z.id))
+		}
+		c.services = append(c.services, c.standin("service", map[string]any{"delay_ns": 50_000_000}, z.id))
+	}
+	if err := b.Publish(context.Background(), []byte(fmt.Sprintf(configuration, c.endpointObjects()))); err != nil {
+		t.Fatal(err)
+	}
+	for _, z := range zones {
+		for i := range z.instances {
+			name := fmt.Sprintf("%s%d", z.id, i)
+			c.instances = append(c.instances, c.startOnly(name, b.InstanceSettings(name, z.id)))
+		}
+	}
+	c.waitMembers(c.instances...)
+	return c
+}
+
+// standin starts one endpoint.
+func (c *cluster) standin(kind string, settings map[string]any, z entity.ZoneID) *standin {
+	c.t.Helper()
+	s, err := c.Standin(kind, settings)
+	c.must(err)
+	row := entity.Endpoint{ID: entity.EndpointID(fmt.Sprintf("%s-%s-%d", kind, z, len(c.engines)+len(c.services))),
+		Zone: z, Address: s.Address, Kind: entity.KindEngine, Pool: "reports", Models: []entity.ModelID{"narrative"}, Slots: 8}
+	if kind == "service" {
+		row.Kind, row.Pool, row.Models = entity.KindService, "ledger", nil
+	}
+	return &standin{s, row}
+}
+
+// endpointObjects are the endpoints' configuration objects.
+func (c *cluster) endpointObjects() string {
+	var out strings.Builder
+	for _, e := range c.engines {
+		fmt.Fprintf(&out, `{"kind":"endpoint","name":%q,"spec":{"pool":"reports","zone":%q,"address":%q,"models":["narrative"],"slots":%d,"kv_tokens":65536}},`,
+			e.row.ID, e.row.Zone, e.row.Address, e.row.Slots)
+	}
+	for _, s := range c.services {
+		fmt.Fprintf(&out, `{"kind":"endpoint","name":%q,"spec":{"pool":"ledger","zone":%q,"address":%q,"slots":%d}},`,
+			s.row.ID, s.row.Zone, s.row.Address, s.row.Slots)
+	}
+	return out.String()
+}
+
+// startOnly starts an instance without waiting for it.
+func (c *cluster) startOnly(name string, settings map[string]any) *testbed.Instance {
+	c.t.Helper()
+	in, err := c.Start(name, settings)
+	c.must(err)
+	return in
+}
+
+// must ends the test on an error.
+func (c *cluster) must(err error) {
+	c.t.Helper()
+	if err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// waitMembers waits until the instances may serve and each sees all of them
+// that are in its zone.
+func (c *cluster) waitMembers(live ...*testbed.Instance) {
+	c.t.Helper()
+	inZone := map[byte]int{}
+	for _, in := range live {
+		inZone[in.ID[0]]++
+	}
+	for _, in := range live {
+		c.must(in.WaitReady())
+		want := float64(inZone[in.ID[0]])
+		c.must(in.WaitMetric("medlarhold_zone_members", func(v float64) bool { return v == want }))
+	}
+}
+
+// owner returns the instance that owns an endpoint, as all members compute it.
+func (c *cluster) owner(e *standin, live ...*testbed.Instance) *testbed.Instance {
+	c.t.Helper()
+	members := ownership.Members{}
+	byID := map[entity.InstanceID]*testbed.Instance{}
+	for _, in := range live {
+		z := zoneOf(in)
+		members[z] = append(members[z], entity.Instance{ID: in.ID, Zone: z})
+		byID[in.ID] = in
+	}
+	table := ownership.NewTable()
+	table.SetMembers(members)
+	table.SetEndpoints([]entity.Endpoint{e.row})
+	owner := byID[table.Owner(e.row.ID)]
+	if owner == nil {
+		c.t.Fatalf("no owner of %s", e.row.ID)
+	}
+	return owner
+}
+
+// others returns the instances without one.
+func (c *cluster) others(without *testbed.Instance) (rest []*testbed.Instance) {
+	for _, in := range c.instances {
+		if in != without {
+			rest = append(rest, in)
+		}
+	}
+	return rest
+}
+
+// zoneOf returns the zone of an instance, the first letter of its name.
+func zoneOf(in *testbed.Instance) entity.ZoneID { return entity.ZoneID(in.ID[:1]) }
--- /dev/null
+++ b/test/e2e/config_test.go
@@ -0,0 +1,123 @@
+package e2e
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/config"
+)
+
+// operator publishes changes through the log and learns what became of them.
+type operator struct {
+	name     string
+	follower *config.Follower
+	outcomes map[string]config.Result
+}
+
+func newOperator(name string) *operator {
+	return &operator{name: name, follower: config.NewFollower(), outcomes: map[string]config.Result{}}
+}
+
+// sync folds all that the log holds.
+func (o *operator) sync(c *cluster) error {
+	ctx, cancel := context.WithTimeout(context.Background(), guard)
+	defer cancel()
+	out, err := o.follower.Sync(ctx, c.Log(), time.Now)
+	for _, x := range out {
+		if x.Operator == o.name {
+			o.outcomes[x.ChangeID] = x.Result
+		}
+	}
+	return err
+}
+
+// publish appends one change of the contract, based on what stands.
+func (o *operator) publish(c *cluster, n int) error {
+	if err := o.sync(c); err != nil {
+		return err
+	}
+	standing := o.follower.State().Standing(config.KindContract, "bank")
+	var spec map[string]any
+	if err := json.Unmarshal(standing.Spec, &spec); err != nil {
+		return err
+	}
+	spec["burst"] = 1000 + n
+	raw, err := json.Marshal(spec)
+	if err != nil {
+		return err
+	}
+	data, err := config.EncodeChange(config.Change{ID: fmt.Sprintf("%s-%d", o.name, n), Kind: config.KindContract,
+		Name: "bank", BasedOn: standing.Revision, Operator: o.name, Spec: raw})
+	if err != nil {
+		return err
+	}
+	_, err = c.Log().Append(context.Background(), config.Stream, data)
+	return err
+}
+
+// publishMore has one operator publish some changes that all win.
+func (c *cluster) publishMore(count int) {
+	c.t.Helper()
+	o := newOperator(fmt.Sprintf("operator-%d", c.calls.seq.Add(1)))
+	for n := range count {
+		c.must(o.publish(c, n))
+	}
+	c.must(o.sync(c))
+	for id, r := range o.outcomes {
+		if r != config.ResultApplied {
+			c.t.Errorf("change %s: %s", id, r)
+		}
+	}
+}
+
+// TestOperatorsRace: two operators publish 100 changes of one contract without
+// waiting for each other. Every change wins or is told that it lost, and all
+// instances end at the same revision.
+func TestOperatorsRace(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, fast, zone{"a", 2, 1}, zone{"b", 1, 1})
+	operators := []*operator{newOperator("anna"), newOperator("jon")}
+	errs := make(chan error, len(operators))
+	var wg sync.WaitGroup
+	for _, o := range operators {
+		wg.Go(func() {
+			for n := range 50 {
+				if err := o.publish(c, n); err != nil {
+					errs <- err
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+	close(errs)
+	for err := range errs {
+		t.Fatal(err)
+	}
+	applied := 0
+	for _, o := range operators {
+		c.must(o.sync(c))
+		if len(o.outcomes) != 50 {
+			t.Errorf("%s was told of %d changes", o.name, len(o.outcomes))
+		}
+		for id, r := range o.outcomes {
+			switch r {
+			case config.ResultApplied:
+				applied++
+			case config.ResultLost:
+			default:
+				t.Errorf("change %s: %s", id, r)
+			}
+		}
+	}
+	if a, b := operators[0].follower.State().Revision(), operators[1].follower.State().Revision(); applied == 0 || a != b {
+		t.Errorf("%d changes applied, revisions %d and %d", applied, a, b)
+	}
+	c.sameRevision()
+	c.serves("after the race")
+	c.check()
+}
--- /dev/null
+++ b/test/e2e/stop_test.go
@@ -0,0 +1,167 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/history"
+	"github.com/medlarhold/medlarhold/internal/testbed"
+	"github.com/medlarhold/medlarhold/internal/verdict"
+)
+
+// stop begins the planned stop of an instance and waits for its end.
+func (c *cluster) stop(in *testbed.Instance) {
+	c.t.Helper()
+	c.history.Add(history.Event{At: time.Now(), Kind: history.KindStopBegin, Instance: in.ID})
+	c.must(in.Signal(syscall.SIGTERM))
+	select {
+	case <-in.Done():
+	case <-time.After(2 * guard):
+		c.t.Fatalf("%s does not stop", in.ID)
+	}
+	c.history.Add(history.Event{At: time.Now(), Kind: history.KindStopEnd, Instance: in.ID})
+	if code := in.ExitCode(); code != 0 {
+		c.t.Errorf("%s ended with exit code %d", in.ID, code)
+	}
+}
+
+// TestPlannedStop stops an instance that holds long streams and owns an engine
+// with a full queue: nothing is cut, and what others queued there is served.
+func TestPlannedStop(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, slow, zone{"a", 3, 1})
+	leaving := c.owner(c.engines[0], c.instances...)
+	others := c.others(leaving)
+	var all []*flight
+	for i := range 8 {
+		in := leaving
+		if i >= 4 {
+			in = others[i%2]
+		}
+		f := c.stream(in, "patient", 200)
+		f.started(c)
+		all = append(all, f)
+	}
+	for i := range 6 {
+		all = append(all, c.stream(append(others, leaving)[i%3], "patient", 20))
+	}
+	all = append(all, c.book(leaving, "during-the-stop"))
+	c.must(leaving.WaitMetric("medlarhold_requests_in_flight", func(v float64) bool { return v >= 6 }))
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		c.stop(leaving)
+	}()
+	c.must(testbed.Eventually(func() bool { return call(t, leaving, http.MethodGet, "/readyz", "").status != http.StatusOK }))
+	for i, f := range all {
+		if o := f.wait(c); o.verdict != verdict.Ran {
+			t.Errorf("request %d: %+v", i, o)
+		}
+	}
+	<-stopped
+	if got := c.check(); got != len(all) {
+		t.Errorf("%d dispatches of %d requests", got, len(all))
+	}
+}
+
+// balancer sends requests to instances that say that they are ready.
+type balancer struct {
+	c    *cluster
+	next atomic.Int64
+	mu   sync.Mutex
+	all  []*testbed.Instance
+}
+
+// pick returns an instance, which may have begun to leave since it was ready.
+func (b *balancer) pick() *testbed.Instance {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.all[int(b.next.Add(1))%len(b.all)]
+}
+
+func (b *balancer) replace(old, fresh *testbed.Instance) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i, in := range b.all {
+		if in == old {
+			b.all[i] = fresh
+		}
+	}
+}
+
+// load has workers send short streams and transfers until stop is closed, and
+// returns how many requests did not run.
+func (b *balancer) load(workers int, stop <-chan struct{}) (failed *atomic.Int64, ran *atomic.Int64, done *sync.WaitGroup) {
+	failed, ran, done = new(atomic.Int64), new(atomic.Int64), new(sync.WaitGroup)
+	for w := range workers {
+		done.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				f := b.c.stream(b.pick(), "urgent", 30)
+				if n%4 == 3 {
+					f = b.c.book(b.pick(), fmt.Sprintf("transfer-%d-%d", w, n))
+				}
+				o := <-f.done
+				if o.verdict == verdict.Ran {
+					ran.Add(1)
+					continue
+				}
+				failed.Add(1)
+				b.c.t.Errorf("worker %d, request %d at %s: %+v", w, n, o.at.ID, o)
+			}
+		})
+	}
+	return failed, ran, done
+}
+
+// TestRollingReplacement replaces all instances of two zones one after
+// another, under load, while the configuration changes.
+func TestRollingReplacement(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, fast, zone{"a", 2, 1}, zone{"b", 2, 1})
+	b := &balancer{c: c, all: append([]*testbed.Instance(nil), c.instances...)}
+	stop := make(chan struct{})
+	_, ran, done := b.load(4, stop)
+	seen := 0.0
+	for i, old := range c.instances {
+		c.publishMore(1)
+		name := fmt.Sprintf("%c%d", old.ID[0], 10+i)
+		fresh := c.startOnly(name, c.InstanceSettings(name, zoneOf(old)))
+		c.must(fresh.WaitReady())
+		now, err := fresh.Metric("medlarhold_config_revision")
+		c.must(err)
+		if now < seen {
+			t.Errorf("%s is ready with revision %v, %v was seen before", fresh.ID, now, seen)
+		}
+		seen = now
+		b.replace(old, fresh)
+		c.instances[i] = fresh
+		c.stop(old)
+	}
+	close(stop)
+	done.Wait()
+	c.waitMembers(c.instances...)
+	c.sameRevision()
+	t.Logf("%d requests ran", ran.Load())
+	c.check()
+}
+
+// sameRevision waits until all instances have the newest configuration in force.
+func (c *cluster) sameRevision() {
+	c.t.Helper()
+	o := newOperator("reader")
+	c.must(o.sync(c))
+	newest := float64(o.follower.State().Revision())
+	for _, in := range c.instances {
+		c.must(in.WaitMetric("medlarhold_config_revision", func(v float64) bool { return v == newest }))
+	}
+}
