--- a/internal/core/admission/endpoint.go
+++ b/internal/core/admission/endpoint.go
@@ -29,7 +29,8 @@
 	index   *prefix.Index
 	// settledAt is when promises of an earlier owner have run out.
 	settledAt      time.Time
-	failures       int
+	failures       int // in a row
+	failedAt       time.Time
 	suspendedUntil time.Time
 	gone           bool
 }
@@ -113,6 +114,11 @@
 	}
 }
 
+// justFailed says that the latest request here failed, not long ago.
+func (e *endpoint) justFailed(now time.Time) bool {
+	return e.failures > 0 && now.Sub(e.failedAt) < suspendFor
+}
+
 // result takes in whether a request went well.
 func (e *endpoint) result(now time.Time, failed bool) {
 	if !failed {
@@ -120,6 +126,7 @@
 		return
 	}
 	e.failures++
+	e.failedAt = now
 	if e.failures >= failuresToSuspend {
 		e.suspendedUntil = now.Add(suspendFor)
 	}
--- a/internal/core/admission/grant.go
+++ b/internal/core/admission/grant.go
@@ -10,10 +10,6 @@
 // than an idle one's.
 const loadPenalty = 0.5
 
-// failurePenalty is how much each failure in a row counts, so that a request
-// that an endpoint refused is not granted there again while another is free.
-const failurePenalty = 1
-
 // grantAll gives free slots to queued jobs, in the queue's order.
 func (o *Owner) grantAll(now time.Time, p *pool) {
 	for _, e := range p.endpoints {
@@ -27,10 +23,12 @@
 }
 
 // grantBest gives j the best free slot, if one is free that has memory for it
-// and that no promise keeps it off.
+// and that no promise keeps it off. One that has just failed comes last, so
+// that what it refused is not granted there again while another is free.
 func (o *Owner) grantBest(now time.Time, p *pool, j *job) bool {
 	var best *endpoint
 	var bestScore time.Duration
+	var bestFailed bool
 	p.eligible(j, func(e *endpoint) bool {
 		if !e.open(now) || !e.allows(now, j.tier) || !e.fits(j) {
 			return true
@@ -39,9 +37,9 @@
 		if j.late(now, run) {
 			return true
 		}
-		score := loaded(e, run)
-		if best == nil || score < bestScore {
-			best, bestScore = e, score
+		score, failed := loaded(e, run), e.justFailed(now)
+		if best == nil || failed == bestFailed && score < bestScore || bestFailed && !failed {
+			best, bestScore, bestFailed = e, score, failed
 		}
 		return true
 	})
@@ -54,7 +52,7 @@
 
 func loaded(e *endpoint, run time.Duration) time.Duration {
 	load := float64(e.slots) / float64(e.row.Slots)
-	return time.Duration(float64(run) * (1 + loadPenalty*load + failurePenalty*float64(e.failures)))
+	return time.Duration(float64(run) * (1 + loadPenalty*load))
 }
 
 func (o *Owner) grant(now time.Time, p *pool, j *job, e *endpoint) {
