--- a/internal/core/admission/endpoint.go
+++ b/internal/core/admission/endpoint.go
@@ -37,7 +37,8 @@
 	// ended holds when known work ended, since the last report.
 	unknown        bool
 	ended          []time.Time
-	failures       int
+	failures       int // in a row
+	failedAt       time.Time
 	suspendedUntil time.Time
 	gone           bool
 }
@@ -121,6 +122,11 @@
 	}
 }
 
+// justFailed says that the latest request here failed, not long ago.
+func (e *endpoint) justFailed(now time.Time) bool {
+	return e.failures > 0 && now.Sub(e.failedAt) < suspendFor
+}
+
 // result takes in whether a request went well.
 func (e *endpoint) result(now time.Time, failed bool) {
 	if !failed {
@@ -128,6 +134,7 @@
 		return
 	}
 	e.failures++
+	e.failedAt = now
 	if e.failures >= failuresToSuspend {
 		e.suspendedUntil = now.Add(suspendFor)
 	}
