A planned stop hands over at once; no owner is no proof; promises outlive views

Change: a gained endpoint takes only the highest tier for QuietFor, 1.5 s, or for FloorFor if its earlier owner is leaving. Endpoints without an owner stay in the routing table, can't be asked for, and keep requests from being shed. Membership and limits are settled before entry and owner in each step, so a leaving instance hands its queue back in the step of the Drain. After the notice of a planned stop, callers' requests are refused: not run, stopping, with a retry time. The harness asks peers for their configuration once they have been ahead for half a second.

--- a/internal/core/admission/membership.go
+++ b/internal/core/admission/membership.go
@@ -8,9 +8,9 @@
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 )
 
-// SetEndpoints replaces the endpoints that this instance owns. For one
-// FloorFor a gained endpoint takes only the highest tier, since promises of an
-// earlier owner may still hold. Running work of a lost endpoint is forgotten:
+// SetEndpoints replaces the endpoints that this instance owns. For QuietFor a
+// gained endpoint takes only the highest tier, since promises of an earlier
+// owner may still be given and hold. Running work of a lost endpoint is forgotten:
 // its new owner learns of it from the entries. Queued work stays.
 func (o *Owner) SetEndpoints(now time.Time, rows []entity.Endpoint) {
 	owned := make(map[entity.EndpointID]bool, len(rows))
@@ -50,10 +50,18 @@
 
 // unsettle has an endpoint count as one that was just gained.
 func (o *Owner) unsettle(now time.Time, e *endpoint) {
-	e.quietUntil = now.Add(o.settings.FloorFor)
+	e.quietUntil = now.Add(o.settings.QuietFor)
 	e.settledAt = now.Add(o.settings.SettleFor)
 }
 
+// Inherited tells that a gained endpoint's earlier owner is leaving, and so
+// gives no promises any more.
+func (o *Owner) Inherited(now time.Time, id entity.EndpointID) {
+	if e := o.endpoints[id]; e != nil {
+		e.quietUntil = now.Add(o.settings.FloorFor)
+	}
+}
+
 // wake unsettles all endpoints after the instance was away: others may have
 // owned them meanwhile.
 func (o *Owner) wake(now time.Time) {
--- a/internal/core/admission/settings.go
+++ b/internal/core/admission/settings.go
@@ -30,6 +30,10 @@
 	QueuePerEndpoint int
 	// FloorFor is how long the promise of a Refusal holds.
 	FloorFor time.Duration
+	// QuietFor is how long a gained endpoint takes only the highest tier: an
+	// earlier owner may not know yet that it is none any more, and still give
+	// promises. One that is leaving does know; then FloorFor is enough.
+	QuietFor time.Duration
 	// SettleFor is how long an endpoint must have been owned before its owner
 	// proves anything by it: until then an earlier owner, or entries that still
 	// ask it, may run work there that the new one has not heard of.
@@ -56,6 +60,7 @@
 		Tiers:            5,
 		QueuePerEndpoint: 64,
 		FloorFor:         250 * time.Millisecond,
+		QuietFor:         1500 * time.Millisecond,
 		SettleFor:        3 * time.Second,
 		FreezeGap:        time.Second,
 		OrphanTimeout:    5 * time.Second,
--- a/internal/core/node/doc.go
+++ b/internal/core/node/doc.go
@@ -9,8 +9,8 @@
 // after each take Ready and carry its batch out in order. Messages to the
 // instance itself never leave the Node.
 //
-// Systems run in a fixed order after each step: entry, owner, membership,
-// limits, claims; messages that one system sends to another on the same
+// Systems run in a fixed order after each step: membership, limits, entry,
+// owner, claims; messages that one system sends to another on the same
 // instance are handled in the same step.
 //
 // # Time
--- a/internal/core/node/members.go
+++ b/internal/core/node/members.go
@@ -79,6 +79,9 @@
 		if m.To == "" {
 			continue
 		}
+		if m.To == n.settings.Self.ID && n.isLeaving(m.From) {
+			n.owner.Inherited(now, m.Endpoint)
+		}
 		held := n.entry.Adopt(now, m.Endpoint, m.To)
 		if len(held) > 0 {
 			n.send(m.To, holdingOf(m.Endpoint, held))
@@ -86,6 +89,18 @@
 	}
 }
 
+// isLeaving says whether a member has said that it is stopping.
+func (n *Node) isLeaving(id entity.InstanceID) bool {
+	for _, z := range n.view.Zones {
+		for i := range z.Members {
+			if m := &z.Members[i]; m.ID == id {
+				return m.Leaving
+			}
+		}
+	}
+	return false
+}
+
 // setOwned tells the owner side which endpoints are its own now.
 func (n *Node) setOwned(now time.Time) {
 	var owned []entity.Endpoint
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -66,6 +66,7 @@
 	view     membership.View
 	address  map[entity.InstanceID]string
 	draining bool
+	closesAt time.Time // when a draining instance takes no more requests
 	limits   *limits
 	claims   *claims
 	// zoneMembers are the live instances of the own zone.
@@ -159,6 +160,10 @@
 func (n *Node) handle(now time.Time, msg any) {
 	switch m := msg.(type) {
 	case Arrive:
+		if n.closed(now) {
+			n.refuseStopping(now, m.Arrival)
+			return
+		}
 		n.admit(now, m.Arrival)
 	case Ended:
 		n.entry.Ended(now, m.ID, m.End)
@@ -185,18 +190,19 @@
 	case ClaimRead:
 		n.claimRead(now, m)
 	case Drain:
-		n.drain(now)
+		n.drain(now, m.Notice)
 	}
 }
 
 // settle lets the systems work until none has anything left to say to another
-// one on this instance.
+// one on this instance. Membership and limits come first: what they change
+// moves requests and endpoints in the same step.
 func (n *Node) settle(now time.Time) {
 	for {
-		n.drainEntry(now)
-		n.drainOwner()
 		n.drainMembers(now)
 		n.drainLimits(now)
+		n.drainEntry(now)
+		n.drainOwner()
 		n.drainClaims()
 		if len(n.local) == 0 {
 			return
--- a/internal/core/node/router.go
+++ b/internal/core/node/router.go
@@ -30,9 +30,7 @@
 	for p := range r.n.state.Pools() {
 		var rows []routing.Owned
 		for _, e := range r.n.state.Endpoints(p.Name) {
-			if owner := r.n.owners.Owner(e.ID); owner != "" {
-				rows = append(rows, routing.Owned{Endpoint: *e, Owner: owner})
-			}
+			rows = append(rows, routing.Owned{Endpoint: *e, Owner: r.n.owners.Owner(e.ID)})
 		}
 		r.SetPool(p.Name, rows)
 	}
--- a/internal/core/routing/plugins.go
+++ b/internal/core/routing/plugins.go
@@ -81,7 +81,7 @@
 	return View{
 		Endpoint:  &c.Endpoint,
 		Hash:      c.hash,
-		Reachable: r.owner(c.Owner).reachable(now),
+		Reachable: c.Owner != "" && r.owner(c.Owner).reachable(now),
 		Weight:    r.weight(&c.Endpoint),
 		Running:   c.running,
 	}
--- a/internal/core/routing/router.go
+++ b/internal/core/routing/router.go
@@ -8,7 +8,8 @@
 	"github.com/medlarhold/medlarhold/internal/core/speed"
 )
 
-// Owned is an endpoint and the instance that owns it.
+// Owned is an endpoint and the instance that owns it. One without an owner
+// can't be asked for, and nothing is proved by it.
 type Owned struct {
 	Endpoint entity.Endpoint
 	Owner    entity.InstanceID
--- a/internal/fleet/callers.go
+++ b/internal/fleet/callers.go
@@ -155,7 +155,9 @@
 func (f *Fleet) balance() *instance {
 	for range 4 {
 		in := pick(f.clock, f.balanced)
-		if in != nil && in.state != stateDead && !in.closed {
+		// A closed instance takes no new connection, but requests may still
+		// come over one that is open.
+		if in != nil && in.state != stateDead && (!in.closed || f.chance(0.2)) {
 			return in
 		}
 	}
@@ -167,7 +169,7 @@
 	f.balanced = nil
 	for _, in := range f.instances {
 		// A frozen instance answers no check, but that takes a while to show.
-		if in.ready && in.state != stateDead && !in.stopping && (in.state == stateLive || f.chance(0.5)) {
+		if in.ready && in.state != stateDead && (!in.stopping || f.chance(0.1)) && (in.state == stateLive || f.chance(0.5)) {
 			f.balanced = append(f.balanced, in)
 		}
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/medlarhold/medlarhold/internal/config"
@@ -24,6 +25,8 @@
 	// history ends earlier, after minCoolDown, when all is quiet.
 	coolDown    = 25 * time.Second
 	minCoolDown = 7 * time.Second
+	// reachInterval is how often it is noted who reaches what.
+	reachInterval = 100 * time.Millisecond
 	// answerWithin is how long after its deadline a request may stay without
 	// its final answer: as long as it may take until a cancelled stream, or a
 	// call that may not be interrupted, comes to its end.
@@ -57,9 +60,12 @@
 	balanced   []*instance
 	sends      []sent
 	events     []history.Event
-	outcomes   map[verdict.Reason]int
-	plan       plan
-	trace      io.Writer
+	// unknowing are dispatches by instances that could not know that the
+	// endpoint is leaving.
+	unknowing map[entity.RequestID]bool
+	outcomes  map[verdict.Reason]int
+	plan      plan
+	trace     io.Writer
 
 	born, calls, changes, sent int
 }
@@ -89,7 +95,7 @@
 		clock: newClock(seed), net: newNetwork(), trace: o.Trace,
 		byID: make(map[entity.InstanceID]*instance), engines: make(map[entity.EndpointID]*engine),
 		services: make(map[entity.EndpointID]*service), configured: make(map[entity.EndpointID]config.Endpoint),
-		outcomes: make(map[verdict.Reason]int), orgs: []entity.OrgID{"bank", "shops"},
+		outcomes: make(map[verdict.Reason]int), unknowing: make(map[entity.RequestID]bool), orgs: []entity.OrgID{"bank", "shops"},
 	}
 	f.platform = newPlatform(f)
 	f.build()
@@ -144,6 +150,7 @@
 		f.inject(s)
 	}
 	f.checkHealth()
+	f.checkReach()
 	f.after(warmUp, f.arrivals)
 }
 
@@ -221,11 +228,46 @@
 		r.Faults = append(r.Faults, s.String())
 		r.Kinds = append(r.Kinds, faults[s.index].kind)
 	}
-	r.Violations = append(history.Check(f.events), f.checkLate()...)
+	r.Violations = append(slices.DeleteFunc(history.Check(f.events), f.couldNotKnow), f.checkLate()...)
 	r.Violations = append(r.Violations, f.checkStops()...)
 	return r
 }
 
+// checkReach notes which instances could learn the newest configuration: from
+// the log, or from an instance in reach that has it.
+func (f *Fleet) checkReach() {
+	for _, in := range f.instances {
+		if !f.informed(in) {
+			in.inReachSince = time.Time{}
+		} else if in.inReachSince.IsZero() {
+			in.inReachSince = f.now
+		}
+	}
+	f.after(reachInterval, f.checkReach)
+}
+
+func (f *Fleet) informed(in *instance) bool {
+	if f.platform.refusing+f.platform.silent == 0 && f.net.reaches(in.zone, platformZone) {
+		return true
+	}
+	return slices.ContainsFunc(f.instances, func(o *instance) bool {
+		return o.state == stateLive && f.net.reaches(in.zone, o.zone) && o.follower.State().Revision() >= f.accepted.Revision()
+	})
+}
+
+// noteDispatch notes whether the instance had LeaveWithin to learn what stands.
+func (f *Fleet) noteDispatch(j *job) {
+	if since := j.in.inReachSince; since.IsZero() || f.now.Sub(since) <= history.DefaultLimits.LeaveWithin {
+		f.unknowing[j.id] = true
+	}
+}
+
+// couldNotKnow says that a violation is a dispatch to a leaving endpoint by an
+// instance that neither the log nor a peer in reach could have told.
+func (f *Fleet) couldNotKnow(v history.Violation) bool {
+	return v.Promise == history.PromiseLeaving && f.unknowing[v.Request]
+}
+
 // checkLate: each caller that waits has its answer soon after the deadline at
 // the latest, unless its entry instance could not answer.
 func (f *Fleet) checkLate() (out []history.Violation) {
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -21,6 +21,9 @@
 	configRetryPause = 300 * time.Millisecond
 	configWait       = 2 * time.Second
 	pollInterval     = time.Second
+	// peersInterval is how often an instance compares its configuration's
+	// revision with its peers'.
+	peersInterval = 500 * time.Millisecond
 	// stopNotice is how long a stopping instance still takes requests.
 	stopNotice = time.Second
 )
@@ -52,8 +55,13 @@
 	ready   bool // serves callers
 	// wasFrozen is set for good by a freeze.
 	wasFrozen bool
-	stopping  bool
-	closed    bool // takes no new connection
+	// behindSince is since when peers in reach announce a newer configuration.
+	behindSince time.Time
+	// inReachSince is since when the instance could learn the newest
+	// configuration, from the log or a peer; zero while it can't.
+	inReachSince time.Time
+	stopping     bool
+	closed       bool // takes no new connection
 }
 
 // start brings up an instance in a zone.
@@ -74,6 +82,7 @@
 	in.followConfig()
 	in.renew()
 	in.poll()
+	in.watchPeers()
 	f.tracef("%s starts", id)
 }
 
@@ -186,6 +195,23 @@
 	in.follower.SettleForPeers(config.Revision(newest))
 }
 
+// watchPeers asks a peer for its configuration when the peers have been ahead
+// for a while, whatever the log says.
+func (in *instance) watchPeers() {
+	in.every(peersInterval, func() {
+		_, newest, found := in.node.NewestPeer()
+		switch {
+		case !found || newest <= int64(in.follower.State().Revision()):
+			in.behindSince = time.Time{}
+		case in.behindSince.IsZero():
+			in.behindSince = in.f.now
+		default:
+			in.askPeers()
+			in.putIntoForce()
+		}
+	})
+}
+
 func (in *instance) putIntoForce() {
 	st := in.follower.State()
 	if st.Revision() != in.node.Revision() {
--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -85,6 +85,7 @@
 
 func (j *job) arriveAt(id entity.EndpointID) {
 	f := j.in.f
+	f.noteDispatch(j)
 	if _, ok := j.in.follower.State().Endpoint(id); !ok {
 		j.end(&verdict.Error{Verdict: verdict.NotRun, Reason: verdict.ReasonNoEndpoint}, "")
 		return
