Every owner that counts a request hears of its end; tests of the entry table and the node

Besides, the load report compared only what runs, not what waits in the engine, so with one slot it showed nothing unknown.

Ruled out: giving such a grant back (the request would wait until views agree).

Change: the entry tells the owner that it knows of of a grant by another one, keeps a list of all owners that count a request, takes a preemption from each of them, and releases to each. A handed-over request with a later question replaces what the owner held. Load reports compare running and waiting work.

--- a/internal/core/admission/membership.go
+++ b/internal/core/admission/membership.go
@@ -139,7 +139,10 @@
 	}
 	if known := o.jobs[h.Work.ID]; known != nil {
 		known.orphanedAt = time.Time{} // its entry is there after all
-		return
+		if h.Question <= known.question || known.endpoint == nil {
+			return
+		}
+		o.leave(known, false)
 	}
 	j := o.newJob(&entity.Reservation{Work: h.Work, From: h.From, Question: h.Question})
 	o.jobs[j.work.ID] = j
--- a/internal/core/admission/reports.go
+++ b/internal/core/admission/reports.go
@@ -16,7 +16,7 @@
 		return
 	}
 	e.ended = slices.DeleteFunc(e.ended, func(t time.Time) bool { return t.Before(r.At) })
-	e.unknown = r.Running > e.slots+len(e.ended)
+	e.unknown = r.Running+r.Waiting > e.slots+len(e.ended)
 	orphans := e.orphansBefore(r.At)
 	excess := e.slots - (r.Running + r.Waiting)
 	for i := 0; i < len(orphans) && i < excess; i++ {
--- /dev/null
+++ b/internal/core/node/node_test.go
@@ -0,0 +1,130 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/config"
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/membership"
+	"github.com/medlarhold/medlarhold/internal/core/request"
+	"github.com/medlarhold/medlarhold/internal/platform"
+	"github.com/medlarhold/medlarhold/internal/verdict"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// state is a configuration with one engine of one slot.
+func state(t *testing.T) config.State {
+	t.Helper()
+	var st config.State
+	for i, o := range []struct {
+		kind config.Kind
+		name string
+		spec any
+	}{
+		{config.KindDeployment, config.DeploymentName, config.Deployment{Tiers: []string{"urgent", "patient"}}},
+		{config.KindPool, "p", config.Pool{Name: "p", Kind: entity.KindEngine, QueuePerEndpoint: 4, MaxBodyBytes: 1, RetryBudget: 0.1}},
+		{config.KindModel, "m", config.Model{Name: "m", Pool: "p"}},
+		{config.KindEndpoint, "e", config.Endpoint{Name: "e", Pool: "p", Zone: "z", Address: "127.0.0.1:1", Models: []entity.ModelID{"m"},
+			Slots: 1, PrefillTokensPerSec: 1000, DecodeTokensPerSec: 100}},
+		{config.KindContract, "o", config.Contract{Organisation: "o", Tiers: []string{"urgent", "patient"}, RequestsPerSec: 100, Burst: 100,
+			MaxConcurrent: 100, KeyHashes: []string{fmt.Sprintf("%064x", 1)}}},
+	} {
+		spec, err := json.Marshal(o.spec)
+		if err != nil {
+			t.Fatal(err)
+		}
+		data, err := config.EncodeChange(config.Change{ID: o.name + "-1", Kind: o.kind, Name: o.name, Spec: spec})
+		if err != nil {
+			t.Fatal(err)
+		}
+		var out config.Outcome
+		st, out = st.Apply(platform.Record{Offset: platform.Offset(i), Time: epoch, Data: data})
+		if out.Result != config.ResultApplied {
+			t.Fatalf("%s: %+v", o.name, out)
+		}
+	}
+	return st
+}
+
+// started returns an instance alone in its zone, with a configuration.
+func started(t *testing.T) *Node {
+	n := New(DefaultSettings(entity.Instance{ID: "self", Zone: "z", PeerAddress: "self:1"}), rand.New(rand.NewSource(1)))
+	n.Tick(epoch)
+	n.Step(epoch, Configured{State: state(t)})
+	n.Ready()
+	return n
+}
+
+func arrive(id string, tier entity.Tier, now time.Time) Arrive {
+	return Arrive{Arrival: request.Arrival{Work: entity.Work{ID: entity.RequestID(id), Org: "o", Pool: "p", Model: "m", Tier: tier,
+		PromptTokens: 10, MaxTokens: 10, Deadline: now.Add(20 * time.Second)}}}
+}
+
+// An instance serves what comes during the notice of its planned stop, and
+// refuses what comes after it.
+func TestStopRefusesAfterTheNotice(t *testing.T) {
+	n := started(t)
+	n.Step(epoch, Drain{Notice: time.Second})
+	n.Step(epoch.Add(time.Second-1), arrive("before", 0, epoch))
+	for _, d := range n.Ready().Directives {
+		t.Errorf("answered during the notice: %+v", d)
+	}
+	n.Step(epoch.Add(time.Second), arrive("after", 0, epoch))
+	ds := n.Ready().Directives
+	if len(ds) != 1 || ds[0].Kind != request.DirectiveFinish || ds[0].Err == nil {
+		t.Fatalf("got %+v", ds)
+	}
+	if v := ds[0].Err; v.Verdict != verdict.NotRun || v.Reason != verdict.ReasonStopping || v.RetryAfter <= 0 {
+		t.Errorf("got %+v", v)
+	}
+}
+
+// A stopping owner hands its queue back in the step in which it says that it leaves.
+func TestStopHandsTheQueueBackAtOnce(t *testing.T) {
+	n := started(t)
+	join := membership.Message{Kind: membership.Ping, Updates: []membership.Update{{ID: "peer", Zone: "z", PeerAddress: "peer:1"}}}
+	n.Step(epoch, FromPeer{From: "peer", Msg: join})
+	owner := n.OwnerOf("e")
+	if owner != "self" {
+		t.Fatalf("the test needs e to be owned here, not by %q", owner)
+	}
+	for i, id := range []entity.RequestID{"running", "queued"} {
+		w := arrive(string(id), 0, epoch).Arrival.Work
+		n.Step(epoch.Add(time.Duration(i)), FromPeer{From: "peer", Msg: entity.Reservation{Work: w, Question: 1}})
+	}
+	n.Ready()
+	n.Step(epoch.Add(time.Millisecond), Drain{Notice: time.Second})
+	var handedBack []entity.RequestID
+	for _, m := range n.Ready().Peers {
+		if r, ok := m.Msg.(entity.Refusal); ok && m.To == "peer" {
+			handedBack = append(handedBack, r.ID)
+		}
+	}
+	if len(handedBack) != 1 || handedBack[0] != "queued" {
+		t.Errorf("handed back %v", handedBack)
+	}
+}
+
+// What answers a question is sent again when it was not delivered.
+func TestUndeliveredAnswersAreSentAgain(t *testing.T) {
+	n := started(t)
+	join := membership.Message{Kind: membership.Ping, Updates: []membership.Update{{ID: "peer", Zone: "z", PeerAddress: "peer:1"}}}
+	n.Step(epoch, FromPeer{From: "peer", Msg: join})
+	n.Ready()
+	for _, msg := range []any{entity.Grant{ID: "r"}, entity.Refusal{ID: "r"}, entity.Preemption{ID: "r"}, entity.Release{ID: "r"}, Withdraw{ID: "r"}} {
+		n.Step(epoch, PeerFailed{To: "peer", Msg: msg})
+		n.Tick(epoch.Add(n.settings.ResendAfter))
+		again := false
+		for _, m := range n.Ready().Peers {
+			again = again || m.Msg == msg
+		}
+		if !again {
+			t.Errorf("%T was not sent again", msg)
+		}
+	}
+}
--- a/internal/core/node/peers.go
+++ b/internal/core/node/peers.go
@@ -100,6 +100,9 @@
 	for _, rel := range r.Releases {
 		n.send(rel.Owner, rel.Release)
 	}
+	for _, h := range r.Holdings {
+		n.send(h.Owner, holdingOf(h.Held.Endpoint, []entity.Held{h.Held}))
+	}
 	for _, c := range r.Cancels {
 		n.send(c.Owner, Withdraw{ID: c.ID, Question: c.Question})
 	}
--- a/internal/core/request/entry.go
+++ b/internal/core/request/entry.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"slices"
 	"time"
 
 	"github.com/google/btree"
@@ -223,8 +224,10 @@
 	e.setTimer(r, r.work.Deadline)
 	e.router.Granted(now, from, &r.work, g)
 	r.owner, r.endpoint, r.granted = from, g.Endpoint, g.Question
+	r.heldBy(from)
 	if r.state == StatePaused {
 		r.state = StateRunning
+		e.tellOwner(r)
 		e.direct(Directive{ID: g.ID, Kind: DirectiveResume, Endpoint: g.Endpoint})
 		return
 	}
@@ -235,6 +238,7 @@
 	}
 	r.state = StateRunning
 	r.dispatches++
+	e.tellOwner(r)
 	e.direct(Directive{ID: g.ID, Kind: DirectiveDispatch, Endpoint: g.Endpoint, ImportFrom: g.ImportFrom,
 		NotAfter: now.Add(e.settings.DispatchWithin)})
 }
@@ -334,7 +338,7 @@
 // Preempted tells that an owner wants the slot back for a higher tier.
 func (e *Entry) Preempted(now time.Time, from entity.InstanceID, p entity.Preemption) {
 	r, ok := e.rows[p.ID]
-	if !ok || r.owner != from || r.granted != p.Question || r.state != StateRunning {
+	if !ok || !slices.Contains(r.holders, from) || r.granted != p.Question || r.state != StateRunning {
 		return
 	}
 	if !p.Pause {
@@ -384,7 +388,7 @@
 		return false
 	}
 	e.ready.Retries = append(e.ready.Retries, Retry{ID: r.work.ID, Reason: err.Reason})
-	r.state, r.owner, r.endpoint, r.resume, r.tried = StateAsking, "", "", "", nil
+	r.state, r.owner, r.holders, r.endpoint, r.resume, r.tried = StateAsking, "", nil, "", "", nil
 	e.wakeAfter(now, r, d.Wait)
 	return true
 }
--- /dev/null
+++ b/internal/core/request/entry_test.go
@@ -0,0 +1,145 @@
+package request
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/retry"
+	"github.com/medlarhold/medlarhold/internal/core/routing"
+	"github.com/medlarhold/medlarhold/internal/verdict"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// router names the owners to ask in turn, and the owner of every endpoint.
+type router struct {
+	ask     []entity.InstanceID
+	owner   entity.InstanceID
+	mayShed bool
+}
+
+func (r *router) Next(_ time.Time, _ *entity.Work, tried []routing.Choice) (routing.Choice, bool) {
+	if len(tried) >= len(r.ask) {
+		return routing.Choice{}, false
+	}
+	return routing.Choice{Owner: r.ask[len(tried)], NoWait: len(tried) < len(r.ask)-1}, true
+}
+
+func (r *router) MayShed(time.Time, *entity.Work) bool { return r.mayShed }
+func (r *router) Granted(time.Time, entity.InstanceID, *entity.Work, entity.Grant) {
+}
+
+func (r *router) Refused(time.Time, entity.InstanceID, *entity.Work, entity.Refusal, time.Time) {
+}
+func (r *router) Unreachable(time.Time, entity.InstanceID) {}
+func (r *router) Finished(entity.Release)                  {}
+func (r *router) OwnerOf(entity.EndpointID) (entity.InstanceID, bool) {
+	return r.owner, r.owner != ""
+}
+func (r *router) HasEndpoint(*entity.Work) bool { return true }
+
+// entry returns a table that asks the router, with one request in it.
+func entry(r *router) *Entry {
+	e := New(Settings{Self: "self", KeepFinished: 8, RetryInterval: 50 * time.Millisecond, LookInterval: 250 * time.Millisecond,
+		DispatchWithin: time.Second}, r, retry.New(retry.DefaultSettings(), rand.New(rand.NewSource(1))), nil)
+	e.Arrive(epoch, Arrival{Work: entity.Work{ID: "r", Org: "o", Pool: "p", Deadline: epoch.Add(10 * time.Second)}})
+	return e
+}
+
+// said renders what is to be carried out, one line each.
+func said(e *Entry) []string {
+	var out []string
+	r := e.Ready()
+	for _, x := range r.Releases {
+		out = append(out, fmt.Sprintf("release to %s question %d unused=%v paused=%v", x.Owner, x.Release.Question, x.Release.Unused, x.Release.Paused))
+	}
+	for _, x := range r.Holdings {
+		out = append(out, fmt.Sprintf("holding to %s question %d", x.Owner, x.Held.Question))
+	}
+	for _, x := range r.Cancels {
+		out = append(out, fmt.Sprintf("withdraw from %s question %d", x.Owner, x.Question))
+	}
+	for _, x := range r.Reservations {
+		out = append(out, fmt.Sprintf("ask %s question %d", x.Owner, x.Reservation.Question))
+	}
+	for _, x := range r.Directives {
+		out = append(out, fmt.Sprintf("directive %d at %q", x.Kind, x.Endpoint))
+	}
+	return out
+}
+
+func expect(t *testing.T, e *Entry, want ...string) {
+	t.Helper()
+	if diff := cmp.Diff(want, said(e)); diff != "" {
+		t.Errorf("to be carried out (-want +got):\n%s", diff)
+	}
+}
+
+func grant(question uint32) entity.Grant {
+	return entity.Grant{ID: "r", Question: question, Endpoint: "e"}
+}
+
+func TestRepeatedGrantChangesNothing(t *testing.T) {
+	e := entry(&router{ask: []entity.InstanceID{"a"}, owner: "a"})
+	e.Granted(epoch, "a", grant(1))
+	expect(t, e, "ask a question 1", `directive 0 at "e"`)
+	e.Granted(epoch, "a", grant(1))
+	expect(t, e)
+}
+
+func TestGrantToAnEarlierQuestionIsGivenBack(t *testing.T) {
+	e := entry(&router{ask: []entity.InstanceID{"a"}, owner: "a"})
+	e.Refused(epoch, "a", entity.Refusal{ID: "r", Question: 1})
+	e.Tick(epoch.Add(50 * time.Millisecond))
+	expect(t, e, "ask a question 1", "ask a question 2")
+	e.Granted(epoch, "a", grant(1))
+	expect(t, e, "release to a question 1 unused=true paused=false")
+	e.Granted(epoch, "a", grant(2))
+	expect(t, e, `directive 0 at "e"`)
+}
+
+func TestRefusalOfAnEarlierQuestionSaysNothing(t *testing.T) {
+	r := &router{ask: []entity.InstanceID{"a"}, owner: "a"}
+	e := entry(r)
+	e.Refused(epoch, "a", entity.Refusal{ID: "r", Question: 1})
+	e.Tick(epoch.Add(50 * time.Millisecond))
+	e.Ready()
+	r.mayShed = true
+	e.Refused(epoch.Add(60*time.Millisecond), "a", entity.Refusal{ID: "r", Question: 1})
+	expect(t, e)
+}
+
+func TestEveryOwnerThatCountsTheRequestHearsOfItsEnd(t *testing.T) {
+	e := entry(&router{ask: []entity.InstanceID{"a"}, owner: "b"})
+	e.Granted(epoch, "a", grant(1))
+	expect(t, e, "holding to b question 1", "ask a question 1", `directive 0 at "e"`)
+	e.Adopt(epoch, "e", "c")
+	e.Ended(epoch, "r", End{})
+	expect(t, e, "release to a question 1 unused=false paused=false", "release to b question 1 unused=false paused=false",
+		"release to c question 1 unused=false paused=false", `directive 4 at ""`)
+}
+
+func TestThawedRequestsAskAnew(t *testing.T) {
+	e := entry(&router{ask: []entity.InstanceID{"a"}, owner: "a"})
+	e.Ready()
+	e.Thawed(epoch.Add(5 * time.Second))
+	e.Granted(epoch.Add(5*time.Second), "a", grant(1))
+	expect(t, e, "release to a question 1 unused=true paused=false", "withdraw from a question 1")
+}
+
+func TestPausedRequestThatCannotEndInTimeIsCancelled(t *testing.T) {
+	e := entry(&router{ask: []entity.InstanceID{"a"}, owner: "a"})
+	e.Granted(epoch, "a", grant(1))
+	e.Preempted(epoch, "a", entity.Preemption{ID: "r", Question: 1, Pause: true})
+	e.Paused(epoch, "r")
+	e.Ready()
+	e.Refused(epoch, "a", entity.Refusal{ID: "r", Question: 2, Infeasible: true})
+	expect(t, e, `directive 3 at "e"`)
+	e.Ended(epoch, "r", End{Err: &verdict.Error{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonDeadline}})
+	expect(t, e, "release to a question 2 unused=false paused=false", `directive 4 at ""`)
+}
--- a/internal/core/request/ready.go
+++ b/internal/core/request/ready.go
@@ -83,6 +83,13 @@
 	Release entity.Release
 }
 
+// HoldingTo tells an owner of a request that runs on an endpoint of its own
+// without its grant.
+type HoldingTo struct {
+	Owner entity.InstanceID
+	Held  entity.Held
+}
+
 // Proposal asks for the claim of a non-idempotent request's key.
 type Proposal struct {
 	ID       entity.RequestID
@@ -116,6 +123,7 @@
 	Reservations []ReservationTo
 	Cancels      []CancelTo
 	Releases     []ReleaseTo
+	Holdings     []HoldingTo
 	Proposals    []Proposal
 	Settlements  []Settlement
 	Directives   []Directive
--- a/internal/core/request/row.go
+++ b/internal/core/request/row.go
@@ -48,8 +48,11 @@
 	timer    time.Time // next timer; never after the deadline
 	// owner granted the slot on which the request runs, in answer to the
 	// question granted. questions counts those asked.
-	owner     entity.InstanceID
-	granted   uint32
+	owner   entity.InstanceID
+	granted uint32
+	// holders are all owners that count the request on its endpoint: while
+	// views differ there may be several, and each is told when it ends.
+	holders   []entity.InstanceID
 	questions uint32
 	// asks are the questions without an answer, tried all owners asked in this round.
 	asks       []ask
@@ -111,15 +114,38 @@
 
 func (e *Entry) direct(d Directive) { e.ready.Directives = append(e.ready.Directives, d) }
 
-// release gives the slot back to the owner that granted it, if it is still known.
+// release gives the slot back to all owners that count it.
 func (e *Entry) release(r *row, rel entity.Release) {
 	e.router.Finished(rel)
 	rel.Question = r.questions
-	if r.owner != "" {
-		e.ready.Releases = append(e.ready.Releases, ReleaseTo{Owner: r.owner, Release: rel})
+	for _, owner := range r.holders {
+		e.ready.Releases = append(e.ready.Releases, ReleaseTo{Owner: owner, Release: rel})
 	}
 }
 
+// heldBy notes that an owner counts the request.
+func (r *row) heldBy(owner entity.InstanceID) {
+	if !slices.Contains(r.holders, owner) {
+		r.holders = append(r.holders, owner)
+	}
+}
+
+// held is what an owner is told of a request that runs or waits on an endpoint.
+func (e *Entry) held(r *row) entity.Held {
+	return entity.Held{Work: r.work, From: e.settings.Self, Question: r.granted, Endpoint: r.endpoint, Paused: r.state == StatePaused}
+}
+
+// tellOwner tells the owner of the granted endpoint, as this instance sees it,
+// of a grant that another one gave.
+func (e *Entry) tellOwner(r *row) {
+	owner, ok := e.router.OwnerOf(r.endpoint)
+	if !ok || owner == r.owner {
+		return
+	}
+	r.heldBy(owner)
+	e.ready.Holdings = append(e.ready.Holdings, HoldingTo{Owner: owner, Held: e.held(r)})
+}
+
 // refuse ends a request that was never dispatched.
 func (e *Entry) refuse(now time.Time, r *row, reason verdict.Reason, retryAfter time.Duration) {
 	v := verdict.NotRun
--- a/internal/core/request/status.go
+++ b/internal/core/request/status.go
@@ -54,9 +54,11 @@
 		switch r.state {
 		case StateRunning, StatePausing:
 			r.owner = owner
-			held = append(held, entity.Held{Work: r.work, From: e.settings.Self, Question: r.granted, Endpoint: endpoint})
+			r.heldBy(owner)
+			held = append(held, e.held(r))
 		case StatePaused:
-			held = append(held, entity.Held{Work: r.work, From: e.settings.Self, Question: r.granted, Endpoint: endpoint, Paused: true})
+			r.heldBy(owner)
+			held = append(held, e.held(r))
 			e.askToResume(now, r)
 		}
 	}
