--- a/internal/core/admission/endpoint.go
+++ b/internal/core/admission/endpoint.go
@@ -31,6 +31,8 @@
 	// when all that it runs is known.
 	quietUntil time.Time
 	settledAt  time.Time
+	// prefillUntil estimates when all granted prompts are processed.
+	prefillUntil time.Time
 	// unknown is set while the endpoint reports more work than is known here;
 	// ended holds when known work ended, since the last report.
 	unknown        bool
@@ -57,8 +59,8 @@
 }
 
 // open says that e may be granted to anyone at all now.
-func (e *endpoint) open(now time.Time) bool {
-	return !e.gone && e.slots < e.row.Slots && !now.Before(e.suspendedUntil)
+func (e *endpoint) open(now time.Time, ahead time.Duration) bool {
+	return !e.gone && e.slots < e.row.Slots && !now.Before(e.suspendedUntil) && e.prefillLeft(now) <= ahead
 }
 
 // allows says that no promise keeps tier t off e.
--- a/internal/core/admission/membership.go
+++ b/internal/core/admission/membership.go
@@ -84,7 +84,7 @@
 		if j.state == stateQueued {
 			o.refuse(now, p, j)
 		}
-		o.leave(j, false)
+		o.leave(now, j, false)
 	}
 }
 
@@ -126,13 +126,13 @@
 
 // Hold takes in work that entries already run on endpoints that this instance
 // has come to own.
-func (o *Owner) Hold(_ time.Time, held []entity.Held) {
+func (o *Owner) Hold(now time.Time, held []entity.Held) {
 	for i := range held {
-		o.hold(&held[i])
+		o.hold(now, &held[i])
 	}
 }
 
-func (o *Owner) hold(h *entity.Held) {
+func (o *Owner) hold(now time.Time, h *entity.Held) {
 	e := o.endpoints[h.Endpoint]
 	if e == nil {
 		return
@@ -142,7 +142,7 @@
 		if h.Question <= known.question || known.endpoint == nil {
 			return
 		}
-		o.leave(known, false)
+		o.leave(now, known, false)
 	}
 	j := o.newJob(&entity.Reservation{Work: h.Work, From: h.From, Question: h.Question})
 	o.jobs[j.work.ID] = j
--- a/internal/core/admission/owner.go
+++ b/internal/core/admission/owner.go
@@ -42,7 +42,7 @@
 // Reserve takes in an entry's question for a slot.
 func (o *Owner) Reserve(now time.Time, r entity.Reservation) {
 	o.wake(now)
-	if old := o.jobs[r.Work.ID]; old != nil && !o.replaces(old, &r) {
+	if old := o.jobs[r.Work.ID]; old != nil && !o.replaces(now, old, &r) {
 		return
 	}
 	p := o.pool(r.Work.Pool)
@@ -80,12 +80,12 @@
 
 // replaces deals with a reservation for a job that is known already. It
 // returns true if the reservation is to be taken in anew.
-func (o *Owner) replaces(old *job, r *entity.Reservation) bool {
+func (o *Owner) replaces(now time.Time, old *job, r *entity.Reservation) bool {
 	switch {
 	case r.Question < old.question:
 		return false // overtaken by a later question
 	case r.Question > old.question:
-		o.overtaken(old, r)
+		o.overtaken(now, old, r)
 		return true
 	case old.state == stateRunning || old.state == statePreempting:
 		o.grantAgain(old)
@@ -97,7 +97,7 @@
 }
 
 // overtaken ends a job whose entry asks anew: what ended it is still on its way.
-func (o *Owner) overtaken(old *job, r *entity.Reservation) {
+func (o *Owner) overtaken(now time.Time, old *job, r *entity.Reservation) {
 	switch {
 	case old.state == stateQueued:
 		o.pool(old.work.Pool).queue.remove(old)
@@ -105,7 +105,7 @@
 			delete(o.jobs, old.work.ID)
 		}
 	case old.holdsSlot():
-		o.leave(old, r.Resume == old.endpoint.row.ID)
+		o.leave(now, old, r.Resume == old.endpoint.row.ID)
 	}
 }
 
@@ -131,7 +131,7 @@
 		e.result(now, r.Failed)
 	}
 	e.ended = append(e.ended, now)
-	o.leave(j, r.Paused)
+	o.leave(now, j, r.Paused)
 	o.schedule(now, o.pool(e.row.Pool))
 }
 
@@ -153,7 +153,7 @@
 		p.queue.remove(j)
 	}
 	if j.endpoint != nil {
-		o.leave(j, false)
+		o.leave(now, j, false)
 	}
 	delete(o.jobs, id)
 	o.schedule(now, p)
@@ -222,6 +222,7 @@
 		e := old.endpoint
 		e.jobs[slices.Index(e.jobs, old)] = j
 		j.endpoint = e
+		j.prefill = old.prefill
 	}
 	o.jobs[j.work.ID] = j
 	p.queue.add(j)
@@ -238,7 +239,8 @@
 }
 
 // leave frees j's slot, and its memory unless it is paused.
-func (o *Owner) leave(j *job, paused bool) {
+func (o *Owner) leave(now time.Time, j *job, paused bool) {
+	j.endpoint.endPrefill(now, j)
 	if v := j.roomFor; v != nil {
 		v.awaited--
 		j.roomFor = nil
--- a/internal/core/admission/settings.go
+++ b/internal/core/admission/settings.go
@@ -8,7 +8,7 @@
 )
 
 // TickInterval is the longest time between two calls of Tick.
-const TickInterval = 50 * time.Millisecond
+const TickInterval = 20 * time.Millisecond
 
 // NoFloor is the Floor of a Refusal that promises nothing.
 const NoFloor = entity.Tier(1 << 20)
@@ -34,6 +34,9 @@
 	// earlier owner may not know yet that it is none any more, and still give
 	// promises. One that is leaving does know; then FloorFor is enough.
 	QuietFor time.Duration
+	// PrefillAhead bounds the estimated time that an engine is still busy with
+	// prompts when it is granted another one.
+	PrefillAhead time.Duration
 	// SettleFor is how long an endpoint must have been owned before its owner
 	// proves anything by it: until then an earlier owner, or entries that still
 	// ask it, may run work there that the new one has not heard of.
@@ -61,6 +64,7 @@
 		QueuePerEndpoint: 64,
 		FloorFor:         250 * time.Millisecond,
 		QuietFor:         1500 * time.Millisecond,
+		PrefillAhead:     50 * time.Millisecond,
 		SettleFor:        3 * time.Second,
 		FreezeGap:        time.Second,
 		OrphanTimeout:    5 * time.Second,
--- a/internal/core/routing/router.go
+++ b/internal/core/routing/router.go
@@ -21,6 +21,9 @@
 	Endpoint entity.EndpointID
 	// NoWait goes into the reservation.
 	NoWait bool
+	// Infeasible is set by the caller when the owner said that its endpoints
+	// could not meet the deadline even with no one else there.
+	Infeasible bool
 }
 
 // Router decides whom an entry instance asks.
@@ -88,7 +91,7 @@
 			return c, ok
 		}
 	}
-	return r.join(now, order)
+	return r.join(now, order, tried)
 }
 
 // probe returns the first owner that was not tried yet and has not promised
@@ -104,10 +107,13 @@
 }
 
 // join returns the owner with the shortest queue, as far as is known.
-func (r *Router) join(now time.Time, order []ranked) (Choice, bool) {
+func (r *Router) join(now time.Time, order []ranked, tried []Choice) (Choice, bool) {
 	var best *candidate
 	var shortest time.Duration
 	for _, c := range order {
+		if infeasible(tried, c.Owner) {
+			continue
+		}
 		wait := r.owner(c.Owner).wait(now)
 		if best == nil || wait < shortest {
 			best, shortest = c.candidate, wait
@@ -119,22 +125,37 @@
 	return Choice{Owner: best.Owner, Endpoint: best.Endpoint.ID}, true
 }
 
-// MayShed says that w may be refused for overload: every owner of the pool has
-// promised that it serves nothing below w. An owner that does not answer still
-// counts, until membership gives its endpoints to another one.
-func (r *Router) MayShed(now time.Time, w *entity.Work) bool {
+// MayShed says that w may be refused: every owner of the pool has promised that
+// it serves nothing below w, or has said that it could not serve w in time at
+// all. An owner that does not answer still counts, until membership gives its
+// endpoints to another one.
+func (r *Router) MayShed(now time.Time, w *entity.Work, tried []Choice) bool {
 	p := r.pools[w.Pool]
 	if p == nil {
 		return true
 	}
 	for _, o := range p.owners {
-		if !r.promised(now, o, w) {
+		if !infeasible(tried, o) && !r.promised(now, o, w) {
 			return false
 		}
 	}
 	return true
 }
 
+// Reaches says whether any owner in reach has an endpoint that could serve w.
+func (r *Router) Reaches(now time.Time, w *entity.Work) bool {
+	p := r.pools[w.Pool]
+	if p == nil {
+		return false
+	}
+	for _, o := range p.owners {
+		if r.owner(o).reachable(now) && r.covers(o, w) != 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *Router) promised(now time.Time, o entity.InstanceID, w *entity.Work) bool {
 	covers := r.covers(o, w)
 	return covers == 0 || r.floors.holds(now, o, w, covers)
@@ -194,6 +215,15 @@
 	return probes, waited
 }
 
+func infeasible(tried []Choice, o entity.InstanceID) bool {
+	for _, c := range tried {
+		if c.Owner == o && c.Infeasible {
+			return true
+		}
+	}
+	return false
+}
+
 func wasTried(tried []Choice, o entity.InstanceID) bool {
 	for _, c := range tried {
 		if c.Owner == o {
