A pause that comes before its stream is made again; histories tell late work from shed work

The engine did not know the stream, the pause was dropped, and the higher tier waited until the lower work had ended. Change: the caller's edge and the harness pause again until the stream is there or has ended.

The releases of the harness now carry the times that estimates are learnt from.

--- a/internal/caller/enginejob.go
+++ b/internal/caller/enginejob.go
@@ -13,6 +13,9 @@
 	"github.com/medlarhold/medlarhold/internal/verdict"
 )
 
+// pauseRetry is the time between two tries to pause a stream.
+const pauseRetry = 20 * time.Millisecond
+
 // controlTimeout bounds a pause, resume or cancel at an engine.
 const controlTimeout = 5 * time.Second
 
@@ -25,6 +28,7 @@
 	// cancelled is the reason for which the stream was cancelled, if it was.
 	cancelled atomic.Pointer[verdict.Error]
 	stop      atomic.Pointer[context.CancelFunc]
+	ended     atomic.Bool // the call to the engine is over
 	result    endpoint.Result
 	lastToken time.Time
 }
@@ -42,6 +46,7 @@
 		RequestID: j.id, Model: j.body.Model, Adapter: j.body.Adapter, Prompt: j.body.Prompt, MaxTokens: j.body.MaxTokens, Stream: true,
 	}, func(t endpoint.Token) error { return j.token(start, t) })
 	j.result = res
+	j.ended.Store(true)
 	j.s.opts.Control.Ended(j.id, j.end(res, err))
 }
 
@@ -97,9 +102,16 @@
 func (j *engineJob) pause(ctx context.Context, e entity.Endpoint) {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	if _, err := j.s.opts.Endpoints.Pause(ctx, e.Address, j.id); err == nil {
-		j.s.opts.Control.Paused(j.id)
-		return
+	for !j.ended.Load() && ctx.Err() == nil {
+		if _, err := j.s.opts.Endpoints.Pause(ctx, e.Address, j.id); err == nil {
+			j.s.opts.Control.Paused(j.id)
+			return
+		}
+		// The dispatch may still be on its way to the engine.
+		select {
+		case <-ctx.Done():
+		case <-time.After(pauseRetry):
+		}
 	}
 	// The stream has ended, which Ended reports, or the engine can't pause:
 	// then the slot comes back when the stream ends.
--- a/internal/fleet/endpoints.go
+++ b/internal/fleet/endpoints.go
@@ -39,6 +39,17 @@
 	tokens  int
 	end     *endpoint.End
 	running bool
+	// arrived, first and last are the times of the dispatch and of the tokens.
+	arrived, first, last time.Time
+}
+
+// release is what the stream's client tells the owner of it.
+func (s *stream) release() entity.Release {
+	r := entity.Release{PrefillTokens: s.end.PrefillTokens, GeneratedTokens: s.tokens}
+	if s.tokens > 0 {
+		r.TimeToFirstToken, r.DecodeTime = s.first.Sub(s.arrived), s.last.Sub(s.first)
+	}
+	return r
 }
 
 // pump runs the engine's iterations and schedules the next look at it.
@@ -64,7 +75,10 @@
 	case model.EventStarted:
 		e.started(s)
 	case model.EventToken:
-		s.tokens++
+		if s.tokens++; s.tokens == 1 {
+			s.first = ev.At
+		}
+		s.last = ev.At
 	case model.EventEnded:
 		s.end = &ev.End
 		e.stopped(s, ev.End.FinishReason.Whole())
@@ -100,7 +114,7 @@
 	err := e.model.Submit(e.f.now, model.Request{ID: j.id, Model: w.Model, Prefix: w.Prefix,
 		PromptTokens: w.PromptTokens, MaxTokens: w.MaxTokens, OutputTokens: j.call.output})
 	if err == nil {
-		e.streams[j.id] = &stream{j: j}
+		e.streams[j.id] = &stream{j: j, arrived: e.f.now}
 	}
 	e.pump()
 	return err
@@ -124,6 +138,19 @@
 	return true
 }
 
+// estimateMargin is how far an owner's estimate of a speed may be off.
+const estimateMargin = 1.1
+
+// inTime says whether the engine could end the work by its deadline with
+// nothing else to do, at the speed that it has now.
+func (e *engine) inTime(w *entity.Work) bool {
+	took := estimateMargin * (float64(w.PromptTokens)/prefillRate + float64(w.MaxTokens)/decodeRate)
+	if e.slow > 0 {
+		took *= slowFactor
+	}
+	return !e.f.now.Add(time.Duration(took * float64(time.Second))).After(w.Deadline)
+}
+
 func (e *engine) resume(id entity.RequestID) bool {
 	s := e.streams[id]
 	if s == nil {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -33,6 +33,12 @@
 	answerWithin = callTimeout + controlTimeout + connectLimit
 )
 
+// The speeds of an engine, in tokens a second.
+const (
+	prefillRate = 4000
+	decodeRate  = 40
+)
+
 // plan is what a seed decides at the start.
 type plan struct {
 	queue        int
@@ -157,9 +163,9 @@
 func (f *Fleet) addEngine(zone entity.ZoneID, i int) config.Endpoint {
 	slots := 1 + f.rng.Intn(3)
 	e := config.Endpoint{Name: entity.EndpointID(fmt.Sprintf("%s-e%d", zone, i)), Pool: chatPool, Zone: zone, Address: "127.0.0.1:1",
-		Models: []entity.ModelID{chatModel}, Slots: slots, PrefillTokensPerSec: 4000, DecodeTokensPerSec: 40}
+		Models: []entity.ModelID{chatModel}, Slots: slots, PrefillTokensPerSec: prefillRate, DecodeTokensPerSec: decodeRate}
 	eng := &engine{endpointFake: endpointFake{f: f, row: row(e, entity.KindEngine)}, streams: make(map[entity.RequestID]*stream),
-		model: model.New(model.Settings{Models: e.Models, MaxRunning: slots, PrefillTokensPerSec: 4000, DecodeTokensPerSec: 40,
+		model: model.New(model.Settings{Models: e.Models, MaxRunning: slots, PrefillTokensPerSec: prefillRate, DecodeTokensPerSec: decodeRate,
 			LoadLag: 500 * time.Millisecond, CacheEventDelay: 300 * time.Millisecond, CacheEventLoss: 0.1, Seed: uint64(f.rng.Int63())})}
 	f.engines[e.Name] = eng
 	f.addEndpoint(e)
@@ -202,13 +208,17 @@
 }
 
 // shed is the event of a request that was refused to relieve load, with the
-// endpoints in reach of its entry instance that could have served it.
+// endpoints in reach of its entry instance that could have served it in time.
+// What runs on the others, of whatever tier, takes nothing away from it.
 func (f *Fleet) shed(j *job) history.Event {
 	w := &j.call.work
 	ev := history.Event{Kind: history.KindShed, Request: j.id, Pool: w.Pool, Tier: w.Tier, Eligible: []entity.EndpointID{"none in reach"}}
 	for _, id := range f.endpoints {
 		e := f.endpoint(id)
 		configured, ok := j.in.follower.State().Endpoint(id)
+		if eng := f.engines[id]; eng != nil && !eng.inTime(w) {
+			continue
+		}
 		if ok && e.reach(j.in) && eligible.Serves(configured, w) {
 			ev.Eligible = append(ev.Eligible, id)
 		}
--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -18,6 +18,7 @@
 	// reattachPause and reattachTries bound how a broken stream is taken up again.
 	reattachPause = 300 * time.Millisecond
 	reattachTries = 8
+	pauseRetry    = 20 * time.Millisecond
 	connectLimit  = 2 * time.Second
 )
 
@@ -42,11 +43,7 @@
 	case request.DirectiveDispatch:
 		j.dispatch(d)
 	case request.DirectivePause:
-		j.control(func(e *engine) {
-			if e.pause(j.id) {
-				f.after(f.between(minHop, maxHop), func() { j.in.post(node.Paused{ID: j.id}) })
-			}
-		}, func() {})
+		j.pause(f.now.Add(controlTimeout))
 	case request.DirectiveResume:
 		failed := &verdict.Error{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonEndpointFailed}
 		j.control(func(e *engine) {
@@ -68,6 +65,20 @@
 	}
 }
 
+// pause pauses the stream, again and again while the engine does not know it:
+// the dispatch may still be on its way.
+func (j *job) pause(until time.Time) {
+	f := j.in.f
+	j.control(func(e *engine) {
+		switch {
+		case e.pause(j.id):
+			f.after(f.between(minHop, maxHop), func() { j.in.post(node.Paused{ID: j.id}) })
+		case !j.ended && f.now.Before(until):
+			f.after(pauseRetry, func() { j.in.do(func() { j.pause(until) }) })
+		}
+	}, func() {})
+}
+
 // dispatch sends the request to the endpoint, once.
 func (j *job) dispatch(d request.Directive) {
 	f := j.in.f
@@ -183,6 +194,9 @@
 			err = j.aborted
 		}
 		end := request.End{Err: err, Release: entity.Release{TimeToFirstToken: time.Millisecond}}
+		if e := j.in.f.engines[j.at]; e != nil && e.streams[j.id] != nil && e.streams[j.id].end != nil {
+			end.Release = e.streams[j.id].release()
+		}
 		if err != nil {
 			end.Release.Failed = err.Reason != verdict.ReasonPreempted
 		} else {
