--- a/internal/core/request/entry.go
+++ b/internal/core/request/entry.go
@@ -369,6 +369,7 @@
 		return
 	}
 	r.state = StatePaused
+	r.paused = true
 	r.resume = r.endpoint
 	e.release(r, entity.Release{ID: id, Endpoint: r.endpoint, Paused: true})
 	e.ask(now, r)
@@ -381,6 +382,10 @@
 		return
 	}
 	end.Release.ID, end.Release.Endpoint = id, r.endpoint
+	if r.paused {
+		// How long it took says nothing of the endpoint's speed.
+		end.Release.TimeToFirstToken, end.Release.DecodeTime = 0, 0
+	}
 	e.withdraw(r, r.owner)
 	e.release(r, end.Release)
 	if end.Err == nil {
--- a/internal/core/request/entry_test.go
+++ b/internal/core/request/entry_test.go
@@ -144,3 +144,22 @@
 	e.Ended(epoch, "r", End{Err: &verdict.Error{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonDeadline}})
 	expect(t, e, "release to a question 2 unused=false paused=false", `directive 4 at ""`)
 }
+
+// A stream that waited in between must not teach that its engine is slow.
+func TestPausedStreamTeachesNoSpeed(t *testing.T) {
+	for _, paused := range []bool{false, true} {
+		e := entry(&router{ask: []entity.InstanceID{"a"}, owner: "a"})
+		e.Granted(epoch, "a", grant(1))
+		if paused {
+			e.Preempted(epoch, "a", entity.Preemption{ID: "r", Question: 1, Pause: true})
+			e.Paused(epoch, "r")
+			e.Granted(epoch, "a", grant(2))
+		}
+		e.Ready()
+		e.Ended(epoch, "r", End{Release: entity.Release{TimeToFirstToken: time.Second, DecodeTime: time.Minute}})
+		rel := e.Ready().Releases[0].Release
+		if told := rel.DecodeTime > 0 && rel.TimeToFirstToken > 0; told == paused {
+			t.Errorf("paused=%v: release %+v", paused, rel)
+		}
+	}
+}
--- a/internal/core/request/row.go
+++ b/internal/core/request/row.go
@@ -63,6 +63,7 @@
 	resume     entity.EndpointID // where its paused stream waits
 	dispatches int
 	retryAfter time.Duration
+	paused     bool // it was paused at least once
 	lostClaim  bool // the key belongs to another request
 	cancelled  bool
 }
--- a/internal/fleet/endpoints.go
+++ b/internal/fleet/endpoints.go
@@ -138,8 +138,9 @@
 	return true
 }
 
-// estimateMargin is how far an owner's estimate of a speed may be off.
-const estimateMargin = 1.1
+// estimateMargin is how far an owner's estimate of a running time may be off:
+// it is learnt from streams that share the engine with others.
+const estimateMargin = 1.3
 
 // inTime says whether the engine could end the work by its deadline with
 // nothing else to do, at the speed that it has now.
