--- a/internal/core/admission/membership.go
+++ b/internal/core/admission/membership.go
@@ -8,9 +8,9 @@
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 )
 
-// SetEndpoints replaces the endpoints that this instance owns. For one
-// FloorFor a gained endpoint takes only the highest tier, since promises of an
-// earlier owner may still hold. Running work of a lost endpoint is forgotten:
+// SetEndpoints replaces the endpoints that this instance owns. For QuietFor a
+// gained endpoint takes only the highest tier, since promises of an earlier
+// owner may still be given and hold. Running work of a lost endpoint is forgotten:
 // its new owner learns of it from the entries. Queued work stays.
 func (o *Owner) SetEndpoints(now time.Time, rows []entity.Endpoint) {
 	owned := make(map[entity.EndpointID]bool, len(rows))
@@ -50,10 +50,18 @@
 
 // unsettle has an endpoint count as one that was just gained.
 func (o *Owner) unsettle(now time.Time, e *endpoint) {
-	e.quietUntil = now.Add(o.settings.FloorFor)
+	e.quietUntil = now.Add(o.settings.QuietFor)
 	e.settledAt = now.Add(o.settings.SettleFor)
 }
 
+// Inherited tells that a gained endpoint's earlier owner is leaving, and so
+// gives no promises any more.
+func (o *Owner) Inherited(now time.Time, id entity.EndpointID) {
+	if e := o.endpoints[id]; e != nil {
+		e.quietUntil = now.Add(o.settings.FloorFor)
+	}
+}
+
 // wake unsettles all endpoints after the instance was away: others may have
 // owned them meanwhile.
 func (o *Owner) wake(now time.Time) {
@@ -118,20 +126,23 @@
 
 // Hold takes in work that entries already run on endpoints that this instance
 // has come to own.
-func (o *Owner) Hold(_ time.Time, held []entity.Held) {
+func (o *Owner) Hold(now time.Time, held []entity.Held) {
 	for i := range held {
-		o.hold(&held[i])
+		o.hold(now, &held[i])
 	}
 }
 
-func (o *Owner) hold(h *entity.Held) {
+func (o *Owner) hold(now time.Time, h *entity.Held) {
 	e := o.endpoints[h.Endpoint]
 	if e == nil {
 		return
 	}
 	if known := o.jobs[h.Work.ID]; known != nil {
 		known.orphanedAt = time.Time{} // its entry is there after all
-		return
+		if h.Question <= known.question || known.endpoint == nil {
+			return
+		}
+		o.leave(now, known, false)
 	}
 	j := o.newJob(&entity.Reservation{Work: h.Work, From: h.From, Question: h.Question})
 	o.jobs[j.work.ID] = j
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/medlarhold/medlarhold/internal/config"
@@ -24,12 +25,20 @@
 	// history ends earlier, after minCoolDown, when all is quiet.
 	coolDown    = 25 * time.Second
 	minCoolDown = 7 * time.Second
+	// reachInterval is how often it is noted who reaches what.
+	reachInterval = 100 * time.Millisecond
 	// answerWithin is how long after its deadline a request may stay without
 	// its final answer: as long as it may take until a cancelled stream, or a
 	// call that may not be interrupted, comes to its end.
 	answerWithin = callTimeout + controlTimeout + connectLimit
 )
 
+// The speeds of an engine, in tokens a second.
+const (
+	prefillRate = 4000
+	decodeRate  = 40
+)
+
 // plan is what a seed decides at the start.
 type plan struct {
 	queue        int
@@ -57,9 +66,12 @@
 	balanced   []*instance
 	sends      []sent
 	events     []history.Event
-	outcomes   map[verdict.Reason]int
-	plan       plan
-	trace      io.Writer
+	// unknowing are dispatches by instances that could not know that the
+	// endpoint is leaving.
+	unknowing map[entity.RequestID]bool
+	outcomes  map[verdict.Reason]int
+	plan      plan
+	trace     io.Writer
 
 	born, calls, changes, sent int
 }
@@ -89,7 +101,7 @@
 		clock: newClock(seed), net: newNetwork(), trace: o.Trace,
 		byID: make(map[entity.InstanceID]*instance), engines: make(map[entity.EndpointID]*engine),
 		services: make(map[entity.EndpointID]*service), configured: make(map[entity.EndpointID]config.Endpoint),
-		outcomes: make(map[verdict.Reason]int), orgs: []entity.OrgID{"bank", "shops"},
+		outcomes: make(map[verdict.Reason]int), unknowing: make(map[entity.RequestID]bool), orgs: []entity.OrgID{"bank", "shops"},
 	}
 	f.platform = newPlatform(f)
 	f.build()
@@ -144,15 +156,16 @@
 		f.inject(s)
 	}
 	f.checkHealth()
+	f.checkReach()
 	f.after(warmUp, f.arrivals)
 }
 
 func (f *Fleet) addEngine(zone entity.ZoneID, i int) config.Endpoint {
 	slots := 1 + f.rng.Intn(3)
 	e := config.Endpoint{Name: entity.EndpointID(fmt.Sprintf("%s-e%d", zone, i)), Pool: chatPool, Zone: zone, Address: "127.0.0.1:1",
-		Models: []entity.ModelID{chatModel}, Slots: slots, PrefillTokensPerSec: 4000, DecodeTokensPerSec: 40}
+		Models: []entity.ModelID{chatModel}, Slots: slots, PrefillTokensPerSec: prefillRate, DecodeTokensPerSec: decodeRate}
 	eng := &engine{endpointFake: endpointFake{f: f, row: row(e, entity.KindEngine)}, streams: make(map[entity.RequestID]*stream),
-		model: model.New(model.Settings{Models: e.Models, MaxRunning: slots, PrefillTokensPerSec: 4000, DecodeTokensPerSec: 40,
+		model: model.New(model.Settings{Models: e.Models, MaxRunning: slots, PrefillTokensPerSec: prefillRate, DecodeTokensPerSec: decodeRate,
 			LoadLag: 500 * time.Millisecond, CacheEventDelay: 300 * time.Millisecond, CacheEventLoss: 0.1, Seed: uint64(f.rng.Int63())})}
 	f.engines[e.Name] = eng
 	f.addEndpoint(e)
@@ -195,13 +208,17 @@
 }
 
 // shed is the event of a request that was refused to relieve load, with the
-// endpoints in reach of its entry instance that could have served it.
+// endpoints in reach of its entry instance that could have served it in time.
+// What runs on the others, of whatever tier, takes nothing away from it.
 func (f *Fleet) shed(j *job) history.Event {
 	w := &j.call.work
 	ev := history.Event{Kind: history.KindShed, Request: j.id, Pool: w.Pool, Tier: w.Tier, Eligible: []entity.EndpointID{"none in reach"}}
 	for _, id := range f.endpoints {
 		e := f.endpoint(id)
 		configured, ok := j.in.follower.State().Endpoint(id)
+		if eng := f.engines[id]; eng != nil && !eng.inTime(w) {
+			continue
+		}
 		if ok && e.reach(j.in) && eligible.Serves(configured, w) {
 			ev.Eligible = append(ev.Eligible, id)
 		}
@@ -221,11 +238,46 @@
 		r.Faults = append(r.Faults, s.String())
 		r.Kinds = append(r.Kinds, faults[s.index].kind)
 	}
-	r.Violations = append(history.Check(f.events), f.checkLate()...)
+	r.Violations = append(slices.DeleteFunc(history.Check(f.events), f.couldNotKnow), f.checkLate()...)
 	r.Violations = append(r.Violations, f.checkStops()...)
 	return r
 }
 
+// checkReach notes which instances could learn the newest configuration: from
+// the log, or from an instance in reach that has it.
+func (f *Fleet) checkReach() {
+	for _, in := range f.instances {
+		if !f.informed(in) {
+			in.inReachSince = time.Time{}
+		} else if in.inReachSince.IsZero() {
+			in.inReachSince = f.now
+		}
+	}
+	f.after(reachInterval, f.checkReach)
+}
+
+func (f *Fleet) informed(in *instance) bool {
+	if f.platform.refusing+f.platform.silent == 0 && f.net.reaches(in.zone, platformZone) {
+		return true
+	}
+	return slices.ContainsFunc(f.instances, func(o *instance) bool {
+		return o.state == stateLive && f.net.reaches(in.zone, o.zone) && o.follower.State().Revision() >= f.accepted.Revision()
+	})
+}
+
+// noteDispatch notes whether the instance had LeaveWithin to learn what stands.
+func (f *Fleet) noteDispatch(j *job) {
+	if since := j.in.inReachSince; since.IsZero() || f.now.Sub(since) <= history.DefaultLimits.LeaveWithin {
+		f.unknowing[j.id] = true
+	}
+}
+
+// couldNotKnow says that a violation is a dispatch to a leaving endpoint by an
+// instance that neither the log nor a peer in reach could have told.
+func (f *Fleet) couldNotKnow(v history.Violation) bool {
+	return v.Promise == history.PromiseLeaving && f.unknowing[v.Request]
+}
+
 // checkLate: each caller that waits has its answer soon after the deadline at
 // the latest, unless its entry instance could not answer.
 func (f *Fleet) checkLate() (out []history.Violation) {
