--- a/internal/core/node/bench_test.go
+++ b/internal/core/node/bench_test.go
@@ -15,8 +15,6 @@
 	"github.com/medlarhold/medlarhold/internal/verdict"
 )
 
-var epoch = time.Unix(1_700_000_000, 0)
-
 // ownEngines is how many engines the node that is measured owns at most.
 const ownEngines = 11
 
@@ -67,7 +65,7 @@
 	// By then the home lends, and the first requests bring a share of the limit.
 	now = pass(n, now, time.Minute)
 	for i := range warmRequests {
-		id := arrive(n, now, -i)
+		id := benchArrive(n, now, -i)
 		now = pass(n, now, time.Second)
 		farSpeaks(n, now)
 		n.Step(now, CallerGone{ID: id})
@@ -115,7 +113,7 @@
 		b.Run(fmt.Sprintf("requests=%d", running), func(b *testing.B) {
 			n, now := benchNode(b, 100)
 			for i := range running {
-				arrive(n, now, i)
+				benchArrive(n, now, i)
 			}
 			n.Ready()
 			b.ReportAllocs()
@@ -127,7 +125,7 @@
 	}
 }
 
-func arrive(n *Node, now time.Time, i int) entity.RequestID {
+func benchArrive(n *Node, now time.Time, i int) entity.RequestID {
 	id := entity.RequestID(fmt.Sprintf("request-%08d", i))
 	i = max(i, -i)
 	chain := make([]entity.BlockHash, 64)
@@ -146,7 +144,7 @@
 		b.Run(fmt.Sprintf("endpoints=%d", engines), func(b *testing.B) {
 			n, now := benchNode(b, engines)
 			for i := range 50 {
-				arrive(n, now, i)
+				benchArrive(n, now, i)
 			}
 			n.Ready()
 			i := 1000
@@ -159,7 +157,7 @@
 					n.Ready()
 					farSpeaks(n, now)
 				}
-				id := arrive(n, now, i)
+				id := benchArrive(n, now, i)
 				r := n.Ready()
 				if len(r.Directives) == 0 || r.Directives[0].Kind != request.DirectiveDispatch {
 					b.Fatalf("%+v", r.Directives)
@@ -180,7 +178,7 @@
 				n, now := benchNode(b, 200)
 				before := heapBytes()
 				for i := range running {
-					arrive(n, now, i)
+					benchArrive(n, now, i)
 					n.Ready()
 				}
 				b.ReportMetric(float64(heapBytes()-before)/float64(running), "B/request")
