Claims: judge a claim by what stands between its basis and itself

A home that started reading after retention had dropped a winner took the loser of that race, whose record was still there, for the holder; so it passed over the next claim that counted, and freed the key too early. "The first claim that finds the key free" depends on all that came before, and a reader that starts in the middle doesn't have that.

Weighed: reading twice the window (the mistake can be handed on from claim to claim without end); a record that confirms each win (one more append for each claim, and a home that dies between leaves it open); an outcome for each loser (the same); a basis in each claim, as with leases (taken).

Change: a claim names the offset up to which its sender had read and found the key free, and counts if no claim of the key stands in between. All readers that have read from there agree. A claim whose basis lies before the start of a reading takes its key without being known to win, and is not freed by an outcome. A claim that was passed over without a holder is sent again.

The differential test has a reader that starts in the middle.

--- a/internal/core/claim/naive_test.go
+++ b/internal/core/claim/naive_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/platform"
 	"github.com/medlarhold/medlarhold/internal/verdict"
 )
 
@@ -27,25 +28,42 @@
 type naiveTable []naiveEntry
 
 type naiveEntry struct {
-	at time.Time
+	offset platform.Offset
+	at     time.Time
 	entry
 }
 
+func (e *naiveEntry) inTime() bool {
+	ms := e.at.UnixMilli()
+	return e.Op == opClaim && ms >= e.NotBefore && (e.NotAfter == 0 || ms < e.NotAfter)
+}
+
+// counts looks for another claim between the basis of entry i and itself.
+func (n naiveTable) counts(i int) bool {
+	for j := range n[:i] {
+		c := &n[j]
+		if c.Key == n[i].Key && c.inTime() && c.offset >= n[i].Basis && n[i].at.Sub(c.at) < claimLimbo {
+			return false
+		}
+	}
+	return n[i].inTime()
+}
+
 // holder returns who holds a key at a log time, and what is known of its run.
 func (n naiveTable) holder(key Hash, at time.Time) (entity.RequestID, verdict.Verdict) {
 	var holds *naiveEntry
 	var v verdict.Verdict
+	over := func(t time.Time) bool { return holds != nil && !t.Before(holds.at.Add(duration(holds.Window))) }
 	for i := range n {
 		e := &n[i]
-		if holds != nil && !e.at.Before(holds.at.Add(duration(holds.Window))) {
-			holds, v = nil, ""
-		}
 		if e.Key != key {
 			continue
 		}
-		ms := e.at.UnixMilli()
+		if over(e.at) {
+			holds, v = nil, ""
+		}
 		switch {
-		case e.Op == opClaim && holds == nil && ms >= e.NotBefore && (e.NotAfter == 0 || ms < e.NotAfter):
+		case n.counts(i):
 			holds, v = e, ""
 		case e.Op == opSettle && holds != nil && holds.Request == e.Request && v != verdict.Ran:
 			v = e.Verdict
@@ -54,13 +72,13 @@
 			}
 		}
 	}
-	if holds == nil || !at.Before(holds.at.Add(duration(holds.Window))) {
+	if holds == nil || over(at) {
 		return "", ""
 	}
 	return holds.Request, v
 }
 
-func drawEntry(t *rapid.T, now time.Time) entry {
+func drawEntry(t *rapid.T, now time.Time, next platform.Offset) entry {
 	e := entry{
 		Op:      rapid.SampledFrom([]opCode{opClaim, opSettle}).Draw(t, "op"),
 		Key:     Hash{byte(rapid.IntRange(0, 3).Draw(t, "key"))},
@@ -70,25 +88,46 @@
 		e.Verdict = rapid.SampledFrom([]verdict.Verdict{verdict.Ran, verdict.NotRun, verdict.MayHaveRun}).Draw(t, "verdict")
 		return e
 	}
-	e.Window = int64(rapid.SampledFrom([]int{1000, 5000, 20000}).Draw(t, "window"))
+	e.Basis = max(0, next-platform.Offset(rapid.IntRange(0, 8).Draw(t, "behind")))
+	e.Window = int64(rapid.SampledFrom([]int{1000, 5000, 20000, 600000}).Draw(t, "window"))
 	e.EndsIn = 1
-	if rapid.Bool().Draw(t, "timed") {
+	if rapid.IntRange(0, 3).Draw(t, "timed") == 0 {
 		e.NotBefore = now.UnixMilli() + int64(rapid.IntRange(-2000, 500).Draw(t, "not before"))
 		e.NotAfter = e.NotBefore + 2000
 	}
 	return e
 }
 
+// drawRecords draws a stream of records.
+func drawRecords(t *rapid.T) (records [][]entry, times []time.Time) {
+	now := start
+	for o := range platform.Offset(rapid.IntRange(1, 60).Draw(t, "records")) {
+		pause := rapid.SampledFrom([]time.Duration{0, time.Second, 3 * time.Second, claimLimbo / 2}).Draw(t, "pause")
+		now = now.Add(pause)
+		var es []entry
+		for range rapid.IntRange(1, 3).Draw(t, "entries") {
+			es = append(es, drawEntry(t, now, o))
+		}
+		records, times = append(records, es), append(times, now)
+	}
+	return records, times
+}
+
+func (t *table) fold(o int, at time.Time, es []entry) {
+	t.advance(at)
+	for i := range es {
+		t.apply(platform.Offset(o), &es[i])
+	}
+}
+
 func TestTableAgreesWithNaiveTable(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		fast, naive, now := newTable(time.Minute, 100), naiveTable{}, start
-		for range rapid.IntRange(1, 60).Draw(t, "records") {
-			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "pause")) * time.Millisecond)
-			fast.advance(now)
-			for range rapid.IntRange(1, 3).Draw(t, "entries") {
-				e := drawEntry(t, now)
-				fast.apply(&e)
-				naive = append(naive, naiveEntry{now, e})
+		fast, naive := newTable(0, time.Minute, 100), naiveTable{}
+		records, times := drawRecords(t)
+		for o, es := range records {
+			fast.fold(o, times[o], es)
+			for _, e := range es {
+				naive = append(naive, naiveEntry{platform.Offset(o), times[o], e})
 			}
 			for key := range byte(4) {
 				var got entity.RequestID
@@ -96,9 +135,40 @@
 				if h := fast.get(Hash{key}); h != nil {
 					got, gotVerdict = h.request, h.verdict
 				}
-				want, wantVerdict := naive.holder(Hash{key}, now)
+				want, wantVerdict := naive.holder(Hash{key}, times[o])
 				if got != want || gotVerdict != wantVerdict {
-					t.Fatalf("key %d: held by %q (%q), naive says %q (%q)", key, got, gotVerdict, want, wantVerdict)
+					t.Fatalf("record %d, key %d: held by %q (%q), naive says %q (%q)", o, key, got, gotVerdict, want, wantVerdict)
+				}
+			}
+		}
+	})
+}
+
+// A reader that starts in the middle, with nothing lost that is younger than
+// the longest window, takes no key for free that is held, and is sure of a
+// holder only if it is right.
+func TestReaderFromTheMiddleIsCautious(t *testing.T) {
+	const longest = 600 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		records, times := drawRecords(t)
+		from := rapid.IntRange(0, len(records)-1).Draw(t, "from")
+		full, late := newTable(0, time.Minute, 100), newTable(platform.Offset(from), time.Minute, 100)
+		for o, es := range records {
+			full.fold(o, times[o], es)
+			if o < from {
+				continue
+			}
+			late.fold(o, times[o], es)
+			if from > 0 && times[o].Sub(times[from-1]) < longest {
+				continue // it has not caught up
+			}
+			for key := range byte(4) {
+				f, l := full.get(Hash{key}), late.get(Hash{key})
+				if f != nil && l == nil {
+					t.Fatalf("from %d, record %d, key %d: held by %q, taken for free", from, o, key, f.request)
+				}
+				if l != nil && !l.unsure && (f == nil || f.request != l.request) {
+					t.Fatalf("from %d, record %d, key %d: sure of %q, held by %+v", from, o, key, l.request, f)
 				}
 			}
 		}
@@ -106,14 +176,19 @@
 }
 
 func TestFreedKeysTakeNoLastingMemory(t *testing.T) {
-	tb := newTable(time.Minute, 100)
-	tb.advance(start)
+	tb := newTable(0, time.Minute, 100)
 	for i := range 10000 {
 		r := entity.RequestID(fmt.Sprint(i))
-		tb.apply(&entry{Op: opClaim, Key: Hash{1}, Request: r, Window: 1 << 40, EndsIn: 1})
-		tb.apply(&entry{Op: opSettle, Key: Hash{1}, Request: r, Verdict: verdict.NotRun})
+		tb.fold(i, start, []entry{
+			{Op: opClaim, Key: Hash{1}, Request: r, Basis: platform.Offset(i), Window: 1 << 40, EndsIn: 1},
+			{Op: opSettle, Key: Hash{1}, Request: r, Verdict: verdict.NotRun},
+		})
+	}
+	if cap(tb.claims.refs) > 4*compactSlack || cap(tb.freed.refs) > 4*compactSlack {
+		t.Errorf("room for %d and %d refs", cap(tb.claims.refs), cap(tb.freed.refs))
 	}
-	if len(tb.keys) != 0 || cap(tb.claims.refs) > 4*compactSlack {
-		t.Errorf("%d keys, room for %d refs", len(tb.keys), cap(tb.claims.refs))
+	tb.advance(start.Add(claimLimbo))
+	if len(tb.keys) != 0 {
+		t.Errorf("%d keys", len(tb.keys))
 	}
 }
--- a/internal/core/claim/record.go
+++ b/internal/core/claim/record.go
@@ -8,6 +8,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/platform"
 	"github.com/medlarhold/medlarhold/internal/verdict"
 )
 
@@ -39,13 +40,15 @@
 	Key     Hash             `json:"k"`
 	Request entity.RequestID `json:"r"`
 
-	// Of a claim. NotBefore and NotAfter bound the log time at which the claim
-	// of a timed key counts; zero means no bound.
-	Body      Hash  `json:"b,omitzero"`
-	Window    int64 `json:"w,omitempty"`
-	EndsIn    int64 `json:"n,omitempty"`
-	NotBefore int64 `json:"nb,omitempty"`
-	NotAfter  int64 `json:"na,omitempty"`
+	// Of a claim. Basis is the offset up to which the sender had read, and had
+	// found the key free. NotBefore and NotAfter bound the log time at which the
+	// claim counts; zero means no bound.
+	Basis     platform.Offset `json:"p,omitempty"`
+	Body      Hash            `json:"b,omitzero"`
+	Window    int64           `json:"w,omitempty"`
+	EndsIn    int64           `json:"n,omitempty"`
+	NotBefore int64           `json:"nb,omitempty"`
+	NotAfter  int64           `json:"na,omitempty"`
 
 	// Of an outcome.
 	Verdict verdict.Verdict `json:"vd,omitempty"`
--- a/internal/core/claim/sender.go
+++ b/internal/core/claim/sender.go
@@ -82,15 +82,19 @@
 	return claims
 }
 
-// next returns the next batch to append, if there is one and the limit allows it.
-func (s *sender) next(now time.Time) (Batch, bool) {
+// next returns the next batch to append, if there is one and the limit allows
+// it. Prepare completes a claim right before it leaves, or says no.
+func (s *sender) next(now time.Time, prepare func(*entry) bool) (Batch, bool) {
 	if s.flight != nil && s.flight.state != flightMissing {
 		return Batch{}, false
 	}
-	if s.flight == nil && len(s.queue) == 0 {
+	if now.Before(s.notUntil) {
 		return Batch{}, false
 	}
-	if now.Before(s.notUntil) || !s.set.Budget.take(now, s.num) {
+	if s.flight == nil && !s.prepareHead(prepare) {
+		return Batch{}, false
+	}
+	if !s.set.Budget.take(now, s.num) {
 		return Batch{}, false
 	}
 	if s.flight == nil {
@@ -101,6 +105,21 @@
 	return Batch{ID: s.flight.id, Stream: s.num.Stream(), Data: encode(s.flight.id, s.flight.entries)}, true
 }
 
+// prepareHead prepares as many entries as fit a batch, and says whether there
+// are any.
+func (s *sender) prepareHead(prepare func(*entry) bool) bool {
+	head := 0
+	for head < len(s.queue) && head < maxBatchEntries {
+		e := &s.queue[head]
+		if e.Op == opClaim && !prepare(e) {
+			s.queue = append(s.queue[:head], s.queue[head+1:]...)
+			continue
+		}
+		head++
+	}
+	return head > 0
+}
+
 // load makes a batch of the head of the queue.
 func (s *sender) load() {
 	n := min(len(s.queue), maxBatchEntries)
--- a/internal/core/claim/settings.go
+++ b/internal/core/claim/settings.go
@@ -84,7 +84,7 @@
 	DefaultMaxPending      = 1024
 )
 
-// Sizes that bound what goes into the log.
+// Bounds of what goes into the log.
 const (
 	// MaxAnswerBytes is the longest answer body kept with an outcome; a longer
 	// one is left out.
@@ -93,6 +93,10 @@
 	MaxKeyBytes = 256
 	// MaxIDBytes is the longest request or instance id, and the longest reason.
 	MaxIDBytes = 64
+	// claimLimbo is how long a claim may be on its way to the log and still be
+	// dispatched, at the longest: DispatchWithin doesn't exceed it. It is the
+	// same for every reader.
+	claimLimbo = 5 * time.Minute
 	// maxBatchEntries bounds the entries of one append.
 	maxBatchEntries = 64
 	// maxRecordBytes is the longest record that is looked at.
@@ -143,6 +147,8 @@
 	case s.taken()+s.RetentionMargin > s.Retention:
 		return trace.BadParameter("claim: a key taken for %v and margin %v exceed the log's retention %v",
 			s.taken(), s.RetentionMargin, s.Retention)
+	case s.DispatchWithin > claimLimbo:
+		return trace.BadParameter("claim: dispatch within %v exceeds %v", s.DispatchWithin, claimLimbo)
 	case s.MaxClockSkew >= s.Window:
 		return trace.BadParameter("claim: window %v is not longer than the clock skew %v", s.Window, s.MaxClockSkew)
 	}
--- a/internal/core/claim/shard.go
+++ b/internal/core/claim/shard.go
@@ -65,7 +65,7 @@
 	return &Shard{
 		set:       set,
 		num:       num,
-		table:     newTable(set.AnswerFor, set.MaxAnswers),
+		table:     newTable(0, set.AnswerFor, set.MaxAnswers),
 		sender:    sender{set: set, num: num},
 		reader:    stream.NewReader(set.reader(num)),
 		waiting:   make(map[entity.RequestID]*proposal),
@@ -100,14 +100,14 @@
 	if s.refuseEarly(now, pr) {
 		return
 	}
-	if h := s.table.get(pr.key); h != nil && s.liveAt(now, h) {
+	if h := s.table.get(pr.key); h != nil && s.stands(now, h) {
 		s.decide(now, pr, h)
 		return
 	}
 	s.abandoned.remove(p.Request)
 	s.waiting[p.Request] = pr
 	s.order = append(s.order, pr)
-	s.sender.enqueue(s.claimEntry(pr))
+	s.sender.enqueue(entry{Op: opClaim, Key: pr.key, Request: p.Request})
 }
 
 // refuseEarly refuses what can't be decided or must not be.
@@ -152,11 +152,33 @@
 	return made.Add(s.set.Window - s.set.MaxClockSkew)
 }
 
+// prepare completes a claim right before it leaves. Its key must be free as far
+// as the stream was read; a holder whose time seems over, by an estimate of the
+// log's clock, is left to the log to judge.
+func (s *Shard) prepare(e *entry) bool {
+	p := s.waiting[e.Request]
+	if p == nil {
+		return false
+	}
+	h := s.table.get(e.Key)
+	if h != nil && s.stands(s.now, h) {
+		s.finish(p)
+		s.decide(s.now, p, h)
+		return false
+	}
+	*e = s.claimEntry(p)
+	if h != nil {
+		e.NotBefore = max(e.NotBefore, h.until)
+	}
+	return true
+}
+
 func (s *Shard) claimEntry(p *proposal) entry {
 	e := entry{
 		Op:      opClaim,
 		Key:     p.key,
 		Request: p.Request,
+		Basis:   s.reader.Next(),
 		Body:    p.BodyHash,
 		Window:  millis(s.set.taken()),
 		EndsIn:  millis(s.set.runEnds()),
@@ -269,7 +291,7 @@
 		return
 	}
 	for i := range rec.Entries {
-		s.table.apply(&rec.Entries[i])
+		s.table.apply(r.Offset, &rec.Entries[i])
 		s.afterEntry(now, &rec.Entries[i])
 	}
 	for _, e := range s.sender.readBack(now, rec.ID) {
@@ -286,31 +308,35 @@
 	}
 	h := s.table.get(e.Key)
 	if p := s.waiting[e.Request]; p != nil {
-		s.decideRead(now, p, h)
+		s.decideRead(now, p, e, h)
 		return
 	}
-	if to, ok := s.abandoned.take(e.Request); ok && h != nil && h.request == e.Request {
+	if to, ok := s.abandoned.take(e.Request); ok && h != nil && h.request == e.Request && !h.unsure {
 		s.win(now, e.Request, to, e.Key)
 	}
 }
 
 // decideRead decides a proposal whose claim was read back.
-func (s *Shard) decideRead(now time.Time, p *proposal, h *holder) {
-	s.finish(p)
+func (s *Shard) decideRead(now time.Time, p *proposal, e *entry, h *holder) {
 	s.sender.cancel(p.Request)
-	if h == nil { // a timed key whose time is over, or was not yet come
+	switch {
+	case h != nil:
+		s.finish(p)
+		s.decide(now, p, h)
+	case e.NotAfter != 0 && s.table.now.UnixMilli() >= e.NotAfter:
+		s.finish(p)
 		s.refuse(p, verdict.MayHaveRun, verdict.ReasonKeyExpired, 0)
-		return
+	default: // no claim of the key counted: another one stood in between
+		s.sender.enqueue(entry{Op: opClaim, Key: p.key, Request: p.Request})
 	}
-	s.decide(now, p, h)
 }
 
 // decide answers a proposal by the holder of its key.
 func (s *Shard) decide(now time.Time, p *proposal, h *holder) {
 	switch {
-	case h.request == p.Request && h.verdict == "":
+	case h.request == p.Request && h.verdict == "" && !h.unsure:
 		s.win(now, p.Request, p.From, p.key)
-	case h.body != p.BodyHash:
+	case !h.unsure && h.body != p.BodyHash:
 		s.refuseFor(p, h, Decision{Verdict: verdict.NotRun, Reason: verdict.ReasonKeyReused})
 	case h.verdict == verdict.Ran:
 		s.refuseFor(p, h, Decision{Verdict: verdict.Ran, Reason: h.reason, Status: int(h.status), Answer: h.answerBody(), AnswerDropped: h.dropped})
@@ -326,12 +352,12 @@
 // open says whether a request still holds its key without an outcome.
 func (s *Shard) open(w *win) bool {
 	h := s.table.get(w.key)
-	return h != nil && h.request == w.request && h.verdict == ""
+	return h != nil && h.request == w.request && h.verdict == "" && !h.unsure
 }
 
-// liveAt estimates whether a holder still stands. A wrong guess is harmless:
-// an early "no" makes a claim that the log decides on.
-func (s *Shard) liveAt(now time.Time, h *holder) bool { return h.live(s.logNow(now)) }
+// stands says whether a holder seems to stand still, by an estimate of the
+// log's clock.
+func (s *Shard) stands(now time.Time, h *holder) bool { return h.live(s.logNow(now)) }
 
 // logNow estimates the log's clock from the newest record.
 func (s *Shard) logNow(now time.Time) time.Time {
@@ -378,7 +404,7 @@
 	if s.reader.Next() > 0 {
 		s.stats.Resets++
 	}
-	s.table = newTable(s.set.AnswerFor, s.set.MaxAnswers)
+	s.table = newTable(first, s.set.AnswerFor, s.set.MaxAnswers)
 	s.reader.Restart(first)
 }
 
@@ -430,7 +456,7 @@
 func (s *Shard) Ready() Ready {
 	now := s.now
 	s.sender.prune(func(r entity.RequestID) bool { return s.waiting[r] != nil })
-	if b, ok := s.sender.next(now); ok {
+	if b, ok := s.sender.next(now, s.prepare); ok {
 		s.out.Appends = append(s.out.Appends, b)
 	}
 	s.out.Read = s.reader.Request(now, !s.Idle())
--- a/internal/core/claim/shard_test.go
+++ b/internal/core/claim/shard_test.go
@@ -216,6 +216,74 @@
 	}
 }
 
+// A home whose clock runs ahead takes a key for free too early: the claim
+// itself says from which log time on it counts.
+func TestLogTimeDecidesWhenAKeyIsFree(t *testing.T) {
+	var l streamRecords
+	s := caughtUp(t, &l)
+	s.Propose(start, propose("r1"))
+	drive(start, s, &l)
+	ahead := start.Add(s.set.taken() + time.Second)
+	s.Propose(ahead, propose("r2"))
+	b := takeBatch(t, ahead, s, l)
+	l.append(start.Add(s.set.taken()-time.Second), b.Data)
+	s.AppendResult(ahead, b.ID, AppendDone, 1)
+	if d := only(t, drive(ahead, s, &l)); d.Won || d.Holder != "r1" {
+		t.Errorf("%+v", d)
+	}
+	ahead = ahead.Add(2 * time.Second)
+	s.Propose(ahead, propose("r3"))
+	b = takeBatch(t, ahead, s, l)
+	l.append(start.Add(s.set.taken()), b.Data)
+	s.AppendResult(ahead, b.ID, AppendDone, 2)
+	if d := only(t, drive(ahead, s, &l)); !d.Won {
+		t.Errorf("%+v", d)
+	}
+}
+
+// A claim that waits for its append is looked at again before it leaves.
+func TestClaimIsNotSentForAKeyThatWasTakenMeanwhile(t *testing.T) {
+	var l streamRecords
+	budget := NewBudget(1, 1)
+	s, err := New(Settings{Instance: "a", Budget: budget}, ShardOf("org", testKey))
+	if err != nil {
+		t.Fatal(err)
+	}
+	drive(start, s, &l)
+	budget.take(start, ShardCount)
+	s.Propose(start, propose("r1"))
+	r := s.Ready()
+	if len(r.Decisions) != 0 || len(r.Appends) != 0 || r.Read == nil {
+		t.Fatalf("%+v", r)
+	}
+	s.Fold(start, nil, 0, 0)
+	other := caughtUp(t, &l)
+	other.Propose(start, propose("r2"))
+	drive(start, other, &l)
+	later := start.Add(time.Millisecond) // the budget still says no
+	s.Tick(later)
+	s.Ready()
+	s.Fold(later, l, 0, 1)
+	if d := only(t, drive(later.Add(time.Second), s, &l)); d.Won || d.Holder != "r2" || len(l) != 1 {
+		t.Errorf("%+v with %d records", d, len(l))
+	}
+}
+
+// A claim whose basis lies before the start of the reading takes its key
+// without being known to win; only a run shows who did.
+func TestUnsureHolderIsNotFreed(t *testing.T) {
+	tb := newTable(5, time.Hour, 1)
+	claim := entry{Op: opClaim, Key: Hash{1}, Request: "r1", Basis: 2, Window: 10000, EndsIn: 1}
+	tb.fold(5, start, []entry{claim, {Op: opSettle, Key: Hash{1}, Request: "r1", Verdict: verdict.NotRun}})
+	if h := tb.get(Hash{1}); h == nil || !h.unsure {
+		t.Fatalf("%+v", h)
+	}
+	tb.fold(6, start, []entry{{Op: opSettle, Key: Hash{1}, Request: "r0", Verdict: verdict.Ran, Status: 201}})
+	if h := tb.get(Hash{1}); h == nil || h.request != "r0" || h.verdict != verdict.Ran {
+		t.Errorf("%+v", h)
+	}
+}
+
 // Retention that overtakes the reader makes the home refuse until it has read
 // what is left.
 func TestTruncationMakesTheHomeUnready(t *testing.T) {
@@ -247,11 +315,11 @@
 
 // Above MaxAnswers the oldest answer goes; its verdict and status stay.
 func TestOldestAnswerIsDroppedFirst(t *testing.T) {
-	tb := newTable(time.Hour, 1)
+	tb := newTable(0, time.Hour, 1)
 	tb.advance(start)
 	for key := range byte(2) {
-		tb.apply(&entry{Op: opClaim, Key: Hash{key}, Request: "r", Window: 1000, EndsIn: 1})
-		tb.apply(&entry{Op: opSettle, Key: Hash{key}, Request: "r", Verdict: verdict.Ran, Status: 201, Answer: []byte("ok")})
+		tb.apply(0, &entry{Op: opClaim, Key: Hash{key}, Request: "r", Window: 1000, EndsIn: 1})
+		tb.apply(0, &entry{Op: opSettle, Key: Hash{key}, Request: "r", Verdict: verdict.Ran, Status: 201, Answer: []byte("ok")})
 	}
 	if h := tb.get(Hash{0}); h.answer != nil || !h.dropped || h.status != 201 || h.verdict != verdict.Ran {
 		t.Errorf("old: %+v", h)
--- a/internal/core/claim/table.go
+++ b/internal/core/claim/table.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/platform"
 	"github.com/medlarhold/medlarhold/internal/verdict"
 )
 
@@ -14,16 +15,21 @@
 // holder is what the table knows of a key that is taken. There is one for each
 // live key, so it is kept small; times are Unix milliseconds of the log's clock.
 type holder struct {
-	request entity.RequestID
+	request entity.RequestID // empty once the key was freed
 	body    Hash
-	seq     uint64 // numbers the claims that took a key
-	until   int64  // when the key is free again
-	endsAt  int64  // when the run must be over
+	seq     uint64          // numbers the claims that took a key
+	last    platform.Offset // of the last claim in time, whether it counted or not
+	lastAt  int64           // log time of that
+	until   int64           // when the key is free again
+	endsAt  int64           // when the run must be over
 	verdict verdict.Verdict
 	reason  verdict.Reason
 	answer  *answer
 	status  int16
 	dropped bool // the answer was dropped to save memory
+	// unsure says that the claim's basis lies before the start of the table, so
+	// that it may not have counted. The key is taken all the same.
+	unsure bool
 }
 
 // answer is the body of an outcome.
@@ -32,20 +38,27 @@
 	settled time.Time
 }
 
-// table is the state of a shard's stream up to an offset. It is a pure
-// function of the records: every reader of the stream has the same.
+// table is the state of a shard's stream up to an offset.
+//
+// A claim counts if no other claim of its key stands between its basis and
+// itself, claimLimbo or longer ago left out. That depends on nothing before the
+// basis, so all readers that have read from there on agree, wherever they
+// started. A claim that counts takes the key from whoever held it, since its
+// sender had found the key free.
 type table struct {
+	start      platform.Offset // the first record that was read
 	answerFor  time.Duration
 	maxAnswers int
 	keys       map[Hash]*holder
 	claims     fifo // live keys in log order, for expiry
+	freed      fifo // freed keys in the order of freeing
 	answers    fifo // keys with an answer in order of settling
 	now        time.Time
 	seq        uint64
 }
 
-func newTable(answerFor time.Duration, maxAnswers int) *table {
-	return &table{answerFor: answerFor, maxAnswers: maxAnswers, keys: make(map[Hash]*holder)}
+func newTable(start platform.Offset, answerFor time.Duration, maxAnswers int) *table {
+	return &table{start: start, answerFor: answerFor, maxAnswers: maxAnswers, keys: make(map[Hash]*holder)}
 }
 
 // advance moves the log's time, which never goes back.
@@ -54,6 +67,7 @@
 		t.now = logTime
 	}
 	t.claims.popWhile(t.expire)
+	t.freed.popWhile(t.expire)
 	t.answers.popWhile(t.dropAnswer)
 }
 
@@ -73,7 +87,7 @@
 	if h == nil {
 		return true
 	}
-	if h.live(t.now) {
+	if h.live(t.now) || h.disputes(t.now) {
 		return false
 	}
 	delete(t.keys, r.key)
@@ -99,34 +113,51 @@
 // get returns the live holder of a key, or nil.
 func (t *table) get(key Hash) *holder {
 	h := t.keys[key]
-	if h == nil || !h.live(t.now) {
+	if h == nil || h.request == "" || !h.live(t.now) {
 		return nil
 	}
 	return h
 }
 
-// apply folds one entry of a record with the log time now.
-func (t *table) apply(e *entry) {
+// apply folds one entry of the record at an offset, with the log time now.
+func (t *table) apply(o platform.Offset, e *entry) {
 	if e.Op == opClaim {
-		t.claim(e)
+		t.claim(o, e)
 		return
 	}
 	t.settle(e)
 }
 
-func (t *table) claim(e *entry) {
-	if t.get(e.Key) != nil || !e.counts(t.now) {
+func (t *table) claim(o platform.Offset, e *entry) {
+	if !e.inTime(t.now) {
 		return
 	}
+	h := t.keys[e.Key]
+	clear := h == nil || h.last < e.Basis || !h.disputes(t.now)
+	if h != nil {
+		h.last, h.lastAt = o, t.now.UnixMilli()
+	}
+	switch {
+	case e.Basis >= t.start && clear:
+		t.take(o, e, false)
+	case e.Basis < t.start && (t.get(e.Key) == nil || h.unsure):
+		t.take(o, e, true)
+	}
+}
+
+// take makes a request the holder of its key.
+func (t *table) take(o platform.Offset, e *entry, unsure bool) {
 	t.seq++
-	h := &holder{
-		seq:     t.seq,
+	t.keys[e.Key] = &holder{
 		request: e.Request,
 		body:    e.Body,
+		seq:     t.seq,
+		last:    o,
+		lastAt:  t.now.UnixMilli(),
 		until:   t.now.Add(duration(e.Window)).UnixMilli(),
 		endsAt:  t.now.Add(duration(e.EndsIn)).UnixMilli(),
+		unsure:  unsure,
 	}
-	t.keys[e.Key] = h
 	t.claims.push(ref{e.Key, t.seq})
 	t.claims.compact(len(t.keys), t.stale)
 }
@@ -135,13 +166,37 @@
 // holds until something better is known.
 func (t *table) settle(e *entry) {
 	h := t.get(e.Key)
-	if h == nil || h.request != e.Request || h.verdict == verdict.Ran {
+	if h == nil || h.verdict == verdict.Ran {
+		return
+	}
+	if h.unsure {
+		t.settleUnsure(h, e)
+		return
+	}
+	if h.request != e.Request {
 		return
 	}
 	if e.Verdict == verdict.NotRun {
-		delete(t.keys, e.Key)
+		t.free(e.Key, h)
 		return
 	}
+	t.finish(h, e)
+}
+
+// settleUnsure takes in an outcome of a key whose holder is not known for
+// sure. Only the true holder runs, so a run tells who it was; no outcome frees
+// the key.
+func (t *table) settleUnsure(h *holder, e *entry) {
+	if e.Verdict == verdict.NotRun {
+		return
+	}
+	if h.request != e.Request {
+		h.request, h.body = e.Request, Hash{}
+	}
+	t.finish(h, e)
+}
+
+func (t *table) finish(h *holder, e *entry) {
 	h.verdict, h.reason, h.status = e.Verdict, e.Reason, int16(e.Status)
 	if len(e.Answer) > 0 {
 		h.answer = &answer{body: e.Answer, settled: t.now}
@@ -151,14 +206,29 @@
 	}
 }
 
-// counts says whether a claim of a timed key stands at a time that counts.
-func (e *entry) counts(logTime time.Time) bool {
+// free makes a key free. Its row stays while its last claim disputes others.
+func (t *table) free(key Hash, h *holder) {
+	t.seq++
+	h.request, h.verdict, h.answer, h.seq = "", "", nil, t.seq
+	h.until = 0
+	t.freed.push(ref{key, h.seq})
+	t.freed.compact(len(t.keys), t.stale)
+}
+
+// inTime says whether a claim stands at a log time at which it counts.
+func (e *entry) inTime(logTime time.Time) bool {
 	at := logTime.UnixMilli()
 	return at >= e.NotBefore && (e.NotAfter == 0 || at < e.NotAfter)
 }
 
 func (h *holder) live(logTime time.Time) bool { return logTime.UnixMilli() < h.until }
 
+// disputes says whether the last claim still stands against claims that were
+// sent before it.
+func (h *holder) disputes(logTime time.Time) bool {
+	return logTime.UnixMilli() < h.lastAt+claimLimbo.Milliseconds()
+}
+
 // overdue says whether the run must be over by now.
 func (h *holder) overdue(logTime time.Time) bool { return logTime.UnixMilli() > h.endsAt }
 
--- a/internal/core/stream/stream.go
+++ b/internal/core/stream/stream.go
@@ -63,6 +63,7 @@
 // time, unless one timed out.
 type Reader struct {
 	set      ReaderSettings
+	start    platform.Offset // everything from here to next was read
 	next     platform.Offset // the next record to fold
 	end      platform.Offset // the stream's end as last seen
 	goal     platform.Offset // where the first read after a start saw the end
@@ -92,6 +93,9 @@
 // Next is the offset of the next record to fold.
 func (r *Reader) Next() platform.Offset { return r.next }
 
+// Start is the offset from which everything up to Next was read.
+func (r *Reader) Start() platform.Offset { return r.start }
+
 // Asked is when the last read was asked for.
 func (r *Reader) Asked() time.Time { return r.asked }
 
@@ -100,7 +104,7 @@
 
 // Restart goes on at the oldest record after having been overtaken.
 func (r *Reader) Restart(first platform.Offset) {
-	r.next = first
+	r.start, r.next = first, first
 	r.goalSet = false
 	r.caughtUp = false
 }
