--- a/internal/core/limit/limit_test.go
+++ b/internal/core/limit/limit_test.go
@@ -239,3 +239,72 @@
 		t.Errorf("took %d in a second", taken)
 	}
 }
+
+// settledHome returns how to ask a settled home of three members that has 9 in
+// flight to lend.
+func settledHome() (demand func(from entity.InstanceID, d OrgDemand) *Share) {
+	members := []entity.Instance{{ID: "a"}, {ID: "b"}, {ID: "c"}}
+	contracts := func(entity.OrgID) (Limit, bool) { return Limit{Rate: 90, Burst: 9, Concurrent: 9}, true }
+	z := newZone(Zone{Members: members, Fleet: 3})
+	now := time.Unix(1000, 0)
+	h := NewHome(DefaultSettings(), z.home(org), contracts)
+	h.SetZone(now, Zone{Members: members, Fleet: 3})
+	for range 300 {
+		now = now.Add(tickEvery)
+		h.Tick(now)
+	}
+	seq := uint64(0)
+	return func(from entity.InstanceID, d OrgDemand) *Share {
+		seq++
+		d.Org = org
+		h.Step(now, from, Demand{Seq: seq, Members: z.digest, Orgs: []OrgDemand{d}})
+		for _, o := range h.Ready().Messages {
+			if o.To == from && o.Share.Answers == seq {
+				return o.Share
+			}
+		}
+		return nil
+	}
+}
+
+func TestShareOnItsWayIsNotLentTwice(t *testing.T) {
+	for name, crossing := range map[string]OrgDemand{
+		"report":    {InFlight: 1, HoldConcurrent: 1},
+		"give back": {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			demand := settledHome()
+			lent := demand("b", OrgDemand{Waiting: 6, InFlight: 1}).Orgs[0].Concurrent
+			if lent < 7 {
+				t.Fatalf("lent %d", lent)
+			}
+			// Sent before the share arrived: Seen does not name it.
+			demand("b", crossing)
+			if got := demand("c", OrgDemand{Waiting: 9}).Orgs[0].Concurrent; got > 9-lent {
+				t.Errorf("lent %d and %d of 9", lent, got)
+			}
+		})
+	}
+}
+
+func TestShareOfAnotherHomeIsIgnored(t *testing.T) {
+	members := []entity.Instance{{ID: "a"}, {ID: "b"}, {ID: "c"}}
+	now := time.Unix(1000, 0)
+	b := NewBorrower(DefaultSettings(), func(entity.OrgID) (Limit, bool) { return Limit{Rate: 90, Burst: 9, Concurrent: 9}, true })
+	b.SetZone(now, Zone{Members: members, Fleet: 3})
+	b.Ready()
+	for range 3 {
+		b.Take(now, org)
+	}
+	ask := b.Ready().Messages[0]
+	b.Step(now, ask.To, Share{Seq: 1, Answers: ask.Demand.Seq, Orgs: []OrgShare{{Org: org, Rate: 10, Tokens: 5, Concurrent: 8}}})
+	for _, m := range members {
+		if m.ID != ask.To {
+			b.Step(now, m.ID, Share{Seq: 9, Orgs: []OrgShare{{Org: org}}})
+			b.Step(now, m.ID, Share{Seq: 9, Answers: ask.Demand.Seq, Orgs: []OrgShare{{Org: org, Concurrent: 99}}})
+		}
+	}
+	if a := b.accounts[org]; a.concurrent != 8 || a.rate != 10 {
+		t.Errorf("share is now %d, %.0f", a.concurrent, a.rate)
+	}
+}
--- a/internal/core/membership/core_test.go
+++ b/internal/core/membership/core_test.go
@@ -250,3 +250,44 @@
 		}
 	}
 }
+
+func TestRowsAreComparedThoughDigestsNeverSettle(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := New(DefaultSettings(), entity.Instance{ID: "a", Zone: "z"}, rand.New(rand.NewSource(1)))
+	c.Step(now, "b", Message{Kind: Sync, Round: SyncRows, Updates: []Update{{ID: "b", Zone: "z"}}})
+	c.Ready()
+	asked := 0
+	for i := range 40 {
+		now = now.Add(500 * time.Millisecond)
+		c.Step(now, "b", Message{Kind: Ping, Seq: uint64(i + 1), Digest: uint64(i + 1)})
+		for _, o := range c.Ready().Messages {
+			if o.Message.Kind == Sync && o.Message.Round == SyncAsk {
+				asked++
+			}
+		}
+	}
+	if asked < 2 || asked > 4 {
+		t.Errorf("asked %d times in 20 s", asked)
+	}
+}
+
+func TestSilentMemberIsSuspectedWithoutLuck(t *testing.T) {
+	s := DefaultSettings()
+	bound := 2*s.ProbeInterval + s.ProbeTimeout + 4*testStep
+	for seed := int64(1); seed <= 10; seed++ {
+		c := newCluster(t, seed)
+		c.fill(1, 31)
+		c.mustAgree(convergeWithin)
+		silent := c.nodes[c.rng.Intn(31)]
+		silent.frozen = true
+		c.run(bound, nil)
+		suspected := false
+		for _, n := range c.nodes {
+			r := n.core.table.byID[silent.self.ID]
+			suspected = suspected || (n != silent && r.State != Alive)
+		}
+		if !suspected {
+			t.Errorf("seed %d: no one suspects it after %v", seed, bound)
+		}
+	}
+}
