--- a/internal/core/membership/core_test.go
+++ b/internal/core/membership/core_test.go
@@ -274,7 +274,7 @@
 func TestSilentMemberIsSuspectedWithoutLuck(t *testing.T) {
 	s := DefaultSettings()
 	bound := 2*s.ProbeInterval + s.ProbeTimeout + 4*testStep
-	for seed := int64(1); seed <= 10; seed++ {
+	for seed := int64(1); seed <= 40; seed++ {
 		c := newCluster(t, seed)
 		c.fill(1, 31)
 		c.mustAgree(convergeWithin)
