--- a/cmd/medlarhold-standin/server.go
+++ b/cmd/medlarhold-standin/server.go
@@ -26,7 +26,7 @@
 
 // read decodes the settings.
 func (f *serverFlags) read(into any) error {
-	data, err := hujson.Standardize([]byte(f.settings)) //nolint:misspell // the library's name
+	data, err := hujson.Standardize([]byte(f.settings))
 	if err != nil {
 		return trace.BadParameter("--settings: %v", err)
 	}
--- a/internal/caller/enginejob.go
+++ b/internal/caller/enginejob.go
@@ -13,6 +13,9 @@
 	"github.com/medlarhold/medlarhold/internal/verdict"
 )
 
+// pauseRetry is the time between two tries to pause a stream.
+const pauseRetry = 20 * time.Millisecond
+
 // controlTimeout bounds a pause, resume or cancel at an engine.
 const controlTimeout = 5 * time.Second
 
@@ -25,6 +28,7 @@
 	// cancelled is the reason for which the stream was cancelled, if it was.
 	cancelled atomic.Pointer[verdict.Error]
 	stop      atomic.Pointer[context.CancelFunc]
+	ended     atomic.Bool // the call to the engine is over
 	result    endpoint.Result
 	lastToken time.Time
 }
@@ -37,7 +41,7 @@
 	defer cancel()
 	j.stop.Store(&cancel)
 	j.importPrefix(ctx, e, d)
-	if c := j.cancelled.Load(); c != nil { // the cancel came before there was anything to stop
+	if c := j.cancelled.Load(); c != nil { // before anything was sent
 		j.s.opts.Control.Ended(j.id, request.End{Err: notRun(c)})
 		return
 	}
@@ -47,20 +51,12 @@
 	}, func(t endpoint.Token) error { return j.token(start, t) })
 	j.result = res
 	if err != nil && verdict.Of(err).Verdict == verdict.MayHaveRun && res.FinishReason == "" {
-		go j.abandon(context.WithoutCancel(ctx), e)
+		j.stopEngine(ctx, e) // before the slot is given back
 	}
+	j.ended.Store(true)
 	j.s.opts.Control.Ended(j.id, j.end(res, err))
 }
 
-// abandon has the engine drop a stream that no one reads any more, so that it
-// doesn't hold its slot to the end.
-func (j *engineJob) abandon(ctx context.Context, e entity.Endpoint) {
-	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
-	defer cancel()
-	// Nothing is left to do when it fails: engines drop such streams by themselves.
-	_, _ = j.s.opts.Endpoints.Cancel(ctx, e.Address, j.id)
-}
-
 // notRun is the reason of a cancel for a request that was never sent.
 func notRun(c *verdict.Error) *verdict.Error {
 	out := *c
@@ -126,16 +122,28 @@
 		end.Err = c
 		return end
 	}
-	end.Release.Failed = end.Err.Reason != verdict.ReasonCallerGone
+	end.Release.Failed = !callersFault(end.Err.Reason)
 	return end
 }
 
+// callersFault says that a failure tells nothing about the engine.
+func callersFault(r verdict.Reason) bool {
+	return r == verdict.ReasonCallerGone || r == verdict.ReasonBadRequest
+}
+
 func (j *engineJob) pause(ctx context.Context, e entity.Endpoint) {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	if _, err := j.s.opts.Endpoints.Pause(ctx, e.Address, j.id); err == nil {
-		j.s.opts.Control.Paused(j.id)
-		return
+	for !j.ended.Load() && ctx.Err() == nil {
+		if _, err := j.s.opts.Endpoints.Pause(ctx, e.Address, j.id); err == nil {
+			j.s.opts.Control.Paused(j.id)
+			return
+		}
+		// The dispatch may still be on its way to the engine.
+		select {
+		case <-ctx.Done():
+		case <-time.After(pauseRetry):
+		}
 	}
 	// The stream has ended, which Ended reports, or the engine can't pause:
 	// then the slot comes back when the stream ends.
@@ -150,15 +158,23 @@
 }
 
 func (j *engineJob) cancel(ctx context.Context, e entity.Endpoint, d request.Directive) {
-	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
-	defer cancel()
 	j.cancelled.CompareAndSwap(nil, d.Err)
 	// The stream's end mark, which says how much was processed, ends the call.
-	if _, err := j.s.opts.Endpoints.Cancel(ctx, e.Address, j.id); err != nil {
+	if !j.stopEngine(ctx, e) {
 		j.abort(d.Err)
 	}
 }
 
+// stopEngine has the engine stop a stream that no one reads any more, and says
+// whether it has. An engine that can't be told stops it after a while without
+// a reader.
+func (j *engineJob) stopEngine(ctx context.Context, e entity.Endpoint) bool {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), controlTimeout)
+	defer cancel()
+	_, err := j.s.opts.Endpoints.Cancel(ctx, e.Address, j.id)
+	return err == nil
+}
+
 // abort ends the call to the engine, after which Ended is reported.
 func (j *engineJob) abort(why *verdict.Error) {
 	j.cancelled.CompareAndSwap(nil, why)
--- a/internal/caller/enginejob_test.go
+++ b/internal/caller/enginejob_test.go
@@ -72,9 +72,6 @@
 
 func (b *bench) dispatch() { b.job.dispatch(context.Background(), b.endpoint, request.Directive{}) }
 
-// guard bounds the waits of a test that has gone wrong.
-const guard = 30 * time.Second
-
 // until waits for a state of the request at the engine.
 func (b *bench) until(t *testing.T, holds func(engine.Entry) bool) {
 	t.Helper()
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -2,14 +2,20 @@
 
 import (
 	"encoding/json"
+	"encoding/pem"
 	"fmt"
+	"io"
+	"log"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/sebdah/goldie/v2"
 	"github.com/spf13/cobra"
 
+	"github.com/medlarhold/medlarhold/internal/adminapi"
 	"github.com/medlarhold/medlarhold/internal/callerapi"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/standin/platformsvc"
@@ -275,3 +281,46 @@
 		})
 	}
 }
+
+func TestLargeFileLeavesRoomOnTheLog(t *testing.T) {
+	w := newWorld(t)
+	var objects []string
+	for i := range publishBurst + publishPerSec {
+		objects = append(objects, strings.Replace(fmt.Sprintf(pool, 1), "ledger", fmt.Sprintf("pool-%d", i), 1))
+	}
+	w.must(ExitOK, "config", "publish", w.file("["+strings.Join(objects, ",")+"]"))
+	if took := w.now.Sub(start); took < 900*time.Millisecond || took > 1100*time.Millisecond {
+		t.Errorf("%d changes in %v", len(objects), took)
+	}
+}
+
+func TestInstancesOverTLS(t *testing.T) {
+	w := newWorld(t)
+	srv := httptest.NewUnstartedServer(nil)
+	addr := srv.Listener.Addr().String()
+	row := adminapi.Instance{ID: "i", Zone: "z", AdminAddress: addr, State: adminapi.InstanceAlive}
+	srv.Config.Handler = instanceHandler(adminapi.Status{Instance: "i", Zone: "z", Revision: 5}, []adminapi.Instance{row})
+	srv.Config.ErrorLog = log.New(io.Discard, "", 0)
+	srv.StartTLS()
+	defer srv.Close()
+	ca := w.file(string(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: srv.Certificate().Raw})))
+	w.must(ExitOK, "--ca-file", ca, "--admin", addr, "instances")
+	if !strings.Contains(w.out.String(), addr) || strings.Contains(w.out.String(), "unreachable") {
+		t.Errorf("got\n%s", &w.out)
+	}
+	w.must(ExitUsage, "--ca-file", w.file("no certificate"), "--admin", addr, "instances")
+}
+
+func TestCompletionScripts(t *testing.T) {
+	w := newWorld(t)
+	for _, shell := range []string{"bash", "zsh", "fish", "powershell"} {
+		w.must(ExitOK, "completion", shell)
+		if !strings.Contains(w.out.String(), "medlarhold") {
+			t.Errorf("%s: no script", shell)
+		}
+	}
+	w.must(ExitOK, "__complete", "config", "show", "")
+	if !strings.HasPrefix(w.out.String(), "deployment\npool\nmodel\nendpoint\ncontract\n") {
+		t.Errorf("kinds are not completed: %q", w.out.String())
+	}
+}
--- a/internal/config/schema_test.go
+++ b/internal/config/schema_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"reflect"
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -106,6 +107,21 @@
 	}
 }
 
+func TestReferenceNamesEveryField(t *testing.T) {
+	page, err := os.ReadFile("../../docs/CONFIGURATION.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, def := range readSchema(t) {
+		for field, p := range def.Properties {
+			row := fmt.Sprintf("| `%s` |", field)
+			if !bytes.Contains(page, []byte(row)) || !bytes.Contains(page, []byte(p.Description)) {
+				t.Errorf("docs/CONFIGURATION.md lacks %q of %s, or its description", field, name)
+			}
+		}
+	}
+}
+
 // validator is the compiled schema.
 type validator struct{ schema *jsonschema.Schema }
 
@@ -121,7 +137,7 @@
 // accepts says whether the schema accepts a file.
 func (v validator) accepts(t *testing.T, src []byte) bool {
 	t.Helper()
-	plain, err := hujson.Standardize(slices.Clone(src)) //nolint:misspell // the library's name
+	plain, err := hujson.Standardize(slices.Clone(src))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -225,3 +241,22 @@
 		t.Error(diff)
 	}
 }
+
+func TestDeepNestingIsRefused(t *testing.T) {
+	deep := bytes.Repeat([]byte("["), 1<<20)
+	got := problemsOf(append([]byte("// \"[\n"), deep...))
+	if len(got) != 1 || got[0].Line != 2 {
+		t.Errorf("got %v", got)
+	}
+	brackets := string(deep[:2*maxDepth])
+	for _, src := range []string{
+		"// " + brackets + "\n[]", "/* " + brackets + " */ []", "[ // " + brackets + "\n]",
+		`{"kind":"pool","name":"\"` + brackets + `","delete":true}`,
+	} {
+		for _, p := range problemsOf([]byte(src)) {
+			if strings.Contains(p.Reason, "levels") {
+				t.Errorf("%.20s: %v", src, p)
+			}
+		}
+	}
+}
--- a/internal/core/admission/endpoint.go
+++ b/internal/core/admission/endpoint.go
@@ -27,11 +27,18 @@
 	kv      int // tokens taken, paused streams included
 	floors  floors
 	index   *prefix.Index
-	// settledAt is when promises of an earlier owner have run out.
-	settledAt time.Time
+	// quietUntil is when promises of an earlier owner have run out, settledAt
+	// when all that it runs is known.
+	quietUntil time.Time
+	settledAt  time.Time
 	// prefillUntil estimates when all granted prompts are processed.
-	prefillUntil   time.Time
-	failures       int
+	prefillUntil time.Time
+	// unknown is set while the endpoint reports more work than is known here;
+	// ended holds when known work ended, since the last report.
+	unknown        bool
+	ended          []time.Time
+	failures       int // in a row
+	failedAt       time.Time
 	suspendedUntil time.Time
 	gone           bool
 }
@@ -59,7 +66,7 @@
 
 // allows says that no promise keeps tier t off e.
 func (e *endpoint) allows(now time.Time, t int) bool {
-	if t > 0 && now.Before(e.settledAt) {
+	if t > 0 && now.Before(e.quietUntil) {
 		return false
 	}
 	return e.floors.allow(now, t)
@@ -115,6 +122,11 @@
 	}
 }
 
+// justFailed says that the latest request here failed, not long ago.
+func (e *endpoint) justFailed(now time.Time) bool {
+	return e.failures > 0 && now.Sub(e.failedAt) < suspendFor
+}
+
 // result takes in whether a request went well.
 func (e *endpoint) result(now time.Time, failed bool) {
 	if !failed {
@@ -122,6 +134,7 @@
 		return
 	}
 	e.failures++
+	e.failedAt = now
 	if e.failures >= failuresToSuspend {
 		e.suspendedUntil = now.Add(suspendFor)
 	}
--- a/internal/core/admission/owner.go
+++ b/internal/core/admission/owner.go
@@ -18,6 +18,7 @@
 	jobs      map[entity.RequestID]*job
 	speeds    *speed.Estimator
 	seq       uint64
+	awake     time.Time // the latest step
 	ready     Ready
 }
 
@@ -40,12 +41,13 @@
 
 // Reserve takes in an entry's question for a slot.
 func (o *Owner) Reserve(now time.Time, r entity.Reservation) {
+	o.wake(now)
 	if old := o.jobs[r.Work.ID]; old != nil && !o.replaces(now, old, &r) {
 		return
 	}
 	p := o.pool(r.Work.Pool)
 	j := o.newJob(&r)
-	run, ok := o.bestRunTime(p, j)
+	run, prefill, ok := o.bestRunTime(p, j)
 	if !ok {
 		o.refuse(now, p, j)
 		return
@@ -54,7 +56,8 @@
 		o.refuseInfeasible(p, j)
 		return
 	}
-	j.run = run
+	j.run, j.runPrefill = run, prefill
+	j.deferUntil = now.Add(o.patience(p, j))
 	o.enqueue(p, j)
 	o.schedule(now, p)
 	if j.state == stateQueued && o.jobs[j.work.ID] == j {
@@ -64,11 +67,13 @@
 
 // settle decides on a job that got no slot at once.
 func (o *Owner) settle(now time.Time, p *pool, j *job) {
-	if o.preemptFor(now, p, j); j.awaited > 0 {
+	if o.preemptFor(now, p, j); j.awaited > 0 || j.class.resume != "" {
 		return
 	}
 	if j.noWait {
-		o.refuse(now, p, j)
+		if !now.Before(j.deferUntil) {
+			o.refuse(now, p, j)
+		}
 		return
 	}
 	if !o.shedDoomed(now, p, j) {
@@ -128,6 +133,7 @@
 		o.speeds.Observe(&e.row, r)
 		e.result(now, r.Failed)
 	}
+	e.ended = append(e.ended, now)
 	o.leave(now, j, r.Paused)
 	o.schedule(now, o.pool(e.row.Pool))
 }
@@ -158,6 +164,7 @@
 
 // Tick lets time pass: late work is refused, promises end, slots are granted.
 func (o *Owner) Tick(now time.Time) {
+	o.wake(now)
 	for _, p := range o.pools {
 		o.dropOverdueOrphans(now, p)
 		o.expire(now, p)
@@ -183,11 +190,14 @@
 	}
 	var refused []*job
 	for t := range p.queue.tiers {
+		var hopeless []class // no victim was found for the first of its class
 		p.queue.each(t, func(j *job) bool {
-			if t < lowest {
-				o.preemptFor(now, p, j)
+			if t < lowest && j.awaited == 0 && !slices.Contains(hopeless, j.class) {
+				if o.preemptFor(now, p, j); j.awaited == 0 {
+					hopeless = append(hopeless, j.class)
+				}
 			}
-			if j.noWait && j.awaited == 0 {
+			if j.noWait && j.awaited == 0 && !now.Before(j.deferUntil) {
 				refused = append(refused, j)
 			}
 			return true
@@ -263,11 +273,12 @@
 }
 
 func (o *Owner) newEndpoint(now time.Time, row *entity.Endpoint) *endpoint {
-	return &endpoint{
-		row:       *row,
-		running:   make([]int, o.settings.Tiers),
-		floors:    make(floors, o.settings.Tiers),
-		index:     prefix.NewIndex(o.settings.NewEvictor(o.settings.PrefixBlocks)),
-		settledAt: now.Add(o.settings.FloorFor),
+	e := &endpoint{
+		row:     *row,
+		running: make([]int, o.settings.Tiers),
+		floors:  make(floors, o.settings.Tiers),
+		index:   prefix.NewIndex(o.settings.NewEvictor(o.settings.PrefixBlocks)),
 	}
+	o.unsettle(now, e)
+	return e
 }
--- a/internal/core/limit/home.go
+++ b/internal/core/limit/home.go
@@ -20,11 +20,14 @@
 	movedAt time.Time
 	// since lists the member digests from movedAt on; told maps a member to
 	// the digest under which it last listed all it holds.
-	since []uint64
-	told  map[entity.InstanceID]uint64
+	since []uint32
+	told  map[entity.InstanceID]uint32
 	// early keeps complete demands made under a view that this instance does
 	// not have yet.
-	early    map[entity.InstanceID]earlyDemand
+	early map[entity.InstanceID]earlyDemand
+	// joinedAt is when a member appeared; it may come from a part of the zone
+	// that was cut off, and hold shares of a home there.
+	joinedAt map[entity.InstanceID]time.Time
 	lastTick time.Time
 	nextTidy time.Time
 	seq      uint64
@@ -44,9 +47,9 @@
 // NewHome returns a home that has lent nothing.
 func NewHome(s Settings, self entity.InstanceID, contracts Contracts) *Home {
 	return &Home{
-		settings: s, contracts: contracts, self: self,
-		loans: make(map[entity.OrgID]*loan), told: make(map[entity.InstanceID]uint64),
-		early: make(map[entity.InstanceID]earlyDemand),
+		settings: s, contracts: contracts, self: self, zone: newZone(Zone{}),
+		loans: make(map[entity.OrgID]*loan), told: make(map[entity.InstanceID]uint32),
+		early: make(map[entity.InstanceID]earlyDemand), joinedAt: make(map[entity.InstanceID]time.Time),
 	}
 }
 
@@ -84,6 +87,12 @@
 		h.since = h.since[:0]
 	}
 	h.since = append(h.since, h.zone.digest)
+	for _, m := range h.zone.members {
+		if !before.has(m.ID) {
+			h.joinedAt[m.ID] = now
+			delete(h.told, m.ID)
+		}
+	}
 }
 
 // limits returns the part of a contract that the zone may lend.
@@ -98,10 +107,15 @@
 
 // settled reports whether this home knows all that is lent.
 func (h *Home) settled(now time.Time) bool {
-	if now.Sub(h.movedAt) >= h.settings.LeaseFor {
+	moved := now.Sub(h.movedAt) < h.settings.LeaseFor
+	if !moved && len(h.joinedAt) == 0 {
 		return true
 	}
 	for _, m := range h.zone.members {
+		joined, ok := h.joinedAt[m.ID]
+		if !moved && (!ok || now.Sub(joined) >= h.settings.LeaseFor) {
+			continue
+		}
 		if d, ok := h.told[m.ID]; !ok || !slices.Contains(h.since, d) {
 			return false
 		}
@@ -120,141 +134,6 @@
 	h.lastTick = now
 }
 
-// Step takes in a demand.
-func (h *Home) Step(now time.Time, from entity.InstanceID, d Demand) {
-	h.thaw(now)
-	if !slices.ContainsFunc(h.zone.members, func(m entity.Instance) bool { return m.ID == from }) {
-		return
-	}
-	delete(h.early, from)
-	if d.Complete {
-		if !slices.Contains(h.since, d.Members) {
-			h.early[from] = earlyDemand{at: now, Demand: d}
-			return
-		}
-		h.told[from] = d.Members
-	}
-	s := Share{Seq: h.nextSeq(), Answers: d.Seq}
-	for _, o := range d.Orgs {
-		if l := h.loan(now, o.Org); l != nil {
-			h.noteDemand(now, l, from, o)
-		}
-	}
-	for _, o := range d.Orgs {
-		l := h.loans[o.Org]
-		if l == nil || o.givesBack() {
-			continue
-		}
-		s.Orgs = append(s.Orgs, h.lend(now, l, from, o, s.Seq))
-	}
-	if len(s.Orgs) > 0 {
-		h.messages = append(h.messages, Outgoing{To: from, Share: &s})
-	}
-}
-
-// givesBack reports whether the demand ends the loan.
-func (d *OrgDemand) givesBack() bool {
-	return d.Rate == 0 && d.Waiting == 0 && d.InFlight == 0 && d.HoldRate == 0 && d.HoldConcurrent == 0
-}
-
-func (h *Home) nextSeq() uint64 {
-	h.seq++
-	return h.seq
-}
-
-// loan returns the loans of an organisation, nil if its home is elsewhere.
-func (h *Home) loan(now time.Time, org entity.OrgID) *loan {
-	if l := h.loans[org]; l != nil {
-		return l
-	}
-	limit, ok := h.contracts(org)
-	if !ok || h.zone.home(org) != h.self {
-		return nil
-	}
-	l := &loan{org: org, limit: limit}
-	l.resize(h.limits(limit))
-	if h.settled(now) {
-		// As if the bucket had been empty when the home moved here.
-		l.tokens = min(float64(l.part.Burst), l.part.Rate*now.Sub(h.movedAt).Seconds())
-	}
-	l.at = now
-	h.loans[org] = l
-	return l
-}
-
-// noteDemand takes in what a borrower wants and holds.
-func (h *Home) noteDemand(now time.Time, l *loan, from entity.InstanceID, d OrgDemand) {
-	if d.givesBack() {
-		l.refresh(now)
-		l.drop(from, d.Seen)
-		return
-	}
-	if !h.settled(now) {
-		// What is lent is not known yet, so nothing may grow.
-		l.at = now
-	}
-	b := l.holder(from)
-	b.wantRate = d.Rate
-	b.wantConcurrent = d.InFlight + max(d.Waiting, d.Spare) + spareConcurrent
-	hold := max(d.HoldConcurrent, d.InFlight)
-	l.refresh(now)
-	if d.Seen >= b.seq {
-		b.rate, b.concurrent = d.HoldRate, hold
-	} else {
-		// A share is on its way: the borrower may hold either.
-		b.rate, b.concurrent = max(b.rate, d.HoldRate), max(b.concurrent, hold)
-	}
-	b.expires = now.Add(h.settings.LeaseFor)
-}
-
-// lend answers the demand of a borrower, and takes back from others what is
-// more than their part.
-func (h *Home) lend(now time.Time, l *loan, from entity.InstanceID, d OrgDemand, seq uint64) OrgShare {
-	b := l.holder(from)
-	rate, concurrent := l.targets(b)
-	if !h.settled(now) {
-		rate, concurrent = min(rate, b.rate), min(concurrent, b.concurrent)
-	}
-	share := OrgShare{Org: l.org}
-	share.Rate = min(rate, max(l.freeRate()+b.rate, 0))
-	share.Concurrent = min(concurrent, max(l.freeConcurrent()+b.concurrent, 0))
-	if h.settled(now) {
-		share.Tokens = l.takeTokens(d.Waiting)
-	}
-	if share.Rate < rate || share.Concurrent < concurrent {
-		h.takeBack(now, l, from)
-	}
-	b.rate, b.concurrent = max(b.rate, share.Rate), max(b.concurrent, share.Concurrent)
-	b.seq = seq
-	b.offered = OrgShare{Org: l.org, Rate: share.Rate, Concurrent: share.Concurrent}
-	l.refresh(now)
-	return share
-}
-
-// takeBack lowers the shares of other borrowers that hold more than their part.
-func (h *Home) takeBack(now time.Time, l *loan, except entity.InstanceID) {
-	for _, b := range l.holders {
-		if b.id == except || now.Sub(b.lowered) < h.settings.ReportInterval {
-			continue
-		}
-		rate, concurrent := l.targets(b)
-		if b.rate <= rate*(1+changeWorthTelling) && b.concurrent <= concurrent {
-			continue
-		}
-		o := OrgShare{Org: l.org, Rate: min(rate, b.rate), Concurrent: min(concurrent, b.concurrent)}
-		if o == b.offered {
-			continue
-		}
-		b.lowered, b.offered = now, o
-		b.seq = h.nextSeq()
-		h.messages = append(h.messages, Outgoing{To: b.id, Share: &Share{Seq: b.seq, Orgs: []OrgShare{o}}})
-	}
-}
-
-// spareConcurrent is what a borrower gets beyond its need, so that the next
-// request does not have to ask.
-const spareConcurrent = 1
-
 // tidyInterval is the time between two looks for loans that have ended.
 const tidyInterval = time.Second
 
@@ -269,10 +148,15 @@
 		h.tidy(now, h.loans[org])
 	}
 	for id := range h.told {
-		if !slices.ContainsFunc(h.zone.members, func(m entity.Instance) bool { return m.ID == id }) {
+		if !h.zone.has(id) {
 			delete(h.told, id)
 		}
 	}
+	for id, at := range h.joinedAt {
+		if now.Sub(at) >= h.settings.LeaseFor {
+			delete(h.joinedAt, id)
+		}
+	}
 	for id, d := range h.early {
 		if now.Sub(d.at) >= earlyFor {
 			delete(h.early, id)
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -27,12 +27,18 @@
 	Retry      retry.Settings
 	Routing    routing.Settings
 	Claims     claim.Settings
-	// ReleaseRetry is the pause before a release that was not delivered is sent again.
-	ReleaseRetry time.Duration
+	// ResendAfter is the pause before a message about a request that was not
+	// delivered is sent again.
+	ResendAfter time.Duration
+	// FreezeGap is the time without a step after which the instance takes
+	// itself to have been away.
+	FreezeGap time.Duration
 }
 
 // DefaultSettings returns the settings of an instance where none are given.
 func DefaultSettings(self entity.Instance) Settings {
+	routes := routing.DefaultSettings()
+	routes.Zone = self.Zone
 	return Settings{
 		Self:       self,
 		Membership: membership.DefaultSettings(),
@@ -40,11 +46,13 @@
 		Request: request.Settings{
 			Self: self.ID, KeepFinished: 4096, RetryInterval: routing.RetryInterval,
 			FirstPatience: 100 * time.Millisecond, MaxPatience: 2 * time.Second,
+			DispatchWithin: time.Second,
 		},
-		Retry:        retry.DefaultSettings(),
-		Routing:      routing.DefaultSettings(),
-		Claims:       claim.Settings{Instance: self.ID},
-		ReleaseRetry: 500 * time.Millisecond,
+		Retry:       retry.DefaultSettings(),
+		Routing:     routes,
+		Claims:      claim.Settings{Instance: self.ID},
+		ResendAfter: 500 * time.Millisecond,
+		FreezeGap:   time.Second,
 	}
 }
 
@@ -61,22 +69,24 @@
 	view     membership.View
 	address  map[entity.InstanceID]string
 	draining bool
+	closesAt time.Time // when a draining instance takes no more requests
 	limits   *limits
 	// loaded holds the models that owned endpoints report which take orders.
 	loaded map[entity.EndpointID][]entity.ModelID
 	claims *claims
 	// zoneMembers are the live instances of the own zone.
 	zoneMembers []entity.Instance
-	releases    []undelivered
+	unsent      []undelivered
+	awake       time.Time // the latest step
 	local       []any
 	ready       Ready
 }
 
-// undelivered is a release that waits to be sent again.
+// undelivered is a message that waits to be sent again.
 type undelivered struct {
 	at  time.Time
 	to  entity.InstanceID
-	rel entity.Release
+	msg any
 }
 
 // Ready is a batch of what is to be carried out.
@@ -120,21 +130,31 @@
 
 // Step handles one message.
 func (n *Node) Step(now time.Time, msg any) {
+	n.wake(now)
 	n.handle(now, msg)
 	n.settle(now)
 }
 
 // Tick runs the systems that wait for time.
 func (n *Node) Tick(now time.Time) {
+	n.wake(now)
 	n.members.Tick(now)
 	n.entry.Tick(now)
 	n.owner.Tick(now)
 	n.tickLimits(now)
 	n.tickClaims(now)
-	n.resendReleases(now)
+	n.resend(now)
 	n.settle(now)
 }
 
+// wake finds out whether the instance was away.
+func (n *Node) wake(now time.Time) {
+	if !n.awake.IsZero() && now.Sub(n.awake) > n.settings.FreezeGap {
+		n.entry.Thawed(now)
+	}
+	n.awake = now
+}
+
 // Ready returns what is to be carried out, and clears the batch.
 func (n *Node) Ready() Ready {
 	r := n.ready
@@ -146,6 +166,10 @@
 func (n *Node) handle(now time.Time, msg any) {
 	switch m := msg.(type) {
 	case Arrive:
+		if n.closed(now) {
+			n.refuseStopping(now, m.Arrival)
+			return
+		}
 		n.admit(now, m.Arrival)
 	case Ended:
 		n.entry.Ended(now, m.ID, m.End)
@@ -175,18 +199,19 @@
 	case ClaimRead:
 		n.claimRead(now, m)
 	case Drain:
-		n.drain(now)
+		n.drain(now, m.Notice)
 	}
 }
 
 // settle lets the systems work until none has anything left to say to another
-// one on this instance.
+// one on this instance. Membership and limits come first: what they change
+// moves requests and endpoints in the same step.
 func (n *Node) settle(now time.Time) {
 	for {
-		n.drainEntry(now)
-		n.drainOwner()
 		n.drainMembers(now)
 		n.drainLimits(now)
+		n.drainEntry(now)
+		n.drainOwner()
 		n.drainClaims()
 		if len(n.local) == 0 {
 			return
--- a/internal/core/request/entry.go
+++ b/internal/core/request/entry.go
@@ -64,6 +64,8 @@
 	// FirstPatience is how long a request stays in an owner's queue before it
 	// looks for room elsewhere; the pause doubles up to MaxPatience.
 	FirstPatience, MaxPatience time.Duration
+	// DispatchWithin is how long a grant may wait for its dispatch.
+	DispatchWithin time.Duration
 }
 
 // Entry is the table of requests and the systems that run over it.
@@ -236,8 +238,10 @@
 	e.setTimer(r, r.work.Deadline)
 	e.router.Granted(now, from, &r.work, g)
 	r.owner, r.endpoint, r.granted = from, g.Endpoint, g.Question
+	r.heldBy(from)
 	if r.state == StatePaused {
 		r.state = StateRunning
+		e.tellOwner(r)
 		e.direct(Directive{ID: g.ID, Kind: DirectiveResume, Endpoint: g.Endpoint})
 		return
 	}
@@ -248,7 +252,9 @@
 	}
 	r.state = StateRunning
 	r.dispatches++
-	e.direct(Directive{ID: g.ID, Kind: DirectiveDispatch, Endpoint: g.Endpoint, ImportFrom: g.ImportFrom})
+	e.tellOwner(r)
+	e.direct(Directive{ID: g.ID, Kind: DirectiveDispatch, Endpoint: g.Endpoint, ImportFrom: g.ImportFrom,
+		NotAfter: now.Add(e.settings.DispatchWithin)})
 }
 
 // unused gives a slot back that the request has no use for.
@@ -276,10 +282,10 @@
 	a := r.answered(from)
 	e.router.Refused(now, from, &r.work, f, a.at)
 	r.retryAfter = max(r.retryAfter, f.RetryAfter)
-	if f.Infeasible {
-		r.markInfeasible(from)
-	}
+	r.markRefused(from, f.Infeasible)
 	switch {
+	case r.state == StatePaused && f.Infeasible:
+		e.cancelRunning(now, r, verdict.ReasonDeadline)
 	case r.state == StatePaused:
 		e.wakeAfter(now, r, e.settings.RetryInterval)
 	case len(r.asks) == 0 || a.NoWait:
@@ -288,9 +294,9 @@
 }
 
 // Unreachable tells that a question could not be delivered to an owner.
-func (e *Entry) Unreachable(now time.Time, owner entity.InstanceID, id entity.RequestID) {
+func (e *Entry) Unreachable(now time.Time, owner entity.InstanceID, id entity.RequestID, question uint32) {
 	e.router.Unreachable(now, owner)
-	if r, ok := e.rows[id]; ok && r.asked(owner) {
+	if r, ok := e.rows[id]; ok && r.awaits(owner, question) {
 		e.unanswered(now, r, owner)
 	}
 }
@@ -329,10 +335,21 @@
 	}
 }
 
+// Thawed tells that the instance was away. Answers to questions of before may
+// be long out of date, so the requests ask anew.
+func (e *Entry) Thawed(now time.Time) {
+	for _, r := range e.sortedRows() {
+		if len(r.asks) > 0 {
+			e.withdraw(r, "")
+			e.wakeAfter(now, r, 0)
+		}
+	}
+}
+
 // Preempted tells that an owner wants the slot back for a higher tier.
 func (e *Entry) Preempted(now time.Time, from entity.InstanceID, p entity.Preemption) {
 	r, ok := e.rows[p.ID]
-	if !ok || r.owner != from || r.granted != p.Question || r.state != StateRunning {
+	if !ok || !slices.Contains(r.holders, from) || r.granted != p.Question || r.state != StateRunning {
 		return
 	}
 	if !p.Pause {
@@ -350,6 +367,7 @@
 		return
 	}
 	r.state = StatePaused
+	r.paused = true
 	r.resume = r.endpoint
 	e.release(r, entity.Release{ID: id, Endpoint: r.endpoint, Paused: true})
 	e.ask(now, r)
@@ -362,6 +380,10 @@
 		return
 	}
 	end.Release.ID, end.Release.Endpoint = id, r.endpoint
+	if r.paused {
+		// How long it took says nothing of the endpoint's speed.
+		end.Release.TimeToFirstToken, end.Release.DecodeTime = 0, 0
+	}
 	e.withdraw(r, r.owner)
 	e.release(r, end.Release)
 	if end.Err == nil {
@@ -382,7 +404,7 @@
 		return false
 	}
 	e.ready.Retries = append(e.ready.Retries, Retry{ID: r.work.ID, Reason: err.Reason})
-	r.state, r.owner, r.endpoint, r.resume, r.tried = StateAsking, "", "", "", nil
+	r.state, r.owner, r.holders, r.endpoint, r.resume, r.tried = StateAsking, "", nil, "", "", nil
 	e.wakeAfter(now, r, d.Wait)
 	return true
 }
--- a/internal/core/routing/plugins.go
+++ b/internal/core/routing/plugins.go
@@ -6,8 +6,12 @@
 	"time"
 
 	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/speed"
 )
 
+// slowWeight is the share of its usual work that a slow endpoint gets.
+const slowWeight = 0.25
+
 // View is what plugins may know of one endpoint.
 type View struct {
 	Endpoint *entity.Endpoint
@@ -46,19 +50,34 @@
 	putOff bool
 }
 
-// rank orders the endpoints of p for w, the best first.
+// rank orders all endpoints of p for w, the best first.
 func (r *Router) rank(now time.Time, p *pool, w *entity.Work) []ranked {
 	order := r.order[:0]
-	weight, running := 0.0, 0
 	for _, c := range p.candidates {
-		x := ranked{candidate: c, view: r.view(now, c)}
-		if !r.keep(&x.view, w) {
-			continue
-		}
-		x.score = r.scorer.Score(&x.view, w)
-		weight += x.view.Weight
-		running += x.view.Running
-		order = append(order, x)
+		order = r.keepRanked(now, order, c, w)
+	}
+	return r.sortRanked(order)
+}
+
+// keepRanked appends c with its score if it could serve w. Plugins see the row
+// in the scratch table, so that none escapes to the heap.
+func (r *Router) keepRanked(now time.Time, order []ranked, c *candidate, w *entity.Work) []ranked {
+	order = append(order, ranked{candidate: c, view: r.view(now, c)})
+	x := &order[len(order)-1]
+	if !r.keep(&x.view, w) {
+		return order[:len(order)-1]
+	}
+	x.score = r.scorer.Score(&x.view, w)
+	return order
+}
+
+// sortRanked puts the best first, and those last that have more than their
+// share of the work.
+func (r *Router) sortRanked(order []ranked) []ranked {
+	weight, running := 0.0, 0
+	for i := range order {
+		weight += order[i].view.Weight
+		running += order[i].view.Running
 	}
 	for i := range order {
 		order[i].putOff = r.picker.PutOff(&order[i].view, weight, running)
@@ -81,15 +100,21 @@
 	return View{
 		Endpoint:  &c.Endpoint,
 		Hash:      c.hash,
-		Reachable: r.owner(c.Owner).reachable(now),
+		Reachable: c.Owner != "" && r.owner(c.Owner).reachable(now),
 		Weight:    r.weight(&c.Endpoint),
 		Running:   c.running,
 	}
 }
 
-// weight is an endpoint's share of work. A slow one gets what it can do.
+// weight is an endpoint's share of work, by what is configured: entries must
+// agree on it, or each sends the same prompt elsewhere. Only an endpoint that
+// is found to be slow gets less.
 func (r *Router) weight(ep *entity.Endpoint) float64 {
-	return float64(max(ep.Slots, 1)) * r.speeds.Rates(ep).Decode
+	w := float64(max(ep.Slots, 1)) * speed.Configured(ep).Prefill
+	if r.speeds.Slow(ep) {
+		w *= slowWeight
+	}
+	return w
 }
 
 func compare(a, b ranked) int {
--- a/internal/core/routing/router.go
+++ b/internal/core/routing/router.go
@@ -8,7 +8,8 @@
 	"github.com/medlarhold/medlarhold/internal/core/speed"
 )
 
-// Owned is an endpoint and the instance that owns it.
+// Owned is an endpoint and the instance that owns it. One without an owner
+// can't be asked for, and nothing is proved by it.
 type Owned struct {
 	Endpoint entity.Endpoint
 	Owner    entity.InstanceID
@@ -20,6 +21,8 @@
 	Endpoint entity.EndpointID
 	// NoWait goes into the reservation.
 	NoWait bool
+	// Refused is set by the caller when the owner has refused.
+	Refused bool
 	// Infeasible is set by the caller when the owner said that its endpoints
 	// could not meet the deadline even with no one else there.
 	Infeasible bool
@@ -43,6 +46,8 @@
 type pool struct {
 	candidates []*candidate
 	owners     []entity.InstanceID // in the order of candidates
+	byOwner    map[entity.InstanceID][]*candidate
+	ring       []*candidate
 }
 
 // New returns a Router that knows no pools.
@@ -62,15 +67,16 @@
 
 // SetPool replaces the endpoints of a pool.
 func (r *Router) SetPool(id entity.PoolID, rows []Owned) {
-	p := &pool{}
-	seen := make(map[entity.InstanceID]bool)
+	p := &pool{byOwner: make(map[entity.InstanceID][]*candidate)}
 	for i := range rows {
-		p.candidates = append(p.candidates, r.candidate(&rows[i]))
-		if o := rows[i].Owner; !seen[o] {
-			seen[o] = true
+		c, o := r.candidate(&rows[i]), rows[i].Owner
+		p.candidates = append(p.candidates, c)
+		if p.byOwner[o] == nil {
 			p.owners = append(p.owners, o)
 		}
+		p.byOwner[o] = append(p.byOwner[o], c)
 	}
+	p.ring = r.ring(p.candidates)
 	if old := r.pools[id]; old != nil {
 		r.forget(old, p)
 	}
@@ -83,37 +89,76 @@
 	if p == nil {
 		return Choice{}, false
 	}
-	probes, waited := summarise(tried)
-	order := r.rank(now, p, w)
-	if waited || probes < r.settings.Probes {
-		if c, ok := r.probe(now, w, order, tried); ok || waited {
+	if p.ring != nil {
+		if c, ok, stays := r.choose(now, w, r.shortlist(now, p, w), tried); ok || stays {
 			return c, ok
 		}
 	}
-	return r.join(now, order, tried)
+	c, ok, _ := r.choose(now, w, r.rank(now, p, w), tried)
+	return c, ok
 }
 
-// probe returns the first owner that was not tried yet and has not promised
-// that it serves nothing below w.
-func (r *Router) probe(now time.Time, w *entity.Work, order []ranked, tried []Choice) (Choice, bool) {
+// choose returns whom to ask next among the endpoints in order; stays says that
+// the request is to wait where it is.
+func (r *Router) choose(now time.Time, w *entity.Work, order []ranked, tried []Choice) (c Choice, ok, stays bool) {
+	probes, stage := summarise(tried)
+	if len(order) == 0 {
+		return Choice{}, false, false
+	}
+	stays = probes > 0 && stage != stageProving && r.stays(now, w, order[0])
+	if stays && stage == stageWaiting {
+		return Choice{}, false, true
+	}
+	if stage != stageProbing || (probes < r.settings.Probes && !stays) {
+		if c, ok = r.probe(now, w, order, tried, stage); ok || stage != stageProbing {
+			return c, ok, false
+		}
+	}
+	c, ok = r.join(now, w, order, tried)
+	return c, ok, false
+}
+
+// probe returns the first owner that was not tried yet, has not promised that
+// it serves nothing below w, and was not found busy lately. Where proof is
+// looked for, busy owners are asked as well.
+func (r *Router) probe(now time.Time, w *entity.Work, order []ranked, tried []Choice, s stage) (Choice, bool) {
 	for _, c := range order {
-		if wasTried(tried, c.Owner) || r.promised(now, c.Owner, w) {
+		if wasTried(tried, c.Owner, s) || r.promised(now, c.Owner, w) {
+			continue
+		}
+		if s != stageProving && r.owner(c.Owner).busy(now, w.Tier) {
 			continue
 		}
-		return Choice{Owner: c.Owner, Endpoint: c.Endpoint.ID, NoWait: true}, true
+		return Choice{Owner: c.Owner, Endpoint: c.Endpoint.ID, NoWait: s != stageProving}, true
 	}
 	return Choice{}, false
 }
 
-// join returns the owner with the shortest queue, as far as is known.
-func (r *Router) join(now time.Time, order []ranked, tried []Choice) (Choice, bool) {
+// stays says that w is better off waiting for its home, where its prompt is
+// likely to be held, than going elsewhere.
+func (r *Router) stays(now time.Time, w *entity.Work, home ranked) bool {
+	return r.owner(home.Owner).wait(now, w.Tier) < r.moveCost(w, home)
+}
+
+// moveCost is what going elsewhere costs, as waiting time.
+func (r *Router) moveCost(w *entity.Work, home ranked) time.Duration {
+	prefill := r.speeds.Rates(&home.Endpoint).PrefillTime(w.PromptTokens)
+	return time.Duration(r.settings.MoveFactor * float64(prefill))
+}
+
+// join returns the owner with the shortest queue, as far as is known, with a
+// preference for the first in order.
+func (r *Router) join(now time.Time, w *entity.Work, order []ranked, tried []Choice) (Choice, bool) {
 	var best *candidate
 	var shortest time.Duration
-	for _, c := range order {
+	for i, c := range order {
 		if infeasible(tried, c.Owner) {
 			continue
 		}
-		wait := r.owner(c.Owner).wait(now)
+		wait := r.owner(c.Owner).wait(now, w.Tier)
+		if i > 0 {
+			wait += r.moveCost(w, order[0])
+		}
 		if best == nil || wait < shortest {
 			best, shortest = c.candidate, wait
 		}
@@ -124,16 +169,17 @@
 	return Choice{Owner: best.Owner, Endpoint: best.Endpoint.ID}, true
 }
 
-// MayShed says that w may be refused: every owner of the pool that is in reach
-// has promised that it serves nothing below w, or has said that it could not
-// serve w in time at all.
+// MayShed says that w may be refused: every owner of the pool has promised that
+// it serves nothing below w, or has said that it could not serve w in time at
+// all. An owner that does not answer still counts, until membership gives its
+// endpoints to another one.
 func (r *Router) MayShed(now time.Time, w *entity.Work, tried []Choice) bool {
 	p := r.pools[w.Pool]
 	if p == nil {
 		return true
 	}
 	for _, o := range p.owners {
-		if r.owner(o).reachable(now) && !infeasible(tried, o) && !r.promised(now, o, w) {
+		if !infeasible(tried, o) && !r.promised(now, o, w) {
 			return false
 		}
 	}
@@ -162,8 +208,8 @@
 // covers is the digest of o's endpoints that could serve w.
 func (r *Router) covers(o entity.InstanceID, w *entity.Work) eligible.Digest {
 	var d eligible.Digest
-	for _, c := range r.pools[w.Pool].candidates {
-		if c.Owner == o && eligible.Serves(&c.Endpoint, w) {
+	for _, c := range r.pools[w.Pool].byOwner[o] {
+		if eligible.Serves(&c.Endpoint, w) {
 			d ^= c.digest
 		}
 	}
@@ -202,15 +248,27 @@
 	}
 }
 
-func summarise(tried []Choice) (probes int, waited bool) {
+// stage is how far an entry has come with one request.
+type stage int
+
+const (
+	stageProbing stage = iota // asks for a slot at once
+	stageWaiting              // has a place in a queue
+	stageProving              // was refused there, and looks for room or proof
+)
+
+func summarise(tried []Choice) (probes int, s stage) {
 	for _, c := range tried {
-		if !c.NoWait {
-			waited = true
-			continue
+		switch {
+		case c.NoWait:
+			probes++
+		case !c.Refused:
+			return probes, stageWaiting
+		default:
+			s = stageProving
 		}
-		probes++
 	}
-	return probes, waited
+	return probes, s
 }
 
 func infeasible(tried []Choice, o entity.InstanceID) bool {
@@ -222,9 +280,11 @@
 	return false
 }
 
-func wasTried(tried []Choice, o entity.InstanceID) bool {
+// wasTried says that there is no use in asking o again. For proof, owners that
+// had no slot at once are asked a second time.
+func wasTried(tried []Choice, o entity.InstanceID, s stage) bool {
 	for _, c := range tried {
-		if c.Owner == o {
+		if c.Owner == o && (s != stageProving || !c.NoWait || c.Infeasible) {
 			return true
 		}
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -35,8 +35,10 @@
 	peerExchangeTimeout = time.Second
 	// readHeaderTimeout bounds how long a caller may take to send its headers.
 	readHeaderTimeout = 5 * time.Second
-	// readTimeout bounds how long a caller may take to send its request.
+	// readTimeout bounds how long a request may take to come.
 	readTimeout = 30 * time.Second
+	// writeTimeout bounds how long a caller may take nothing of its answer.
+	writeTimeout = 30 * time.Second
 	// idleTimeout closes callers' connections that carry nothing.
 	idleTimeout = 2 * time.Minute
 )
@@ -103,14 +105,12 @@
 // assemble connects the parts.
 func (d *Daemon) assemble() {
 	s := d.settings
-	d.endpoints = endpoint.New(endpoint.Options{
-		TLS: d.certs.client(), Metrics: d.metrics.Registry(),
-		DialTimeout:    time.Duration(s.Endpoints.DialTimeoutMs) * time.Millisecond,
-		NoProgress:     time.Duration(s.Endpoints.NoProgressMs) * time.Millisecond,
-		CallNoProgress: time.Duration(s.Endpoints.CallNoProgressMs) * time.Millisecond,
-		CallLimit:      time.Duration(s.Endpoints.CallLimitMs) * time.Millisecond,
-	})
-	d.poller = newPoller(d.endpoints, s.Requests.PrefixBlockTokens/s.Requests.EngineBlockTokens, func(msg any) { d.loop.Post(msg) }, d.reportHeld)
+	d.endpoints = endpoint.New(d.endpointOptions(nil))
+	d.poller = newPoller(
+		endpoint.New(d.endpointOptions(d.metrics.PollRequest.Conn)),
+		endpoint.New(d.endpointOptions(d.metrics.PollControl.Conn)),
+		s.Requests.PrefixBlockTokens/s.Requests.EngineBlockTokens, d.metrics,
+		func(msg any) { d.loop.Post(msg) }, d.reportHeld)
 	d.transport = peer.NewTransport(peer.Options{
 		Self: d.self, Keys: d.keys.PeerKeys, ServerTLS: d.certs.server(), ClientTLS: d.certs.client(),
 		ExchangeTimeout: peerExchangeTimeout, Registry: messages(),
@@ -128,9 +128,10 @@
 		LeaseAppend: d.leaseAppend, LeaseRead: d.leaseRead, Order: d.order,
 		Log: d.log, Metrics: d.metrics,
 	})
-	hc := &http.Client{Transport: d.countPlatform(&http.Transport{TLSClientConfig: d.certs.client(), MaxIdleConnsPerHost: platformConns})}
-	d.logService = platform.NewHTTPLog(s.Platform.Log, hc)
-	d.claims = &claimLog{log: d.logService, post: d.loop.Post}
+	hc := d.platformClient(d.metrics.PlatformControl)
+	d.logService = countedLog{Log: platform.NewHTTPLog(s.Platform.Log, hc), metrics: d.metrics}
+	claimService := countedLog{Log: platform.NewHTTPLog(s.Platform.Log, d.platformClient(d.metrics.PlatformRequest)), metrics: d.metrics}
+	d.claims = &claimLog{busy: claimService, idle: d.logService, post: d.loop.Post}
 	d.follower = newConfigFollower(d, d.logService)
 	d.list = platform.NewHTTPInstanceList(s.Platform.InstanceList, hc)
 	d.weights = platform.NewHTTPWeightStore(s.Platform.WeightStore, hc)
@@ -142,9 +143,23 @@
 		MaxBodyBytes:      s.Requests.MaxBodyBytes,
 		EngineBlockTokens: s.Requests.EngineBlockTokens, PrefixBlockTokens: s.Requests.PrefixBlockTokens,
 		MaxPrefixBlocks: s.Requests.MaxPrefixBlocks,
+		WriteTimeout:    writeTimeout,
 	})
 }
 
+// endpointOptions returns the options of a client towards endpoints; wrap, if
+// any, counts the bytes of its connections.
+func (d *Daemon) endpointOptions(wrap func(net.Conn) net.Conn) endpoint.Options {
+	s := d.settings.Endpoints
+	return endpoint.Options{
+		TLS: d.certs.client(), Metrics: d.metrics.Registry(), Wrap: wrap,
+		DialTimeout:    time.Duration(s.DialTimeoutMs) * time.Millisecond,
+		NoProgress:     time.Duration(s.NoProgressMs) * time.Millisecond,
+		CallNoProgress: time.Duration(s.CallNoProgressMs) * time.Millisecond,
+		CallLimit:      time.Duration(s.CallLimitMs) * time.Millisecond,
+	}
+}
+
 // Addresses returns where the instance listens.
 func (d *Daemon) Addresses() Addresses {
 	return Addresses{Instance: d.self.ID, Callers: d.listeners.callers.Addr().String(),
@@ -182,6 +197,7 @@
 	d.transport.Close()
 	background.Wait()
 	d.endpoints.Close()
+	d.poller.close()
 	return err
 }
 
--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -18,6 +18,7 @@
 	// reattachPause and reattachTries bound how a broken stream is taken up again.
 	reattachPause = 300 * time.Millisecond
 	reattachTries = 8
+	pauseRetry    = 20 * time.Millisecond
 	connectLimit  = 2 * time.Second
 )
 
@@ -31,6 +32,8 @@
 	ended    bool
 	answered bool
 	digest   string
+	// controlled is when the latest pause, resumption or cancellation is made.
+	controlled time.Time
 }
 
 func (j *job) direct(d request.Directive) {
@@ -38,13 +41,9 @@
 	f := j.in.f
 	switch d.Kind {
 	case request.DirectiveDispatch:
-		j.dispatch(d.Endpoint)
+		j.dispatch(d)
 	case request.DirectivePause:
-		j.control(func(e *engine) {
-			if e.pause(j.id) {
-				f.after(f.between(minHop, maxHop), func() { j.in.post(node.Paused{ID: j.id}) })
-			}
-		}, func() {})
+		j.pause(f.now.Add(controlTimeout))
 	case request.DirectiveResume:
 		failed := &verdict.Error{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonEndpointFailed}
 		j.control(func(e *engine) {
@@ -66,17 +65,38 @@
 	}
 }
 
+// pause pauses the stream, again and again while the engine does not know it:
+// the dispatch may still be on its way.
+func (j *job) pause(until time.Time) {
+	f := j.in.f
+	j.control(func(e *engine) {
+		switch {
+		case e.pause(j.id):
+			f.after(f.between(minHop, maxHop), func() { j.in.post(node.Paused{ID: j.id}) })
+		case !j.ended && f.now.Before(until):
+			f.after(pauseRetry, func() { j.in.do(func() { j.pause(until) }) })
+		}
+	}, func() {})
+}
+
 // dispatch sends the request to the endpoint, once.
-func (j *job) dispatch(id entity.EndpointID) {
+func (j *job) dispatch(d request.Directive) {
 	f := j.in.f
-	j.at, j.ended, j.aborted = id, false, nil
+	j.at, j.ended, j.aborted = d.Endpoint, false, nil
 	f.after(f.between(minHop, maxHop), func() {
-		j.in.do(func() { j.arriveAt(id) })
+		j.in.do(func() {
+			if f.now.After(d.NotAfter) {
+				j.end(&verdict.Error{Verdict: verdict.NotRun, Reason: verdict.ReasonOwnerUnreachable}, "")
+				return
+			}
+			j.arriveAt(d.Endpoint)
+		})
 	})
 }
 
 func (j *job) arriveAt(id entity.EndpointID) {
 	f := j.in.f
+	f.noteDispatch(j)
 	if _, ok := j.in.follower.State().Endpoint(id); !ok {
 		j.end(&verdict.Error{Verdict: verdict.NotRun, Reason: verdict.ReasonNoEndpoint}, "")
 		return
@@ -144,12 +164,18 @@
 	if e == nil {
 		return
 	}
-	f.after(f.between(minHop, maxHop), func() {
+	at := f.now.Add(f.between(minHop, maxHop))
+	if !at.After(j.controlled) {
+		at = j.controlled.Add(minHop) // one after the other
+	}
+	j.controlled = at
+	f.at(at, func() {
 		switch {
 		case j.in.state == stateDead:
 		case e.reach(j.in) && e.refusing == 0:
 			act(e)
 		default:
+			j.controlled = f.now.Add(controlTimeout)
 			f.after(controlTimeout, failed)
 		}
 	})
@@ -168,6 +194,9 @@
 			err = j.aborted
 		}
 		end := request.End{Err: err, Release: entity.Release{TimeToFirstToken: time.Millisecond}}
+		if e := j.in.f.engines[j.at]; e != nil && e.streams[j.id] != nil && e.streams[j.id].end != nil {
+			end.Release = e.streams[j.id].release()
+		}
 		if err != nil {
 			end.Release.Failed = err.Reason != verdict.ReasonPreempted
 		} else {
--- a/internal/peer/accept.go
+++ b/internal/peer/accept.go
@@ -15,6 +15,11 @@
 // handshakeTimeout bounds how long a stranger may keep a connection open.
 const handshakeTimeout = 2 * time.Second
 
+// acceptedIdleTimeout ends an accepted connection that carries nothing. It is
+// longer than the dialling side keeps one, so it ends only those whose other
+// side is gone.
+const acceptedIdleTimeout = 2*idleTimeout + time.Minute
+
 // maxQueriesPerConn bounds the questions of one peer that are answered at a time.
 const maxQueriesPerConn = 16
 
@@ -32,7 +37,16 @@
 func (t *Transport) accept(conn net.Conn) {
 	c := &accepted{t: t, queries: make(chan struct{}, maxQueriesPerConn)}
 	c.stranger = time.AfterFunc(handshakeTimeout, func() { conn.Close() })
-	t.newConn(conn, c)
+	t.newConn(conn, c, c.frameLimit, acceptedIdleTimeout)
+}
+
+// frameLimit bounds the next frame. It runs on the reading goroutine, as
+// Handle does.
+func (c *accepted) frameLimit() uint64 {
+	if c.proved {
+		return maxFrameBytes
+	}
+	return maxStrangerFrameBytes
 }
 
 // Handle implements jsonrpc2.Handler. Messages are taken over in order.
@@ -54,11 +68,10 @@
 
 // deliver hands one message over.
 func (c *accepted) deliver(method string, params json.RawMessage) error {
-	msg, k, err := c.t.opts.Registry.decode(method, params)
+	msg, err := c.t.opts.Registry.decode(method, params)
 	if err != nil {
 		return err
 	}
-	c.t.countReceived(k, len(params))
 	if w, ok := msg.(Reservation); ok {
 		if msg, err = FromWire(c.t.opts.Clock(), w); err != nil {
 			return err
@@ -92,6 +105,11 @@
 		result, err := c.answerProve(req)
 		if err == nil {
 			c.stranger.Stop()
+			c.t.meet(c.peer)
+			go func() {
+				<-conn.DisconnectNotify()
+				c.t.part(c.peer.ID)
+			}()
 		} else {
 			telemetry.Log(c.t.opts.Log, telemetry.EventPeerRefused, "peer", c.peer.ID)
 		}
