An owner that could not serve in time must promise as well

Change: "could not end in time" counts as proof only if every owner says it; else the owner pauses what is below and promises, as for any other shed.

--- a/internal/core/admission/naive_test.go
+++ b/internal/core/admission/naive_test.go
@@ -76,15 +76,6 @@
 	return true
 }
 
-// lowest is the lowest tier that runs, or -1.
-func (n *naive) lowest() entity.Tier {
-	lowest := entity.Tier(-1)
-	for id := range n.running {
-		lowest = max(lowest, n.tier[id])
-	}
-	return lowest
-}
-
 func (n *naive) end(id entity.RequestID) {
 	delete(n.running, id)
 	for i := range n.queue {
--- a/internal/core/admission/owner.go
+++ b/internal/core/admission/owner.go
@@ -50,13 +50,13 @@
 		o.refuse(now, p, j)
 		return
 	}
-	if j.late(now, run) {
-		o.refuseInfeasible(p, j)
-		return
-	}
 	j.run, j.runPrefill = run, prefill
 	j.deferUntil = now.Add(o.patience(p, j))
 	o.enqueue(p, j)
+	if j.late(now, run) {
+		o.shedInfeasible(now, p, j)
+		return
+	}
 	o.schedule(now, p)
 	if j.state == stateQueued && o.jobs[j.work.ID] == j {
 		o.settle(now, p, j)
--- a/internal/core/admission/shed.go
+++ b/internal/core/admission/shed.go
@@ -10,18 +10,27 @@
 // refuse answers the queued job j with the strongest floor that holds, and
 // forgets it.
 func (o *Owner) refuse(now time.Time, p *pool, j *job) {
-	r := entity.Refusal{ID: j.work.ID, Floor: NoFloor, RetryAfter: o.retryAfter(now, p, j)}
+	r := o.refusal(now, p, j)
+	r.RetryAfter = o.retryAfter(now, p, j)
+	o.sendRefusal(p, j, r)
+}
+
+// refuseInfeasible answers a job that no endpoint here could end in time.
+func (o *Owner) refuseInfeasible(now time.Time, p *pool, j *job) {
+	r := o.refusal(now, p, j)
+	r.Infeasible = true
+	o.sendRefusal(p, j, r)
+}
+
+// refusal gives the strongest promise for j that holds now.
+func (o *Owner) refusal(now time.Time, p *pool, j *job) entity.Refusal {
+	r := entity.Refusal{ID: j.work.ID, Floor: NoFloor}
 	if lowest, settled := p.lowest(now, j); settled {
 		floor := max(j.tier, lowest)
 		r.Covers = uint64(o.promise(now, p, j, floor))
 		r.Floor, r.FloorFor = entity.Tier(floor), o.settings.FloorFor
 	}
-	o.sendRefusal(p, j, r)
-}
-
-// refuseInfeasible answers a job that no endpoint here could end in time.
-func (o *Owner) refuseInfeasible(p *pool, j *job) {
-	o.sendRefusal(p, j, entity.Refusal{ID: j.work.ID, Floor: NoFloor, Infeasible: true})
+	return r
 }
 
 func (o *Owner) sendRefusal(p *pool, j *job, r entity.Refusal) {
@@ -59,6 +68,17 @@
 	return true
 }
 
+// shedInfeasible refuses a job that can't end in time here. Other endpoints
+// may be faster, so a job that was to wait is refused only with proof, unless
+// its deadline has passed altogether.
+func (o *Owner) shedInfeasible(now time.Time, p *pool, j *job) {
+	if j.noWait || j.class.resume != "" || j.late(now, 0) || p.proven(now, j) {
+		o.refuseInfeasible(now, p, j)
+		return
+	}
+	o.clearBelow(now, p, j)
+}
+
 // clearBelow pauses all that runs below j where j could be served.
 func (o *Owner) clearBelow(now time.Time, p *pool, j *job) {
 	o.promise(now, p, j, j.tier)
@@ -100,8 +120,8 @@
 	}
 }
 
-// expire sheds queued jobs whose last chance is elsewhere, and refuses those
-// that can't end in time even on an idle endpoint.
+// expire sheds queued jobs whose last chance is elsewhere, and those that
+// can't end in time even on an idle endpoint.
 func (o *Owner) expire(now time.Time, p *pool) {
 	var late []*job
 	for t := range p.queue.tiers {
@@ -116,7 +136,7 @@
 		run, _, ok := o.bestRunTime(p, j)
 		switch {
 		case !ok || j.late(now, run):
-			o.refuseInfeasible(p, j)
+			o.shedInfeasible(now, p, j)
 		case j.late(now, run+lastChance) && j.class.resume == "":
 			o.shed(now, p, j)
 		}
--- a/internal/core/routing/floors.go
+++ b/internal/core/routing/floors.go
@@ -39,7 +39,7 @@
 			kept = append(kept, p)
 		}
 	}
-	if r.FloorFor > 0 && !r.Infeasible {
+	if r.FloorFor > 0 {
 		kept = append(kept, promise{floor: r.Floor, until: sentAt.Add(r.FloorFor), covers: eligible.Digest(r.Covers)})
 	}
 	f[s] = kept
--- a/internal/core/routing/router.go
+++ b/internal/core/routing/router.go
@@ -155,19 +155,22 @@
 }
 
 // MayShed says that w may be refused: every owner of the pool that is in reach
-// has promised that it serves nothing below w, or has said that it could not
-// serve w in time at all.
+// has promised that it serves nothing below w, or all of them have said that
+// they could not serve w in time even with no one else there.
 func (r *Router) MayShed(now time.Time, w *entity.Work, tried []Choice) bool {
 	p := r.pools[w.Pool]
 	if p == nil {
 		return true
 	}
+	promised, feasible := true, false
 	for _, o := range p.owners {
-		if r.owner(o).reachable(now) && !infeasible(tried, o) && !r.promised(now, o, w) {
-			return false
+		if !r.owner(o).reachable(now) || r.covers(o, w) == 0 {
+			continue
 		}
+		promised = promised && r.promised(now, o, w)
+		feasible = feasible || !infeasible(tried, o)
 	}
-	return true
+	return promised || !feasible
 }
 
 func (r *Router) promised(now time.Time, o entity.InstanceID, w *entity.Work) bool {
@@ -254,7 +257,7 @@
 // had no slot at once are asked a second time.
 func wasTried(tried []Choice, o entity.InstanceID, s stage) bool {
 	for _, c := range tried {
-		if c.Owner == o && (s != stageProving || !c.NoWait || c.Infeasible) {
+		if c.Owner == o && (s != stageProving || !c.NoWait) {
 			return true
 		}
 	}
