--- a/internal/core/admission/grant.go
+++ b/internal/core/admission/grant.go
@@ -8,7 +8,7 @@
 
 // loadPenalty is how much a full endpoint's estimated running time counts more
 // than an idle one's.
-const loadPenalty = 0.5
+const loadPenalty = 0.05
 
 // grantAll gives free slots to queued jobs, in the queue's order.
 func (o *Owner) grantAll(now time.Time, p *pool) {
--- a/internal/core/routing/router.go
+++ b/internal/core/routing/router.go
@@ -91,7 +91,7 @@
 	if len(order) == 0 {
 		return Choice{}, false
 	}
-	stays := probes > 0 && stage != stageProving && r.stays(now, w, order[0])
+	stays := len(tried) > 0 && stage != stageProving && r.stays(now, w, order[0])
 	if stays && stage == stageWaiting {
 		return Choice{}, false
 	}
@@ -122,13 +122,19 @@
 // stays says that w is better off waiting for its home, where its prompt is
 // likely to be held, than going elsewhere.
 func (r *Router) stays(now time.Time, w *entity.Work, home ranked) bool {
-	return r.owner(home.Owner).wait(now, w.Tier) < r.moveCost(w, home)
+	return r.owner(home.Owner).wait(now, w.Tier) < r.moveCost(now, w, home)
 }
 
-// moveCost is what going elsewhere costs, as waiting time.
-func (r *Router) moveCost(w *entity.Work, home ranked) time.Duration {
+// moveCost is what going elsewhere costs, as waiting time: the prompt's
+// processing, and the more often that the longer w can wait at all.
+func (r *Router) moveCost(now time.Time, w *entity.Work, home ranked) time.Duration {
 	prefill := r.speeds.Rates(&home.Endpoint).PrefillTime(w.PromptTokens)
-	return time.Duration(r.settings.MoveFactor * float64(prefill))
+	slack := moveSlackShare * maxMoveWait
+	if !w.Deadline.IsZero() {
+		slack = max(0, w.Deadline.Sub(now))
+	}
+	cost := time.Duration(float64(prefill) * float64(slack) / float64(r.settings.MoveSlack))
+	return min(cost, slack/moveSlackShare)
 }
 
 // join returns the owner with the shortest queue, as far as is known, with a
@@ -142,7 +148,7 @@
 		}
 		wait := r.owner(c.Owner).wait(now, w.Tier)
 		if i > 0 {
-			wait += r.moveCost(w, order[0])
+			wait += r.moveCost(now, w, order[0])
 		}
 		if best == nil || wait < shortest {
 			best, shortest = c.candidate, wait
--- a/internal/core/routing/settings.go
+++ b/internal/core/routing/settings.go
@@ -6,6 +6,13 @@
 // granted and it may not shed.
 const RetryInterval = 50 * time.Millisecond
 
+const (
+	// moveSlackShare bounds the wait at home to a share of the time that is left.
+	moveSlackShare = 5
+	// maxMoveWait bounds it for work without a near deadline.
+	maxMoveWait = time.Minute
+)
+
 // Settings of a Router.
 type Settings struct {
 	// Probes is how many owners are asked for a slot at once before the request
@@ -13,14 +20,15 @@
 	Probes int
 	// HeadBlocks is how many blocks of the prompt decide where it goes.
 	HeadBlocks int
-	// MoveFactor is how much more waiting than processing its prompt again a
-	// request takes, rather than go where its prompt is not held.
-	MoveFactor float64
+	// MoveSlack is the time to its deadline for which a request would rather
+	// wait as long as its prompt takes to process than go where the prompt is
+	// not held. With more time it waits longer in proportion.
+	MoveSlack time.Duration
 	// LoadFactor bounds an endpoint's load, as a multiple of the mean.
 	LoadFactor float64
 }
 
 // DefaultSettings returns the settings used where none are given.
 func DefaultSettings() Settings {
-	return Settings{Probes: 4, HeadBlocks: 16, MoveFactor: 6, LoadFactor: 4}
+	return Settings{Probes: 4, HeadBlocks: 16, MoveSlack: 2 * time.Second, LoadFactor: 4}
 }
