--- a/internal/core/admission/defer.go
+++ b/internal/core/admission/defer.go
@@ -2,18 +2,29 @@
 
 import "time"
 
-// maxDefer bounds how long a job waits for an engine that holds its prompt.
-const maxDefer = time.Second
+const (
+	// deferFactor is how much longer than processing its prompt again a job
+	// waits for an engine that holds the prompt.
+	deferFactor = 4
+	// deferShare bounds that wait to a share of the time to the deadline, and
+	// maxDefer where there is none.
+	deferShare = 5
+	maxDefer   = time.Minute
+)
 
 // patience is how long j may wait for an engine here that holds part of its
-// prompt: as long as it would take to process that part again.
-func (o *Owner) patience(p *pool, j *job) time.Duration {
+// prompt.
+func (o *Owner) patience(now time.Time, p *pool, j *job) time.Duration {
 	var most time.Duration
 	p.eligible(j, func(e *endpoint) bool {
 		most = max(most, o.speeds.Rates(&e.row).PrefillTime(e.cachedTokens(j)))
 		return true
 	})
-	return min(most, maxDefer)
+	bound := maxDefer
+	if !j.work.Deadline.IsZero() {
+		bound = min(bound, j.work.Deadline.Sub(now)/deferShare)
+	}
+	return min(deferFactor*most, bound)
 }
 
 // defers says that j would rather wait for another endpoint than take e now.
--- a/internal/core/admission/owner.go
+++ b/internal/core/admission/owner.go
@@ -51,7 +51,7 @@
 		return
 	}
 	j.run, j.runPrefill = run, prefill
-	j.deferUntil = now.Add(o.patience(p, j))
+	j.deferUntil = now.Add(o.patience(now, p, j))
 	o.enqueue(p, j)
 	if j.late(now, run) {
 		o.shedInfeasible(now, p, j)
