--- a/internal/core/admission/defer.go
+++ b/internal/core/admission/defer.go
@@ -5,7 +5,7 @@
 const (
 	// deferFactor is how much longer than processing its prompt again a job
 	// waits for an engine that holds the prompt.
-	deferFactor = 4
+	deferFactor = 8
 	// deferShare bounds that wait to a share of the time to the deadline, and
 	// maxDefer where there is none.
 	deferShare = 5
--- a/internal/core/routing/settings.go
+++ b/internal/core/routing/settings.go
@@ -30,5 +30,5 @@
 
 // DefaultSettings returns the settings used where none are given.
 func DefaultSettings() Settings {
-	return Settings{Probes: 4, HeadBlocks: 16, MoveSlack: 2 * time.Second, LoadFactor: 4}
+	return Settings{Probes: 4, HeadBlocks: 16, MoveSlack: time.Second, LoadFactor: 4}
 }
