--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 LINT          := $(GOBIN)/golangci-lint
 BIN           := bin
 
-.PHONY: help build fmt lint vet check test race clean
+.PHONY: help build fmt lint vet check test race measure bench clean
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
 
@@ -34,5 +34,11 @@
 race: ## all tests under the race detector
 	$(GO) test -race ./...
 
+measure: ## measure the decisions against the baselines (some minutes)
+	$(GO) run ./cmd/medlarhold-measure
+
+bench: ## benchmark one decision against the naive scheduler
+	$(GO) test ./internal/measure -run '^$$' -bench . -benchtime 3000x
+
 clean: ## remove what the build made
 	rm -rf $(BIN)
--- a/cmd/medlarhold-measure/main.go
+++ b/cmd/medlarhold-measure/main.go
@@ -73,6 +73,9 @@
 	for _, load := range o.loads {
 		for _, cond := range measure.Conditions() {
 			for _, p := range measure.Policies() {
+				if p.Variant && cond != measure.Healthy {
+					continue
+				}
 				if wanted(o.conditions, string(cond)) && wanted(o.policies, p.Name) {
 					cases = append(cases, measure.Case{Deployment: d.Name, Load: load, Condition: cond, Policy: p.Name})
 				}
--- a/internal/measure/policy.go
+++ b/internal/measure/policy.go
@@ -1,6 +1,8 @@
 package measure
 
 import (
+	"time"
+
 	"github.com/medlarhold/medlarhold/internal/core/admission"
 	"github.com/medlarhold/medlarhold/internal/core/routing"
 )
@@ -8,7 +10,10 @@
 // Policy is a scheduler that can be measured.
 type Policy struct {
 	Name string
-	make func(*run) policy
+	// Variant marks an earlier version of the core; it is measured in healthy
+	// runs only.
+	Variant bool
+	make    func(*run) policy
 }
 
 // Ours is the name of the decision core as it stands.
@@ -23,5 +28,22 @@
 		{Name: Ours, make: func(r *run) policy {
 			return newCluster(r, admission.DefaultSettings(), routing.DefaultSettings())
 		}},
+		{Name: "earlier: long prefill lines", Variant: true, make: longLines},
+		{Name: "earlier: moves at once", Variant: true, make: restless},
 	}
 }
+
+// longLines grants prompts without regard to those that an engine is still
+// processing.
+func longLines(r *run) policy {
+	s := admission.DefaultSettings()
+	s.PrefillAhead = time.Hour
+	return newCluster(r, s, routing.DefaultSettings())
+}
+
+// restless goes to any owner with a free slot, wherever the prompt is held.
+func restless(r *run) policy {
+	s := routing.DefaultSettings()
+	s.MoveSlack = time.Hour
+	return newCluster(r, admission.DefaultSettings(), s)
+}
