An owner weighs a held prompt more than the wait for it

Cause: half of what was still processed again went to another engine of the same owner: the wait for the engine that holds the prompt was compared with the time saved for this one request, though the engines lose that time for all; and a job that was queued before its document was anywhere had no patience for it later.

--- a/internal/core/admission/defer.go
+++ b/internal/core/admission/defer.go
@@ -12,9 +12,9 @@
 	maxDefer   = time.Minute
 )
 
-// patience is how long j may wait for an engine here that holds part of its
-// prompt.
-func (o *Owner) patience(now time.Time, p *pool, j *job) time.Duration {
+// setPatience decides how long j waits for an engine here that holds part of
+// its prompt, be it now or later.
+func (o *Owner) setPatience(now time.Time, p *pool, j *job) {
 	var most time.Duration
 	p.eligible(j, func(e *endpoint) bool {
 		most = max(most, o.speeds.Rates(&e.row).PrefillTime(e.cachedTokens(j)))
@@ -24,7 +24,8 @@
 	if !j.work.Deadline.IsZero() {
 		bound = min(bound, j.work.Deadline.Sub(now)/deferShare)
 	}
-	return min(deferFactor*most, bound)
+	j.stayUntil = now.Add(min(deferFactor*most, bound))
+	j.deferUntil = now.Add(bound)
 }
 
 // defers says that j would rather wait for another endpoint than take e now.
@@ -38,7 +39,8 @@
 		if f == e || f.open(now, o.settings.PrefillAhead) || f.cachedTokens(j) <= e.cachedTokens(j) {
 			return true
 		}
-		better = f.firstFree(now, j.tier)+loaded(f, o.runTime(f, j)) < here
+		saved := o.speeds.Rates(&e.row).PrefillTime(f.cachedTokens(j) - e.cachedTokens(j))
+		better = f.firstFree(now, j.tier)+loaded(f, o.runTime(f, j)) < here+(deferFactor-1)*saved
 		return !better
 	})
 	return better
--- a/internal/core/admission/job.go
+++ b/internal/core/admission/job.go
@@ -55,9 +55,9 @@
 	// job prefill is what was left of it.
 	prefill    time.Duration
 	prefillEnd time.Time
-	// deferUntil is how long the job would rather wait for an engine that holds
-	// part of its prompt than have it processed again elsewhere.
-	deferUntil time.Time
+	// stayUntil is how long a job that was not to wait stays for an engine that
+	// holds part of its prompt, deferUntil how long a job passes over others.
+	stayUntil, deferUntil time.Time
 	// run estimates the running time on the best endpoint, were it idle, and
 	// runPrefill the part of it that processes the prompt.
 	run, runPrefill time.Duration
--- a/internal/core/admission/owner.go
+++ b/internal/core/admission/owner.go
@@ -51,7 +51,7 @@
 		return
 	}
 	j.run, j.runPrefill = run, prefill
-	j.deferUntil = now.Add(o.patience(now, p, j))
+	o.setPatience(now, p, j)
 	o.enqueue(p, j)
 	if j.late(now, run) {
 		o.shedInfeasible(now, p, j)
@@ -69,7 +69,7 @@
 		return
 	}
 	if j.noWait {
-		if !now.Before(j.deferUntil) {
+		if !now.Before(j.stayUntil) {
 			o.refuse(now, p, j)
 		}
 		return
@@ -161,7 +161,7 @@
 					hopeless = append(hopeless, j.class)
 				}
 			}
-			if j.noWait && j.awaited == 0 && !now.Before(j.deferUntil) {
+			if j.noWait && j.awaited == 0 && !now.Before(j.stayUntil) {
 				refused = append(refused, j)
 			}
 			return true
