--- a/internal/core/routing/router.go
+++ b/internal/core/routing/router.go
@@ -105,7 +105,7 @@
 	if len(order) == 0 {
 		return Choice{}, false, false
 	}
-	stays = probes > 0 && stage != stageProving && r.stays(now, w, order[0])
+	stays = len(tried) > 0 && stage != stageProving && r.stays(now, w, order[0])
 	if stays && stage == stageWaiting {
 		return Choice{}, false, true
 	}
@@ -137,13 +137,19 @@
 // stays says that w is better off waiting for its home, where its prompt is
 // likely to be held, than going elsewhere.
 func (r *Router) stays(now time.Time, w *entity.Work, home ranked) bool {
-	return r.owner(home.Owner).wait(now, w.Tier) < r.moveCost(w, home)
+	return r.owner(home.Owner).wait(now, w.Tier) < r.moveCost(now, w, home)
 }
 
-// moveCost is what going elsewhere costs, as waiting time.
-func (r *Router) moveCost(w *entity.Work, home ranked) time.Duration {
+// moveCost is what going elsewhere costs, as waiting time: the prompt's
+// processing, and the more often that the longer w can wait at all.
+func (r *Router) moveCost(now time.Time, w *entity.Work, home ranked) time.Duration {
 	prefill := r.speeds.Rates(&home.Endpoint).PrefillTime(w.PromptTokens)
-	return time.Duration(r.settings.MoveFactor * float64(prefill))
+	slack := moveSlackShare * maxMoveWait
+	if !w.Deadline.IsZero() {
+		slack = max(0, w.Deadline.Sub(now))
+	}
+	cost := time.Duration(float64(prefill) * float64(slack) / float64(r.settings.MoveSlack))
+	return min(cost, slack/moveSlackShare)
 }
 
 // join returns the owner with the shortest queue, as far as is known, with a
@@ -157,7 +163,7 @@
 		}
 		wait := r.owner(c.Owner).wait(now, w.Tier)
 		if i > 0 {
-			wait += r.moveCost(w, order[0])
+			wait += r.moveCost(now, w, order[0])
 		}
 		if best == nil || wait < shortest {
 			best, shortest = c.candidate, wait
@@ -170,20 +176,23 @@
 }
 
 // MayShed says that w may be refused: every owner of the pool has promised that
-// it serves nothing below w, or has said that it could not serve w in time at
-// all. An owner that does not answer still counts, until membership gives its
-// endpoints to another one.
+// it serves nothing below w, or all of them have said that they could not serve
+// w in time even with no one else there. An owner that does not answer still
+// counts, until membership gives its endpoints to another one.
 func (r *Router) MayShed(now time.Time, w *entity.Work, tried []Choice) bool {
 	p := r.pools[w.Pool]
 	if p == nil {
 		return true
 	}
+	promised, feasible := true, false
 	for _, o := range p.owners {
-		if !infeasible(tried, o) && !r.promised(now, o, w) {
-			return false
+		if r.covers(o, w) == 0 {
+			continue
 		}
+		promised = promised && r.promised(now, o, w)
+		feasible = feasible || !infeasible(tried, o)
 	}
-	return true
+	return promised || !feasible
 }
 
 // Reaches says whether any owner in reach has an endpoint that could serve w.
@@ -284,7 +293,7 @@
 // had no slot at once are asked a second time.
 func wasTried(tried []Choice, o entity.InstanceID, s stage) bool {
 	for _, c := range tried {
-		if c.Owner == o && (s != stageProving || !c.NoWait || c.Infeasible) {
+		if c.Owner == o && (s != stageProving || !c.NoWait) {
 			return true
 		}
 	}
