--- a/cmd/medlarhold-capacity/main.go
+++ b/cmd/medlarhold-capacity/main.go
@@ -47,7 +47,7 @@
 	f.IntSliceVar(&o.sizes, "sizes", []int{6, 14, 31}, "instances in one zone")
 	f.IntSliceVar(&o.states, "states", []int{1000, 5000, 19000}, "contracts in force")
 	f.IntVar(&o.seconds, "seconds", 15, "length of each window in seconds")
-	f.IntVar(&o.settle, "settle", 10, "pause in seconds before the first window")
+	f.IntVar(&o.settle, "settle", 25, "pause in seconds before the first window")
 	f.IntVar(&o.perZone, "per-zone", 6, "instances in each zone of the run with two zones, 0 for none")
 	f.BoolVar(&o.noBench, "no-bench", false, "leave the benchmarks out")
 	f.BoolVar(&o.noFleet, "no-fleet", false, "leave the runs with processes out")
--- a/internal/daemon/listpace.go
+++ b/internal/daemon/listpace.go
@@ -17,7 +17,7 @@
 	minListInterval = 2 * time.Second
 	maxListInterval = 10 * time.Minute
 	// searchFor is how long after its start an instance looks for peers.
-	searchFor = time.Minute
+	searchFor = 20 * time.Second
 )
 
 // listInterval returns the pause after a read of a list of so many rows. What
