--- a/internal/core/routing/router.go
+++ b/internal/core/routing/router.go
@@ -20,6 +20,8 @@
 	Endpoint entity.EndpointID
 	// NoWait goes into the reservation.
 	NoWait bool
+	// Refused is set by the caller when the owner has refused.
+	Refused bool
 	// Infeasible is set by the caller when the owner said that its endpoints
 	// could not meet the deadline even with no one else there.
 	Infeasible bool
@@ -44,7 +46,7 @@
 	candidates []*candidate
 	owners     []entity.InstanceID // in the order of candidates
 	byOwner    map[entity.InstanceID][]*candidate
-	ring       []*candidate
+	ring       []*candidate // nil for a pool that is always ranked whole
 }
 
 // New returns a Router that knows no pools.
@@ -66,12 +68,12 @@
 func (r *Router) SetPool(id entity.PoolID, rows []Owned) {
 	p := &pool{byOwner: make(map[entity.InstanceID][]*candidate)}
 	for i := range rows {
-		c := r.candidate(&rows[i])
+		c, o := r.candidate(&rows[i]), rows[i].Owner
 		p.candidates = append(p.candidates, c)
-		if len(p.byOwner[c.Owner]) == 0 {
-			p.owners = append(p.owners, c.Owner)
+		if p.byOwner[o] == nil {
+			p.owners = append(p.owners, o)
 		}
-		p.byOwner[c.Owner] = append(p.byOwner[c.Owner], c)
+		p.byOwner[o] = append(p.byOwner[o], c)
 	}
 	p.ring = r.ring(p.candidates)
 	if old := r.pools[id]; old != nil {
@@ -86,46 +88,75 @@
 	if p == nil {
 		return Choice{}, false
 	}
-	if p.ring != nil {
-		if c, ok := r.choose(now, w, r.shortlist(now, p, w), tried); ok {
-			return c, true
+	probes, stage := summarise(tried)
+	order := r.candidates(now, p, w, stage)
+	if len(order) == 0 {
+		return Choice{}, false
+	}
+	stays := probes > 0 && stage != stageProving && r.stays(now, w, order[0])
+	if stays && stage == stageWaiting {
+		return Choice{}, false
+	}
+	if stage != stageProbing || (probes < r.settings.Probes && !stays) {
+		if c, ok := r.probe(now, w, order, tried, stage); ok || stage != stageProbing {
+			return c, ok
 		}
 	}
-	return r.choose(now, w, r.rank(now, p, w), tried)
+	return r.join(now, w, order, tried)
 }
 
-// choose returns whom to ask next among the endpoints in order.
-func (r *Router) choose(now time.Time, w *entity.Work, order []ranked, tried []Choice) (Choice, bool) {
-	probes, waited := summarise(tried)
-	if waited || probes < r.settings.Probes {
-		if c, ok := r.probe(now, w, order, tried); ok || waited {
-			return c, ok
+// candidates ranks the endpoints that are tried at a stage. Proof is looked
+// for at all owners.
+func (r *Router) candidates(now time.Time, p *pool, w *entity.Work, s stage) []ranked {
+	if p.ring != nil && s != stageProving {
+		if order := r.shortlist(now, p, w); len(order) > 0 {
+			return order
 		}
 	}
-	return r.join(now, order, tried)
+	return r.rank(now, p, w)
 }
 
-// probe returns the first owner that was not tried yet and has not promised
-// that it serves nothing below w.
-func (r *Router) probe(now time.Time, w *entity.Work, order []ranked, tried []Choice) (Choice, bool) {
+// probe returns the first owner that was not tried yet, has not promised that
+// it serves nothing below w, and was not found busy lately. Where proof is
+// looked for, busy owners are asked as well.
+func (r *Router) probe(now time.Time, w *entity.Work, order []ranked, tried []Choice, s stage) (Choice, bool) {
 	for _, c := range order {
-		if wasTried(tried, c.Owner) || r.promised(now, c.Owner, w) {
+		if wasTried(tried, c.Owner, s) || r.promised(now, c.Owner, w) {
+			continue
+		}
+		if s != stageProving && r.owner(c.Owner).busy(now, w.Tier) {
 			continue
 		}
-		return Choice{Owner: c.Owner, Endpoint: c.Endpoint.ID, NoWait: true}, true
+		return Choice{Owner: c.Owner, Endpoint: c.Endpoint.ID, NoWait: s != stageProving}, true
 	}
 	return Choice{}, false
 }
 
-// join returns the owner with the shortest queue, as far as is known.
-func (r *Router) join(now time.Time, order []ranked, tried []Choice) (Choice, bool) {
+// stays says that w is better off waiting for its home, where its prompt is
+// likely to be held, than going elsewhere.
+func (r *Router) stays(now time.Time, w *entity.Work, home ranked) bool {
+	return r.owner(home.Owner).wait(now, w.Tier) < r.moveCost(w, home)
+}
+
+// moveCost is what going elsewhere costs, as waiting time.
+func (r *Router) moveCost(w *entity.Work, home ranked) time.Duration {
+	prefill := r.speeds.Rates(&home.Endpoint).PrefillTime(w.PromptTokens)
+	return time.Duration(r.settings.MoveFactor * float64(prefill))
+}
+
+// join returns the owner with the shortest queue, as far as is known, with a
+// preference for the first in order.
+func (r *Router) join(now time.Time, w *entity.Work, order []ranked, tried []Choice) (Choice, bool) {
 	var best *candidate
 	var shortest time.Duration
-	for _, c := range order {
+	for i, c := range order {
 		if infeasible(tried, c.Owner) {
 			continue
 		}
-		wait := r.owner(c.Owner).wait(now)
+		wait := r.owner(c.Owner).wait(now, w.Tier)
+		if i > 0 {
+			wait += r.moveCost(w, order[0])
+		}
 		if best == nil || wait < shortest {
 			best, shortest = c.candidate, wait
 		}
@@ -215,15 +246,27 @@
 	}
 }
 
-func summarise(tried []Choice) (probes int, waited bool) {
+// stage is how far an entry has come with one request.
+type stage int
+
+const (
+	stageProbing stage = iota // asks for a slot at once
+	stageWaiting              // has a place in a queue
+	stageProving              // was refused there, and looks for room or proof
+)
+
+func summarise(tried []Choice) (probes int, s stage) {
 	for _, c := range tried {
-		if !c.NoWait {
-			waited = true
-			continue
+		switch {
+		case c.NoWait:
+			probes++
+		case !c.Refused:
+			return probes, stageWaiting
+		default:
+			s = stageProving
 		}
-		probes++
 	}
-	return probes, waited
+	return probes, s
 }
 
 func infeasible(tried []Choice, o entity.InstanceID) bool {
@@ -235,9 +278,11 @@
 	return false
 }
 
-func wasTried(tried []Choice, o entity.InstanceID) bool {
+// wasTried says that there is no use in asking o again. For proof, owners that
+// had no slot at once are asked a second time.
+func wasTried(tried []Choice, o entity.InstanceID, s stage) bool {
 	for _, c := range tried {
-		if c.Owner == o {
+		if c.Owner == o && (s != stageProving || !c.NoWait || c.Infeasible) {
 			return true
 		}
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -105,11 +105,11 @@
 // assemble connects the parts.
 func (d *Daemon) assemble() {
 	s := d.settings
-	d.endpoints = endpoint.New(endpoint.Options{TLS: d.certs.client()})
+	d.endpoints = endpoint.New(endpoint.Options{TLS: d.certs.client(), Metrics: d.metrics.Registry()})
 	d.poller = newPoller(
-		endpoint.New(endpoint.Options{TLS: d.certs.client(), Wrap: d.metrics.PollRequest.Conn}),
-		endpoint.New(endpoint.Options{TLS: d.certs.client(), Wrap: d.metrics.PollControl.Conn}),
-		d.metrics, func(msg any) { d.loop.Post(msg) }, d.reportHeld)
+		endpoint.New(endpoint.Options{TLS: d.certs.client(), Wrap: d.metrics.PollRequest.Conn, Metrics: d.metrics.Registry()}),
+		endpoint.New(endpoint.Options{TLS: d.certs.client(), Wrap: d.metrics.PollControl.Conn, Metrics: d.metrics.Registry()}),
+		d.metrics, s.Requests.PrefixBlockTokens/s.Requests.EngineBlockTokens, func(msg any) { d.loop.Post(msg) }, d.reportHeld)
 	d.transport = peer.NewTransport(peer.Options{
 		Self: d.self, Keys: d.keys.PeerKeys, ServerTLS: d.certs.server(), ClientTLS: d.certs.client(),
 		ExchangeTimeout: peerExchangeTimeout, Registry: messages(),
@@ -140,8 +140,9 @@
 		DefaultDeadline:   time.Duration(s.Requests.DefaultDeadlineMs) * time.Millisecond,
 		MaxDeadline:       time.Duration(s.Requests.MaxDeadlineMs) * time.Millisecond,
 		MaxBodyBytes:      s.Requests.MaxBodyBytes,
-		PrefixBlockTokens: s.Requests.PrefixBlockTokens, MaxPrefixBlocks: s.Requests.MaxPrefixBlocks,
-		WriteTimeout: writeTimeout,
+		EngineBlockTokens: s.Requests.EngineBlockTokens, PrefixBlockTokens: s.Requests.PrefixBlockTokens,
+		MaxPrefixBlocks: s.Requests.MaxPrefixBlocks,
+		WriteTimeout:    writeTimeout,
 	})
 }
 
--- a/internal/daemon/poller.go
+++ b/internal/daemon/poller.go
@@ -37,14 +37,15 @@
 	held  func(entity.EndpointID, endpoint.OrderStatus)
 	mu    sync.Mutex
 	owned []entity.Endpoint
+	// stride is how many blocks of an engine make one that owners compare by.
+	stride int
 	// looks holds what is known of each engine. Only run uses it.
 	looks map[entity.EndpointID]*look
 }
 
 // look is what the last look at an engine brought.
 type look struct {
-	// next is the sequence number to ask for.
-	next     uint64
+	cursor   cacheCursor
 	inUse    bool
 	interval time.Duration
 	due      time.Time
@@ -52,8 +53,8 @@
 
 // begin has a look start near the newest cache event.
 func (l *look) begin(newest uint64) {
-	if l.next == 0 && newest > newcomerEvents {
-		l.next = newest - newcomerEvents
+	if l.cursor.next == 0 && newest > newcomerEvents {
+		l.cursor.next = newest - newcomerEvents
 	}
 }
 
@@ -69,9 +70,9 @@
 	l.due = now.Add(l.interval - pollRound/2)
 }
 
-func newPoller(busy, rest *endpoint.Client, m *telemetry.Metrics, post func(msg any),
+func newPoller(busy, rest *endpoint.Client, m *telemetry.Metrics, stride int, post func(msg any),
 	held func(entity.EndpointID, endpoint.OrderStatus)) *poller {
-	return &poller{busy: busy, rest: rest, metrics: m, post: post, held: held, looks: make(map[entity.EndpointID]*look)}
+	return &poller{busy: busy, rest: rest, metrics: m, stride: stride, post: post, held: held, looks: make(map[entity.EndpointID]*look)}
 }
 
 // setOwned replaces the endpoints to poll.
@@ -140,7 +141,7 @@
 			p.held(e.ID, st)
 		}
 	}
-	if events, err := client.CacheEvents(ctx, e.Address, l.next); err == nil {
+	if events, err := client.CacheEvents(ctx, e.Address, l.cursor.next); err == nil {
 		p.pass(e, l, events)
 		inUse = inUse || len(events.Events) > 0
 	}
@@ -149,12 +150,9 @@
 
 // pass hands the cache events of one engine on.
 func (p *poller) pass(e entity.Endpoint, l *look, events endpoint.CacheEvents) {
-	for _, ev := range events.Events {
-		p.post(node.Cache{Event: entity.CacheEvent{Endpoint: e.ID, Seq: ev.Seq,
-			Stored: endpoint.FromWire(ev.Stored), Evicted: endpoint.FromWire(ev.Evicted), Cleared: ev.Cleared}})
-	}
-	if events.Next > 0 {
-		l.next = events.Next
+	for _, ev := range l.cursor.read(events, p.stride) {
+		ev.Endpoint = e.ID
+		p.post(node.Cache{Event: ev})
 	}
 }
 
--- a/internal/standin/load/plan.go
+++ b/internal/standin/load/plan.go
@@ -7,15 +7,15 @@
 	"strings"
 	"time"
 
-	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/prefix"
 )
 
 // Arrival is one planned request.
 type Arrival struct {
+	// Number counts the requests of the run from 0.
+	Number int
 	// Due is when it is sent, from the start of the run.
 	Due       time.Duration
-	ID        entity.RequestID
 	Target    string
 	Profile   Profile
 	Prompt    string
@@ -58,20 +58,20 @@
 	s := &p.settings
 	which := p.drawProfile()
 	a := Arrival{
+		Number:  n,
 		Due:     due,
-		ID:      entity.RequestID(fmt.Sprintf("%s-%d", s.Run, n)),
 		Target:  s.Targets[n%len(s.Targets)],
 		Profile: s.Profiles[which],
 	}
 	if a.Profile.Call != nil {
 		if a.Profile.Call.Keyed {
-			a.Key = "key-" + string(a.ID)
+			a.Key = fmt.Sprintf("%s-%d", s.Run, n)
 		}
 		return a
 	}
 	template := p.zipf[which].Uint64()
 	own := p.drawLength(a.Profile.Prompt)
-	a.Prompt = text(fmt.Sprintf("%s/%d", a.Profile.Name, template), a.Profile.TemplateTokens) + text(string(a.ID), own)
+	a.Prompt = text(fmt.Sprintf("%s/%d", a.Profile.Name, template), a.Profile.TemplateTokens) + text(fmt.Sprintf("%s-%d", s.Run, n), own)
 	a.MaxTokens = p.drawLength(a.Profile.Output)
 	return a
 }
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -94,6 +94,10 @@
 	m.counter(fmt.Sprintf(`medlarhold_endpoint_polls_total{cause=%q}`, cause)).Inc(1)
 }
 
+// Registry returns where the metrics are registered, for parts that keep
+// counters of their own.
+func (m *Metrics) Registry() metrics.Registry { return m.registry }
+
 // Refused counts one refusal under its reason and verdict.
 func (m *Metrics) Refused(reason verdict.Reason, v verdict.Verdict) {
 	m.counter(fmt.Sprintf(`medlarhold_refusals_total{reason=%q,verdict=%q}`, reason, v)).Inc(1)
