--- a/internal/standin/engine/model/engine_test.go
+++ b/internal/standin/engine/model/engine_test.go
@@ -335,7 +335,7 @@
 	if got := e.Load(at(999 * ms)); got.Running != 0 {
 		t.Fatalf("%+v", got)
 	}
-	want := endpoint.Load{Running: 1, KVTokens: 1000, AsOf: at(0)}
+	want := endpoint.Load{Running: 1, KVTokens: 1000, AsOf: at(0), CacheSeq: 1}
 	if got := e.Load(at(time.Second)); got != want {
 		t.Fatalf("%+v", got)
 	}
