--- a/internal/core/node/bench_test.go
+++ b/internal/core/node/bench_test.go
@@ -198,3 +198,18 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc
 }
+
+// BenchmarkFleetMemory reports what a node keeps for each endpoint, the
+// configuration included.
+func BenchmarkFleetMemory(b *testing.B) {
+	for _, engines := range fleetEngines {
+		b.Run(fmt.Sprintf("endpoints=%d", engines), func(b *testing.B) {
+			for b.Loop() {
+				before := heapBytes()
+				n, _ := benchNode(b, engines)
+				b.ReportMetric(float64(heapBytes()-before)/float64(engines), "B/endpoint")
+				runtime.KeepAlive(n)
+			}
+		})
+	}
+}
