--- a/internal/core/admission/grant.go
+++ b/internal/core/admission/grant.go
@@ -25,10 +25,12 @@
 }
 
 // grantBest gives j the best free slot, if one is free that has memory for it
-// and that no promise keeps it off.
+// and that no promise keeps it off. One that has just failed comes last, so
+// that what it refused is not granted there again while another is free.
 func (o *Owner) grantBest(now time.Time, p *pool, j *job) bool {
 	var best *endpoint
 	var bestScore time.Duration
+	var bestFailed bool
 	p.eligible(j, func(e *endpoint) bool {
 		if !e.open(now, o.settings.PrefillAhead) || !e.allows(now, j.tier) || !e.fits(j) {
 			return true
@@ -37,9 +39,9 @@
 		if j.late(now, run) {
 			return true
 		}
-		score := loaded(e, run)
-		if best == nil || score < bestScore {
-			best, bestScore = e, score
+		score, failed := loaded(e, run), e.justFailed(now)
+		if best == nil || failed == bestFailed && score < bestScore || bestFailed && !failed {
+			best, bestScore, bestFailed = e, score, failed
 		}
 		return true
 	})
--- a/internal/core/admission/settings.go
+++ b/internal/core/admission/settings.go
@@ -33,6 +33,10 @@
 	QueuePerEndpoint int
 	// FloorFor is how long the promise of a Refusal holds.
 	FloorFor time.Duration
+	// QuietFor is how long a gained endpoint takes only the highest tier: an
+	// earlier owner may not know yet that it is none any more, and still give
+	// promises. One that is leaving does know; then FloorFor is enough.
+	QuietFor time.Duration
 	// PrefillAhead bounds the estimated time that an engine is still busy with
 	// prompts when it is granted another one.
 	PrefillAhead time.Duration
@@ -62,6 +66,7 @@
 		Tiers:            5,
 		QueuePerEndpoint: 64,
 		FloorFor:         250 * time.Millisecond,
+		QuietFor:         1500 * time.Millisecond,
 		PrefillAhead:     50 * time.Millisecond,
 		SettleFor:        3 * time.Second,
 		FreezeGap:        time.Second,
--- a/internal/core/routing/router.go
+++ b/internal/core/routing/router.go
@@ -8,7 +8,8 @@
 	"github.com/medlarhold/medlarhold/internal/core/speed"
 )
 
-// Owned is an endpoint and the instance that owns it.
+// Owned is an endpoint and the instance that owns it. One without an owner
+// can't be asked for, and nothing is proved by it.
 type Owned struct {
 	Endpoint entity.Endpoint
 	Owner    entity.InstanceID
@@ -46,7 +47,7 @@
 	candidates []*candidate
 	owners     []entity.InstanceID // in the order of candidates
 	byOwner    map[entity.InstanceID][]*candidate
-	ring       []*candidate // nil for a pool that is always ranked whole
+	ring       []*candidate
 }
 
 // New returns a Router that knows no pools.
@@ -88,32 +89,33 @@
 	if p == nil {
 		return Choice{}, false
 	}
+	if p.ring != nil {
+		if c, ok, stays := r.choose(now, w, r.shortlist(now, p, w), tried); ok || stays {
+			return c, ok
+		}
+	}
+	c, ok, _ := r.choose(now, w, r.rank(now, p, w), tried)
+	return c, ok
+}
+
+// choose returns whom to ask next among the endpoints in order; stays says that
+// the request is to wait where it is.
+func (r *Router) choose(now time.Time, w *entity.Work, order []ranked, tried []Choice) (c Choice, ok, stays bool) {
 	probes, stage := summarise(tried)
-	order := r.candidates(now, p, w, stage)
 	if len(order) == 0 {
-		return Choice{}, false
+		return Choice{}, false, false
 	}
-	stays := probes > 0 && stage != stageProving && r.stays(now, w, order[0])
+	stays = probes > 0 && stage != stageProving && r.stays(now, w, order[0])
 	if stays && stage == stageWaiting {
-		return Choice{}, false
+		return Choice{}, false, true
 	}
 	if stage != stageProbing || (probes < r.settings.Probes && !stays) {
-		if c, ok := r.probe(now, w, order, tried, stage); ok || stage != stageProbing {
-			return c, ok
-		}
-	}
-	return r.join(now, w, order, tried)
-}
-
-// candidates ranks the endpoints that are tried at a stage. Proof is looked
-// for at all owners.
-func (r *Router) candidates(now time.Time, p *pool, w *entity.Work, s stage) []ranked {
-	if p.ring != nil && s != stageProving {
-		if order := r.shortlist(now, p, w); len(order) > 0 {
-			return order
+		if c, ok = r.probe(now, w, order, tried, stage); ok || stage != stageProbing {
+			return c, ok, false
 		}
 	}
-	return r.rank(now, p, w)
+	c, ok = r.join(now, w, order, tried)
+	return c, ok, false
 }
 
 // probe returns the first owner that was not tried yet, has not promised that
--- a/internal/daemon/poller.go
+++ b/internal/daemon/poller.go
@@ -45,6 +45,7 @@
 
 // look is what the last look at an engine brought.
 type look struct {
+	// cursor says what to ask for.
 	cursor   cacheCursor
 	inUse    bool
 	interval time.Duration
@@ -70,9 +71,9 @@
 	l.due = now.Add(l.interval - pollRound/2)
 }
 
-func newPoller(busy, rest *endpoint.Client, m *telemetry.Metrics, stride int, post func(msg any),
+func newPoller(busy, rest *endpoint.Client, stride int, m *telemetry.Metrics, post func(msg any),
 	held func(entity.EndpointID, endpoint.OrderStatus)) *poller {
-	return &poller{busy: busy, rest: rest, metrics: m, stride: stride, post: post, held: held, looks: make(map[entity.EndpointID]*look)}
+	return &poller{busy: busy, rest: rest, stride: stride, metrics: m, post: post, held: held, looks: make(map[entity.EndpointID]*look)}
 }
 
 // setOwned replaces the endpoints to poll.
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -79,6 +79,10 @@
 	}
 }
 
+// Registry returns where the metrics are registered, for parts that keep
+// counters of their own.
+func (m *Metrics) Registry() metrics.Registry { return m.registry }
+
 // LogCall counts one append to or read from a stream of the log service.
 func (m *Metrics) LogCall(call, stream string) {
 	m.counter(fmt.Sprintf(`medlarhold_log_calls_total{call=%q,stream=%q}`, call, stream)).Inc(1)
@@ -94,10 +98,6 @@
 	m.counter(fmt.Sprintf(`medlarhold_endpoint_polls_total{cause=%q}`, cause)).Inc(1)
 }
 
-// Registry returns where the metrics are registered, for parts that keep
-// counters of their own.
-func (m *Metrics) Registry() metrics.Registry { return m.registry }
-
 // Refused counts one refusal under its reason and verdict.
 func (m *Metrics) Refused(reason verdict.Reason, v verdict.Verdict) {
 	m.counter(fmt.Sprintf(`medlarhold_refusals_total{reason=%q,verdict=%q}`, reason, v)).Inc(1)
