--- a/internal/control/loop_test.go
+++ b/internal/control/loop_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/core/node"
+	"github.com/medlarhold/medlarhold/internal/core/placement"
+	"github.com/medlarhold/medlarhold/internal/core/steward"
 	"github.com/medlarhold/medlarhold/internal/telemetry"
 )
 
@@ -21,6 +23,8 @@
 		Node: node.New(node.DefaultSettings(self), rand.New(rand.NewSource(1))), Clock: time.Now,
 		Send: func(entity.InstanceID, string, any) {}, Forget: func(entity.InstanceID) {}, Owned: func([]entity.Endpoint) {},
 		ClaimAppend: func(node.ClaimAppend) {}, ClaimRead: func(node.ClaimReadRequest) {},
+		Steward:     steward.New(steward.DefaultSettings(self)),
+		LeaseAppend: func(steward.Append) {}, LeaseRead: func(steward.Read) {}, Order: func(placement.Order) {},
 		Log: logr.Discard(), Metrics: telemetry.NewMetrics(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
