--- a/test/e2e/config_test.go
+++ b/test/e2e/config_test.go
@@ -9,6 +9,9 @@
 	"time"
 
 	"github.com/medlarhold/medlarhold/internal/config"
+	"github.com/medlarhold/medlarhold/internal/history"
+	"github.com/medlarhold/medlarhold/internal/standin/engine"
+	"github.com/medlarhold/medlarhold/internal/verdict"
 )
 
 // operator publishes changes through the log and learns what became of them.
@@ -37,21 +40,25 @@
 
 // publish appends one change of the contract, based on what stands.
 func (o *operator) publish(c *cluster, n int) error {
+	return o.change(c, fmt.Sprintf("%s-%d", o.name, n), config.KindContract, "bank", "burst", 1000+n)
+}
+
+// change appends a change of one field of an object, based on what stands.
+func (o *operator) change(c *cluster, id string, kind config.Kind, name, field string, value any) error {
 	if err := o.sync(c); err != nil {
 		return err
 	}
-	standing := o.follower.State().Standing(config.KindContract, "bank")
+	standing := o.follower.State().Standing(kind, name)
 	var spec map[string]any
 	if err := json.Unmarshal(standing.Spec, &spec); err != nil {
 		return err
 	}
-	spec["burst"] = 1000 + n
+	spec[field] = value
 	raw, err := json.Marshal(spec)
 	if err != nil {
 		return err
 	}
-	data, err := config.EncodeChange(config.Change{ID: fmt.Sprintf("%s-%d", o.name, n), Kind: config.KindContract,
-		Name: "bank", BasedOn: standing.Revision, Operator: o.name, Spec: raw})
+	data, err := config.EncodeChange(config.Change{ID: id, Kind: kind, Name: name, BasedOn: standing.Revision, Operator: o.name, Spec: raw})
 	if err != nil {
 		return err
 	}
@@ -121,3 +128,43 @@
 	c.serves("after the race")
 	c.check()
 }
+
+// TestEndpointLeaves: an engine that configuration marks as leaving gets no
+// new work once that is in force, and what runs on it runs to its end.
+func TestEndpointLeaves(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, slow, zone{"a", 2, 2})
+	leaving := c.engines[0]
+	var all []*flight
+	for i := range 8 {
+		all = append(all, c.stream(c.instances[i%2], "patient", 60))
+	}
+	for _, f := range all {
+		f.started(c)
+	}
+	o := newOperator("anna")
+	c.must(o.change(c, "leave", config.KindEndpoint, string(leaving.row.ID), "leaving", true))
+	c.history.Add(history.Event{At: time.Now(), Kind: history.KindLeave, Endpoint: leaving.row.ID})
+	c.sameRevision()
+	before := c.dispatched(leaving)
+	for i := range 8 {
+		all = append(all, c.stream(c.instances[i%2], "urgent", 5))
+	}
+	for i, f := range all {
+		if got := f.wait(c); got.verdict != verdict.Ran {
+			t.Errorf("request %d: %+v", i, got)
+		}
+	}
+	if after := c.dispatched(leaving); before == 0 || after != before {
+		t.Errorf("%d dispatches before the engine left, %d in all", before, after)
+	}
+	c.check()
+}
+
+// dispatched returns the number of dispatches that an engine has seen.
+func (c *cluster) dispatched(e *standin) int {
+	c.t.Helper()
+	var journal []engine.Entry
+	c.must(e.Journal(&journal))
+	return len(journal)
+}
--- a/test/e2e/kill_test.go
+++ b/test/e2e/kill_test.go
@@ -74,8 +74,9 @@
 	}))
 }
 
-// TestOwnerKilled kills the owner of the engines under load: streams that run
-// go on, and what was queued is asked elsewhere.
+// TestOwnerKilled kills the owner of the engines under load, which is also the
+// home of some request keys: streams that run go on, what was queued is asked
+// elsewhere, and transfers run once.
 func TestOwnerKilled(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, slow, zone{"a", 3, 1})
@@ -90,6 +91,7 @@
 	}
 	for i := range 6 {
 		all = append(all, c.stream(others[i%2], "patient", 20))
+		all = append(all, c.book(others[i%2], fmt.Sprintf("transfer-%d", i)))
 	}
 	c.must(owner.Signal(syscall.SIGKILL))
 	for i, f := range all {
@@ -139,6 +141,34 @@
 	}
 }
 
+// TestOwnerKilledWithoutLog: two failures at once.
+func TestOwnerKilledWithoutLog(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, slow, zone{"a", 3, 1})
+	owner := c.owner(c.engines[0], c.instances...)
+	others := c.others(owner)
+	all := []*flight{c.stream(others[0], "patient", 120)}
+	all[0].started(c)
+	c.must(c.PlatformFaults(map[string]any{"log_outage": "silent", "list_outage": "silent"}))
+	c.must(owner.Signal(syscall.SIGKILL))
+	for i := range 4 {
+		all = append(all, c.stream(others[i%2], "urgent", 20))
+	}
+	for i, f := range all {
+		if o := f.wait(c); o.verdict != verdict.Ran {
+			t.Errorf("request %d: %+v", i, o)
+		}
+	}
+	if o := c.book(others[0], "during").wait(c); o.verdict != verdict.NotRun || !o.retry {
+		t.Errorf("without the log: %+v", o)
+	}
+	c.must(c.PlatformFaults(map[string]any{"log_outage": "", "list_outage": ""}))
+	c.rebook(others[1], "during")
+	if got := c.check(); got != len(all)+1 {
+		t.Errorf("%d dispatches of %d requests", got, len(all)+1)
+	}
+}
+
 // TestSecondSignal: a second signal ends the stop at once.
 func TestSecondSignal(t *testing.T) {
 	t.Parallel()
--- a/test/e2e/stop_test.go
+++ b/test/e2e/stop_test.go
@@ -65,6 +65,13 @@
 		}
 	}
 	<-stopped
+	o := all[4].wait(c)
+	for _, in := range others {
+		got := call(t, in, http.MethodGet, "/v1/requests/"+string(o.id), "")
+		if got.header.Get("X-Medlarhold-Verdict") != string(verdict.Ran) {
+			t.Errorf("asked at %s: %+v", in.ID, got)
+		}
+	}
 	if got := c.check(); got != len(all) {
 		t.Errorf("%d dispatches of %d requests", got, len(all))
 	}
@@ -168,12 +175,13 @@
 		name := fmt.Sprintf("%c%d", old.ID[0], 10+i)
 		fresh := c.startOnly(name, c.InstanceSettings(name, zoneOf(old)))
 		c.must(fresh.WaitReady())
-		now, err := fresh.Metric("medlarhold_config_revision")
-		c.must(err)
+		now := c.revision(fresh)
 		if now < seen {
 			t.Errorf("%s is ready with revision %v, %v was seen before", fresh.ID, now, seen)
 		}
-		seen = now
+		for _, in := range b.all {
+			seen = max(seen, now, c.revision(in))
+		}
 		b.replace(old, fresh)
 		c.instances[i] = fresh
 		c.stop(old)
@@ -185,6 +193,15 @@
 	c.check()
 }
 
+// revision returns the revision that an instance acts by, and records it.
+func (c *cluster) revision(in *testbed.Instance) float64 {
+	c.t.Helper()
+	v, err := in.Metric("medlarhold_config_revision")
+	c.must(err)
+	c.history.Add(history.Event{At: time.Now(), Kind: history.KindInForce, Instance: in.ID, Revision: int64(v)})
+	return v
+}
+
 // sameRevision waits until all instances have the newest configuration in force.
 func (c *cluster) sameRevision() {
 	c.t.Helper()
@@ -193,5 +210,6 @@
 	newest := float64(o.follower.State().Revision())
 	for _, in := range c.instances {
 		c.must(in.WaitMetric("medlarhold_config_revision", func(v float64) bool { return v == newest }))
+		c.revision(in)
 	}
 }
