KV import names its model; silent connections to the platform are given up together

Causes, each with a test that was red before: - export and import of KV cache did not name the model, so engines matched nothing and no prefill was ever saved by it (TestImport: 0 cached tokens); - after one exchange with the platform that came to no end, the next one took another idle connection, silent as well: up to eight in a row (TestSilentPlatformConnections: no new connection). A read of the configuration waited 10 s for changes and 3 s more for its connection, so a silent connection kept a change from an instance for longer than the 4 s in which it must be in force. It now waits 2 s and has 3 s in all; after a failure it doesn't wait, so that a slow log leaves time to answer. Idle instances therefore ask the log five times as often (one exchange each 2 s). Weighed: TCP keep-alive, which sees a dead peer but not one that a box in between has forgotten, and only after more than a minute.

--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/core/request"
 	"github.com/medlarhold/medlarhold/internal/standin/engine"
 	"github.com/medlarhold/medlarhold/internal/verdict"
@@ -142,6 +143,20 @@
 	}
 }
 
+// TestImport: KV cache that another engine holds is moved before the dispatch.
+func TestImport(t *testing.T) {
+	b := newBed(t)
+	body := fmt.Sprintf(`{"model":"narrative","prompt":"%s","max_tokens":2,"stream":true}`, strings.Repeat("visit report ", 50))
+	for _, where := range []entity.EndpointID{"other", "engine"} {
+		b.control.endpoint = where
+		got := readUntil(t, b.dial(t, body), `"verdict":"ran"`)
+		if cached := !strings.Contains(got, `"cached_tokens":0`); cached != (where == "engine") {
+			t.Fatalf("at %s: %s", where, got)
+		}
+		b.control.importFrom = where
+	}
+}
+
 // TestRefusedPrompt: a prompt that the engine can't take says nothing about
 // the engine.
 func TestRefusedPrompt(t *testing.T) {
@@ -206,7 +221,7 @@
 	f.Add("Bearer wrong", "urgent", "1000", "")
 	f.Add("Basic x", "gold", "-1", "")
 	f.Add("Bearer test", "patient", "9223372036854775807", "")
-	st := stateOf(f, fmt.Sprintf(configuration, "127.0.0.1:1"))
+	st := stateOf(f, fmt.Sprintf(configuration, "127.0.0.1:1", "127.0.0.1:2"))
 	now := time.Unix(0, 0)
 	s := NewServer(Options{Control: newFakeControl(), Clock: func() time.Time { return now }, DefaultDeadline: time.Second, MaxDeadline: time.Hour})
 	f.Fuzz(func(t *testing.T, auth, tier, deadline, label string) {
--- a/internal/caller/enginejob.go
+++ b/internal/caller/enginejob.go
@@ -61,10 +61,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	blocks, err := j.s.opts.Endpoints.Export(ctx, from.Address, endpoint.ExportRequest{Prefix: endpoint.ToWire(prefix.Hash(j.body.Prompt, prefix.DefaultBlockTokens))})
-	if err == nil && len(blocks.Blocks) > 0 {
-		_, _ = j.s.opts.Endpoints.Import(ctx, e.Address, endpoint.ImportRequest{From: from.Address, Blocks: blocks.Blocks})
+	held, err := j.s.opts.Endpoints.Export(ctx, from.Address, endpoint.ExportRequest{
+		Model: j.body.Model, Adapter: j.body.Adapter, Prefix: endpoint.ToWire(prefix.Hash(j.body.Prompt, prefix.DefaultBlockTokens)),
+	})
+	if err != nil || len(held.Blocks) == 0 {
+		return
 	}
+	_, _ = j.s.opts.Endpoints.Import(ctx, e.Address, endpoint.ImportRequest{
+		From: from.Address, Model: j.body.Model, Adapter: j.body.Adapter, Blocks: held.Blocks,
+	})
 }
 
 // token passes one token on to the caller.
--- a/internal/caller/fixture_test.go
+++ b/internal/caller/fixture_test.go
@@ -32,6 +32,7 @@
 	ended      chan request.End
 	gone       chan entity.RequestID
 	endpoint   entity.EndpointID
+	importFrom entity.EndpointID
 	hold       bool // the test gives the directives itself
 }
 
@@ -43,7 +44,7 @@
 func (c *fakeControl) Arrive(a request.Arrival) <-chan request.Directive {
 	c.arrived <- a
 	if !c.hold {
-		c.directives <- request.Directive{ID: a.Work.ID, Kind: request.DirectiveDispatch, Endpoint: c.endpoint}
+		c.directives <- request.Directive{ID: a.Work.ID, Kind: request.DirectiveDispatch, Endpoint: c.endpoint, ImportFrom: c.importFrom}
 	}
 	return c.directives
 }
@@ -76,12 +77,9 @@
 
 func newBed(t *testing.T, changes ...change) *bed {
 	t.Helper()
-	e, l, err := engine.Start("127.0.0.1:0", engine.Settings{Settings: model.Settings{DecodeTokensPerSec: 2000}, Keep: time.Hour})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close(); e.Close() })
-	state := stateOf(t, fmt.Sprintf(configuration, l.Address()))
+	e, address := startEngine(t)
+	_, other := startEngine(t)
+	state := stateOf(t, fmt.Sprintf(configuration, address, other))
 	endpoints := endpoint.New(endpoint.Options{})
 	t.Cleanup(endpoints.Close)
 	b := &bed{control: newFakeControl(), engine: e, readTimeout: guard}
@@ -106,6 +104,17 @@
 	return b
 }
 
+// startEngine starts a stand-in engine and returns its address.
+func startEngine(t *testing.T) (*engine.Server, string) {
+	t.Helper()
+	e, l, err := engine.Start("127.0.0.1:0", engine.Settings{Settings: model.Settings{DecodeTokensPerSec: 2000}, Keep: time.Hour})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close(); e.Close() })
+	return e, l.Address()
+}
+
 // smallBuffer lets a caller that takes nothing be noticed soon.
 func smallBuffer(ctx context.Context, conn net.Conn) context.Context {
 	_ = conn.(*net.TCPConn).SetWriteBuffer(4096)
@@ -133,12 +142,13 @@
 	return st
 }
 
-// configuration has a place for the engine's address.
+// configuration has places for the engines' addresses.
 const configuration = `[
   {"kind":"deployment","name":"default","spec":{"tiers":["urgent","patient"],"scores":{"goodput":0.5,"wasted_prefill":0.5}}},
   {"kind":"pool","name":"reports","spec":{"kind":"engine","queue_per_endpoint":8,"max_body_bytes":1048576,"retry_budget":0.1}},
   {"kind":"model","name":"narrative","spec":{"pool":"reports","version":"1","weights":"narrative-1","min_copies":1}},
   {"kind":"endpoint","name":"engine","spec":{"pool":"reports","zone":"a","address":"%s","models":["narrative"],"slots":8,"kv_tokens":65536}},
+  {"kind":"endpoint","name":"other","spec":{"pool":"reports","zone":"a","address":"%s","models":["narrative"],"slots":8,"kv_tokens":65536}},
   {"kind":"contract","name":"bank","spec":{"tiers":["urgent","patient"],"default_tier":"patient","requests_per_sec":500,"burst":1000,"max_concurrent":400,
     "key_hashes":["9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08"]}},
 ]`
--- a/internal/daemon/configfollower.go
+++ b/internal/daemon/configfollower.go
@@ -13,7 +13,10 @@
 
 const (
 	// configWait is how long a read of the configuration stream waits for changes.
-	configWait = 10 * time.Second
+	configWait = 2 * time.Second
+	// configReadTimeout bounds such a read. Both together bound how long a
+	// connection that went silent keeps a change from this instance.
+	configReadTimeout = configWait + time.Second
 	// configRetryPause is the pause after a read that failed.
 	configRetryPause = 300 * time.Millisecond
 )
@@ -37,7 +40,7 @@
 func (f *configFollower) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		before := f.follower.State().Revision()
-		outcomes, err := f.follower.Step(ctx, f.log, time.Now, configWait)
+		outcomes, err := f.step(ctx)
 		f.report(outcomes)
 		if err != nil {
 			f.failed(ctx)
@@ -49,6 +52,18 @@
 	}
 }
 
+// step makes one read. After one that failed it doesn't wait for changes, so
+// that a slow log leaves time for an answer.
+func (f *configFollower) step(ctx context.Context) ([]config.Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, configReadTimeout)
+	defer cancel()
+	wait := configWait
+	if f.logDown {
+		wait = 0
+	}
+	return f.follower.Step(ctx, f.log, time.Now, wait)
+}
+
 // publish puts a newer state into force. The instance is ready only once the
 // control goroutine acts by it.
 func (f *configFollower) publish(ctx context.Context, before config.Revision) {
--- a/internal/daemon/register.go
+++ b/internal/daemon/register.go
@@ -47,11 +47,11 @@
 
 // countingTransport counts the bytes of bodies to and from the platform.
 type countingTransport struct {
-	next http.RoundTripper
+	next *http.Transport
 	d    *Daemon
 }
 
-func (d *Daemon) countPlatform(next http.RoundTripper) http.RoundTripper {
+func (d *Daemon) countPlatform(next *http.Transport) http.RoundTripper {
 	return countingTransport{next: next, d: d}
 }
 
@@ -59,12 +59,15 @@
 // which the HTTP library does not tell.
 const headerBytes = 160
 
-// RoundTrip implements http.RoundTripper.
+// RoundTrip implements http.RoundTripper. After an exchange that failed, what
+// is open to the platform counts as silent, and the next one dials.
 func (c countingTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	c.d.metrics.PlatformBytesSent.Inc(headerBytes + max(0, r.ContentLength))
 	res, err := c.next.RoundTrip(r)
-	if err == nil {
-		c.d.metrics.PlatformBytesReceived.Inc(headerBytes + max(0, res.ContentLength))
+	if err != nil {
+		c.next.CloseIdleConnections()
+		return nil, err
 	}
-	return res, err
+	c.d.metrics.PlatformBytesReceived.Inc(headerBytes + max(0, res.ContentLength))
+	return res, nil
 }
--- /dev/null
+++ b/internal/daemon/register_test.go
@@ -0,0 +1,74 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/standin/relay"
+	"github.com/medlarhold/medlarhold/internal/telemetry"
+)
+
+// idleConns is how many connections the test has go silent.
+const idleConns = 4
+
+// TestSilentPlatformConnections: after one exchange with the platform that came
+// to no end, the next one gets a fresh connection, whatever else is open.
+func TestSilentPlatformConnections(t *testing.T) {
+	arrived, release := make(chan struct{}, idleConns), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		arrived <- struct{}{}
+		<-release
+	}))
+	t.Cleanup(server.Close)
+	r, err := relay.Start("127.0.0.1:0", strings.TrimPrefix(server.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	d := &Daemon{metrics: telemetry.NewMetrics()}
+	transport := &http.Transport{MaxIdleConnsPerHost: idleConns}
+	t.Cleanup(transport.CloseIdleConnections)
+	client := &http.Client{Transport: d.countPlatform(transport)}
+	get := func(timeout time.Duration) error {
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		defer cancel()
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.Address(), nil)
+		if err != nil {
+			return err
+		}
+		res, err := client.Do(req)
+		if err != nil {
+			return err
+		}
+		defer res.Body.Close()
+		_, err = io.Copy(io.Discard, res.Body)
+		return err
+	}
+	var all sync.WaitGroup
+	for range idleConns {
+		all.Go(func() {
+			if err := get(time.Minute); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	for range idleConns {
+		<-arrived
+	}
+	close(release)
+	all.Wait()
+	r.SilenceOpen()
+	if get(100*time.Millisecond) == nil {
+		t.Fatal("an exchange over a silent connection succeeded")
+	}
+	before := r.Accepted()
+	if err := get(time.Minute); err != nil || r.Accepted() != before+1 {
+		t.Fatalf("%v; %d connections, %d before", err, r.Accepted(), before)
+	}
+}
