--- a/internal/caller/enginejob.go
+++ b/internal/caller/enginejob.go
@@ -82,11 +82,12 @@
 		Model: j.body.Model, Adapter: j.body.Adapter,
 		Prefix: endpoint.ToWire(prefix.Hash(j.body.Prompt, j.s.opts.EngineBlockTokens)),
 	})
-	if err == nil && len(held.Blocks) > 0 {
-		_, _ = j.s.opts.Endpoints.Import(ctx, to, endpoint.ImportRequest{
-			From: from, Model: j.body.Model, Adapter: j.body.Adapter, Blocks: held.Blocks,
-		})
+	if err != nil || len(held.Blocks) == 0 {
+		return
 	}
+	_, _ = j.s.opts.Endpoints.Import(ctx, to, endpoint.ImportRequest{
+		From: from, Model: j.body.Model, Adapter: j.body.Adapter, Blocks: held.Blocks,
+	})
 }
 
 // token passes one token on to the caller.
