--- a/internal/core/node/limits.go
+++ b/internal/core/node/limits.go
@@ -18,6 +18,8 @@
 	borrower *limit.Borrower
 	waiting  map[entity.OrgID][]request.Arrival
 	askAgain time.Time
+	// zoneSetAt is when the homes and borrowers were last told of the zone.
+	zoneSetAt time.Time
 }
 
 func newLimits(self entity.InstanceID, state func() config.State) *limits {
@@ -35,11 +37,15 @@
 	}
 }
 
-// setZone takes a changed view in.
-func (l *limits) setZone(now time.Time, view membership.View) {
-	z := limit.Zone{}
+// fleetInterval is the time between two looks at the size of the fleet, which
+// shrinks when the death of an instance is confirmed.
+const fleetInterval = 5 * time.Second
+
+// setZone takes the view and the size of the fleet in.
+func (l *limits) setZone(now time.Time, view membership.View, fleet int) {
+	l.zoneSetAt = now
+	z := limit.Zone{Fleet: fleet}
 	for _, zone := range view.Zones {
-		z.Fleet += len(zone.Members)
 		if zone.Zone == view.Self.Zone {
 			for _, m := range zone.Members {
 				z.Members = append(z.Members, m.Instance)
@@ -78,6 +84,9 @@
 
 // tickLimits lets time pass for limits.
 func (n *Node) tickLimits(now time.Time) {
+	if now.Sub(n.limits.zoneSetAt) >= fleetInterval {
+		n.limits.setZone(now, n.view, n.members.Fleet(now))
+	}
 	n.limits.home.Tick(now)
 	n.limits.borrower.Tick(now)
 	if len(n.limits.waiting) > 0 && !now.Before(n.limits.askAgain) {
