--- /dev/null
+++ b/internal/standin/journal/journal_test.go
@@ -0,0 +1,60 @@
+package journal
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/medlarhold/medlarhold/internal/endpoint"
+	"github.com/medlarhold/medlarhold/internal/history"
+	"github.com/medlarhold/medlarhold/internal/standin/engine"
+	"github.com/medlarhold/medlarhold/internal/standin/load"
+	"github.com/medlarhold/medlarhold/internal/standin/service"
+	"github.com/medlarhold/medlarhold/internal/verdict"
+)
+
+func at(n int) time.Time { return time.Unix(int64(n), 0) }
+
+var whole = endpoint.End{FinishReason: endpoint.FinishStop, CompletionTokens: 3}
+
+func answered(number int, v verdict.Verdict, digest string) load.Answer {
+	return load.Answer{Number: number, RequestID: "r", Sent: at(1), End: at(9), Verdict: v, Complete: true, Digest: digest}
+}
+
+func TestAWholeAnswerBreaksNoPromise(t *testing.T) {
+	events := Engine("e", []engine.Entry{
+		{RequestID: "r", Dispatched: at(2), Started: at(3), Ended: at(5), End: whole, Digest: "d"},
+		{RequestID: "s", Dispatched: at(2), Refused: true},
+	})
+	events = append(events, Callers("o", []load.Answer{answered(1, verdict.Ran, "d"), {Number: 2, Error: "no connection"}})...)
+	if len(events) != 5 {
+		t.Fatalf("%+v", events)
+	}
+	if got := history.Check(events); len(got) != 0 {
+		t.Fatalf("%+v", got)
+	}
+}
+
+func TestBreachesShow(t *testing.T) {
+	ran := engine.Entry{RequestID: "r", Dispatched: at(2), Started: at(3), Ended: at(5), End: whole, Digest: "d"}
+	call := service.Entry{RequestID: "r", Key: "k", Received: at(2), Ran: true, Ended: at(3), Digest: "d"}
+	for _, tt := range []struct {
+		want   history.Promise
+		events []history.Event
+	}{
+		{history.PromiseOneDispatch, Engine("e", []engine.Entry{ran, ran})},
+		{history.PromiseOneRunPerKey, Service("s", "o", []service.Entry{call, call})},
+		{history.PromiseNotRun, append(Engine("e", []engine.Entry{ran}), Callers("o", []load.Answer{answered(1, verdict.NotRun, "")})...)},
+		{history.PromiseWholeAnswer, append(Engine("e", []engine.Entry{ran}), Callers("o", []load.Answer{answered(1, verdict.Ran, "x")})...)},
+		{history.PromiseOneFinalAnswer, Callers("o", []load.Answer{answered(1, verdict.NotRun, ""), answered(1, verdict.NotRun, "")})},
+	} {
+		seen := map[history.Promise]bool{}
+		for _, v := range history.Check(tt.events) {
+			seen[v.Promise] = true
+		}
+		if !seen[tt.want] {
+			t.Errorf("%s: found only %v", tt.want, cmp.Diff(nil, seen))
+		}
+	}
+}
