--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 FROM          ?= 0
 MINUTES       ?= 0
 
-.PHONY: histories help build fmt lint vet check test race demo capacity clean
+.PHONY: histories help build fmt lint vet check test race demo capacity measure bench clean
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
 
@@ -47,5 +47,11 @@
 histories: ## play histories of fresh seeds under faults; SEEDS, FROM, MINUTES
 	$(GO) run ./internal/fleet/histories --seeds $(SEEDS) --from $(FROM) --minutes $(MINUTES)
 
+measure: ## measure the decisions against the baselines (some minutes)
+	$(GO) run ./cmd/medlarhold-measure
+
+bench: ## benchmark one decision against the naive scheduler
+	$(GO) test ./internal/measure -run '^$$' -bench . -benchtime 3000x
+
 clean: ## remove what the build made
 	rm -rf $(BIN)
--- a/internal/caller/enginejob_test.go
+++ b/internal/caller/enginejob_test.go
@@ -38,7 +38,7 @@
 	client   *endpoint.Client
 }
 
-func startEngine(t *testing.T) (*engine.Server, string) {
+func startFastEngine(t *testing.T) (*engine.Server, string) {
 	t.Helper()
 	e, l, err := engine.Start("127.0.0.1:0", engine.Settings{
 		Settings:  model.Settings{PrefillTokensPerSec: 1e6, DecodeTokensPerSec: 5000},
@@ -53,7 +53,7 @@
 
 func newBench(t *testing.T, tokens int) *bench {
 	t.Helper()
-	e, address := startEngine(t)
+	e, address := startFastEngine(t)
 	b := &bench{engine: e, endpoint: entity.Endpoint{Address: address}, ends: make(chan request.End, 1), metrics: telemetry.NewMetrics()}
 	b.client = endpoint.New(endpoint.Options{
 		NoProgress: 100 * time.Millisecond, ReattachPause: time.Millisecond, ReattachTries: 1, Metrics: b.metrics.Registry(),
@@ -126,7 +126,7 @@
 
 func TestKVCacheIsMovedBeforeTheDispatch(t *testing.T) {
 	b := newBench(t, 5)
-	_, from := startEngine(t)
+	_, from := startFastEngine(t)
 	warm := endpoint.GenerateRequest{RequestID: "w", Model: "m", Prompt: jobPrompt, MaxTokens: 1}
 	if _, err := b.client.Generate(context.Background(), from, warm, func(endpoint.Token) error { return nil }); err != nil {
 		t.Fatal(err)
--- a/internal/core/request/row.go
+++ b/internal/core/request/row.go
@@ -103,10 +103,10 @@
 	}
 }
 
-// shedReason is the deadline where an owner could not have met it with nobody
-// else there, so that only the owners that promised were asked for room.
+// shedReason is the deadline where no owner that was asked could have met it
+// with nobody else there.
 func (r *row) shedReason() verdict.Reason {
-	if slices.ContainsFunc(r.tried, func(c routing.Choice) bool { return c.Infeasible }) {
+	if len(r.tried) > 0 && !slices.ContainsFunc(r.tried, func(c routing.Choice) bool { return !c.Infeasible }) {
 		return verdict.ReasonDeadline
 	}
 	return verdict.ReasonOverload
--- a/internal/daemon/register.go
+++ b/internal/daemon/register.go
@@ -78,7 +78,25 @@
 
 // platformClient returns an HTTP client towards the platform whose bytes are counted.
 func (d *Daemon) platformClient(t telemetry.Traffic) *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: freshAfterFailure{&http.Transport{
 		TLSClientConfig: d.certs.client(), MaxIdleConnsPerHost: platformConns, DialContext: t.DialContext,
-	}}
+	}}}
+}
+
+// freshAfterFailure takes what is open to the platform for silent after an
+// exchange that failed, so that the next one dials.
+type freshAfterFailure struct {
+	next *http.Transport
+}
+
+// CloseIdleConnections closes what is open and idle.
+func (f freshAfterFailure) CloseIdleConnections() { f.next.CloseIdleConnections() }
+
+// RoundTrip implements http.RoundTripper.
+func (f freshAfterFailure) RoundTrip(r *http.Request) (*http.Response, error) {
+	res, err := f.next.RoundTrip(r)
+	if err != nil {
+		f.next.CloseIdleConnections()
+	}
+	return res, err
 }
