--- a/internal/core/claim/doc.go
+++ b/internal/core/claim/doc.go
@@ -2,11 +2,14 @@
 // that a non-idempotent request runs at most once.
 //
 // A request with a key is proposed to the Shard that its organisation and key
-// hash to. The shard appends a claim to its stream of the log, reads the
-// stream back, and decides by what it read: the first live claim of a key in
-// log order wins, whoever believes to be the shard's home. Each availability
-// zone has a home per shard, appointed from outside. Two homes for one shard
-// cost appends and reads, never a second run.
+// hash to. If the key is free as far as the shard has read its stream of the
+// log, it appends a claim that names that offset, its basis, and reads the
+// stream back. The claim counts if no other claim of the key stands between its
+// basis and itself: of those that race, the first in log order wins, whoever
+// believes to be the shard's home, and all readers agree that have read from
+// the basis on, wherever they started. Each availability zone has a home per
+// shard, appointed from outside. Two homes for one shard cost appends and
+// reads, never a second run.
 //
 // # Who decides what
 //
