--- /dev/null
+++ b/internal/core/claim/decide.go
@@ -0,0 +1,151 @@
+package claim
+
+import (
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/verdict"
+)
+
+// refuseClaims refuses the proposals whose claims certainly don't stand in
+// the log.
+func (s *Shard) refuseClaims(entries []entry) {
+	for i := range entries {
+		if p := s.waiting[entries[i].Request]; p != nil && entries[i].Op == opClaim {
+			s.finish(p)
+			s.refuse(p, verdict.NotRun, verdict.ReasonLogUnavailable, s.set.RetryAfter)
+		}
+	}
+	if s.sender.down(s.now) {
+		s.refuseQueued()
+	}
+}
+
+// refuseQueued refuses the proposals whose claims haven't left yet, because
+// the log is down.
+func (s *Shard) refuseQueued() {
+	for _, e := range s.sender.takeClaims() {
+		if p := s.waiting[e.Request]; p != nil {
+			s.finish(p)
+			s.refuse(p, verdict.NotRun, verdict.ReasonLogUnavailable, s.set.RetryAfter)
+		}
+	}
+}
+
+// afterEntry decides the proposals that an entry of the log touches.
+func (s *Shard) afterEntry(now time.Time, e *entry) {
+	if e.Op != opClaim {
+		return
+	}
+	h := s.table.get(e.Key)
+	if p := s.waiting[e.Request]; p != nil {
+		s.decideRead(now, p, e, h)
+		return
+	}
+	if to, ok := s.abandoned.take(e.Request); ok && h != nil && h.request == e.Request && !h.unsure {
+		s.win(now, e.Request, to, e.Key)
+	}
+}
+
+// decideRead decides a proposal whose claim was read back.
+func (s *Shard) decideRead(now time.Time, p *proposal, e *entry, h *holder) {
+	s.sender.cancel(p.Request)
+	switch {
+	case h != nil:
+		s.finish(p)
+		s.decide(now, p, h)
+	case e.NotAfter != 0 && s.table.now.UnixMilli() >= e.NotAfter:
+		s.finish(p)
+		s.refuse(p, verdict.MayHaveRun, verdict.ReasonKeyExpired, 0)
+	default: // no claim of the key counted: another one stood in between
+		s.sender.enqueue(entry{Op: opClaim, Key: p.key, Request: p.Request})
+	}
+}
+
+// decide answers a proposal by the holder of its key.
+func (s *Shard) decide(now time.Time, p *proposal, h *holder) {
+	switch {
+	case h.request == p.Request && h.verdict == "" && !h.unsure:
+		s.win(now, p.Request, p.From, p.key)
+	case !h.unsure && h.body != p.BodyHash:
+		s.refuseFor(p, h, Decision{Verdict: verdict.NotRun, Reason: verdict.ReasonKeyReused})
+	case h.verdict == verdict.Ran:
+		s.refuseFor(p, h, Decision{Verdict: verdict.Ran, Reason: h.reason, Status: int(h.status), Answer: h.answerBody(), AnswerDropped: h.dropped})
+	case h.verdict == verdict.MayHaveRun:
+		s.refuseFor(p, h, Decision{Verdict: verdict.MayHaveRun, Reason: h.reason})
+	case h.overdue(s.logNow(now)):
+		s.refuseFor(p, h, Decision{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonConnectionLost})
+	default:
+		s.refuseFor(p, h, Decision{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonKeyInProgress, RetryAfter: s.set.RetryAfter})
+	}
+}
+
+// open says whether a request still holds its key without an outcome.
+func (s *Shard) open(w *win) bool {
+	h := s.table.get(w.key)
+	return h != nil && h.request == w.request && h.verdict == "" && !h.unsure
+}
+
+// stands says whether a holder seems to stand still, by an estimate of the
+// log's clock.
+func (s *Shard) stands(now time.Time, h *holder) bool { return h.live(s.logNow(now)) }
+
+// logNow estimates the log's clock from the newest record.
+func (s *Shard) logNow(now time.Time) time.Time {
+	return s.logTime.Add(max(0, now.Sub(s.logTimeRead)))
+}
+
+func (s *Shard) win(now time.Time, r entity.RequestID, to entity.InstanceID, key Hash) {
+	s.stats.Won++
+	s.wins.add(now, r, to, key, s.set.DispatchWithin)
+	s.tellWin(r, to)
+}
+
+func (s *Shard) tellWin(r entity.RequestID, to entity.InstanceID) {
+	s.out.Decisions = append(s.out.Decisions,
+		Decision{Request: r, To: to, Won: true, DispatchWithin: s.set.DispatchWithin})
+}
+
+func (s *Shard) refuse(p *proposal, v verdict.Verdict, r verdict.Reason, retryAfter time.Duration) {
+	s.refuseFor(p, nil, Decision{Verdict: v, Reason: r, RetryAfter: retryAfter})
+}
+
+func (s *Shard) refuseFor(p *proposal, h *holder, d Decision) {
+	s.stats.Refused++
+	d.Request, d.To = p.Request, p.From
+	if h != nil && h.request != p.Request {
+		d.Holder = h.request
+	}
+	s.out.Decisions = append(s.out.Decisions, d)
+}
+
+func (s *Shard) acknowledge(r entity.RequestID, to entity.InstanceID) {
+	s.out.Acknowledgements = append(s.out.Acknowledgements, Acknowledgement{Request: r, To: to})
+}
+
+// finish takes a proposal off the waiting list.
+func (s *Shard) finish(p *proposal) {
+	p.done = true
+	delete(s.waiting, p.Request)
+}
+
+// expire refuses proposals that waited too long. Their claims may stand in
+// the log or come to stand there; the request won't be dispatched, since the
+// entry instance settles a request as NotRun that wins after its refusal.
+func (s *Shard) expire(now time.Time) {
+	for len(s.order) > 0 {
+		p := s.order[0]
+		if !p.done && now.Before(p.deadline) {
+			return
+		}
+		s.order = s.order[1:]
+		if p.done {
+			continue
+		}
+		s.finish(p)
+		if !s.sender.cancel(p.Request) {
+			s.abandoned.add(p.Request, p.From)
+		}
+		s.refuse(p, verdict.NotRun, verdict.ReasonLogUnavailable, s.set.RetryAfter)
+	}
+}
