Limits: a home asks the members that have not told what they hold

A borrower tells a home what it holds when the view changes; told under a view that the home never had, that says nothing, and it was not told again, so the home lent nothing until a lease had run out. Ruled out: a leaked slot at the owner (6 of 8 running, none queued), the engine. Also mended by it: a complete demand that was lost.

Change: a home that is asked for more before it knows all asks the members that have not told, at most every 500 ms; no message otherwise.

--- a/internal/core/limit/borrower.go
+++ b/internal/core/limit/borrower.go
@@ -181,6 +181,9 @@
 // Step takes in a share.
 func (b *Borrower) Step(now time.Time, from entity.InstanceID, s Share) {
 	b.now = now
+	if s.Tell && b.zone.has(from) && !slices.Contains(b.complete, from) {
+		b.complete = append(b.complete, from)
+	}
 	var lease, sentAt time.Time
 	if s.Answers != 0 {
 		d, ok := b.sent[s.Answers]
--- a/internal/core/limit/home.go
+++ b/internal/core/limit/home.go
@@ -30,6 +30,8 @@
 	joinedAt map[entity.InstanceID]time.Time
 	lastTick time.Time
 	nextTidy time.Time
+	// nextTell is when members may be asked again for what they hold.
+	nextTell time.Time
 	seq      uint64
 	messages []Outgoing
 }
@@ -123,6 +125,24 @@
 	return true
 }
 
+// tellInterval is the time between two questions to the same members.
+const tellInterval = 500 * time.Millisecond
+
+// askWhoHasNotTold asks the members for what they hold that have not told it
+// under a view that this home had. Nothing can be lent before they have, or
+// until the leases have run out.
+func (h *Home) askWhoHasNotTold(now time.Time) {
+	if now.Before(h.nextTell) {
+		return
+	}
+	h.nextTell = now.Add(tellInterval)
+	for _, m := range h.zone.members {
+		if d, ok := h.told[m.ID]; !ok || !slices.Contains(h.since, d) {
+			h.messages = append(h.messages, Outgoing{To: m.ID, Share: &Share{Seq: h.nextSeq(), Tell: true}})
+		}
+	}
+}
+
 // thaw forgets all loans when this instance has been away: others may have
 // lent meanwhile.
 func (h *Home) thaw(now time.Time) {
--- a/internal/core/limit/lend.go
+++ b/internal/core/limit/lend.go
@@ -87,6 +87,7 @@
 		return
 	}
 	if !h.settled(now) {
+		h.askWhoHasNotTold(now)
 		// What is lent is not known yet, so nothing may grow.
 		l.at = now
 	}
--- a/internal/core/limit/message.go
+++ b/internal/core/limit/message.go
@@ -66,8 +66,11 @@
 	Seq uint64 `json:"s"`
 	// Answers is the demand that the share answers. A share that answers none
 	// changes the amount but not the lease.
-	Answers uint64     `json:"a,omitempty"`
-	Orgs    []OrgShare `json:"o"`
+	Answers uint64 `json:"a,omitempty"`
+	// Tell asks for a complete demand, since the home does not know what the
+	// borrower holds.
+	Tell bool       `json:"t,omitempty"`
+	Orgs []OrgShare `json:"o,omitempty"`
 }
 
 // OrgShare is the share of one organisation.
