--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -24,6 +24,10 @@
 	// peersInterval is how often an instance compares its configuration's
 	// revision with its peers'.
 	peersInterval = 500 * time.Millisecond
+	// claimDispatchWithin and claimRunFor bound a claimed call; they are short,
+	// so that histories run into them.
+	claimDispatchWithin = 3 * time.Second
+	claimRunFor         = 6 * time.Second
 	// stopNotice is how long a stopping instance still takes requests.
 	stopNotice = time.Second
 )
@@ -75,6 +79,7 @@
 	}
 	s := node.DefaultSettings(in.self)
 	s.Admission.QueuePerEndpoint = f.plan.queue
+	s.Claims.DispatchWithin, s.Claims.RunFor = claimDispatchWithin, claimRunFor
 	in.node = node.New(s, rand.New(rand.NewSource(f.rng.Int63())))
 	f.instances = append(f.instances, in)
 	f.byID[id] = in
