--- a/cmd/medlarhold-capacity/bench.go
+++ b/cmd/medlarhold-capacity/bench.go
@@ -39,7 +39,7 @@
 
 // benchmarks runs the benchmarks of all cores.
 func benchmarks(ctx context.Context) ([]series, error) {
-	args := append([]string{"test", "-run", "^$", "-bench", ".", "-benchmem", "-benchtime", benchTime}, strings.Fields(benchPackages)...)
+	args := append([]string{"test", "-run", "^$", "-bench", ".", "-benchmem", "-benchtime", benchTime, "-p", "1"}, strings.Fields(benchPackages)...)
 	out, err := exec.CommandContext(ctx, "go", args...).Output()
 	if err != nil {
 		return nil, trace.Wrap(err, "go test -bench: %s", out)
