--- a/cmd/medlarhold-capacity/phases.go
+++ b/cmd/medlarhold-capacity/phases.go
@@ -23,8 +23,9 @@
 	note                    string
 }
 
-// loadWarmUp is how long the load runs before its window.
-const loadWarmUp = 2 * time.Second
+// loadWarmUp is how long the load runs before its window: engines at rest are
+// looked at every 16 s, and what has happened meanwhile comes at once.
+const loadWarmUp = 20 * time.Second
 
 // frozenShare is the part of the instances that the cut takes away.
 const frozenShare = 6
