--- a/cmd/medlarhold-standin/main.go
+++ b/cmd/medlarhold-standin/main.go
@@ -15,7 +15,7 @@
 		Short:        "Stand-ins for tests only: platform, engine, plain service",
 		SilenceUsage: true,
 	}
-	root.AddCommand(platformCommand(), engineCommand(), serviceCommand(), relayCommand())
+	root.AddCommand(platformCommand(), engineCommand(), serviceCommand(), relayCommand(), loadCommand())
 	if err := root.Execute(); err != nil {
 		os.Exit(1)
 	}
--- a/internal/caller/enginejob.go
+++ b/internal/caller/enginejob.go
@@ -13,6 +13,9 @@
 	"github.com/medlarhold/medlarhold/internal/verdict"
 )
 
+// pauseRetry is the time between two tries to pause a stream.
+const pauseRetry = 20 * time.Millisecond
+
 // controlTimeout bounds a pause, resume or cancel at an engine.
 const controlTimeout = 5 * time.Second
 
@@ -25,6 +28,7 @@
 	// cancelled is the reason for which the stream was cancelled, if it was.
 	cancelled atomic.Pointer[verdict.Error]
 	stop      atomic.Pointer[context.CancelFunc]
+	ended     atomic.Bool // the call to the engine is over
 	result    endpoint.Result
 	lastToken time.Time
 }
@@ -36,22 +40,30 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	j.stop.Store(&cancel)
+	j.importPrefix(ctx, e, d)
 	if c := j.cancelled.Load(); c != nil { // before anything was sent
-		j.s.opts.Control.Ended(j.id, request.End{Err: &verdict.Error{Verdict: verdict.NotRun, Reason: c.Reason, Message: c.Message}})
+		j.s.opts.Control.Ended(j.id, request.End{Err: notRun(c)})
 		return
 	}
-	j.importPrefix(ctx, e, d)
 	start := j.s.opts.Clock()
 	res, err := j.s.opts.Endpoints.Generate(ctx, e.Address, endpoint.GenerateRequest{
 		RequestID: j.id, Model: j.body.Model, Adapter: j.body.Adapter, Prompt: j.body.Prompt, MaxTokens: j.body.MaxTokens, Stream: true,
 	}, func(t endpoint.Token) error { return j.token(start, t) })
 	j.result = res
-	if err != nil && verdict.Of(err).Reason == verdict.ReasonCallerGone && j.cancelled.Load() == nil {
-		j.stopEngine(ctx, e)
+	if err != nil && verdict.Of(err).Verdict == verdict.MayHaveRun && res.FinishReason == "" {
+		j.stopEngine(ctx, e) // before the slot is given back
 	}
+	j.ended.Store(true)
 	j.s.opts.Control.Ended(j.id, j.end(res, err))
 }
 
+// notRun is the reason of a cancel for a request that was never sent.
+func notRun(c *verdict.Error) *verdict.Error {
+	out := *c
+	out.Verdict = verdict.NotRun
+	return &out
+}
+
 // importPrefix moves KV cache from another engine before the dispatch. When it
 // fails the engine computes the prompt itself.
 func (j *engineJob) importPrefix(ctx context.Context, e entity.Endpoint, d request.Directive) {
@@ -59,17 +71,22 @@
 	if d.ImportFrom == "" || !ok {
 		return
 	}
+	j.moveKV(ctx, from.Address, e.Address)
+}
+
+// moveKV has the engine at address to fetch what the one at from holds of the prompt.
+func (j *engineJob) moveKV(ctx context.Context, from, to string) {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	held, err := j.s.opts.Endpoints.Export(ctx, from.Address, endpoint.ExportRequest{
-		Model: j.body.Model, Adapter: j.body.Adapter, Prefix: endpoint.ToWire(prefix.Hash(j.body.Prompt, prefix.DefaultBlockTokens)),
+	held, err := j.s.opts.Endpoints.Export(ctx, from, endpoint.ExportRequest{
+		Model: j.body.Model, Adapter: j.body.Adapter,
+		Prefix: endpoint.ToWire(prefix.Hash(j.body.Prompt, j.s.opts.EngineBlockTokens)),
 	})
-	if err != nil || len(held.Blocks) == 0 {
-		return
+	if err == nil && len(held.Blocks) > 0 {
+		_, _ = j.s.opts.Endpoints.Import(ctx, to, endpoint.ImportRequest{
+			From: from, Model: j.body.Model, Adapter: j.body.Adapter, Blocks: held.Blocks,
+		})
 	}
-	_, _ = j.s.opts.Endpoints.Import(ctx, e.Address, endpoint.ImportRequest{
-		From: from.Address, Model: j.body.Model, Adapter: j.body.Adapter, Blocks: held.Blocks,
-	})
 }
 
 // token passes one token on to the caller.
@@ -97,11 +114,14 @@
 		return end
 	}
 	m.WastedPrefillTokens.Inc(int64(res.PrefillTokens))
+	end.Err = verdict.Of(err)
 	if c := j.cancelled.Load(); c != nil {
+		if end.Err.Verdict == verdict.NotRun {
+			c = notRun(c)
+		}
 		end.Err = c
 		return end
 	}
-	end.Err = verdict.Of(err)
 	end.Release.Failed = !callersFault(end.Err.Reason)
 	return end
 }
@@ -114,9 +134,16 @@
 func (j *engineJob) pause(ctx context.Context, e entity.Endpoint) {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	if _, err := j.s.opts.Endpoints.Pause(ctx, e.Address, j.id); err == nil {
-		j.s.opts.Control.Paused(j.id)
-		return
+	for !j.ended.Load() && ctx.Err() == nil {
+		if _, err := j.s.opts.Endpoints.Pause(ctx, e.Address, j.id); err == nil {
+			j.s.opts.Control.Paused(j.id)
+			return
+		}
+		// The dispatch may still be on its way to the engine.
+		select {
+		case <-ctx.Done():
+		case <-time.After(pauseRetry):
+		}
 	}
 	// The stream has ended, which Ended reports, or the engine can't pause:
 	// then the slot comes back when the stream ends.
@@ -132,16 +159,20 @@
 
 func (j *engineJob) cancel(ctx context.Context, e entity.Endpoint, d request.Directive) {
 	j.cancelled.CompareAndSwap(nil, d.Err)
-	j.stopEngine(ctx, e)
-	j.abort(d.Err)
+	// The stream's end mark, which says how much was processed, ends the call.
+	if !j.stopEngine(ctx, e) {
+		j.abort(d.Err)
+	}
 }
 
-// stopEngine has the engine stop a stream that no one reads any more. An
-// engine that can't be told stops it after a while without a reader.
-func (j *engineJob) stopEngine(ctx context.Context, e entity.Endpoint) {
+// stopEngine has the engine stop a stream that no one reads any more, and says
+// whether it has. An engine that can't be told stops it after a while without
+// a reader.
+func (j *engineJob) stopEngine(ctx context.Context, e entity.Endpoint) bool {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), controlTimeout)
 	defer cancel()
-	_, _ = j.s.opts.Endpoints.Cancel(ctx, e.Address, j.id)
+	_, err := j.s.opts.Endpoints.Cancel(ctx, e.Address, j.id)
+	return err == nil
 }
 
 // abort ends the call to the engine, after which Ended is reported.
--- a/internal/caller/fixture_test.go
+++ b/internal/caller/fixture_test.go
@@ -44,7 +44,8 @@
 func (c *fakeControl) Arrive(a request.Arrival) <-chan request.Directive {
 	c.arrived <- a
 	if !c.hold {
-		c.directives <- request.Directive{ID: a.Work.ID, Kind: request.DirectiveDispatch, Endpoint: c.endpoint, ImportFrom: c.importFrom}
+		c.directives <- request.Directive{ID: a.Work.ID, Kind: request.DirectiveDispatch, Endpoint: c.endpoint, ImportFrom: c.importFrom,
+			NotAfter: time.Now().Add(time.Hour)}
 	}
 	return c.directives
 }
@@ -77,8 +78,8 @@
 
 func newBed(t *testing.T, changes ...change) *bed {
 	t.Helper()
-	e, address := startEngine(t)
-	_, other := startEngine(t)
+	e, address := startFastEngine(t)
+	_, other := startFastEngine(t)
 	state := stateOf(t, fmt.Sprintf(configuration, address, other))
 	endpoints := endpoint.New(endpoint.Options{})
 	t.Cleanup(endpoints.Close)
@@ -86,7 +87,7 @@
 	b.options = Options{
 		Control: b.control, State: func() config.State { return state }, Endpoints: endpoints,
 		NewID: func() entity.RequestID { return "request-1" }, Clock: time.Now, Log: logr.Discard(), Metrics: telemetry.NewMetrics(),
-		DefaultDeadline: time.Minute, MaxDeadline: time.Hour, MaxBodyBytes: 64 << 10, PrefixBlockTokens: 64, MaxPrefixBlocks: 64,
+		DefaultDeadline: time.Minute, MaxDeadline: time.Hour, MaxBodyBytes: 64 << 10, EngineBlockTokens: 16, PrefixBlockTokens: 64, MaxPrefixBlocks: 64,
 		WriteTimeout: guard,
 	}
 	for _, c := range changes {
@@ -104,8 +105,8 @@
 	return b
 }
 
-// startEngine starts a stand-in engine and returns its address.
-func startEngine(t *testing.T) (*engine.Server, string) {
+// startFastEngine starts a stand-in engine and returns its address.
+func startFastEngine(t *testing.T) (*engine.Server, string) {
 	t.Helper()
 	e, l, err := engine.Start("127.0.0.1:0", engine.Settings{Settings: model.Settings{DecodeTokensPerSec: 2000}, Keep: time.Hour})
 	if err != nil {
--- a/internal/control/loop_test.go
+++ b/internal/control/loop_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/core/node"
+	"github.com/medlarhold/medlarhold/internal/core/placement"
+	"github.com/medlarhold/medlarhold/internal/core/steward"
 	"github.com/medlarhold/medlarhold/internal/telemetry"
 )
 
@@ -19,7 +21,9 @@
 	self := entity.Instance{ID: "a", Zone: "z", PeerAddress: "127.0.0.1:1"}
 	l := New(Options{
 		Node: node.New(node.DefaultSettings(self), rand.New(rand.NewSource(1))), Clock: time.Now,
-		Send: func(entity.InstanceID, string, any) {}, Forget: func(entity.InstanceID) {}, Owned: func([]entity.Endpoint) {},
+		Steward: steward.New(steward.DefaultSettings(self)), LeaseAppend: func(steward.Append) {}, LeaseRead: func(steward.Read) {},
+		Order: func(placement.Order) {},
+		Send:  func(entity.InstanceID, string, any) {}, Forget: func(entity.InstanceID) {}, Owned: func([]entity.Endpoint) {},
 		ClaimAppend: func(node.ClaimAppend) {}, ClaimRead: func(node.ClaimReadRequest) {},
 		Log: logr.Discard(), Metrics: telemetry.NewMetrics(),
 	})
--- a/internal/core/admission/endpoint.go
+++ b/internal/core/admission/endpoint.go
@@ -27,8 +27,16 @@
 	kv      int // tokens taken, paused streams included
 	floors  floors
 	index   *prefix.Index
-	// settledAt is when promises of an earlier owner have run out.
-	settledAt      time.Time
+	// quietUntil is when promises of an earlier owner have run out, settledAt
+	// when all that it runs is known.
+	quietUntil time.Time
+	settledAt  time.Time
+	// prefillUntil estimates when all granted prompts are processed.
+	prefillUntil time.Time
+	// unknown is set while the endpoint reports more work than is known here;
+	// ended holds when known work ended, since the last report.
+	unknown        bool
+	ended          []time.Time
 	failures       int // in a row
 	failedAt       time.Time
 	suspendedUntil time.Time
@@ -52,13 +60,13 @@
 }
 
 // open says that e may be granted to anyone at all now.
-func (e *endpoint) open(now time.Time) bool {
-	return !e.gone && e.slots < e.row.Slots && !now.Before(e.suspendedUntil)
+func (e *endpoint) open(now time.Time, ahead time.Duration) bool {
+	return !e.gone && e.slots < e.row.Slots && !now.Before(e.suspendedUntil) && e.prefillLeft(now) <= ahead
 }
 
 // allows says that no promise keeps tier t off e.
 func (e *endpoint) allows(now time.Time, t int) bool {
-	if t > 0 && now.Before(e.settledAt) {
+	if t > 0 && now.Before(e.quietUntil) {
 		return false
 	}
 	return e.floors.allow(now, t)
--- a/internal/core/admission/job.go
+++ b/internal/core/admission/job.go
@@ -41,6 +41,10 @@
 	tier  int
 	state jobState
 	seq   uint64
+	// question is the entry's number of the question that made the job.
+	question uint32
+	// queued says that the job stands in the queue.
+	queued bool
 	// noWait says that the entry wants a slot or a refusal, no place in the queue.
 	noWait bool
 	// endpoint is where the job runs or is paused; nil while queued.
@@ -49,8 +53,16 @@
 	expectEnd time.Time
 	// orphanedAt is when the entry instance was dropped; zero while it lives.
 	orphanedAt time.Time
-	// run estimates the running time without any cache, while queued.
-	run time.Duration
+	// prefill and prefillEnd estimate the processing of the prompt; for a paused
+	// job prefill is what was left of it.
+	prefill    time.Duration
+	prefillEnd time.Time
+	// deferUntil is how long the job would rather wait for an engine that holds
+	// part of its prompt than have it processed again elsewhere.
+	deferUntil time.Time
+	// run estimates the running time on the best endpoint, were it idle, and
+	// runPrefill the part of it that processes the prompt.
+	run, runPrefill time.Duration
 	// awaited counts the preemptions made for this job and not yet released;
 	// roomFor tells a preempted job whom it makes room for.
 	awaited int
--- a/internal/core/admission/membership.go
+++ b/internal/core/admission/membership.go
@@ -8,9 +8,9 @@
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 )
 
-// SetEndpoints replaces the endpoints that this instance owns. For one
-// FloorFor a gained endpoint takes only the highest tier, since promises of an
-// earlier owner may still hold. Running work of a lost endpoint is forgotten:
+// SetEndpoints replaces the endpoints that this instance owns. For QuietFor a
+// gained endpoint takes only the highest tier, since promises of an earlier
+// owner may still be given and hold. Running work of a lost endpoint is forgotten:
 // its new owner learns of it from the entries. Queued work stays.
 func (o *Owner) SetEndpoints(now time.Time, rows []entity.Endpoint) {
 	owned := make(map[entity.EndpointID]bool, len(rows))
@@ -34,7 +34,7 @@
 	e := o.endpoints[row.ID]
 	if e != nil && e.row.Pool == row.Pool {
 		if !slices.Equal(e.row.Models, row.Models) || !slices.Equal(e.row.Adapters, row.Adapters) {
-			e.settledAt = now.Add(o.settings.FloorFor)
+			o.unsettle(now, e)
 		}
 		e.row = *row
 		return
@@ -48,6 +48,33 @@
 	p.endpoints = append(p.endpoints, e)
 }
 
+// unsettle has an endpoint count as one that was just gained.
+func (o *Owner) unsettle(now time.Time, e *endpoint) {
+	e.quietUntil = now.Add(o.settings.QuietFor)
+	e.settledAt = now.Add(o.settings.SettleFor)
+}
+
+// Inherited tells that a gained endpoint's earlier owner is leaving, and so
+// gives no promises any more.
+func (o *Owner) Inherited(now time.Time, id entity.EndpointID) {
+	if e := o.endpoints[id]; e != nil {
+		e.quietUntil = now.Add(o.settings.FloorFor)
+	}
+}
+
+// wake unsettles all endpoints after the instance was away: others may have
+// owned them meanwhile.
+func (o *Owner) wake(now time.Time) {
+	if away := now.Sub(o.awake); !o.awake.IsZero() && away > o.settings.FreezeGap {
+		for _, p := range o.pools {
+			for _, e := range p.endpoints {
+				o.unsettle(now, e)
+			}
+		}
+	}
+	o.awake = now
+}
+
 func (o *Owner) loseEndpoint(now time.Time, p *pool, e *endpoint) {
 	e.gone = true
 	p.endpoints = slices.DeleteFunc(p.endpoints, func(f *endpoint) bool { return f == e })
@@ -57,7 +84,7 @@
 		if j.state == stateQueued {
 			o.refuse(now, p, j)
 		}
-		o.leave(j, false)
+		o.leave(now, j, false)
 	}
 }
 
@@ -66,7 +93,7 @@
 	var homeless []*job
 	for t := range p.queue.tiers {
 		p.queue.each(t, func(j *job) bool {
-			if _, ok := o.bestRunTime(p, j); !ok {
+			if _, _, ok := o.bestRunTime(p, j); !ok {
 				homeless = append(homeless, j)
 			}
 			return true
@@ -99,18 +126,25 @@
 
 // Hold takes in work that entries already run on endpoints that this instance
 // has come to own.
-func (o *Owner) Hold(_ time.Time, held []entity.Held) {
+func (o *Owner) Hold(now time.Time, held []entity.Held) {
 	for i := range held {
-		o.hold(&held[i])
+		o.hold(now, &held[i])
 	}
 }
 
-func (o *Owner) hold(h *entity.Held) {
+func (o *Owner) hold(now time.Time, h *entity.Held) {
 	e := o.endpoints[h.Endpoint]
-	if e == nil || o.jobs[h.Work.ID] != nil {
+	if e == nil {
 		return
 	}
-	j := o.newJob(&entity.Reservation{Work: h.Work, From: h.From})
+	if known := o.jobs[h.Work.ID]; known != nil {
+		known.orphanedAt = time.Time{} // its entry is there after all
+		if h.Question <= known.question || known.endpoint == nil {
+			return
+		}
+		o.leave(now, known, false)
+	}
+	j := o.newJob(&entity.Reservation{Work: h.Work, From: h.From, Question: h.Question})
 	o.jobs[j.work.ID] = j
 	e.take(j)
 	e.index.Insert(j.work.Prefix)
--- a/internal/core/admission/owner.go
+++ b/internal/core/admission/owner.go
@@ -18,6 +18,7 @@
 	jobs      map[entity.RequestID]*job
 	speeds    *speed.Estimator
 	seq       uint64
+	awake     time.Time // the latest step
 	ready     Ready
 }
 
@@ -40,12 +41,13 @@
 
 // Reserve takes in an entry's question for a slot.
 func (o *Owner) Reserve(now time.Time, r entity.Reservation) {
-	if old := o.jobs[r.Work.ID]; old != nil && !o.replaces(old, &r) {
+	o.wake(now)
+	if old := o.jobs[r.Work.ID]; old != nil && !o.replaces(now, old, &r) {
 		return
 	}
 	p := o.pool(r.Work.Pool)
 	j := o.newJob(&r)
-	run, ok := o.bestRunTime(p, j)
+	run, prefill, ok := o.bestRunTime(p, j)
 	if !ok {
 		o.refuse(now, p, j)
 		return
@@ -54,7 +56,8 @@
 		o.refuseInfeasible(p, j)
 		return
 	}
-	j.run = run
+	j.run, j.runPrefill = run, prefill
+	j.deferUntil = now.Add(o.patience(p, j))
 	o.enqueue(p, j)
 	o.schedule(now, p)
 	if j.state == stateQueued && o.jobs[j.work.ID] == j {
@@ -64,11 +67,13 @@
 
 // settle decides on a job that got no slot at once.
 func (o *Owner) settle(now time.Time, p *pool, j *job) {
-	if o.preemptFor(now, p, j); j.awaited > 0 {
+	if o.preemptFor(now, p, j); j.awaited > 0 || j.class.resume != "" {
 		return
 	}
 	if j.noWait {
-		o.refuse(now, p, j)
+		if !now.Before(j.deferUntil) {
+			o.refuse(now, p, j)
+		}
 		return
 	}
 	if !o.shedDoomed(now, p, j) {
@@ -78,22 +83,47 @@
 
 // replaces deals with a reservation for a job that is known already. It
 // returns true if the reservation is to be taken in anew.
-func (o *Owner) replaces(old *job, r *entity.Reservation) bool {
-	switch old.state {
-	case stateRunning, statePreempting:
-		g := entity.Grant{ID: old.work.ID, Endpoint: old.endpoint.row.ID}
-		o.ready.Grants = append(o.ready.Grants, GrantTo{To: old.from, Grant: g})
+func (o *Owner) replaces(now time.Time, old *job, r *entity.Reservation) bool {
+	switch {
+	case r.Question < old.question:
+		return false // overtaken by a later question
+	case r.Question > old.question:
+		o.overtaken(now, old, r)
+		return true
+	case old.state == stateRunning || old.state == statePreempting:
+		o.grantAgain(old)
 		return false
-	case statePaused:
+	case old.state == statePaused:
 		return r.Resume == old.endpoint.row.ID
-	default:
-		return false
+	}
+	return false
+}
+
+// overtaken ends a job whose entry asks anew: what ended it is still on its way.
+func (o *Owner) overtaken(now time.Time, old *job, r *entity.Reservation) {
+	switch {
+	case old.state == stateQueued:
+		o.pool(old.work.Pool).queue.remove(old)
+		if old.endpoint == nil {
+			delete(o.jobs, old.work.ID)
+		}
+	case old.holdsSlot():
+		o.leave(now, old, r.Resume == old.endpoint.row.ID)
 	}
 }
 
+// grantAgain repeats a grant whose entry may not have it.
+func (o *Owner) grantAgain(j *job) {
+	g := entity.Grant{ID: j.work.ID, Question: j.question, Endpoint: j.endpoint.row.ID}
+	o.ready.Grants = append(o.ready.Grants, GrantTo{To: j.from, Grant: g})
+}
+
 // Release takes a slot back.
 func (o *Owner) Release(now time.Time, r entity.Release) {
 	j := o.jobs[r.ID]
+	if j != nil && r.Question < j.question {
+		return // overtaken by a later question
+	}
 	if j == nil || j.endpoint == nil {
 		o.Cancel(now, r.ID)
 		return
@@ -103,10 +133,18 @@
 		o.speeds.Observe(&e.row, r)
 		e.result(now, r.Failed)
 	}
-	o.leave(j, r.Paused)
+	e.ended = append(e.ended, now)
+	o.leave(now, j, r.Paused)
 	o.schedule(now, o.pool(e.row.Pool))
 }
 
+// Withdraw takes the question of that number back, and all before it.
+func (o *Owner) Withdraw(now time.Time, id entity.RequestID, question uint32) {
+	if j := o.jobs[id]; j != nil && j.question <= question {
+		o.Cancel(now, id)
+	}
+}
+
 // Cancel forgets a request whose entry has given up, queued or not.
 func (o *Owner) Cancel(now time.Time, id entity.RequestID) {
 	j := o.jobs[id]
@@ -118,7 +156,7 @@
 		p.queue.remove(j)
 	}
 	if j.endpoint != nil {
-		o.leave(j, false)
+		o.leave(now, j, false)
 	}
 	delete(o.jobs, id)
 	o.schedule(now, p)
@@ -126,6 +164,7 @@
 
 // Tick lets time pass: late work is refused, promises end, slots are granted.
 func (o *Owner) Tick(now time.Time) {
+	o.wake(now)
 	for _, p := range o.pools {
 		o.dropOverdueOrphans(now, p)
 		o.expire(now, p)
@@ -151,11 +190,14 @@
 	}
 	var refused []*job
 	for t := range p.queue.tiers {
+		var hopeless []class // no victim was found for the first of its class
 		p.queue.each(t, func(j *job) bool {
-			if t < lowest {
-				o.preemptFor(now, p, j)
+			if t < lowest && j.awaited == 0 && !slices.Contains(hopeless, j.class) {
+				if o.preemptFor(now, p, j); j.awaited == 0 {
+					hopeless = append(hopeless, j.class)
+				}
 			}
-			if j.noWait && j.awaited == 0 {
+			if j.noWait && j.awaited == 0 && !now.Before(j.deferUntil) {
 				refused = append(refused, j)
 			}
 			return true
@@ -169,12 +211,13 @@
 func (o *Owner) newJob(r *entity.Reservation) *job {
 	o.seq++
 	return &job{
-		work:   r.Work,
-		from:   r.From,
-		class:  class{model: r.Work.Model, adapter: r.Work.Adapter, resume: r.Resume},
-		tier:   min(max(int(r.Work.Tier), 0), o.settings.Tiers-1),
-		seq:    o.seq,
-		noWait: r.NoWait,
+		work:     r.Work,
+		from:     r.From,
+		class:    class{model: r.Work.Model, adapter: r.Work.Adapter, resume: r.Resume},
+		tier:     min(max(int(r.Work.Tier), 0), o.settings.Tiers-1),
+		seq:      o.seq,
+		question: r.Question,
+		noWait:   r.NoWait,
 	}
 }
 
@@ -185,6 +228,7 @@
 		e := old.endpoint
 		e.jobs[slices.Index(e.jobs, old)] = j
 		j.endpoint = e
+		j.prefill = old.prefill
 	}
 	o.jobs[j.work.ID] = j
 	p.queue.add(j)
@@ -201,7 +245,8 @@
 }
 
 // leave frees j's slot, and its memory unless it is paused.
-func (o *Owner) leave(j *job, paused bool) {
+func (o *Owner) leave(now time.Time, j *job, paused bool) {
+	j.endpoint.endPrefill(now, j)
 	if v := j.roomFor; v != nil {
 		v.awaited--
 		j.roomFor = nil
@@ -228,11 +273,12 @@
 }
 
 func (o *Owner) newEndpoint(now time.Time, row *entity.Endpoint) *endpoint {
-	return &endpoint{
-		row:       *row,
-		running:   make([]int, o.settings.Tiers),
-		floors:    make(floors, o.settings.Tiers),
-		index:     prefix.NewIndex(o.settings.NewEvictor(o.settings.PrefixBlocks)),
-		settledAt: now.Add(o.settings.FloorFor),
+	e := &endpoint{
+		row:     *row,
+		running: make([]int, o.settings.Tiers),
+		floors:  make(floors, o.settings.Tiers),
+		index:   prefix.NewIndex(o.settings.NewEvictor(o.settings.PrefixBlocks)),
 	}
+	o.unsettle(now, e)
+	return e
 }
--- a/internal/core/admission/owner_test.go
+++ b/internal/core/admission/owner_test.go
@@ -25,13 +25,13 @@
 
 func ask(w entity.Work) entity.Reservation { return entity.Reservation{Work: w, From: "entry"} }
 
-// settled returns an owner whose endpoints have no promise of an earlier owner.
+// settled returns an owner that knows all that its endpoints run.
 func settled(rows ...entity.Endpoint) (*Owner, time.Time) {
 	s := DefaultSettings()
 	s.QueuePerEndpoint = 2
 	o := New(s)
 	o.SetEndpoints(epoch, rows)
-	return o, epoch.Add(s.FloorFor)
+	return o, epoch.Add(s.SettleFor)
 }
 
 // said renders what the owner decided, one word each.
@@ -91,6 +91,19 @@
 	expect(t, o, "grant low e")
 }
 
+func TestLongPromptsDoNotDelayHigherTiers(t *testing.T) {
+	o, now := settled(engine("e", 8))
+	o.Reserve(now, ask(work("low", 3)))
+	o.Reserve(now, ask(work("same", 3)))
+	expect(t, o, "grant low e") // "same" would stand in line in the engine
+	o.Reserve(now, ask(work("high", 0)))
+	expect(t, o, "preempt low pause=true")
+	o.Release(now, entity.Release{ID: "low", Endpoint: "e", Paused: true})
+	expect(t, o, "grant high e")
+	o.Tick(now.Add(time.Second))
+	expect(t, o, "grant same e")
+}
+
 func TestOwnerNeverPreemptsNonIdempotentWork(t *testing.T) {
 	o, now := settled(engine("e", 1))
 	w := work("transfer", 3)
@@ -143,10 +156,16 @@
 func TestGainedEndpointTakesOnlyTheHighestTierAtFirst(t *testing.T) {
 	o := New(DefaultSettings())
 	o.SetEndpoints(epoch, []entity.Endpoint{engine("e", 2)})
-	o.Reserve(epoch, ask(work("low", 1)))
-	o.Reserve(epoch, ask(work("high", 0)))
+	low, high := work("low", 1), work("high", 0)
+	high.PromptTokens = 10 // processed long before the endpoint has settled
+	o.Reserve(epoch, ask(low))
+	o.Reserve(epoch, ask(high))
 	expect(t, o, "grant high e")
-	o.Tick(epoch.Add(o.settings.FloorFor))
+	for now := epoch; now.Before(epoch.Add(o.settings.QuietFor)); now = now.Add(TickInterval) {
+		o.Tick(now)
+	}
+	expect(t, o)
+	o.Tick(epoch.Add(o.settings.QuietFor))
 	expect(t, o, "grant low e")
 }
 
--- a/internal/core/admission/reports.go
+++ b/internal/core/admission/reports.go
@@ -1,22 +1,26 @@
 package admission
 
 import (
+	"slices"
 	"time"
 
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 )
 
-// Report takes in what an endpoint said of its load. It only settles which
-// slots of gone entry instances are still taken.
+// Report takes in what an endpoint said of its load. It settles which slots of
+// gone entry instances are still taken, and whether anything runs there that
+// is not known here.
 func (o *Owner) Report(now time.Time, r entity.LoadReport) {
 	e := o.endpoints[r.Endpoint]
 	if e == nil {
 		return
 	}
+	e.ended = slices.DeleteFunc(e.ended, func(t time.Time) bool { return t.Before(r.At) })
+	e.unknown = r.Running+r.Waiting > e.slots+len(e.ended)
 	orphans := e.orphansBefore(r.At)
 	excess := e.slots - (r.Running + r.Waiting)
 	for i := 0; i < len(orphans) && i < excess; i++ {
-		o.leave(orphans[i], false)
+		o.leave(now, orphans[i], false)
 	}
 	o.schedule(now, o.pool(e.row.Pool))
 }
@@ -48,7 +52,7 @@
 				end = j.orphanedAt
 			}
 			if now.Sub(end) > o.settings.OrphanTimeout {
-				o.leave(j, false)
+				o.leave(now, j, false)
 			}
 		}
 	}
--- a/internal/core/admission/settings.go
+++ b/internal/core/admission/settings.go
@@ -8,7 +8,7 @@
 )
 
 // TickInterval is the longest time between two calls of Tick.
-const TickInterval = 50 * time.Millisecond
+const TickInterval = 20 * time.Millisecond
 
 // NoFloor is the Floor of a Refusal that promises nothing.
 const NoFloor = entity.Tier(1 << 20)
@@ -17,6 +17,9 @@
 	// minRetryAfter and maxRetryAfter bound what refused callers are told.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = time.Minute
+	// lastChance is how long before its time runs out queued work is given back,
+	// so that its entry can still ask elsewhere.
+	lastChance = 500 * time.Millisecond
 	// hardQueueFactor bounds the queue, as a multiple of its limit, where work
 	// may not be shed for lack of proof.
 	hardQueueFactor = 4
@@ -30,6 +33,20 @@
 	QueuePerEndpoint int
 	// FloorFor is how long the promise of a Refusal holds.
 	FloorFor time.Duration
+	// QuietFor is how long a gained endpoint takes only the highest tier: an
+	// earlier owner may not know yet that it is none any more, and still give
+	// promises. One that is leaving does know; then FloorFor is enough.
+	QuietFor time.Duration
+	// PrefillAhead bounds the estimated time that an engine is still busy with
+	// prompts when it is granted another one.
+	PrefillAhead time.Duration
+	// SettleFor is how long an endpoint must have been owned before its owner
+	// proves anything by it: until then an earlier owner, or entries that still
+	// ask it, may run work there that the new one has not heard of.
+	SettleFor time.Duration
+	// FreezeGap is the time without a step after which the owner takes itself
+	// to have been away, and its endpoints as if it had come to own them anew.
+	FreezeGap time.Duration
 	// OrphanTimeout is how long past its estimated end a slot stays taken whose
 	// entry instance is gone.
 	OrphanTimeout time.Duration
@@ -49,6 +66,10 @@
 		Tiers:            5,
 		QueuePerEndpoint: 64,
 		FloorFor:         250 * time.Millisecond,
+		QuietFor:         1500 * time.Millisecond,
+		PrefillAhead:     50 * time.Millisecond,
+		SettleFor:        3 * time.Second,
+		FreezeGap:        time.Second,
 		OrphanTimeout:    5 * time.Second,
 		PrefixBlocks:     8192,
 		NewEvictor:       func(n int) prefix.Evictor { return prefix.NewRecency(n) },
--- a/internal/core/claim/table.go
+++ b/internal/core/claim/table.go
@@ -9,37 +9,43 @@
 
 // BytesPerKey is an upper estimate of the memory of one live key without its
 // answer, for sizing MaxKeys.
-const BytesPerKey = 320
+const BytesPerKey = 270
 
-// holder is what the table knows of a key that is taken.
+// holder is what the table knows of a key that is taken. There is one for each
+// live key, so it is kept small; times are Unix milliseconds of the log's clock.
 type holder struct {
-	seq     uint64 // numbers the claims that took a key
 	request entity.RequestID
 	body    Hash
-	claimed time.Time // log time of the claim
-	window  time.Duration
-	endsIn  time.Duration // the run is over by claimed + endsIn
+	seq     uint64 // numbers the claims that took a key
+	until   int64  // when the key is free again
+	endsAt  int64  // when the run must be over
 	verdict verdict.Verdict
 	reason  verdict.Reason
-	status  int
-	answer  []byte
+	answer  *answer
+	status  int16
 	dropped bool // the answer was dropped to save memory
+}
+
+// answer is the body of an outcome.
+type answer struct {
+	body    []byte
 	settled time.Time
 }
 
 // table is the state of a shard's stream up to an offset. It is a pure
 // function of the records: every reader of the stream has the same.
 type table struct {
-	answerFor time.Duration
-	keys      map[Hash]*holder
-	claims    fifo // live keys in log order, for expiry
-	answers   fifo // keys with an answer in order of settling
-	now       time.Time
-	seq       uint64
+	answerFor  time.Duration
+	maxAnswers int
+	keys       map[Hash]*holder
+	claims     fifo // live keys in log order, for expiry
+	answers    fifo // keys with an answer in order of settling
+	now        time.Time
+	seq        uint64
 }
 
-func newTable(answerFor time.Duration) *table {
-	return &table{answerFor: answerFor, keys: make(map[Hash]*holder)}
+func newTable(answerFor time.Duration, maxAnswers int) *table {
+	return &table{answerFor: answerFor, maxAnswers: maxAnswers, keys: make(map[Hash]*holder)}
 }
 
 // advance moves the log's time, which never goes back.
@@ -79,7 +85,10 @@
 	if h == nil {
 		return true
 	}
-	if t.now.Before(h.settled.Add(t.answerFor)) {
+	if h.answer == nil {
+		return true
+	}
+	if t.answers.len() <= t.maxAnswers && t.now.Before(h.answer.settled.Add(t.answerFor)) {
 		return false
 	}
 	h.answer = nil
@@ -114,9 +123,8 @@
 		seq:     t.seq,
 		request: e.Request,
 		body:    e.Body,
-		claimed: t.now,
-		window:  duration(e.Window),
-		endsIn:  duration(e.EndsIn),
+		until:   t.now.Add(duration(e.Window)).UnixMilli(),
+		endsAt:  t.now.Add(duration(e.EndsIn)).UnixMilli(),
 	}
 	t.keys[e.Key] = h
 	t.claims.push(ref{e.Key, t.seq})
@@ -134,12 +142,12 @@
 		delete(t.keys, e.Key)
 		return
 	}
-	h.verdict, h.reason, h.status = e.Verdict, e.Reason, e.Status
-	h.settled = t.now
+	h.verdict, h.reason, h.status = e.Verdict, e.Reason, int16(e.Status)
 	if len(e.Answer) > 0 {
-		h.answer = e.Answer
+		h.answer = &answer{body: e.Answer, settled: t.now}
 		t.answers.push(ref{e.Key, h.seq})
 		t.answers.compact(len(t.keys), t.stale)
+		t.answers.popWhile(t.dropAnswer)
 	}
 }
 
@@ -149,6 +157,15 @@
 	return at >= e.NotBefore && (e.NotAfter == 0 || at < e.NotAfter)
 }
 
-func (h *holder) live(logTime time.Time) bool {
-	return logTime.Before(h.claimed.Add(h.window))
+func (h *holder) live(logTime time.Time) bool { return logTime.UnixMilli() < h.until }
+
+// overdue says whether the run must be over by now.
+func (h *holder) overdue(logTime time.Time) bool { return logTime.UnixMilli() > h.endsAt }
+
+// answerBody returns the answer that is kept, if any.
+func (h *holder) answerBody() []byte {
+	if h.answer == nil {
+		return nil
+	}
+	return h.answer.body
 }
--- a/internal/core/membership/core_test.go
+++ b/internal/core/membership/core_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"math/rand"
 	"testing"
 	"time"
 
@@ -80,7 +81,11 @@
 	}
 	c.run(convergeWithin, nil)
 	for _, n := range c.nodes {
-		for _, z := range n.core.View().Zones {
+		v := n.core.View()
+		if got := v.Reachable(); (len(got["z0"]) == 4) != (n.self.Zone == "z0") || len(got[n.self.Zone]) != 4 {
+			t.Errorf("%s reaches %v", n.self.ID, got)
+		}
+		for _, z := range v.Zones {
 			reach := z.Zone == n.self.Zone || (z.Zone != "z0" && n.self.Zone != "z0")
 			if z.Reachable != reach || len(z.Members) != 4 {
 				t.Errorf("%s sees %s reachable=%v with %d members", n.self.ID, z.Zone, z.Reachable, len(z.Members))
@@ -119,3 +124,129 @@
 		t.Error("took in a row that is not valid")
 	}
 }
+
+func TestAllRestartedAtOnce(t *testing.T) {
+	c := newCluster(t, 8)
+	c.fill(3, 4)
+	c.mustAgree(convergeWithin)
+	for _, n := range c.nodes[:12] {
+		n.dead = true
+	}
+	for _, n := range c.nodes[:12] {
+		// The list shows only those that are gone.
+		c.add(n.self.Zone).core.Platform(c.now, c.listed)
+	}
+	c.mustAgree(convergeWithin)
+}
+
+func TestFleetCountsUnconfirmedDeaths(t *testing.T) {
+	c := newCluster(t, 9)
+	c.fill(1, 4)
+	c.mustAgree(convergeWithin)
+	c.nodes[1].dead = true
+	c.nodes[2].core.Leave(c.now)
+	c.nodes[2].leaving = c.now
+	c.run(3*time.Second, nil)
+	c.nodes[2].dead = true
+	c.run(convergeWithin, nil)
+	if got := c.nodes[0].core.Fleet(c.now); got != 3 {
+		t.Errorf("got %d while one death is not confirmed", got)
+	}
+	c.run(time.Minute, nil)
+	if got := c.nodes[0].core.Fleet(c.now); got != 2 {
+		t.Errorf("got %d after both deaths are confirmed", got)
+	}
+}
+
+func TestTooManyRowsAreRefused(t *testing.T) {
+	s := DefaultSettings()
+	s.MaxRows = 10
+	c := New(s, entity.Instance{ID: "a", Zone: "z"}, nil)
+	for i := range 100 {
+		c.Step(time.Unix(1, 0), "b", Message{Kind: Sync, Round: SyncRows, Updates: []Update{{ID: entity.InstanceID(rune('A' + i)), Zone: "z"}}})
+	}
+	if n := len(c.table.byID); n > 10 {
+		t.Errorf("%d rows", n)
+	}
+}
+
+func TestFrozenInstanceBlamesNoOne(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := New(DefaultSettings(), entity.Instance{ID: "a", Zone: "z"}, rand.New(rand.NewSource(1)))
+	c.Step(now, "b", Message{Kind: Sync, Round: SyncRows, Updates: []Update{{ID: "b", Zone: "z"}, {ID: "c", Zone: "z", State: Suspect}}})
+	c.Tick(now)
+	c.Tick(now.Add(DefaultSettings().ProbeInterval))
+	if len(c.probes) == 0 {
+		t.Fatal("no probe under way")
+	}
+	thawed := now.Add(time.Minute)
+	c.Tick(thawed)
+	if b, suspect := c.table.byID["b"], c.table.byID["c"]; b.State != Alive || suspect.State != Suspect {
+		t.Errorf("b is %d, c is %d after the thaw", b.State, suspect.State)
+	}
+	for range 80 {
+		thawed = thawed.Add(testStep)
+		c.Tick(thawed)
+	}
+	if c.table.byID["c"].State != Dead {
+		t.Error("the suspect was never given up")
+	}
+}
+
+func TestLeaveIsRepeatedToThoseWhoMissedIt(t *testing.T) {
+	c := newCluster(t, 10)
+	c.fill(1, 12)
+	c.mustAgree(convergeWithin)
+	c.loss = 1
+	n := c.nodes[0]
+	n.leaving = c.now
+	n.core.Leave(c.now)
+	c.run(250*time.Millisecond, nil)
+	c.loss = 0
+	c.run(1750*time.Millisecond, nil)
+	if w := c.wrong(); w != "" {
+		t.Error(w)
+	}
+	if !n.core.LeaveHeard() {
+		t.Error("the leaver was not answered by all")
+	}
+}
+
+func TestBrokenPathBetweenTwoMembersHarmsNoOne(t *testing.T) {
+	c := newCluster(t, 11)
+	c.fill(1, 4)
+	c.mustAgree(convergeWithin)
+	a, b := c.nodes[0], c.nodes[1]
+	c.cut = func(x, y *node) bool { return (x == a && y == b) || (x == b && y == a) }
+	c.run(time.Minute, func() {
+		if w := c.wrong(); w != "" {
+			t.Fatal(w)
+		}
+	})
+	for _, n := range c.nodes {
+		if i := n.core.View().Self.Incarnation; i != 0 {
+			t.Errorf("%s had to refute %d times", n.self.ID, i)
+		}
+	}
+}
+
+func TestZoneThatIsGoneForGoodIsForgotten(t *testing.T) {
+	c := newCluster(t, 12)
+	c.set.TombstoneFor, c.set.ForgetZoneAfter = time.Minute, 5*time.Minute
+	c.fill(2, 3)
+	c.mustAgree(convergeWithin)
+	for _, n := range c.nodes[3:] {
+		n.dead = true
+	}
+	c.run(2*time.Minute, nil)
+	n := c.nodes[0].core
+	if z, ok := c.viewOf(n).Zone("z1"); !ok || z.Reachable || n.Fleet(c.now) != 6 {
+		t.Errorf("z1 known %v, reachable %v, fleet %d", ok, z.Reachable, n.Fleet(c.now))
+	}
+	c.run(8*time.Minute, nil)
+	for _, n := range c.nodes[:3] {
+		if _, ok := c.viewOf(n.core).Zone("z1"); ok || n.core.Fleet(c.now) != 3 {
+			t.Errorf("%s: z1 known %v, fleet %d", n.self.ID, ok, n.core.Fleet(c.now))
+		}
+	}
+}
--- a/internal/core/membership/probe.go
+++ b/internal/core/membership/probe.go
@@ -11,6 +11,9 @@
 // joinSeeds is how many seeds a new instance asks in one round.
 const joinSeeds = 3
 
+// maxProbes bounds the probes under way, above which none is made for others.
+const maxProbes = 256
+
 // probe is a Ping that waits for its Ack.
 type probe struct {
 	target   entity.InstanceID
@@ -101,7 +104,11 @@
 }
 
 // probeSeeds speaks to instances of the zone that only the platform knows of.
+// Once joined, all instances of the zone together do so about once per interval.
 func (c *Core) probeSeeds() {
+	if c.joined && c.rng.Intn(c.table.zone(c.zone).live) > 0 {
+		return
+	}
 	unknown := 0
 	for _, in := range c.seeds {
 		if c.unknownSeed(in) {
@@ -134,7 +141,7 @@
 	if c.rng.Intn(c.table.zone(c.zone).live) > 0 {
 		return
 	}
-	if r := c.randomRow(c.zone, func(r *row) bool { return !r.live() && !r.Leaving }); r != nil {
+	if r := c.randomRow(c.zone, func(r *row) bool { return !r.live() }); r != nil {
 		c.send(r.ID, Message{Kind: Ping, Seq: c.nextSeq()})
 	}
 }
@@ -157,7 +164,7 @@
 		return
 	}
 	r := c.table.byID[m.Target]
-	if r == nil || r.Zone != c.zone {
+	if r == nil || r.Zone != c.zone || len(c.probes) >= maxProbes {
 		return
 	}
 	p := probe{target: m.Target, seq: c.nextSeq(), sent: now, relayTo: from, relaySeq: m.Seq}
@@ -186,8 +193,11 @@
 }
 
 // acked takes in an Ack, direct or passed on.
-func (c *Core) acked(from entity.InstanceID, m Message) {
+func (c *Core) acked(now time.Time, from entity.InstanceID, m Message) {
 	c.leave.acked(from, m.Seq)
+	if m.Agreed {
+		c.linkAgreed(now, from)
+	}
 	target := from
 	if m.Target != "" {
 		target = m.Target
@@ -229,7 +239,7 @@
 	}
 	u := r.Update
 	u.State = Suspect
-	c.merge(now, u)
+	c.merge(now, u, true)
 	// The suspect itself must hear of it first.
 	c.send(id, Message{Kind: Ping, Seq: c.nextSeq()})
 }
@@ -240,7 +250,7 @@
 		if r.State == Suspect && now.Sub(r.since) >= c.settings.SuspicionTimeout {
 			u := r.Update
 			u.State = Dead
-			c.merge(now, u)
+			c.merge(now, u, true)
 		}
 	}
 }
--- a/internal/core/node/members.go
+++ b/internal/core/node/members.go
@@ -79,6 +79,9 @@
 		if m.To == "" {
 			continue
 		}
+		if m.To == n.settings.Self.ID && n.isLeaving(m.From) {
+			n.owner.Inherited(now, m.Endpoint)
+		}
 		held := n.entry.Adopt(now, m.Endpoint, m.To)
 		if len(held) > 0 {
 			n.send(m.To, holdingOf(m.Endpoint, held))
@@ -86,12 +89,24 @@
 	}
 }
 
+// isLeaving says whether a member has said that it is stopping.
+func (n *Node) isLeaving(id entity.InstanceID) bool {
+	for _, z := range n.view.Zones {
+		for i := range z.Members {
+			if m := &z.Members[i]; m.ID == id {
+				return m.Leaving
+			}
+		}
+	}
+	return false
+}
+
 // setOwned tells the owner side which endpoints are its own now.
 func (n *Node) setOwned(now time.Time) {
 	var owned []entity.Endpoint
 	for _, e := range n.state.AllEndpoints() {
 		if n.owners.Owner(e.ID) == n.settings.Self.ID {
-			owned = append(owned, *e)
+			owned = append(owned, n.asLoaded(*e))
 		}
 	}
 	n.owner.SetEndpoints(now, owned)
@@ -99,12 +114,21 @@
 	n.ready.Owned = &owned
 }
 
+// asLoaded limits an endpoint that takes orders to the models that it has
+// reported as loaded. What the configuration lists is what it may hold.
+func (n *Node) asLoaded(e entity.Endpoint) entity.Endpoint {
+	if e.WeightBytes > 0 {
+		e.Models = n.loaded[e.ID]
+	}
+	return e
+}
+
 // holdingOf brings running requests into the form that travels.
 func holdingOf(e entity.EndpointID, held []entity.Held) Holding {
 	h := Holding{Endpoint: e, Held: make([]HeldRequest, 0, len(held))}
 	for _, x := range held {
 		w := x.Work
-		h.Held = append(h.Held, HeldRequest{ID: w.ID, Org: w.Org, Pool: w.Pool, Model: w.Model, Tier: w.Tier,
+		h.Held = append(h.Held, HeldRequest{ID: w.ID, Question: x.Question, Org: w.Org, Pool: w.Pool, Model: w.Model, Tier: w.Tier,
 			PromptTokens: w.PromptTokens, MaxTokens: w.MaxTokens, NonIdempotent: w.NonIdempotent, Paused: x.Paused})
 	}
 	return h
@@ -115,7 +139,7 @@
 	held := make([]entity.Held, 0, len(h.Held))
 	for _, x := range h.Held {
 		held = append(held, entity.Held{
-			From: from, Endpoint: h.Endpoint, Paused: x.Paused,
+			From: from, Question: x.Question, Endpoint: h.Endpoint, Paused: x.Paused,
 			Work: entity.Work{ID: x.ID, Org: x.Org, Pool: x.Pool, Model: x.Model, Tier: x.Tier,
 				PromptTokens: x.PromptTokens, MaxTokens: x.MaxTokens, NonIdempotent: x.NonIdempotent},
 		})
--- a/internal/core/request/entry.go
+++ b/internal/core/request/entry.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"slices"
 	"time"
 
 	"github.com/google/btree"
@@ -19,8 +20,11 @@
 	// Next returns whom to ask next for w, and false when there is nobody left.
 	Next(now time.Time, w *entity.Work, tried []routing.Choice) (routing.Choice, bool)
 	// MayShed says whether every owner in reach that could serve w has promised,
-	// for this moment, that nothing below w's tier is being served.
-	MayShed(now time.Time, w *entity.Work) bool
+	// for this moment, that nothing below w's tier is being served, or has said
+	// that it could not serve w in time at all.
+	MayShed(now time.Time, w *entity.Work, tried []routing.Choice) bool
+	// Reaches says whether any owner in reach has an endpoint that could serve w.
+	Reaches(now time.Time, w *entity.Work) bool
 	// Granted, Refused, Unreachable and Finished take in what came of a question.
 	Granted(now time.Time, from entity.InstanceID, w *entity.Work, g entity.Grant)
 	Refused(now time.Time, from entity.InstanceID, w *entity.Work, f entity.Refusal, sentAt time.Time)
@@ -57,9 +61,11 @@
 	// RetryInterval is how long a request waits that nobody took and that may
 	// not be shed, before it asks again.
 	RetryInterval time.Duration
-	// LookInterval is how long a request stays in one owner's queue before it
-	// looks for a free slot elsewhere, again and again.
-	LookInterval time.Duration
+	// FirstPatience is how long a request stays in an owner's queue before it
+	// looks for room elsewhere; the pause doubles up to MaxPatience.
+	FirstPatience, MaxPatience time.Duration
+	// DispatchWithin is how long a grant may wait for its dispatch.
+	DispatchWithin time.Duration
 }
 
 // Entry is the table of requests and the systems that run over it.
@@ -155,7 +161,9 @@
 		r.tried = append(r.tried, choice)
 		e.reserve(now, r, choice)
 	case len(r.asks) > 0:
-		e.wakeAfter(now, r, e.settings.LookInterval)
+		e.startRound(r)
+		r.patience = min(2*r.patience, e.settings.MaxPatience)
+		e.wakeAfter(now, r, r.patience)
 	default:
 		e.giveUp(now, r)
 	}
@@ -163,8 +171,9 @@
 
 // askToResume asks the present owner of the endpoint that holds the paused stream.
 func (e *Entry) askToResume(now time.Time, r *row) {
-	r.asks = nil
-	if owner, ok := e.router.OwnerOf(r.resume); ok {
+	owner, ok := e.router.OwnerOf(r.resume)
+	e.withdraw(r, owner)
+	if ok {
 		e.reserve(now, r, routing.Choice{Owner: owner, Endpoint: r.resume})
 		return
 	}
@@ -174,61 +183,91 @@
 // reserve sends one question. Only one question at a time may be queued; the
 // others want a slot at once or a refusal.
 func (e *Entry) reserve(now time.Time, r *row, c routing.Choice) {
-	r.asks = append(r.asks, ask{Choice: c, at: now})
-	e.ready.Reservations = append(e.ready.Reservations, ReservationTo{
-		Owner:       c.Owner,
-		Reservation: entity.Reservation{Work: r.work, From: e.settings.Self, Resume: r.resume, NoWait: c.NoWait},
-	})
+	r.questions++
+	a := ask{Choice: c, at: now, number: r.questions}
+	r.asks = append(r.asks, a)
+	e.question(r, a)
 	if !c.NoWait {
-		e.wakeAfter(now, r, e.settings.LookInterval)
+		r.patience = e.settings.FirstPatience
+		e.wakeAfter(now, r, r.patience)
 	}
 }
 
+// question sends a question, for the first time or again.
+func (e *Entry) question(r *row, a ask) {
+	e.ready.Reservations = append(e.ready.Reservations, ReservationTo{
+		Owner: a.Owner,
+		Reservation: entity.Reservation{Work: r.work, From: e.settings.Self, Question: a.number,
+			Resume: r.resume, NoWait: a.NoWait},
+	})
+}
+
 // giveUp ends a request that no owner in reach takes, if that is proved; else
 // the request starts again after a pause.
 func (e *Entry) giveUp(now time.Time, r *row) {
 	switch {
 	case !e.router.HasEndpoint(&r.work):
 		e.refuse(now, r, verdict.ReasonNoEndpoint, retryAfterNoEndpoint)
-	case r.refused > 0 && e.router.MayShed(now, &r.work):
-		e.refuse(now, r, verdict.ReasonOverload, r.retryAfter)
+	case e.router.Reaches(now, &r.work) && e.router.MayShed(now, &r.work, r.tried):
+		e.refuse(now, r, r.shedReason(), r.retryAfter)
 	default:
-		r.tried, r.refused = nil, 0
+		e.startRound(r)
 		e.wakeAfter(now, r, e.settings.RetryInterval)
 	}
 }
 
+// startRound lets the request ask everybody again but the owners that could
+// not serve it in time at all, and the one in whose queue it waits.
+func (e *Entry) startRound(r *row) {
+	r.tried = slices.DeleteFunc(r.tried, func(c routing.Choice) bool {
+		return !c.Infeasible && (c.NoWait || !r.asked(c.Owner))
+	})
+}
+
 // Granted tells that an owner holds a slot for the request.
 func (e *Entry) Granted(now time.Time, from entity.InstanceID, g entity.Grant) {
 	r, ok := e.rows[g.ID]
-	if !ok || !r.asked(from) || (r.state != StateAsking && r.state != StatePaused) {
-		e.ready.Releases = append(e.ready.Releases, ReleaseTo{Owner: from, Release: entity.Release{ID: g.ID, Endpoint: g.Endpoint, Unused: true}})
+	if ok && r.endpoint == g.Endpoint && r.granted == g.Question {
+		return // a repetition of the grant that the request was dispatched on
+	}
+	if !ok || !r.awaits(from, g.Question) || (r.state != StateAsking && r.state != StatePaused) {
+		e.unused(from, g)
 		return
 	}
 	e.withdraw(r, from)
 	e.setTimer(r, r.work.Deadline)
 	e.router.Granted(now, from, &r.work, g)
-	r.owner, r.endpoint = from, g.Endpoint
+	r.owner, r.endpoint, r.granted = from, g.Endpoint, g.Question
+	r.heldBy(from)
 	if r.state == StatePaused {
 		r.state = StateRunning
+		e.tellOwner(r)
 		e.direct(Directive{ID: g.ID, Kind: DirectiveResume, Endpoint: g.Endpoint})
 		return
 	}
 	if r.work.NonIdempotent && !e.claims.MayDispatch(now, g.ID) {
-		e.ready.Releases = append(e.ready.Releases, ReleaseTo{Owner: from, Release: entity.Release{ID: g.ID, Endpoint: g.Endpoint, Unused: true}})
+		e.unused(from, g)
 		e.refuse(now, r, verdict.ReasonKeyExpired, 0)
 		return
 	}
 	r.state = StateRunning
 	r.dispatches++
-	e.direct(Directive{ID: g.ID, Kind: DirectiveDispatch, Endpoint: g.Endpoint, ImportFrom: g.ImportFrom})
+	e.tellOwner(r)
+	e.direct(Directive{ID: g.ID, Kind: DirectiveDispatch, Endpoint: g.Endpoint, ImportFrom: g.ImportFrom,
+		NotAfter: now.Add(e.settings.DispatchWithin)})
+}
+
+// unused gives a slot back that the request has no use for.
+func (e *Entry) unused(owner entity.InstanceID, g entity.Grant) {
+	e.ready.Releases = append(e.ready.Releases, ReleaseTo{Owner: owner,
+		Release: entity.Release{ID: g.ID, Question: g.Question, Endpoint: g.Endpoint, Unused: true}})
 }
 
 // withdraw takes back all questions but the one to an owner that answered.
 func (e *Entry) withdraw(r *row, answered entity.InstanceID) {
 	for _, a := range r.asks {
 		if a.Owner != answered {
-			e.ready.Cancels = append(e.ready.Cancels, CancelTo{Owner: a.Owner, ID: r.work.ID})
+			e.ready.Cancels = append(e.ready.Cancels, CancelTo{Owner: a.Owner, ID: r.work.ID, Question: a.number})
 		}
 	}
 	r.asks = nil
@@ -237,28 +276,27 @@
 // Refused tells that an owner does not take the request.
 func (e *Entry) Refused(now time.Time, from entity.InstanceID, f entity.Refusal) {
 	r, ok := e.rows[f.ID]
-	if !ok || !r.asked(from) {
+	if !ok || !r.awaits(from, f.Question) {
 		return
 	}
 	a := r.answered(from)
 	e.router.Refused(now, from, &r.work, f, a.at)
-	r.refused++
 	r.retryAfter = max(r.retryAfter, f.RetryAfter)
+	r.markRefused(from, f.Infeasible)
 	switch {
+	case r.state == StatePaused && f.Infeasible:
+		e.cancelRunning(now, r, verdict.ReasonDeadline)
 	case r.state == StatePaused:
 		e.wakeAfter(now, r, e.settings.RetryInterval)
-	case f.Infeasible:
-		e.withdraw(r, from)
-		e.refuse(now, r, verdict.ReasonDeadline, f.RetryAfter)
 	case len(r.asks) == 0 || a.NoWait:
 		e.ask(now, r)
 	}
 }
 
 // Unreachable tells that a question could not be delivered to an owner.
-func (e *Entry) Unreachable(now time.Time, owner entity.InstanceID, id entity.RequestID) {
+func (e *Entry) Unreachable(now time.Time, owner entity.InstanceID, id entity.RequestID, question uint32) {
 	e.router.Unreachable(now, owner)
-	if r, ok := e.rows[id]; ok && r.asked(owner) {
+	if r, ok := e.rows[id]; ok && r.awaits(owner, question) {
 		e.unanswered(now, r, owner)
 	}
 }
@@ -291,17 +329,27 @@
 	for _, r := range e.sortedRows() {
 		for _, a := range r.asks {
 			if a.Owner == owner {
-				e.ready.Reservations = append(e.ready.Reservations, ReservationTo{Owner: owner,
-					Reservation: entity.Reservation{Work: r.work, From: e.settings.Self, Resume: r.resume, NoWait: a.NoWait}})
+				e.question(r, a)
 			}
 		}
 	}
 }
 
+// Thawed tells that the instance was away. Answers to questions of before may
+// be long out of date, so the requests ask anew.
+func (e *Entry) Thawed(now time.Time) {
+	for _, r := range e.sortedRows() {
+		if len(r.asks) > 0 {
+			e.withdraw(r, "")
+			e.wakeAfter(now, r, 0)
+		}
+	}
+}
+
 // Preempted tells that an owner wants the slot back for a higher tier.
 func (e *Entry) Preempted(now time.Time, from entity.InstanceID, p entity.Preemption) {
 	r, ok := e.rows[p.ID]
-	if !ok || r.owner != from || r.state != StateRunning {
+	if !ok || !slices.Contains(r.holders, from) || r.granted != p.Question || r.state != StateRunning {
 		return
 	}
 	if !p.Pause {
@@ -319,6 +367,7 @@
 		return
 	}
 	r.state = StatePaused
+	r.paused = true
 	r.resume = r.endpoint
 	e.release(r, entity.Release{ID: id, Endpoint: r.endpoint, Paused: true})
 	e.ask(now, r)
@@ -331,6 +380,11 @@
 		return
 	}
 	end.Release.ID, end.Release.Endpoint = id, r.endpoint
+	if r.paused {
+		// How long it took says nothing of the endpoint's speed.
+		end.Release.TimeToFirstToken, end.Release.DecodeTime = 0, 0
+	}
+	e.withdraw(r, r.owner)
 	e.release(r, end.Release)
 	if end.Err == nil {
 		e.finish(now, r, nil, end.Answer)
@@ -350,7 +404,7 @@
 		return false
 	}
 	e.ready.Retries = append(e.ready.Retries, Retry{ID: r.work.ID, Reason: err.Reason})
-	r.state, r.owner, r.endpoint, r.resume, r.tried = StateAsking, "", "", "", nil
+	r.state, r.owner, r.holders, r.endpoint, r.resume, r.tried = StateAsking, "", nil, "", "", nil
 	e.wakeAfter(now, r, d.Wait)
 	return true
 }
--- a/internal/core/request/status.go
+++ b/internal/core/request/status.go
@@ -54,11 +54,24 @@
 		switch r.state {
 		case StateRunning, StatePausing:
 			r.owner = owner
-			held = append(held, entity.Held{Work: r.work, From: e.settings.Self, Endpoint: endpoint})
+			r.heldBy(owner)
+			held = append(held, e.held(r))
 		case StatePaused:
-			held = append(held, entity.Held{Work: r.work, From: e.settings.Self, Endpoint: endpoint, Paused: true})
+			r.heldBy(owner)
+			held = append(held, e.held(r))
 			e.askToResume(now, r)
 		}
 	}
 	return held
 }
+
+// InFlightByModel counts the requests without a final answer by model.
+func (e *Entry) InFlightByModel() map[entity.ModelID]int {
+	counts := make(map[entity.ModelID]int)
+	for _, r := range e.rows {
+		if r.work.Model != "" {
+			counts[r.work.Model]++
+		}
+	}
+	return counts
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -21,6 +22,7 @@
 	"github.com/medlarhold/medlarhold/internal/control"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/core/node"
+	"github.com/medlarhold/medlarhold/internal/core/steward"
 	"github.com/medlarhold/medlarhold/internal/endpoint"
 	"github.com/medlarhold/medlarhold/internal/peer"
 	"github.com/medlarhold/medlarhold/internal/platform"
@@ -43,23 +45,26 @@
 
 // Daemon is one instance of the system.
 type Daemon struct {
-	settings  settings.Settings
-	self      entity.Instance
-	log       logr.Logger
-	metrics   *telemetry.Metrics
-	keys      *settings.KeyRing
-	certs     *certificates
-	listeners listeners
-	transport *peer.Transport
-	loop      *control.Loop
-	endpoints *endpoint.Client
-	caller    *caller.Server
-	follower  *configFollower
-	list      platform.InstanceList
-	poller    *poller
-	claims    *claimLog
-	leaving   chan struct{}
-	leaveOnce sync.Once
+	settings   settings.Settings
+	self       entity.Instance
+	log        logr.Logger
+	metrics    *telemetry.Metrics
+	keys       *settings.KeyRing
+	certs      *certificates
+	listeners  listeners
+	transport  *peer.Transport
+	loop       *control.Loop
+	endpoints  *endpoint.Client
+	caller     *caller.Server
+	follower   *configFollower
+	list       platform.InstanceList
+	weights    platform.WeightStore
+	logService platform.Log
+	poller     *poller
+	listed     atomic.Pointer[[]entity.Instance] // the list of the platform
+	claims     *claimLog
+	leaving    chan struct{}
+	leaveOnce  sync.Once
 }
 
 // listeners are the instance's three listening sockets.
@@ -90,7 +95,9 @@
 	d := &Daemon{settings: s, log: log, metrics: telemetry.NewMetrics(), keys: keys, certs: certs, listeners: ls, leaving: make(chan struct{})}
 	d.self = entity.Instance{
 		ID: newInstanceID(s.Name), Zone: s.Zone, Region: s.Region, PeerAddress: advertised(s.AdvertisePeers, ls.peers),
+		AdminAddress: advertised(s.AdvertiseAdmin, ls.admin),
 	}
+	d.listed.Store(&[]entity.Instance{})
 	d.assemble()
 	return d, nil
 }
@@ -98,8 +105,12 @@
 // assemble connects the parts.
 func (d *Daemon) assemble() {
 	s := d.settings
-	d.endpoints = endpoint.New(endpoint.Options{TLS: d.certs.client()})
-	d.poller = newPoller(d.endpoints, func(msg any) { d.loop.Post(msg) })
+	d.endpoints = endpoint.New(endpoint.Options{TLS: d.certs.client(), Metrics: d.metrics.Registry()})
+	d.poller = newPoller(
+		endpoint.New(endpoint.Options{TLS: d.certs.client(), Wrap: d.metrics.PollRequest.Conn}),
+		endpoint.New(endpoint.Options{TLS: d.certs.client(), Wrap: d.metrics.PollControl.Conn}),
+		s.Requests.PrefixBlockTokens/s.Requests.EngineBlockTokens, d.metrics,
+		func(msg any) { d.loop.Post(msg) }, d.reportHeld)
 	d.transport = peer.NewTransport(peer.Options{
 		Self: d.self, Keys: d.keys.PeerKeys, ServerTLS: d.certs.server(), ClientTLS: d.certs.client(),
 		ExchangeTimeout: peerExchangeTimeout, Registry: messages(),
@@ -113,21 +124,26 @@
 		Node: node.New(node.DefaultSettings(d.self), mathrand.New(seed)), Clock: time.Now,
 		Send: d.transport.Send, Forget: d.transport.Forget, Owned: d.poller.setOwned,
 		ClaimAppend: func(a node.ClaimAppend) { d.claims.append(a) }, ClaimRead: func(r node.ClaimReadRequest) { d.claims.read(r) },
+		Steward:     steward.New(steward.DefaultSettings(d.self)),
+		LeaseAppend: d.leaseAppend, LeaseRead: d.leaseRead, Order: d.order,
 		Log: d.log, Metrics: d.metrics,
 	})
-	hc := &http.Client{Transport: d.countPlatform(&http.Transport{TLSClientConfig: d.certs.client(), MaxIdleConnsPerHost: platformConns})}
-	logService := platform.NewHTTPLog(s.Platform.Log, hc)
-	d.claims = &claimLog{log: logService, post: d.loop.Post}
-	d.follower = newConfigFollower(d, logService)
+	hc := d.platformClient(d.metrics.PlatformControl)
+	d.logService = countedLog{Log: platform.NewHTTPLog(s.Platform.Log, hc), metrics: d.metrics}
+	claimService := countedLog{Log: platform.NewHTTPLog(s.Platform.Log, d.platformClient(d.metrics.PlatformRequest)), metrics: d.metrics}
+	d.claims = &claimLog{busy: claimService, idle: d.logService, post: d.loop.Post}
+	d.follower = newConfigFollower(d, d.logService)
 	d.list = platform.NewHTTPInstanceList(s.Platform.InstanceList, hc)
+	d.weights = platform.NewHTTPWeightStore(s.Platform.WeightStore, hc)
 	d.caller = caller.NewServer(caller.Options{
 		Control: d, State: d.loop.State, Endpoints: d.endpoints, NewID: d.newRequestID, Clock: time.Now,
 		Log: d.log, Metrics: d.metrics,
 		DefaultDeadline:   time.Duration(s.Requests.DefaultDeadlineMs) * time.Millisecond,
 		MaxDeadline:       time.Duration(s.Requests.MaxDeadlineMs) * time.Millisecond,
 		MaxBodyBytes:      s.Requests.MaxBodyBytes,
-		PrefixBlockTokens: s.Requests.PrefixBlockTokens, MaxPrefixBlocks: s.Requests.MaxPrefixBlocks,
-		WriteTimeout: writeTimeout,
+		EngineBlockTokens: s.Requests.EngineBlockTokens, PrefixBlockTokens: s.Requests.PrefixBlockTokens,
+		MaxPrefixBlocks: s.Requests.MaxPrefixBlocks,
+		WriteTimeout:    writeTimeout,
 	})
 }
 
@@ -144,7 +160,7 @@
 	defer cancel()
 	telemetry.Log(d.log, telemetry.EventStarting, "instance", d.self.ID, "zone", d.self.Zone)
 	var background sync.WaitGroup
-	for _, f := range []func(context.Context){d.loop.Run, d.follower.run, d.register, d.poller.run} {
+	for _, f := range []func(context.Context){d.loop.Run, d.follower.run, d.register, d.poller.run, d.keepSnapshots, d.sizeWeights} {
 		background.Go(func() { f(ctx) })
 	}
 	callers := d.httpServer(d.caller.Handler())
@@ -168,6 +184,7 @@
 	d.transport.Close()
 	background.Wait()
 	d.endpoints.Close()
+	d.poller.close()
 	return err
 }
 
--- a/internal/daemon/lookup.go
+++ b/internal/daemon/lookup.go
@@ -36,7 +36,12 @@
 }
 
 // Serving implements caller.Control.
-func (d *Daemon) Serving() (bool, string) { return d.follower.ready() }
+func (d *Daemon) Serving() (bool, string) {
+	if !d.loop.View().Joined {
+		return false, "looking for the other instances of the zone"
+	}
+	return d.follower.ready()
+}
 
 // Arrive implements caller.Control.
 func (d *Daemon) Arrive(a request.Arrival) <-chan request.Directive { return d.loop.Arrive(a) }
--- a/internal/daemon/poller.go
+++ b/internal/daemon/poller.go
@@ -8,11 +8,20 @@
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/core/node"
 	"github.com/medlarhold/medlarhold/internal/endpoint"
+	"github.com/medlarhold/medlarhold/internal/telemetry"
 )
 
 const (
-	// pollInterval is the time between two looks at an endpoint's load and cache.
-	pollInterval = time.Second
+	// pollRound is the time between two rounds over the engines that are due.
+	pollRound = time.Second
+	// pollInterval is the time between two looks at an engine that runs requests.
+	pollInterval = 2 * time.Second
+	// maxRestInterval bounds the time between two looks at an engine at rest,
+	// which doubles from look to look.
+	maxRestInterval = 16 * time.Second
+	// newcomerEvents is how many cache events an owner asks for that is new to
+	// an engine; what it does not hear of it learns from the work it grants.
+	newcomerEvents = 50
 	// pollTimeout bounds one look.
 	pollTimeout = 2 * time.Second
 )
@@ -20,16 +29,51 @@
 // poller asks the engines that this instance owns for their load and for the
 // changes of their prefix caches.
 type poller struct {
-	client *endpoint.Client
-	post   func(msg any)
-	mu     sync.Mutex
-	owned  []entity.Endpoint
-	// next holds the sequence number to ask each engine for. Only run uses it.
-	next map[entity.EndpointID]uint64
+	// busy and rest differ in where their bytes are counted.
+	busy, rest *endpoint.Client
+	metrics    *telemetry.Metrics
+	post       func(msg any)
+	// held is told what an engine holds that takes orders.
+	held  func(entity.EndpointID, endpoint.OrderStatus)
+	mu    sync.Mutex
+	owned []entity.Endpoint
+	// stride is how many blocks of an engine make one that owners compare by.
+	stride int
+	// looks holds what is known of each engine. Only run uses it.
+	looks map[entity.EndpointID]*look
 }
 
-func newPoller(c *endpoint.Client, post func(msg any)) *poller {
-	return &poller{client: c, post: post, next: make(map[entity.EndpointID]uint64)}
+// look is what the last look at an engine brought.
+type look struct {
+	// cursor says what to ask for.
+	cursor   cacheCursor
+	inUse    bool
+	interval time.Duration
+	due      time.Time
+}
+
+// begin has a look start near the newest cache event.
+func (l *look) begin(newest uint64) {
+	if l.cursor.next == 0 && newest > newcomerEvents {
+		l.cursor.next = newest - newcomerEvents
+	}
+}
+
+// seen takes in whether the engine was in use at the last look.
+func (l *look) seen(now time.Time, inUse bool) {
+	l.inUse = inUse
+	if inUse {
+		l.interval = pollInterval
+	} else {
+		l.interval = min(max(2*l.interval, pollInterval), maxRestInterval)
+	}
+	// Half a round less keeps a look in its round.
+	l.due = now.Add(l.interval - pollRound/2)
+}
+
+func newPoller(busy, rest *endpoint.Client, stride int, m *telemetry.Metrics, post func(msg any),
+	held func(entity.EndpointID, endpoint.OrderStatus)) *poller {
+	return &poller{busy: busy, rest: rest, stride: stride, metrics: m, post: post, held: held, looks: make(map[entity.EndpointID]*look)}
 }
 
 // setOwned replaces the endpoints to poll.
@@ -41,7 +85,7 @@
 
 // run polls until ctx ends.
 func (p *poller) run(ctx context.Context) {
-	t := time.NewTicker(pollInterval)
+	t := time.NewTicker(pollRound)
 	defer t.Stop()
 	for {
 		select {
@@ -53,44 +97,68 @@
 	}
 }
 
+// pollAll looks at the engines that are due.
 func (p *poller) pollAll(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	p.mu.Lock()
 	owned := p.owned
 	p.mu.Unlock()
+	now := time.Now()
+	looks := make(map[entity.EndpointID]*look, len(owned))
 	var wg sync.WaitGroup
-	events := make([]endpoint.CacheEvents, len(owned))
-	for i, e := range owned {
-		if e.Kind == entity.KindEngine {
-			wg.Go(func() { events[i] = p.poll(ctx, e) })
+	for _, e := range owned {
+		if e.Kind != entity.KindEngine {
+			continue
+		}
+		l := p.looks[e.ID]
+		if l == nil {
+			l = &look{}
+		}
+		looks[e.ID] = l
+		if !now.Before(l.due) {
+			wg.Go(func() { p.look(ctx, now, e, l) })
 		}
 	}
 	wg.Wait()
-	for i, e := range owned {
-		p.pass(e, events[i])
-	}
+	p.looks = looks
 }
 
-// poll asks one engine.
-func (p *poller) poll(ctx context.Context, e entity.Endpoint) endpoint.CacheEvents {
-	if l, err := p.client.Load(ctx, e.Address); err == nil {
-		p.post(node.Load{Report: entity.LoadReport{Endpoint: e.ID, At: l.AsOf, Running: l.Running, Waiting: l.Waiting, KVTokens: l.KVTokens}})
+// look asks one engine.
+func (p *poller) look(ctx context.Context, now time.Time, e entity.Endpoint, l *look) {
+	client, cause := p.rest, telemetry.CauseControl
+	if l.inUse {
+		client, cause = p.busy, telemetry.CauseRequest
+	}
+	p.metrics.Polled(cause)
+	inUse := false
+	if r, err := client.Load(ctx, e.Address); err == nil {
+		inUse = r.Running+r.Waiting > 0
+		l.begin(r.CacheSeq)
+		p.post(node.Load{Report: entity.LoadReport{Endpoint: e.ID, At: r.AsOf, Running: r.Running, Waiting: r.Waiting, KVTokens: r.KVTokens}})
+	}
+	if e.WeightBytes > 0 {
+		if st, err := client.Orders(ctx, e.Address); err == nil {
+			p.held(e.ID, st)
+		}
 	}
-	events, err := p.client.CacheEvents(ctx, e.Address, p.next[e.ID])
-	if err != nil {
-		return endpoint.CacheEvents{}
+	if events, err := client.CacheEvents(ctx, e.Address, l.cursor.next); err == nil {
+		p.pass(e, l, events)
+		inUse = inUse || len(events.Events) > 0
 	}
-	return events
+	l.seen(now, inUse)
 }
 
 // pass hands the cache events of one engine on.
-func (p *poller) pass(e entity.Endpoint, events endpoint.CacheEvents) {
-	for _, ev := range events.Events {
-		p.post(node.Cache{Event: entity.CacheEvent{Endpoint: e.ID, Seq: ev.Seq,
-			Stored: endpoint.FromWire(ev.Stored), Evicted: endpoint.FromWire(ev.Evicted), Cleared: ev.Cleared}})
-	}
-	if events.Next > 0 {
-		p.next[e.ID] = events.Next
+func (p *poller) pass(e entity.Endpoint, l *look, events endpoint.CacheEvents) {
+	for _, ev := range l.cursor.read(events, p.stride) {
+		ev.Endpoint = e.ID
+		p.post(node.Cache{Event: ev})
 	}
 }
+
+// close closes the connections to engines.
+func (p *poller) close() {
+	p.busy.Close()
+	p.rest.Close()
+}
--- a/internal/daemon/register.go
+++ b/internal/daemon/register.go
@@ -16,8 +16,16 @@
 // register keeps the instance on the platform's list and reads the list.
 func (d *Daemon) register(ctx context.Context) {
 	down := false
+	started := time.Now()
+	var readAt time.Time
 	for {
 		ok := d.renew(ctx)
+		if now := time.Now(); ok && !now.Before(readAt) {
+			var rows int
+			rows, ok = d.readList(ctx)
+			searching := now.Sub(started) < searchFor || d.alone()
+			readAt = now.Add(jittered(listInterval(rows, searching)))
+		}
 		if !ok && !down && ctx.Err() == nil {
 			telemetry.Log(d.log, telemetry.EventListUnavailable)
 		}
@@ -25,49 +33,65 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(platform.ListRenewInterval):
+		case <-time.After(d.renewPause()):
 		}
 	}
 }
 
-// renew is one round with the list.
+// alone says whether the instance knows no other in its zone.
+func (d *Daemon) alone() bool {
+	view := d.loop.View()
+	own, _ := view.Zone(d.self.Zone)
+	return !view.Joined || len(own.Members) < 2
+}
+
+// joinPause is the time between two looks at the list until a peer has answered.
+const joinPause = 300 * time.Millisecond
+
+// renewPause is the time until the next round with the list.
+func (d *Daemon) renewPause() time.Duration {
+	if !d.loop.View().Joined {
+		return joinPause
+	}
+	return platform.ListRenewInterval
+}
+
+// renew tells the list that the instance is there, or leaving.
 func (d *Daemon) renew(ctx context.Context) bool {
 	self := d.self
 	self.Leaving = d.loop.Status().Draining
-	if err := d.list.Register(ctx, self); err != nil {
-		return false
-	}
+	d.metrics.ListCall("renew")
+	return d.list.Register(ctx, self) == nil
+}
+
+// readList reads the list and returns the number of its rows.
+func (d *Daemon) readList(ctx context.Context) (int, bool) {
+	d.metrics.ListCall("read")
 	instances, err := d.list.List(ctx)
 	if err != nil {
-		return false
+		return 0, false
 	}
+	d.listed.Store(&instances)
 	d.loop.Post(node.Listed{Instances: instances})
-	return true
-}
-
-// countingTransport counts the bytes of bodies to and from the platform.
-type countingTransport struct {
-	next *http.Transport
-	d    *Daemon
+	return len(instances), true
 }
 
-func (d *Daemon) countPlatform(next *http.Transport) http.RoundTripper {
-	return countingTransport{next: next, d: d}
+// platformClient returns an HTTP client towards the platform whose bytes are counted.
+func (d *Daemon) platformClient(t telemetry.Traffic) *http.Client {
+	return &http.Client{Transport: platformTransport{&http.Transport{
+		TLSClientConfig: d.certs.client(), MaxIdleConnsPerHost: platformConns, DialContext: t.DialContext,
+	}}}
 }
 
-// headerBytes is what the headers of one exchange take in each direction,
-// which the HTTP library does not tell.
-const headerBytes = 160
+// platformTransport takes all that is open to the platform as silent after an
+// exchange that failed, so that the next one dials.
+type platformTransport struct{ *http.Transport }
 
-// RoundTrip implements http.RoundTripper. After an exchange that failed, what
-// is open to the platform counts as silent, and the next one dials.
-func (c countingTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	c.d.metrics.PlatformBytesSent.Inc(headerBytes + max(0, r.ContentLength))
-	res, err := c.next.RoundTrip(r)
+// RoundTrip implements http.RoundTripper.
+func (t platformTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	res, err := t.Transport.RoundTrip(r)
 	if err != nil {
-		c.next.CloseIdleConnections()
-		return nil, err
+		t.CloseIdleConnections()
 	}
-	c.d.metrics.PlatformBytesReceived.Inc(headerBytes + max(0, res.ContentLength))
-	return res, nil
+	return res, err
 }
--- a/internal/daemon/register_test.go
+++ b/internal/daemon/register_test.go
@@ -10,12 +10,14 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/medlarhold/medlarhold/internal/standin/relay"
 	"github.com/medlarhold/medlarhold/internal/telemetry"
 )
 
 // idleConns is how many connections the test has go silent.
-const idleConns = 4
+const idleConns = platformConns
 
 // TestSilentPlatformConnections: after one exchange with the platform that came
 // to no end, the next one gets a fresh connection, whatever else is open.
@@ -31,10 +33,9 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(r.Close)
-	d := &Daemon{metrics: telemetry.NewMetrics()}
-	transport := &http.Transport{MaxIdleConnsPerHost: idleConns}
-	t.Cleanup(transport.CloseIdleConnections)
-	client := &http.Client{Transport: d.countPlatform(transport)}
+	d := &Daemon{certs: &certificates{}}
+	client := d.platformClient(telemetry.Traffic{Sent: metrics.NewCounter(), Received: metrics.NewCounter()})
+	t.Cleanup(client.CloseIdleConnections)
 	get := func(timeout time.Duration) error {
 		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		defer cancel()
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -8,6 +8,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/medlarhold/medlarhold/internal/core/node"
+	"github.com/medlarhold/medlarhold/internal/core/steward"
 	"github.com/medlarhold/medlarhold/internal/telemetry"
 )
 
@@ -16,7 +17,8 @@
 // period; then it takes no new connection and waits for what is in flight.
 func (d *Daemon) stop(ctx context.Context, callers *http.Server) error {
 	telemetry.Log(d.log, telemetry.EventDrainBegin, "in_flight", d.loop.Status().InFlight)
-	d.loop.Post(node.Drain{})
+	d.loop.Post(node.Drain{Notice: d.settings.Stop.Notice()})
+	d.step(func(now time.Time, s *steward.Steward) { s.Resign(now) })
 	d.loop.Do(ctx, func(*node.Node) {}) // from here on the status says so
 	d.renew(ctx)
 	select {
--- a/internal/endpoint/wire.go
+++ b/internal/endpoint/wire.go
@@ -95,6 +95,9 @@
 	Waiting  int       `json:"waiting"`
 	KVTokens int       `json:"kv_tokens"`
 	AsOf     time.Time `json:"as_of"`
+	// CacheSeq is the number of the newest cache event; zero if there is none
+	// or the engine doesn't tell.
+	CacheSeq uint64 `json:"cache_seq,omitempty"`
 }
 
 // CacheEvents is a batch of changes of an engine's prefix cache.
@@ -105,7 +108,10 @@
 
 // CacheEvent is one change of an engine's prefix cache.
 type CacheEvent struct {
-	Seq     uint64      `json:"seq"`
+	Seq uint64 `json:"seq"`
+	// First is the place in its prompt of the first block stored; the others
+	// follow it without a hole.
+	First   int         `json:"first,omitempty"`
 	Stored  []BlockHash `json:"stored,omitempty"`
 	Evicted []BlockHash `json:"evicted,omitempty"`
 	Cleared bool        `json:"cleared,omitempty"`
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -190,13 +190,12 @@
 	t.wg.Wait()
 }
 
-// newConn puts JSON-RPC over a connection.
+// newConn puts JSON-RPC over a connection, counting its bytes.
 func (t *Transport) newConn(conn net.Conn, h jsonrpc2.Handler, limit func() uint64, readTimeout time.Duration) *jsonrpc2.Conn {
-	m := t.opts.Metrics
-	bounded := boundedConn{Conn: conn, sent: m.PeerBytesSent, received: m.PeerBytesReceived,
-		writeTimeout: t.opts.ExchangeTimeout, readTimeout: readTimeout}
-	stream := jsonrpc2.NewBufferedStream(bounded, frameCodec{limit: limit})
-	return jsonrpc2.NewConn(t.ctx, stream, h, jsonrpc2.SetLogger(noLogger{}))
+	bounded := boundedConn{Conn: conn, writeTimeout: t.opts.ExchangeTimeout, readTimeout: readTimeout}
+	a := t.newAccount()
+	stream := jsonrpc2.NewBufferedStream(bounded, frameCodec{limit: limit, account: a})
+	return jsonrpc2.NewConn(t.ctx, stream, h, jsonrpc2.SetLogger(noLogger{}), jsonrpc2.OnSend(a.sending), jsonrpc2.OnRecv(a.received))
 }
 
 // noLogger keeps the JSON-RPC library from logging what strangers send.
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -43,6 +43,7 @@
 	runs    map[entity.RequestID]*record // by the id of the run
 	streams map[entity.RequestID]*record // by the id of the request, the newest run
 	journal []*Entry
+	changed chan struct{} // closed when the journal changes
 	faults  Faults
 	thaw    chan struct{}
 	// connections counts the connections that carried streams, in order;
@@ -53,6 +54,10 @@
 
 // New returns a stand-in engine that runs until Close. It is an http.Handler.
 func New(settings Settings) *Server {
+	return newServer(settings, time.Now)
+}
+
+func newServer(settings Settings, clock func() time.Time) *Server {
 	if settings.Keepalive <= 0 {
 		settings.Keepalive = DefaultKeepalive
 	}
@@ -61,13 +66,14 @@
 	}
 	s := &Server{
 		settings: settings,
-		clock:    time.Now,
+		clock:    clock,
 		wake:     make(chan struct{}, 1),
 		done:     make(chan struct{}),
 		peers:    endpoint.New(endpoint.Options{}),
 		model:    model.New(settings.Settings),
 		runs:     map[entity.RequestID]*record{},
 		streams:  map[entity.RequestID]*record{},
+		changed:  make(chan struct{}),
 	}
 	s.mux = s.routes()
 	s.stopped.Add(1)
@@ -149,11 +155,16 @@
 	switch ev.Kind {
 	case model.EventStarted:
 		r.entry.Started = ev.At
+		s.notify()
 	case model.EventToken:
 		r.tokens++
 	case model.EventEnded:
 		r.entry.Ended, r.entry.End = ev.At, ev.End
+		if ev.End.FinishReason.Whole() {
+			r.entry.Digest = Digest(r.answer.text(r.tokens))
+		}
 		r.end = &ev.End
+		s.notify()
 		r.touched = ev.At
 	}
 	r.notify()
--- /dev/null
+++ b/internal/standin/load/caller.go
@@ -0,0 +1,235 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/callerapi"
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/endpoint"
+	"github.com/medlarhold/medlarhold/internal/sse"
+	"github.com/medlarhold/medlarhold/internal/standin/engine"
+	"github.com/medlarhold/medlarhold/internal/verdict"
+)
+
+const (
+	// maxEventBytes bounds one event, maxAnswerBytes a whole answer.
+	maxEventBytes  = 1 << 20
+	maxAnswerBytes = 64 << 20
+)
+
+// tokenEvent is the data of a streamed token.
+type tokenEvent struct {
+	ID      entity.RequestID `json:"id"`
+	Index   int              `json:"index"`
+	Choices []choice         `json:"choices"`
+}
+
+// choice is the one alternative that an answer has.
+type choice struct {
+	Text string `json:"text"`
+}
+
+// endEvent is the data of a streamed answer's end mark.
+type endEvent struct {
+	ID      entity.RequestID `json:"id"`
+	Verdict verdict.Verdict  `json:"verdict"`
+	Reason  verdict.Reason   `json:"reason"`
+	Tokens  int              `json:"tokens"`
+}
+
+// wholeAnswer is an answer that is not streamed.
+type wholeAnswer struct {
+	ID      entity.RequestID `json:"id"`
+	Choices []choice         `json:"choices"`
+}
+
+// caller sends one request and reads its answer.
+type caller struct {
+	client   *http.Client
+	settings Settings
+	arrival  Arrival
+	answer   *Answer
+	gaps     []time.Duration // between tokens
+	text     strings.Builder
+}
+
+func (c *caller) do(ctx context.Context) {
+	p := c.arrival.Profile
+	ctx, cancel := context.WithTimeout(ctx, p.Deadline+c.settings.Patience)
+	defer cancel()
+	c.answer.Sent = time.Now()
+	err := c.exchange(ctx)
+	c.answer.End = time.Now()
+	c.answer.InTime = c.answer.End.Sub(c.answer.Due) <= p.Deadline
+	if c.text.Len() > 0 {
+		c.answer.Digest = engine.Digest(c.text.String())
+	}
+	if err != nil {
+		c.answer.Complete = false
+		c.answer.Error = err.Error()
+	}
+}
+
+func (c *caller) exchange(ctx context.Context) error {
+	req, err := c.request(ctx)
+	if err != nil {
+		return err
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	a := c.answer
+	a.Status = resp.StatusCode
+	a.Verdict = verdict.Verdict(resp.Header.Get(callerapi.HeaderVerdict))
+	a.Reason = verdict.Reason(resp.Header.Get(callerapi.HeaderReason))
+	a.RetryAfter = resp.Header.Get("Retry-After")
+	a.RequestID = entity.RequestID(resp.Header.Get(callerapi.HeaderRequestID))
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), sse.ContentType) {
+		return c.readStream(resp.Body)
+	}
+	return c.readWhole(resp.Body)
+}
+
+func (c *caller) request(ctx context.Context) (*http.Request, error) {
+	method, path, body, err := c.content()
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.arrival.Target+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.GetBody = nil // a request is never sent again
+	p := c.arrival.Profile
+	req.Header.Set("Authorization", "Bearer "+p.Key)
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(callerapi.HeaderTier, p.Tier)
+	req.Header.Set(callerapi.HeaderDeadlineMS, strconv.FormatInt(p.Deadline.Milliseconds(), 10))
+	if c.arrival.Key != "" {
+		req.Header.Set(callerapi.HeaderRequestKey, c.arrival.Key)
+	}
+	return req, nil
+}
+
+// content returns method, path and body of the request.
+func (c *caller) content() (method, path string, body []byte, err error) {
+	p := c.arrival.Profile
+	if p.Call != nil {
+		return p.Call.Method, p.Call.Path, []byte(p.Call.Body), nil
+	}
+	body, err = json.Marshal(callerapi.Completion{
+		Model: string(p.Model), Adapter: string(p.Adapter), Prompt: c.arrival.Prompt, MaxTokens: c.arrival.MaxTokens, Stream: !p.Whole,
+	})
+	return http.MethodPost, callerapi.PathCompletions, body, err
+}
+
+// readStream reads a streamed answer up to its end mark.
+func (c *caller) readStream(body io.Reader) error {
+	events := sse.NewReader(body, maxEventBytes)
+	for {
+		ev, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			return errors.New("answer without end mark")
+		}
+		if err != nil {
+			return err
+		}
+		switch ev.Name {
+		case endpoint.EventToken:
+			err = c.takeToken(ev.Data)
+		case endpoint.EventEnd:
+			return c.takeEnd(ev.Data)
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (c *caller) takeToken(data []byte) error {
+	var t tokenEvent
+	if err := json.Unmarshal(data, &t); err != nil {
+		return err
+	}
+	if t.Index != c.answer.Tokens || len(t.Choices) != 1 {
+		return fmt.Errorf("token %d where %d is due", t.Index, c.answer.Tokens)
+	}
+	c.checkID(t.ID)
+	now := time.Now()
+	if t.Index == 0 {
+		c.answer.First = now
+	} else {
+		c.gaps = append(c.gaps, now.Sub(c.answer.Last))
+	}
+	c.answer.Last = now
+	c.answer.Tokens++
+	c.text.WriteString(t.Choices[0].Text)
+	return nil
+}
+
+func (c *caller) takeEnd(data []byte) error {
+	var end endEvent
+	if err := json.Unmarshal(data, &end); err != nil {
+		return err
+	}
+	c.checkID(end.ID)
+	c.answer.Verdict, c.answer.Reason = end.Verdict, end.Reason
+	c.answer.Complete = end.Verdict == verdict.Ran && end.Tokens == c.answer.Tokens
+	c.verify()
+	return nil
+}
+
+// checkID notes a part of the answer that is for another request.
+func (c *caller) checkID(id entity.RequestID) {
+	if id != c.answer.RequestID {
+		c.answer.Foreign = true
+	}
+}
+
+// readWhole reads an answer that is not streamed.
+func (c *caller) readWhole(body io.Reader) error {
+	data, err := io.ReadAll(io.LimitReader(body, maxAnswerBytes))
+	if err != nil {
+		return err
+	}
+	c.text.Write(data)
+	c.answer.Complete = true
+	if c.arrival.Profile.Call != nil || c.answer.Verdict != verdict.Ran {
+		return nil
+	}
+	var whole wholeAnswer
+	if err := json.Unmarshal(data, &whole); err != nil {
+		return err
+	}
+	if len(whole.Choices) != 1 {
+		return fmt.Errorf("answer with %d choices", len(whole.Choices))
+	}
+	c.checkID(whole.ID)
+	c.text.Reset()
+	c.text.WriteString(whole.Choices[0].Text)
+	c.answer.Tokens = c.arrival.MaxTokens
+	c.verify()
+	return nil
+}
+
+// verify compares an answer that ran with the one that the stand-in gives.
+func (c *caller) verify() {
+	if !c.settings.Verify || c.answer.Verdict != verdict.Ran {
+		return
+	}
+	want := engine.Answer(c.arrival.Prompt, c.arrival.MaxTokens)
+	if c.text.String() != want || c.answer.Tokens != c.arrival.MaxTokens {
+		c.answer.Foreign = true
+	}
+}
