--- a/internal/caller/fixture_test.go
+++ b/internal/caller/fixture_test.go
@@ -44,8 +44,9 @@
 func (c *fakeControl) Arrive(a request.Arrival) <-chan request.Directive {
 	c.arrived <- a
 	if !c.hold {
-		c.directives <- request.Directive{ID: a.Work.ID, Kind: request.DirectiveDispatch, Endpoint: c.endpoint, ImportFrom: c.importFrom,
-			NotAfter: time.Now().Add(time.Hour)}
+		c.directives <- request.Directive{ID: a.Work.ID, Kind: request.DirectiveDispatch, Endpoint: c.endpoint,
+			ImportFrom: c.importFrom,
+			NotAfter:   time.Now().Add(time.Hour)}
 	}
 	return c.directives
 }
@@ -78,8 +79,8 @@
 
 func newBed(t *testing.T, changes ...change) *bed {
 	t.Helper()
-	e, address := startFastEngine(t)
-	_, other := startFastEngine(t)
+	e, address := startEngine(t)
+	_, other := startEngine(t)
 	state := stateOf(t, fmt.Sprintf(configuration, address, other))
 	endpoints := endpoint.New(endpoint.Options{})
 	t.Cleanup(endpoints.Close)
@@ -105,8 +106,8 @@
 	return b
 }
 
-// startFastEngine starts a stand-in engine and returns its address.
-func startFastEngine(t *testing.T) (*engine.Server, string) {
+// startEngine starts a stand-in engine and returns its address.
+func startEngine(t *testing.T) (*engine.Server, string) {
 	t.Helper()
 	e, l, err := engine.Start("127.0.0.1:0", engine.Settings{Settings: model.Settings{DecodeTokensPerSec: 2000}, Keep: time.Hour})
 	if err != nil {
--- a/internal/core/admission/owner.go
+++ b/internal/core/admission/owner.go
@@ -52,13 +52,13 @@
 		o.refuse(now, p, j)
 		return
 	}
+	j.run, j.runPrefill = run, prefill
+	o.setPatience(now, p, j)
+	o.enqueue(p, j)
 	if j.late(now, run) {
-		o.refuseInfeasible(p, j)
+		o.shedInfeasible(now, p, j)
 		return
 	}
-	j.run, j.runPrefill = run, prefill
-	j.deferUntil = now.Add(o.patience(p, j))
-	o.enqueue(p, j)
 	o.schedule(now, p)
 	if j.state == stateQueued && o.jobs[j.work.ID] == j {
 		o.settle(now, p, j)
@@ -71,7 +71,7 @@
 		return
 	}
 	if j.noWait {
-		if !now.Before(j.deferUntil) {
+		if !now.Before(j.stayUntil) {
 			o.refuse(now, p, j)
 		}
 		return
@@ -197,7 +197,7 @@
 					hopeless = append(hopeless, j.class)
 				}
 			}
-			if j.noWait && j.awaited == 0 && !now.Before(j.deferUntil) {
+			if j.noWait && j.awaited == 0 && !now.Before(j.stayUntil) {
 				refused = append(refused, j)
 			}
 			return true
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -105,10 +105,10 @@
 // assemble connects the parts.
 func (d *Daemon) assemble() {
 	s := d.settings
-	d.endpoints = endpoint.New(endpoint.Options{TLS: d.certs.client(), Metrics: d.metrics.Registry()})
+	d.endpoints = endpoint.New(d.endpointOptions(nil))
 	d.poller = newPoller(
-		endpoint.New(endpoint.Options{TLS: d.certs.client(), Wrap: d.metrics.PollRequest.Conn}),
-		endpoint.New(endpoint.Options{TLS: d.certs.client(), Wrap: d.metrics.PollControl.Conn}),
+		endpoint.New(d.endpointOptions(d.metrics.PollRequest.Conn)),
+		endpoint.New(d.endpointOptions(d.metrics.PollControl.Conn)),
 		s.Requests.PrefixBlockTokens/s.Requests.EngineBlockTokens, d.metrics,
 		func(msg any) { d.loop.Post(msg) }, d.reportHeld)
 	d.transport = peer.NewTransport(peer.Options{
@@ -147,6 +147,19 @@
 	})
 }
 
+// endpointOptions returns the options of a client towards endpoints; wrap, if
+// any, counts the bytes of its connections.
+func (d *Daemon) endpointOptions(wrap func(net.Conn) net.Conn) endpoint.Options {
+	s := d.settings.Endpoints
+	return endpoint.Options{
+		TLS: d.certs.client(), Metrics: d.metrics.Registry(), Wrap: wrap,
+		DialTimeout:    time.Duration(s.DialTimeoutMs) * time.Millisecond,
+		NoProgress:     time.Duration(s.NoProgressMs) * time.Millisecond,
+		CallNoProgress: time.Duration(s.CallNoProgressMs) * time.Millisecond,
+		CallLimit:      time.Duration(s.CallLimitMs) * time.Millisecond,
+	}
+}
+
 // Addresses returns where the instance listens.
 func (d *Daemon) Addresses() Addresses {
 	return Addresses{Instance: d.self.ID, Callers: d.listeners.callers.Addr().String(),
--- a/internal/daemon/register.go
+++ b/internal/daemon/register.go
@@ -78,20 +78,25 @@
 
 // platformClient returns an HTTP client towards the platform whose bytes are counted.
 func (d *Daemon) platformClient(t telemetry.Traffic) *http.Client {
-	return &http.Client{Transport: platformTransport{&http.Transport{
+	return &http.Client{Transport: freshAfterFailure{&http.Transport{
 		TLSClientConfig: d.certs.client(), MaxIdleConnsPerHost: platformConns, DialContext: t.DialContext,
 	}}}
 }
 
-// platformTransport takes all that is open to the platform as silent after an
+// freshAfterFailure takes what is open to the platform for silent after an
 // exchange that failed, so that the next one dials.
-type platformTransport struct{ *http.Transport }
+type freshAfterFailure struct {
+	next *http.Transport
+}
+
+// CloseIdleConnections closes what is open and idle.
+func (f freshAfterFailure) CloseIdleConnections() { f.next.CloseIdleConnections() }
 
 // RoundTrip implements http.RoundTripper.
-func (t platformTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	res, err := t.Transport.RoundTrip(r)
+func (f freshAfterFailure) RoundTrip(r *http.Request) (*http.Response, error) {
+	res, err := f.next.RoundTrip(r)
 	if err != nil {
-		t.CloseIdleConnections()
+		f.next.CloseIdleConnections()
 	}
 	return res, err
 }
--- a/internal/daemon/register_test.go
+++ b/internal/daemon/register_test.go
@@ -10,14 +10,12 @@
 	"testing"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
-
 	"github.com/medlarhold/medlarhold/internal/standin/relay"
 	"github.com/medlarhold/medlarhold/internal/telemetry"
 )
 
 // idleConns is how many connections the test has go silent.
-const idleConns = platformConns
+const idleConns = 4
 
 // TestSilentPlatformConnections: after one exchange with the platform that came
 // to no end, the next one gets a fresh connection, whatever else is open.
@@ -33,8 +31,8 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(r.Close)
-	d := &Daemon{certs: &certificates{}}
-	client := d.platformClient(telemetry.Traffic{Sent: metrics.NewCounter(), Received: metrics.NewCounter()})
+	d := &Daemon{metrics: telemetry.NewMetrics(), certs: &certificates{}}
+	client := d.platformClient(d.metrics.PlatformControl)
 	t.Cleanup(client.CloseIdleConnections)
 	get := func(timeout time.Duration) error {
 		ctx, cancel := context.WithTimeout(context.Background(), timeout)
--- a/internal/endpoint/exchange.go
+++ b/internal/endpoint/exchange.go
@@ -24,7 +24,7 @@
 		DisableCompression:     true,
 		DisableKeepAlives:      !pooled,
 		MaxIdleConnsPerHost:    idleConnsPerEndpoint,
-		IdleConnTimeout:        d.noProgress / 2,
+		IdleConnTimeout:        d.noProgress,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
