--- a/test/e2e/claims_test.go
+++ b/test/e2e/claims_test.go
@@ -27,6 +27,7 @@
 
 // TestTransferRunsOnce books the same transfer through both zones.
 func TestTransferRunsOnce(t *testing.T) {
+	t.Parallel()
 	b := newBed(t, "a", "b")
 	ins := startZones(t, b, "a", "b")
 	const transfer = `{"from":"anna","to":"jon","hours":2}`
@@ -60,6 +61,7 @@
 
 // TestBadInput sends what must be refused before anything is dispatched.
 func TestBadInput(t *testing.T) {
+	t.Parallel()
 	b := newBed(t, "a")
 	in := startZones(t, b, "a")[0]
 	cases := []struct {
--- a/test/e2e/keys_test.go
+++ b/test/e2e/keys_test.go
@@ -11,7 +11,7 @@
 )
 
 // TestPeerKeyReplaced replaces the key between instances without a restart: in
-// two steps, as the operators' guide says, and with instances that start in
+// two steps, first both keys and then the fresh one, with instances that start in
 // between.
 func TestPeerKeyReplaced(t *testing.T) {
 	t.Parallel()
--- a/test/e2e/path_test.go
+++ b/test/e2e/path_test.go
@@ -43,6 +43,7 @@
 // TestWholePath sends a completion through an instance whose zone has no
 // engine, so that the reservation crosses to an owner in another process.
 func TestWholePath(t *testing.T) {
+	t.Parallel()
 	b := newBed(t, "b")
 	entry := startZones(t, b, "b", "a")[1]
 	got := call(t, entry, "POST", "/v1/completions", `{"model":"narrative","prompt":"A visit report","max_tokens":5}`)
