--- a/internal/core/routing/router.go
+++ b/internal/core/routing/router.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"maps"
 	"time"
 
 	"github.com/medlarhold/medlarhold/internal/core/eligible"
@@ -78,6 +79,21 @@
 		r.forget(old, p)
 	}
 	r.pools[id] = p
+	r.forgetOwners()
+}
+
+// forgetOwners drops what is known of instances that own nothing any more.
+func (r *Router) forgetOwners() {
+	owns := func(id entity.InstanceID) bool {
+		for _, p := range r.pools {
+			if p.byOwner[id] != nil {
+				return true
+			}
+		}
+		return false
+	}
+	maps.DeleteFunc(r.owners, func(id entity.InstanceID, _ *owner) bool { return !owns(id) })
+	maps.DeleteFunc(r.floors, func(s scope, _ []promise) bool { return !owns(s.owner) })
 }
 
 // Next returns whom to ask next for w, given the choices tried so far.
--- a/internal/core/routing/router_test.go
+++ b/internal/core/routing/router_test.go
@@ -139,6 +139,19 @@
 	}
 }
 
+func TestOwnersThatOwnNothingAreForgotten(t *testing.T) {
+	r := fleet(3)
+	w := work("a", 7, 1)
+	for i := range 3 {
+		id := entity.InstanceID(fmt.Sprintf("i%d", i))
+		r.Refused(epoch, id, w, entity.Refusal{ID: w.ID, Floor: 1, FloorFor: time.Second}, epoch)
+	}
+	r.SetPool("p", []Owned{r.pools["p"].candidates[0].Owned})
+	if len(r.owners) != 1 || len(r.floors) != 1 {
+		t.Errorf("%d owners and %d promises are kept, want 1 and 1", len(r.owners), len(r.floors))
+	}
+}
+
 func TestUnreachableOwnerIsNotAsked(t *testing.T) {
 	r := fleet(1)
 	w := work("a", 7, 1)
