--- a/internal/core/routing/plugins.go
+++ b/internal/core/routing/plugins.go
@@ -55,14 +55,16 @@
 	order := r.order[:0]
 	weight, running := 0.0, 0
 	for _, c := range p.candidates {
-		x := ranked{candidate: c, view: r.view(now, c)}
+		// Views live in the scratch slice: plugins get pointers to them.
+		order = append(order, ranked{candidate: c, view: r.view(now, c)})
+		x := &order[len(order)-1]
 		if !r.keep(&x.view, w) {
+			order = order[:len(order)-1]
 			continue
 		}
 		x.score = r.scorer.Score(&x.view, w)
 		weight += x.view.Weight
 		running += x.view.Running
-		order = append(order, x)
 	}
 	for i := range order {
 		order[i].putOff = r.picker.PutOff(&order[i].view, weight, running)
