Believe the prefix index after gaps

Cause: cache events come late and out of order, which the index took for gaps; its trust sank to a tenth even in healthy runs, so owners sent work away from engines that held its prompt.

--- a/internal/core/prefix/index.go
+++ b/internal/core/prefix/index.go
@@ -6,7 +6,7 @@
 	// gapTrust is what is left of the trust after a gap in the events.
 	gapTrust = 0.5
 	// minTrust bounds the trust from below.
-	minTrust = 0.1
+	minTrust = 0.9
 	// trustGain is how much of the missing trust one event without a gap restores.
 	trustGain = 0.1
 )
