--- a/internal/core/admission/doc.go
+++ b/internal/core/admission/doc.go
@@ -16,6 +16,9 @@
 //   - A reservation is answered by exactly one Grant or Refusal, unless it is
 //     cancelled or its entry instance is dropped. A reservation sent again is
 //     answered again.
+//   - A reservation with NoWait may still stay a while: for a slot that is being
+//     taken back for it, or for the engine that holds its prompt. An entry that
+//     gives up sends Cancel.
 //   - A granted slot stays taken until its Release, also after a Preemption.
 //     An entry answers a Preemption with a Release, Paused where the stream
 //     waits on the engine; the owner forgets a paused stream after the final
--- a/internal/core/routing/doc.go
+++ b/internal/core/routing/doc.go
@@ -18,6 +18,10 @@
 //		tried = append(tried, choice)
 //	}
 //
+// When an owner refuses, set Refused on its choices in tried, and Infeasible
+// where the refusal says so: Next and MayShed go by them. When starting again,
+// keep the choice that still waits in a queue and those that are infeasible.
+//
 // A request that waits in an owner's queue may look for room elsewhere all
 // the while: call Next with its choices so far, and send what it returns
 // without giving up the place in the queue. The first grant counts; others
