--- a/internal/caller/enginejob.go
+++ b/internal/caller/enginejob.go
@@ -54,7 +54,11 @@
 		j.stopEngine(ctx, e) // before the slot is given back
 	}
 	j.ended.Store(true)
-	j.s.opts.Control.Ended(j.id, j.end(res, err))
+	end := j.end(res, err)
+	if end.Release.Failed {
+		j.s.endpointFailed(j.id, e, end.Err)
+	}
+	j.s.opts.Control.Ended(j.id, end)
 }
 
 // notRun is the reason of a cancel for a request that was never sent.
--- a/internal/caller/run.go
+++ b/internal/caller/run.go
@@ -93,3 +93,8 @@
 	telemetry.Log(s.opts.Log, telemetry.EventRequestFinished, "request", a.Work.ID,
 		"organisation", a.Work.Org, "verdict", "ran", "tokens", tokens)
 }
+
+// endpointFailed notes that an endpoint did not answer as it should.
+func (s *Server) endpointFailed(id entity.RequestID, e entity.Endpoint, v *verdict.Error) {
+	telemetry.Log(s.opts.Log, telemetry.EventEndpointFailed, "request", id, "endpoint", e.ID, "verdict", v.Verdict, "reason", v.Reason)
+}
--- a/internal/caller/services.go
+++ b/internal/caller/services.go
@@ -125,6 +125,7 @@
 	if err != nil {
 		end.Err = verdict.Of(err)
 		end.Release.Failed = true
+		j.s.endpointFailed(j.id, e, end.Err)
 	} else {
 		j.response, j.answered = res, true
 		end.Answer = keep(res)
--- a/internal/daemon/countedlog.go
+++ b/internal/daemon/countedlog.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/go-logr/logr"
+
+	"github.com/medlarhold/medlarhold/internal/core/stream"
 	"github.com/medlarhold/medlarhold/internal/platform"
 	"github.com/medlarhold/medlarhold/internal/telemetry"
 )
@@ -12,12 +15,17 @@
 type countedLog struct {
 	platform.Log
 	metrics *telemetry.Metrics
+	log     logr.Logger
 }
 
 // Append implements platform.Log.
 func (c countedLog) Append(ctx context.Context, s platform.Stream, data []byte) (platform.Offset, error) {
 	c.metrics.LogCall("append", string(s))
-	return c.Log.Append(ctx, s, data)
+	offset, err := c.Log.Append(ctx, s, data)
+	if err != nil && stream.StatusOf(err) == stream.AppendUnknown {
+		telemetry.Log(c.log, telemetry.EventAppendUnknown, "stream", s)
+	}
+	return offset, err
 }
 
 // Read implements platform.Log.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -129,8 +129,8 @@
 		Log: d.log, Metrics: d.metrics,
 	})
 	hc := d.platformClient(d.metrics.PlatformControl)
-	d.logService = countedLog{Log: platform.NewHTTPLog(s.Platform.Log, hc), metrics: d.metrics}
-	claimService := countedLog{Log: platform.NewHTTPLog(s.Platform.Log, d.platformClient(d.metrics.PlatformRequest)), metrics: d.metrics}
+	d.logService = countedLog{Log: platform.NewHTTPLog(s.Platform.Log, hc), metrics: d.metrics, log: d.log}
+	claimService := countedLog{Log: platform.NewHTTPLog(s.Platform.Log, d.platformClient(d.metrics.PlatformRequest)), metrics: d.metrics, log: d.log}
 	d.claims = &claimLog{busy: claimService, idle: d.logService, post: d.loop.Post}
 	d.follower = newConfigFollower(d, d.logService)
 	d.list = platform.NewHTTPInstanceList(s.Platform.InstanceList, hc)
