--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 FROM          ?= 0
 MINUTES       ?= 0
 
-.PHONY: histories help build fmt lint vet check test race demo clean
+.PHONY: histories help build fmt lint vet check test race demo capacity measure bench clean
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
 
@@ -41,8 +41,17 @@
 demo: ## start two zones on loopback, send one request of each kind, stop all
 	$(GO) run ./test/demo
 
+capacity: ## measure the cost of control and rewrite the tables of docs/CAPACITY.md
+	$(GO) run ./cmd/medlarhold-capacity
+
 histories: ## play histories of fresh seeds under faults; SEEDS, FROM, MINUTES
 	$(GO) run ./internal/fleet/histories --seeds $(SEEDS) --from $(FROM) --minutes $(MINUTES)
 
+measure: ## measure the decisions against the baselines (some minutes)
+	$(GO) run ./cmd/medlarhold-measure
+
+bench: ## benchmark one decision against the naive scheduler
+	$(GO) test ./internal/measure -run '^$$' -bench . -benchtime 3000x
+
 clean: ## remove what the build made
 	rm -rf $(BIN)
--- a/cmd/medlarhold-standin/load.go
+++ b/cmd/medlarhold-standin/load.go
@@ -67,7 +67,7 @@
 	if err != nil {
 		return s, trace.ConvertSystemError(err)
 	}
-	data, err = hujson.Standardize(data) //nolint:misspell // the library's name
+	data, err = hujson.Standardize(data)
 	if err != nil {
 		return s, trace.BadParameter("%s: %v", f.settings, err)
 	}
--- a/internal/core/admission/job.go
+++ b/internal/core/admission/job.go
@@ -43,6 +43,8 @@
 	seq   uint64
 	// question is the entry's number of the question that made the job.
 	question uint32
+	// queued says that the job stands in the queue.
+	queued bool
 	// noWait says that the entry wants a slot or a refusal, no place in the queue.
 	noWait bool
 	// endpoint is where the job runs or is paused; nil while queued.
@@ -55,8 +57,12 @@
 	// job prefill is what was left of it.
 	prefill    time.Duration
 	prefillEnd time.Time
-	// run estimates the running time without any cache, while queued.
-	run time.Duration
+	// stayUntil is how long a job that was not to wait stays for an engine that
+	// holds part of its prompt, deferUntil how long a job passes over others.
+	stayUntil, deferUntil time.Time
+	// run estimates the running time on the best endpoint, were it idle, and
+	// runPrefill the part of it that processes the prompt.
+	run, runPrefill time.Duration
 	// awaited counts the preemptions made for this job and not yet released;
 	// roomFor tells a preempted job whom it makes room for.
 	awaited int
--- a/internal/core/claim/shard_test.go
+++ b/internal/core/claim/shard_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/oklog/ulid/v2"
 
+	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/core/stream"
 	"github.com/medlarhold/medlarhold/internal/platform"
 	"github.com/medlarhold/medlarhold/internal/verdict"
@@ -200,6 +202,88 @@
 	}
 }
 
+func TestKeyTime(t *testing.T) {
+	id := ulid.MustNew(ulid.Timestamp(start), bytes.NewReader(make([]byte, 16))).String()
+	for key, want := range map[string]bool{
+		id:                           true,
+		strings.ToLower(id):          true,
+		"payout-17":                  false,
+		"20260302000000000000000017": false, // reads as a ULID of a far time
+	} {
+		if at, timed := KeyTime(key); timed != want || (timed && !at.Equal(start)) {
+			t.Errorf("%s: %v %v", key, at, timed)
+		}
+	}
+}
+
+// A home whose clock runs ahead takes a key for free too early: the claim
+// itself says from which log time on it counts.
+func TestLogTimeDecidesWhenAKeyIsFree(t *testing.T) {
+	var l streamRecords
+	s := caughtUp(t, &l)
+	s.Propose(start, propose("r1"))
+	drive(start, s, &l)
+	ahead := start.Add(s.set.taken() + time.Second)
+	s.Propose(ahead, propose("r2"))
+	b := takeBatch(t, ahead, s, l)
+	l.append(start.Add(s.set.taken()-time.Second), b.Data)
+	s.AppendResult(ahead, b.ID, AppendDone, 1)
+	if d := only(t, drive(ahead, s, &l)); d.Won || d.Holder != "r1" {
+		t.Errorf("%+v", d)
+	}
+	ahead = ahead.Add(2 * time.Second)
+	s.Propose(ahead, propose("r3"))
+	b = takeBatch(t, ahead, s, l)
+	l.append(start.Add(s.set.taken()), b.Data)
+	s.AppendResult(ahead, b.ID, AppendDone, 2)
+	if d := only(t, drive(ahead, s, &l)); !d.Won {
+		t.Errorf("%+v", d)
+	}
+}
+
+// A claim that waits for its append is looked at again before it leaves.
+func TestClaimIsNotSentForAKeyThatWasTakenMeanwhile(t *testing.T) {
+	var l streamRecords
+	budget := NewBudget(1, 1)
+	s, err := New(Settings{Instance: "a", Budget: budget}, ShardOf("org", testKey))
+	if err != nil {
+		t.Fatal(err)
+	}
+	drive(start, s, &l)
+	budget.take(start, ShardCount)
+	s.Propose(start, propose("r1"))
+	r := s.Ready()
+	if len(r.Decisions) != 0 || len(r.Appends) != 0 || r.Read == nil {
+		t.Fatalf("%+v", r)
+	}
+	s.Fold(start, nil, 0, 0)
+	other := caughtUp(t, &l)
+	other.Propose(start, propose("r2"))
+	drive(start, other, &l)
+	later := start.Add(time.Millisecond) // the budget still says no
+	s.Tick(later)
+	s.Ready()
+	s.Fold(later, l, 0, 1)
+	if d := only(t, drive(later.Add(time.Second), s, &l)); d.Won || d.Holder != "r2" || len(l) != 1 {
+		t.Errorf("%+v with %d records", d, len(l))
+	}
+}
+
+// A claim whose basis lies before the start of the reading takes its key
+// without being known to win; only a run shows who did.
+func TestUnsureHolderIsNotFreed(t *testing.T) {
+	tb := newTable(5, time.Hour, 1)
+	claim := entry{Op: opClaim, Key: Hash{1}, Request: "r1", Basis: 2, Window: 10000, EndsIn: 1}
+	tb.fold(5, start, []entry{claim, {Op: opSettle, Key: Hash{1}, Request: "r1", Verdict: verdict.NotRun}})
+	if h := tb.get(Hash{1}); h == nil || !h.unsure {
+		t.Fatalf("%+v", h)
+	}
+	tb.fold(6, start, []entry{{Op: opSettle, Key: Hash{1}, Request: "r0", Verdict: verdict.Ran, Status: 201}})
+	if h := tb.get(Hash{1}); h == nil || h.request != "r0" || h.verdict != verdict.Ran {
+		t.Errorf("%+v", h)
+	}
+}
+
 // Retention that overtakes the reader makes the home refuse until it has read
 // what is left.
 func TestTruncationMakesTheHomeUnready(t *testing.T) {
@@ -231,20 +315,40 @@
 
 // Above MaxAnswers the oldest answer goes; its verdict and status stay.
 func TestOldestAnswerIsDroppedFirst(t *testing.T) {
-	tb := newTable(time.Hour, 1)
+	tb := newTable(0, time.Hour, 1)
 	tb.advance(start)
 	for key := range byte(2) {
-		tb.apply(&entry{Op: opClaim, Key: Hash{key}, Request: "r", Window: 1000, EndsIn: 1})
-		tb.apply(&entry{Op: opSettle, Key: Hash{key}, Request: "r", Verdict: verdict.Ran, Status: 201, Answer: []byte("ok")})
+		tb.apply(0, &entry{Op: opClaim, Key: Hash{key}, Request: "r", Window: 1000, EndsIn: 1})
+		tb.apply(0, &entry{Op: opSettle, Key: Hash{key}, Request: "r", Verdict: verdict.Ran, Status: 201, Answer: []byte("ok")})
 	}
 	if h := tb.get(Hash{0}); h.answer != nil || !h.dropped || h.status != 201 || h.verdict != verdict.Ran {
 		t.Errorf("old: %+v", h)
 	}
-	if h := tb.get(Hash{1}); string(h.answer) != "ok" || h.dropped {
+	if h := tb.get(Hash{1}); string(h.answerBody()) != "ok" || h.dropped {
 		t.Errorf("new: %+v", h)
 	}
 }
 
+// What can't be read back as it was written is refused before it is appended:
+// it would spoil the batch for the others in it.
+func TestBadProposalsAreNotAppended(t *testing.T) {
+	var l streamRecords
+	s := caughtUp(t, &l)
+	for _, id := range []string{"", "\xff", string(make([]byte, MaxIDBytes+1))} {
+		p := propose(entity.RequestID(id))
+		s.Propose(start, p)
+		if d := only(t, drive(start, s, &l)); d.Verdict != verdict.NotRun || d.Reason != verdict.ReasonBadRequest {
+			t.Errorf("%q: %+v", id, d)
+		}
+	}
+	s.Settle(start, Outcome{Request: "r1", Org: "org", Key: testKey, Verdict: "maybe"})
+	s.Settle(start, Outcome{Request: "r1", Org: "org", Key: testKey, Verdict: verdict.Ran, Status: 1000})
+	drive(start, s, &l)
+	if len(l) != 0 {
+		t.Errorf("%d records", len(l))
+	}
+}
+
 func TestSettingsThatCannotHoldAreRefused(t *testing.T) {
 	for name, set := range map[string]Settings{
 		"no instance":     {},
--- a/internal/core/limit/message.go
+++ b/internal/core/limit/message.go
@@ -19,7 +19,7 @@
 	// Seq numbers the demands of a borrower.
 	Seq uint64 `json:"s"`
 	// Members is the digest of the zone's members as the borrower sees them.
-	Members uint64 `json:"m"`
+	Members uint32 `json:"m"`
 	// Complete says that the borrower holds no share of this home but the listed ones.
 	Complete bool        `json:"c,omitempty"`
 	Orgs     []OrgDemand `json:"o,omitempty"`
@@ -42,14 +42,35 @@
 	HoldConcurrent int     `json:"k,omitempty"`
 }
 
+// sanitise replaces values that make no sense.
+func (d *OrgDemand) sanitise() {
+	d.Rate, d.HoldRate = max(d.Rate, 0), max(d.HoldRate, 0)
+	d.Waiting, d.InFlight, d.Spare = bounded(d.Waiting), bounded(d.InFlight), bounded(d.Spare)
+	d.HoldConcurrent = bounded(d.HoldConcurrent)
+}
+
+// maxCount bounds the counts that messages may name.
+const maxCount = 1 << 30
+
+func bounded(n int) int { return min(max(n, 0), maxCount) }
+
+// sanitise replaces values that make no sense.
+func (s *OrgShare) sanitise() {
+	s.Rate = max(s.Rate, 0)
+	s.Tokens, s.Concurrent = bounded(s.Tokens), bounded(s.Concurrent)
+}
+
 // Share is what a home lends.
 type Share struct {
 	// Seq numbers the shares of a home.
 	Seq uint64 `json:"s"`
 	// Answers is the demand that the share answers. A share that answers none
 	// changes the amount but not the lease.
-	Answers uint64     `json:"a,omitempty"`
-	Orgs    []OrgShare `json:"o"`
+	Answers uint64 `json:"a,omitempty"`
+	// Tell asks for a complete demand, since the home does not know what the
+	// borrower holds.
+	Tell bool       `json:"t,omitempty"`
+	Orgs []OrgShare `json:"o,omitempty"`
 }
 
 // OrgShare is the share of one organisation.
--- a/internal/core/membership/core_test.go
+++ b/internal/core/membership/core_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"math/rand"
 	"testing"
 	"time"
 
@@ -80,7 +81,11 @@
 	}
 	c.run(convergeWithin, nil)
 	for _, n := range c.nodes {
-		for _, z := range n.core.View().Zones {
+		v := n.core.View()
+		if got := v.Reachable(); (len(got["z0"]) == 4) != (n.self.Zone == "z0") || len(got[n.self.Zone]) != 4 {
+			t.Errorf("%s reaches %v", n.self.ID, got)
+		}
+		for _, z := range v.Zones {
 			reach := z.Zone == n.self.Zone || (z.Zone != "z0" && n.self.Zone != "z0")
 			if z.Reachable != reach || len(z.Members) != 4 {
 				t.Errorf("%s sees %s reachable=%v with %d members", n.self.ID, z.Zone, z.Reachable, len(z.Members))
@@ -164,3 +169,125 @@
 		t.Errorf("%d rows", n)
 	}
 }
+
+func TestFrozenInstanceBlamesNoOne(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := New(DefaultSettings(), entity.Instance{ID: "a", Zone: "z"}, rand.New(rand.NewSource(1)))
+	c.Step(now, "b", Message{Kind: Sync, Round: SyncRows, Updates: []Update{{ID: "b", Zone: "z"}, {ID: "c", Zone: "z", State: Suspect}}})
+	c.Tick(now)
+	c.Tick(now.Add(DefaultSettings().ProbeInterval))
+	if len(c.probes) == 0 {
+		t.Fatal("no probe under way")
+	}
+	thawed := now.Add(time.Minute)
+	c.Tick(thawed)
+	if b, suspect := c.table.byID["b"], c.table.byID["c"]; b.State != Alive || suspect.State != Suspect {
+		t.Errorf("b is %d, c is %d after the thaw", b.State, suspect.State)
+	}
+	for range 80 {
+		thawed = thawed.Add(testStep)
+		c.Tick(thawed)
+	}
+	if c.table.byID["c"].State != Dead {
+		t.Error("the suspect was never given up")
+	}
+}
+
+func TestLeaveIsRepeatedToThoseWhoMissedIt(t *testing.T) {
+	c := newCluster(t, 10)
+	c.fill(1, 12)
+	c.mustAgree(convergeWithin)
+	c.loss = 1
+	n := c.nodes[0]
+	n.leaving = c.now
+	n.core.Leave(c.now)
+	c.run(250*time.Millisecond, nil)
+	c.loss = 0
+	c.run(1750*time.Millisecond, nil)
+	if w := c.wrong(); w != "" {
+		t.Error(w)
+	}
+	if !n.core.LeaveHeard() {
+		t.Error("the leaver was not answered by all")
+	}
+}
+
+func TestBrokenPathBetweenTwoMembersHarmsNoOne(t *testing.T) {
+	c := newCluster(t, 11)
+	c.fill(1, 4)
+	c.mustAgree(convergeWithin)
+	a, b := c.nodes[0], c.nodes[1]
+	c.cut = func(x, y *node) bool { return (x == a && y == b) || (x == b && y == a) }
+	c.run(time.Minute, func() {
+		if w := c.wrong(); w != "" {
+			t.Fatal(w)
+		}
+	})
+	for _, n := range c.nodes {
+		if i := n.core.View().Self.Incarnation; i != 0 {
+			t.Errorf("%s had to refute %d times", n.self.ID, i)
+		}
+	}
+}
+
+func TestZoneThatIsGoneForGoodIsForgotten(t *testing.T) {
+	c := newCluster(t, 12)
+	c.set.TombstoneFor, c.set.ForgetZoneAfter = time.Minute, 5*time.Minute
+	c.fill(2, 3)
+	c.mustAgree(convergeWithin)
+	for _, n := range c.nodes[3:] {
+		n.dead = true
+	}
+	c.run(2*time.Minute, nil)
+	n := c.nodes[0].core
+	if z, ok := c.viewOf(n).Zone("z1"); !ok || z.Reachable || n.Fleet(c.now) != 6 {
+		t.Errorf("z1 known %v, reachable %v, fleet %d", ok, z.Reachable, n.Fleet(c.now))
+	}
+	c.run(8*time.Minute, nil)
+	for _, n := range c.nodes[:3] {
+		if _, ok := c.viewOf(n.core).Zone("z1"); ok || n.core.Fleet(c.now) != 3 {
+			t.Errorf("%s: z1 known %v, fleet %d", n.self.ID, ok, n.core.Fleet(c.now))
+		}
+	}
+}
+
+func TestRowsAreComparedThoughDigestsNeverSettle(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := New(DefaultSettings(), entity.Instance{ID: "a", Zone: "z"}, rand.New(rand.NewSource(1)))
+	c.Step(now, "b", Message{Kind: Sync, Round: SyncRows, Updates: []Update{{ID: "b", Zone: "z"}}})
+	c.Ready()
+	asked := 0
+	for i := range 40 {
+		now = now.Add(500 * time.Millisecond)
+		c.Step(now, "b", Message{Kind: Ping, Seq: uint64(i + 1), Digest: uint64(i + 1)})
+		for _, o := range c.Ready().Messages {
+			if o.Message.Kind == Sync && o.Message.Round == SyncAsk {
+				asked++
+			}
+		}
+	}
+	if asked < 2 || asked > 4 {
+		t.Errorf("asked %d times in 20 s", asked)
+	}
+}
+
+func TestSilentMemberIsSuspectedWithoutLuck(t *testing.T) {
+	s := DefaultSettings()
+	bound := 2*s.ProbeInterval + s.ProbeTimeout + 4*testStep
+	for seed := int64(1); seed <= 40; seed++ {
+		c := newCluster(t, seed)
+		c.fill(1, 31)
+		c.mustAgree(convergeWithin)
+		silent := c.nodes[c.rng.Intn(31)]
+		silent.frozen = true
+		c.run(bound, nil)
+		suspected := false
+		for _, n := range c.nodes {
+			r := n.core.table.byID[silent.self.ID]
+			suspected = suspected || (n != silent && r.State != Alive)
+		}
+		if !suspected {
+			t.Errorf("seed %d: no one suspects it after %v", seed, bound)
+		}
+	}
+}
--- a/internal/core/routing/doc.go
+++ b/internal/core/routing/doc.go
@@ -18,6 +18,10 @@
 //		tried = append(tried, choice)
 //	}
 //
+// When an owner refuses, set Refused on its choices in tried, and Infeasible
+// where the refusal says so: Next and MayShed go by them. When starting again,
+// keep the choice that still waits in a queue and those that are infeasible.
+//
 // A request that waits in an owner's queue may look for room elsewhere all
 // the while: call Next with its choices so far, and send what it returns
 // without giving up the place in the queue. The first grant counts; others
@@ -27,8 +31,11 @@
 //
 // Candidates are ordered by weighted rendezvous hashing on the head of the
 // prompt, so that prompts with the same head meet on the same engine, with
-// bounded load. MayShed is true only while unexpired promises at or above the
-// request's tier are held from every owner of the pool, reachable or not, each for the very
+// bounded load. In a pool of more than Settings.Shortlist endpoints, as many
+// from the entry's own zone are ranked first, chosen by the same head, and the
+// whole pool only where none of those is left to ask. MayShed is true only
+// while unexpired promises at or above the request's tier are held from every
+// owner of the pool, reachable or not, each for the very
 // endpoints that the Router knows to be that owner's.
 //
 // The package is pure and not safe for concurrent use.
--- a/internal/core/routing/router_test.go
+++ b/internal/core/routing/router_test.go
@@ -53,6 +53,7 @@
 
 func TestBoundedLoadPutsOffTheBusy(t *testing.T) {
 	r := fleet(4)
+	r.picker = BoundedLoad{Factor: 1.25}
 	w := work("a", 7, 0)
 	first, _ := r.Next(epoch, w, nil)
 	for i := range 2 {
@@ -122,6 +123,33 @@
 	if c, ok = r.Next(epoch, w, tried); ok {
 		t.Errorf("choice %v after all were tried", c)
 	}
+	joined := map[entity.InstanceID]bool{tried[4].Owner: true}
+	tried[4].Refused = true
+	for range 5 {
+		c, ok = r.Next(epoch, w, tried)
+		if !ok || c.NoWait || joined[c.Owner] {
+			t.Fatalf("choice %v %v, want proof or a queue at another owner", c, ok)
+		}
+		joined[c.Owner] = true
+		c.Refused = true
+		tried = append(tried, c)
+	}
+	if c, ok = r.Next(epoch, w, tried); ok {
+		t.Errorf("choice %v after all have refused", c)
+	}
+}
+
+func TestOwnersThatOwnNothingAreForgotten(t *testing.T) {
+	r := fleet(3)
+	w := work("a", 7, 1)
+	for i := range 3 {
+		id := entity.InstanceID(fmt.Sprintf("i%d", i))
+		r.Refused(epoch, id, w, entity.Refusal{ID: w.ID, Floor: 1, FloorFor: time.Second}, epoch)
+	}
+	r.SetPool("p", []Owned{r.pools["p"].candidates[0].Owned})
+	if len(r.owners) != 1 || len(r.floors) != 1 {
+		t.Errorf("%d owners and %d promises are kept, want 1 and 1", len(r.owners), len(r.floors))
+	}
 }
 
 func TestUnreachableOwnerIsNotAsked(t *testing.T) {
--- a/internal/core/steward/steward.go
+++ b/internal/core/steward/steward.go
@@ -46,6 +46,7 @@
 	planner  *placement.Planner // nil while the order lease isn't held
 	sizes    map[string]int64   // of weights, in bytes
 	reports  map[entity.EndpointID]placement.Report
+	told     map[entity.EndpointID]told
 	demand   map[entity.InstanceID]received
 	own      map[entity.ModelID]int
 	sentAt   time.Time
@@ -97,6 +98,7 @@
 		snapshot: newRole(SnapshotLease, s),
 		sizes:    make(map[string]int64),
 		reports:  make(map[entity.EndpointID]placement.Report),
+		told:     make(map[entity.EndpointID]told),
 		demand:   make(map[entity.InstanceID]received),
 	}
 }
--- a/internal/daemon/configfollower.go
+++ b/internal/daemon/configfollower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -17,7 +18,10 @@
 
 const (
 	// configWait is how long a read of the configuration stream waits for changes.
-	configWait = 10 * time.Second
+	configWait = 2 * time.Second
+	// configReadTimeout bounds such a read. Both together bound how long a
+	// connection that went silent keeps a change from this instance.
+	configReadTimeout = configWait + time.Second
 	// configRetryPause is the pause after a read that failed.
 	configRetryPause = 300 * time.Millisecond
 	// logRetention is how long the log service keeps records at the least.
@@ -37,14 +41,14 @@
 }
 
 func newConfigFollower(d *Daemon, log platform.Log) *configFollower {
-	return &configFollower{d: d, log: log, follower: config.NewFollower()}
+	return &configFollower{d: d, log: log, follower: config.NewFollower(), keeper: config.Keeper{Stagger: rand.Float64()}}
 }
 
 // run follows the stream until ctx ends.
 func (f *configFollower) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		before := f.follower.State().Revision()
-		outcomes, err := f.follower.Step(ctx, f.log, time.Now, configWait)
+		outcomes, err := f.step(ctx)
 		f.report(outcomes)
 		if err != nil {
 			f.failed(ctx)
@@ -52,18 +56,35 @@
 			f.logDown = false
 			telemetry.Log(f.d.log, telemetry.EventLogBack)
 		}
-		f.publish(before)
+		f.publish(ctx, before)
 	}
 }
 
-// publish puts a newer state into force.
-func (f *configFollower) publish(before config.Revision) {
+// step makes one read. After one that failed it doesn't wait for changes, so
+// that a slow log leaves time for an answer.
+func (f *configFollower) step(ctx context.Context) ([]config.Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, configReadTimeout)
+	defer cancel()
+	wait := configWait
+	if f.logDown {
+		wait = 0
+	}
+	return f.follower.Step(ctx, f.log, time.Now, wait)
+}
+
+// publish puts a newer state into force. The instance is ready only once the
+// control goroutine acts by it.
+func (f *configFollower) publish(ctx context.Context, before config.Revision) {
 	st := f.follower.State()
 	if st.Revision() != before || !f.caughtUp.Load() {
 		f.d.loop.Post(node.Configured{State: st})
 	}
 	f.confirmedAt.Store(f.follower.ConfirmedAt().UnixMilli())
-	if f.follower.CaughtUp() && !f.caughtUp.Swap(true) {
+	if !f.follower.CaughtUp() || f.caughtUp.Load() {
+		return
+	}
+	if f.d.loop.Do(ctx, func(*node.Node) {}) {
+		f.caughtUp.Store(true)
 		telemetry.Log(f.d.log, telemetry.EventConfigCaughtUp, "revision", st.Revision())
 		telemetry.Log(f.d.log, telemetry.EventReady, "instance", f.d.self.ID)
 	}
@@ -118,7 +139,7 @@
 			return
 		}
 		f.keeper.Handle(res)
-		if len(res.Records) == 0 || f.keeper.Ask().From >= res.Next {
+		if f.keeper.Synced() {
 			break
 		}
 	}
--- a/internal/daemon/lookup.go
+++ b/internal/daemon/lookup.go
@@ -32,6 +32,11 @@
 	if d.loop.Status().Draining {
 		return false, "stopping"
 	}
+	return d.Serving()
+}
+
+// Serving implements caller.Control.
+func (d *Daemon) Serving() (bool, string) {
 	if !d.loop.View().Joined {
 		return false, "looking for the other instances of the zone"
 	}
--- a/internal/daemon/register.go
+++ b/internal/daemon/register.go
@@ -16,8 +16,16 @@
 // register keeps the instance on the platform's list and reads the list.
 func (d *Daemon) register(ctx context.Context) {
 	down := false
+	started := time.Now()
+	var readAt time.Time
 	for {
 		ok := d.renew(ctx)
+		if now := time.Now(); ok && !now.Before(readAt) {
+			var rows int
+			rows, ok = d.readList(ctx)
+			searching := now.Sub(started) < searchFor || d.alone()
+			readAt = now.Add(jittered(listInterval(rows, searching)))
+		}
 		if !ok && !down && ctx.Err() == nil {
 			telemetry.Log(d.log, telemetry.EventListUnavailable)
 		}
@@ -30,6 +38,13 @@
 	}
 }
 
+// alone says whether the instance knows no other in its zone.
+func (d *Daemon) alone() bool {
+	view := d.loop.View()
+	own, _ := view.Zone(d.self.Zone)
+	return !view.Joined || len(own.Members) < 2
+}
+
 // joinPause is the time between two looks at the list until a peer has answered.
 const joinPause = 300 * time.Millisecond
 
@@ -41,42 +56,47 @@
 	return platform.ListRenewInterval
 }
 
-// renew is one round with the list.
+// renew tells the list that the instance is there, or leaving.
 func (d *Daemon) renew(ctx context.Context) bool {
 	self := d.self
 	self.Leaving = d.loop.Status().Draining
-	if err := d.list.Register(ctx, self); err != nil {
-		return false
-	}
+	d.metrics.ListCall("renew")
+	return d.list.Register(ctx, self) == nil
+}
+
+// readList reads the list and returns the number of its rows.
+func (d *Daemon) readList(ctx context.Context) (int, bool) {
+	d.metrics.ListCall("read")
 	instances, err := d.list.List(ctx)
 	if err != nil {
-		return false
+		return 0, false
 	}
 	d.listed.Store(&instances)
 	d.loop.Post(node.Listed{Instances: instances})
-	return true
+	return len(instances), true
 }
 
-// countingTransport counts the bytes of bodies to and from the platform.
-type countingTransport struct {
-	next http.RoundTripper
-	d    *Daemon
+// platformClient returns an HTTP client towards the platform whose bytes are counted.
+func (d *Daemon) platformClient(t telemetry.Traffic) *http.Client {
+	return &http.Client{Transport: freshAfterFailure{&http.Transport{
+		TLSClientConfig: d.certs.client(), MaxIdleConnsPerHost: platformConns, DialContext: t.DialContext,
+	}}}
 }
 
-func (d *Daemon) countPlatform(next http.RoundTripper) http.RoundTripper {
-	return countingTransport{next: next, d: d}
+// freshAfterFailure takes what is open to the platform for silent after an
+// exchange that failed, so that the next one dials.
+type freshAfterFailure struct {
+	next *http.Transport
 }
 
-// headerBytes is what the headers of one exchange take in each direction,
-// which the HTTP library does not tell.
-const headerBytes = 160
+// CloseIdleConnections closes what is open and idle.
+func (f freshAfterFailure) CloseIdleConnections() { f.next.CloseIdleConnections() }
 
 // RoundTrip implements http.RoundTripper.
-func (c countingTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	c.d.metrics.PlatformBytesSent.Inc(headerBytes + max(0, r.ContentLength))
-	res, err := c.next.RoundTrip(r)
-	if err == nil {
-		c.d.metrics.PlatformBytesReceived.Inc(headerBytes + max(0, res.ContentLength))
+func (f freshAfterFailure) RoundTrip(r *http.Request) (*http.Response, error) {
+	res, err := f.next.RoundTrip(r)
+	if err != nil {
+		f.next.CloseIdleConnections()
 	}
 	return res, err
 }
--- a/internal/endpoint/options.go
+++ b/internal/endpoint/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/tls"
+	"net"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -12,6 +13,7 @@
 	DefaultDialTimeout    = time.Second
 	DefaultNoProgress     = 3 * time.Second
 	DefaultCallNoProgress = 30 * time.Second
+	DefaultCallLimit      = 2 * time.Minute
 	DefaultReattachTries  = 5
 	DefaultReattachPause  = 50 * time.Millisecond
 	DefaultControlTries   = 3
@@ -24,6 +26,8 @@
 	// TLS is used towards endpoints; nil means plain TCP. Certificates are
 	// replaced through the callbacks of tls.Config.
 	TLS *tls.Config
+	// Wrap, if set, is put around each connection, beneath TLS.
+	Wrap func(net.Conn) net.Conn
 	// DialTimeout bounds the opening of a connection, TLS included.
 	DialTimeout time.Duration
 	// NoProgress is how long a connection to an engine may go without a byte
@@ -31,6 +35,9 @@
 	NoProgress time.Duration
 	// CallNoProgress is the same for plain services, which send nothing while they work.
 	CallNoProgress time.Duration
+	// CallLimit bounds a call to a plain service as a whole, so that one that
+	// sends a byte now and then comes to an end too.
+	CallLimit time.Duration
 	// ReattachTries bounds the attempts in a row to re-attach to a stream
 	// without a new token.
 	ReattachTries int
@@ -51,6 +58,7 @@
 	o.DialTimeout = orDefault(o.DialTimeout, DefaultDialTimeout)
 	o.NoProgress = orDefault(o.NoProgress, DefaultNoProgress)
 	o.CallNoProgress = orDefault(o.CallNoProgress, DefaultCallNoProgress)
+	o.CallLimit = orDefault(o.CallLimit, DefaultCallLimit)
 	o.ReattachTries = orDefault(o.ReattachTries, DefaultReattachTries)
 	o.ReattachPause = orDefault(o.ReattachPause, DefaultReattachPause)
 	o.ControlTries = orDefault(o.ControlTries, DefaultControlTries)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -25,12 +25,13 @@
 	// empty means the address it listens on.
 	AdvertisePeers string `json:"advertise_peers"`
 	// AdvertiseAdmin is the address at which operators reach it, likewise.
-	AdvertiseAdmin string   `json:"advertise_admin"`
-	Platform       Platform `json:"platform"`
-	Keys           Keys     `json:"keys"`
-	TLS            TLS      `json:"tls"`
-	Requests       Requests `json:"requests"`
-	Stop           Stop     `json:"stop"`
+	AdvertiseAdmin string    `json:"advertise_admin"`
+	Platform       Platform  `json:"platform"`
+	Keys           Keys      `json:"keys"`
+	TLS            TLS       `json:"tls"`
+	Requests       Requests  `json:"requests"`
+	Endpoints      Endpoints `json:"endpoints"`
+	Stop           Stop      `json:"stop"`
 	// LogVerbosity 1 adds a line per request.
 	LogVerbosity int `json:"log_verbosity"`
 }
@@ -71,12 +72,26 @@
 	MaxDeadlineMs     int64 `json:"max_deadline_ms"`
 	MaxBodyBytes      int64 `json:"max_body_bytes"`
 	MaxHeaderBytes    int   `json:"max_header_bytes"`
-	// PrefixBlockTokens is the length of the prompt blocks that are compared,
-	// MaxPrefixBlocks how many of them travel with a reservation.
+	// EngineBlockTokens is the length of the blocks in which engines cache prompts.
+	EngineBlockTokens int `json:"engine_block_tokens"`
+	// PrefixBlockTokens is the length of the prompt blocks that are compared, a
+	// multiple of it; MaxPrefixBlocks is how many of them travel with a reservation.
 	PrefixBlockTokens int `json:"prefix_block_tokens"`
 	MaxPrefixBlocks   int `json:"max_prefix_blocks"`
 }
 
+// Endpoints bounds what endpoints may keep an instance waiting for.
+type Endpoints struct {
+	// DialTimeoutMs bounds the opening of a connection.
+	DialTimeoutMs int64 `json:"dial_timeout_ms"`
+	// NoProgressMs is how long a connection to an engine may go without a byte,
+	// CallNoProgressMs the same for plain services.
+	NoProgressMs     int64 `json:"no_progress_ms"`
+	CallNoProgressMs int64 `json:"call_no_progress_ms"`
+	// CallLimitMs bounds a call to a plain service as a whole.
+	CallLimitMs int64 `json:"call_limit_ms"`
+}
+
 // Stop bounds the planned stop.
 type Stop struct {
 	// NoticeMs is how long the instance keeps accepting after it told the
@@ -98,9 +113,10 @@
 		Listen: Listen{Callers: "127.0.0.1:8080", Peers: "127.0.0.1:8081", Admin: "127.0.0.1:8082"},
 		Requests: Requests{
 			DefaultDeadlineMs: 30_000, MaxDeadlineMs: 3_600_000, MaxBodyBytes: 4 << 20, MaxHeaderBytes: 32 << 10,
-			PrefixBlockTokens: 64, MaxPrefixBlocks: 64,
+			EngineBlockTokens: 16, PrefixBlockTokens: 64, MaxPrefixBlocks: 64,
 		},
-		Stop: Stop{NoticeMs: 2_000, TimeoutMs: 600_000},
+		Endpoints: Endpoints{DialTimeoutMs: 1_000, NoProgressMs: 3_000, CallNoProgressMs: 30_000, CallLimitMs: 120_000},
+		Stop:      Stop{NoticeMs: 2_000, TimeoutMs: 600_000},
 	}
 }
 
@@ -117,7 +133,7 @@
 // Parse reads and checks settings.
 func Parse(src []byte) (Settings, error) {
 	s := Default()
-	std, err := hujson.Standardize(src) //nolint:misspell // the library's name
+	std, err := hujson.Standardize(src)
 	if err != nil {
 		return s, trace.BadParameter("not JSON with comments: %v", err)
 	}
@@ -147,13 +163,18 @@
 	}{
 		{"requests.default_deadline_ms", s.Requests.DefaultDeadlineMs}, {"requests.max_deadline_ms", s.Requests.MaxDeadlineMs},
 		{"requests.max_body_bytes", s.Requests.MaxBodyBytes}, {"requests.prefix_block_tokens", int64(s.Requests.PrefixBlockTokens)},
-		{"requests.max_prefix_blocks", int64(s.Requests.MaxPrefixBlocks)}, {"stop.timeout_ms", s.Stop.TimeoutMs},
+		{"requests.engine_block_tokens", int64(s.Requests.EngineBlockTokens)}, {"requests.max_prefix_blocks", int64(s.Requests.MaxPrefixBlocks)}, {"stop.timeout_ms", s.Stop.TimeoutMs},
+		{"endpoints.dial_timeout_ms", s.Endpoints.DialTimeoutMs}, {"endpoints.no_progress_ms", s.Endpoints.NoProgressMs},
+		{"endpoints.call_no_progress_ms", s.Endpoints.CallNoProgressMs}, {"endpoints.call_limit_ms", s.Endpoints.CallLimitMs},
 	}
 	for _, p := range positive {
 		if p.value <= 0 {
 			return trace.BadParameter("%s must be above zero", p.path)
 		}
 	}
+	if s.Requests.PrefixBlockTokens%s.Requests.EngineBlockTokens != 0 {
+		return trace.BadParameter("requests.prefix_block_tokens must be a multiple of requests.engine_block_tokens")
+	}
 	if (s.TLS.CertFile == "") != (s.TLS.KeyFile == "") {
 		return trace.BadParameter("tls.cert_file and tls.key_file go together")
 	}
--- a/internal/standin/load/caller.go
+++ b/internal/standin/load/caller.go
@@ -12,8 +12,7 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/medlarhold/medlarhold/internal/callerapi"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/endpoint"
 	"github.com/medlarhold/medlarhold/internal/sse"
@@ -21,35 +20,36 @@
 	"github.com/medlarhold/medlarhold/internal/verdict"
 )
 
-// The headers of the callers' interface.
-const (
-	headerTier       = "X-Medlarhold-Tier"
-	headerDeadline   = "X-Medlarhold-Deadline-Ms"
-	headerVerdict    = "X-Medlarhold-Verdict"
-	headerReason     = "X-Medlarhold-Reason"
-	headerKey        = "Idempotency-Key"
-	headerRetryAfter = "Retry-After"
-)
-
 const (
 	// maxEventBytes bounds one event, maxAnswerBytes a whole answer.
 	maxEventBytes  = 1 << 20
 	maxAnswerBytes = 64 << 20
 )
 
-// completion is the body of a model request.
-type completion struct {
-	Model     entity.ModelID   `json:"model"`
-	Adapter   entity.AdapterID `json:"adapter,omitempty"`
-	Prompt    string           `json:"prompt"`
-	MaxTokens int              `json:"max_tokens"`
-	Stream    bool             `json:"stream"`
+// tokenEvent is the data of a streamed token.
+type tokenEvent struct {
+	ID      entity.RequestID `json:"id"`
+	Index   int              `json:"index"`
+	Choices []choice         `json:"choices"`
+}
+
+// choice is the one alternative that an answer has.
+type choice struct {
+	Text string `json:"text"`
+}
+
+// endEvent is the data of a streamed answer's end mark.
+type endEvent struct {
+	ID      entity.RequestID `json:"id"`
+	Verdict verdict.Verdict  `json:"verdict"`
+	Reason  verdict.Reason   `json:"reason"`
+	Tokens  int              `json:"tokens"`
 }
 
-// outcome is the data of a streamed answer's end mark.
-type outcome struct {
-	Verdict verdict.Verdict `json:"verdict"`
-	Reason  verdict.Reason  `json:"reason"`
+// wholeAnswer is an answer that is not streamed.
+type wholeAnswer struct {
+	ID      entity.RequestID `json:"id"`
+	Choices []choice         `json:"choices"`
 }
 
 // caller sends one request and reads its answer.
@@ -71,7 +71,7 @@
 	c.answer.End = time.Now()
 	c.answer.InTime = c.answer.End.Sub(c.answer.Due) <= p.Deadline
 	if c.text.Len() > 0 {
-		c.answer.Hash = strconv.FormatUint(xxhash.Sum64String(c.text.String()), 16)
+		c.answer.Digest = engine.Digest(c.text.String())
 	}
 	if err != nil {
 		c.answer.Complete = false
@@ -91,10 +91,10 @@
 	defer resp.Body.Close()
 	a := c.answer
 	a.Status = resp.StatusCode
-	a.Verdict = verdict.Verdict(resp.Header.Get(headerVerdict))
-	a.Reason = verdict.Reason(resp.Header.Get(headerReason))
-	a.RetryAfter = resp.Header.Get(headerRetryAfter)
-	a.Foreign = resp.Header.Get(endpoint.HeaderRequestID) != string(c.arrival.ID)
+	a.Verdict = verdict.Verdict(resp.Header.Get(callerapi.HeaderVerdict))
+	a.Reason = verdict.Reason(resp.Header.Get(callerapi.HeaderReason))
+	a.RetryAfter = resp.Header.Get("Retry-After")
+	a.RequestID = entity.RequestID(resp.Header.Get(callerapi.HeaderRequestID))
 	if strings.HasPrefix(resp.Header.Get("Content-Type"), sse.ContentType) {
 		return c.readStream(resp.Body)
 	}
@@ -114,11 +114,10 @@
 	p := c.arrival.Profile
 	req.Header.Set("Authorization", "Bearer "+p.Key)
 	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set(headerTier, p.Tier)
-	req.Header.Set(headerDeadline, strconv.FormatInt(p.Deadline.Milliseconds(), 10))
-	req.Header.Set(endpoint.HeaderRequestID, string(c.arrival.ID))
+	req.Header.Set(callerapi.HeaderTier, p.Tier)
+	req.Header.Set(callerapi.HeaderDeadlineMS, strconv.FormatInt(p.Deadline.Milliseconds(), 10))
 	if c.arrival.Key != "" {
-		req.Header.Set(headerKey, c.arrival.Key)
+		req.Header.Set(callerapi.HeaderRequestKey, c.arrival.Key)
 	}
 	return req, nil
 }
@@ -129,10 +128,10 @@
 	if p.Call != nil {
 		return p.Call.Method, p.Call.Path, []byte(p.Call.Body), nil
 	}
-	body, err = json.Marshal(completion{
-		Model: p.Model, Adapter: p.Adapter, Prompt: c.arrival.Prompt, MaxTokens: c.arrival.MaxTokens, Stream: !p.Whole,
+	body, err = json.Marshal(callerapi.Completion{
+		Model: string(p.Model), Adapter: string(p.Adapter), Prompt: c.arrival.Prompt, MaxTokens: c.arrival.MaxTokens, Stream: !p.Whole,
 	})
-	return http.MethodPost, "/v1/completions", body, err
+	return http.MethodPost, callerapi.PathCompletions, body, err
 }
 
 // readStream reads a streamed answer up to its end mark.
@@ -159,13 +158,14 @@
 }
 
 func (c *caller) takeToken(data []byte) error {
-	var t endpoint.Token
+	var t tokenEvent
 	if err := json.Unmarshal(data, &t); err != nil {
 		return err
 	}
-	if t.Index != c.answer.Tokens {
+	if t.Index != c.answer.Tokens || len(t.Choices) != 1 {
 		return fmt.Errorf("token %d where %d is due", t.Index, c.answer.Tokens)
 	}
+	c.checkID(t.ID)
 	now := time.Now()
 	if t.Index == 0 {
 		c.answer.First = now
@@ -174,21 +174,29 @@
 	}
 	c.answer.Last = now
 	c.answer.Tokens++
-	c.text.WriteString(t.Text)
+	c.text.WriteString(t.Choices[0].Text)
 	return nil
 }
 
 func (c *caller) takeEnd(data []byte) error {
-	var end outcome
+	var end endEvent
 	if err := json.Unmarshal(data, &end); err != nil {
 		return err
 	}
+	c.checkID(end.ID)
 	c.answer.Verdict, c.answer.Reason = end.Verdict, end.Reason
-	c.answer.Complete = end.Verdict == verdict.Ran
-	c.verify(engine.Answer(c.arrival.Prompt, c.answer.Tokens))
+	c.answer.Complete = end.Verdict == verdict.Ran && end.Tokens == c.answer.Tokens
+	c.verify()
 	return nil
 }
 
+// checkID notes a part of the answer that is for another request.
+func (c *caller) checkID(id entity.RequestID) {
+	if id != c.answer.RequestID {
+		c.answer.Foreign = true
+	}
+}
+
 // readWhole reads an answer that is not streamed.
 func (c *caller) readWhole(body io.Reader) error {
 	data, err := io.ReadAll(io.LimitReader(body, maxAnswerBytes))
@@ -200,24 +208,27 @@
 	if c.arrival.Profile.Call != nil || c.answer.Verdict != verdict.Ran {
 		return nil
 	}
-	var whole struct {
-		Text string `json:"text"`
-	}
+	var whole wholeAnswer
 	if err := json.Unmarshal(data, &whole); err != nil {
 		return err
 	}
+	if len(whole.Choices) != 1 {
+		return fmt.Errorf("answer with %d choices", len(whole.Choices))
+	}
+	c.checkID(whole.ID)
 	c.text.Reset()
-	c.text.WriteString(whole.Text)
+	c.text.WriteString(whole.Choices[0].Text)
 	c.answer.Tokens = c.arrival.MaxTokens
-	c.verify(engine.Answer(c.arrival.Prompt, c.answer.Tokens))
+	c.verify()
 	return nil
 }
 
 // verify compares an answer that ran with the one that the stand-in gives.
-func (c *caller) verify(want string) {
+func (c *caller) verify() {
 	if !c.settings.Verify || c.answer.Verdict != verdict.Ran {
 		return
 	}
+	want := engine.Answer(c.arrival.Prompt, c.arrival.MaxTokens)
 	if c.text.String() != want || c.answer.Tokens != c.arrival.MaxTokens {
 		c.answer.Foreign = true
 	}
--- a/internal/standin/load/report.go
+++ b/internal/standin/load/report.go
@@ -6,12 +6,11 @@
 	"maps"
 	"slices"
 	"strings"
+	"text/tabwriter"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/gravitational/trace"
-	"github.com/olekukonko/tablewriter"
-	"github.com/olekukonko/tablewriter/tw"
 )
 
 // Report is the result of a run.
@@ -138,16 +137,14 @@
 
 // WriteTable writes the report for people.
 func (r Report) WriteTable(w io.Writer) error {
-	table := tablewriter.NewTable(w, tablewriter.WithHeaderAutoFormat(tw.Off))
-	table.Header("tier", "offered", "good", "good/s", "first token ms p50/p95/p99", "token gap ms p50/p95/p99", "verdicts", "reasons")
+	const padding = 2
+	table := tabwriter.NewWriter(w, 0, 0, padding, ' ', 0)
+	fmt.Fprintln(table, "TIER\tOFFERED\tGOOD\tGOOD/S\tFIRST TOKEN MS P50/P95/P99\tTOKEN GAP MS P50/P95/P99\tVERDICTS\tREASONS")
 	for _, t := range r.Tiers {
-		err := table.Append(t.Tier, t.Offered, t.Good, fmt.Sprintf("%.1f", t.GoodPerSec),
-			t.FirstToken.String(), t.TokenGap.String(), counts(t.Verdicts), counts(t.Reasons))
-		if err != nil {
-			return trace.Wrap(err)
-		}
+		fmt.Fprintf(table, "%s\t%d\t%d\t%.1f\t%s\t%s\t%s\t%s\n", t.Tier, t.Offered, t.Good, t.GoodPerSec,
+			t.FirstToken, t.TokenGap, counts(t.Verdicts), counts(t.Reasons))
 	}
-	return trace.Wrap(table.Render())
+	return trace.Wrap(table.Flush())
 }
 
 // String shows the three quantiles in milliseconds.
--- a/test/e2e/claims_test.go
+++ b/test/e2e/claims_test.go
@@ -27,6 +27,7 @@
 
 // TestTransferRunsOnce books the same transfer through both zones.
 func TestTransferRunsOnce(t *testing.T) {
+	t.Parallel()
 	b := newBed(t, "a", "b")
 	ins := startZones(t, b, "a", "b")
 	const transfer = `{"from":"anna","to":"jon","hours":2}`
@@ -34,15 +35,7 @@
 	if first.status != http.StatusOK || first.header.Get("X-Medlarhold-Verdict") != "ran" {
 		t.Fatalf("first: %+v", first)
 	}
-	// Until the outcome stands in the log, a repetition is told to come back.
-	var second answer
-	again := func() bool {
-		second = call(t, ins[1], "POST", "/services/ledger/transfers", transfer, "Idempotency-Key", "transfer-1")
-		return second.header.Get("X-Medlarhold-Reason") != "key_in_progress"
-	}
-	if err := testbed.Eventually(again); err != nil {
-		t.Fatalf("second: %v, %+v", err, second)
-	}
+	second := settled(t, ins[1], transfer, "transfer-1")
 	if second.status != first.status || second.header.Get("X-Medlarhold-Replayed") != "true" || second.body != first.body {
 		t.Fatalf("second: %+v, first %+v", second, first)
 	}
@@ -52,8 +45,23 @@
 	}
 }
 
+// settled sends a transfer under a key that was used until it gets another
+// answer than that the first one's outcome is not in the log yet.
+func settled(t *testing.T, in *testbed.Instance, body, key string) (got answer) {
+	t.Helper()
+	err := testbed.Eventually(func() bool {
+		got = call(t, in, "POST", "/services/ledger/transfers", body, "Idempotency-Key", key)
+		return got.header.Get("X-Medlarhold-Reason") != "key_in_progress" || got.header.Get("Retry-After") == ""
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return got
+}
+
 // TestBadInput sends what must be refused before anything is dispatched.
 func TestBadInput(t *testing.T) {
+	t.Parallel()
 	b := newBed(t, "a")
 	in := startZones(t, b, "a")[0]
 	cases := []struct {
