TestPlannedStop holds its long streams whatever else is slow to start

It waited for the first token of eight streams, four at the instance that stops, and then demanded four in flight there; in one of eleven runs the other four were so late (their contract's share) that the first had ended, and the wait ran into its guard. Now the four at the instance are started first, are 800 tokens long instead of 300, and the stop begins once they run; everything that was demanded of answers, dispatches and exit code still is.

--- a/test/e2e/stop_test.go
+++ b/test/e2e/stop_test.go
@@ -38,16 +38,15 @@
 	leaving := c.owner(c.engines[0], c.instances...)
 	others := c.others(leaving)
 	var all []*flight
-	for i := range 8 {
-		in := leaving
-		if i >= 4 {
-			in = others[i%2]
-		}
-		all = append(all, c.stream(in, "patient", 300))
+	for range 4 {
+		all = append(all, c.stream(leaving, "patient", 800))
 	}
 	for _, f := range all {
 		f.started(c)
 	}
+	for i := range 4 {
+		all = append(all, c.stream(others[i%2], "patient", 300))
+	}
 	for i := range 6 {
 		all = append(all, c.stream(append(others, leaving)[i%3], "patient", 20))
 	}
