Retries that are not allowed are told as what they are

Cause (found by the tests with processes): with the pool's retry budget used up a caller was told endpoint_refused without a time to come back, and a request that an engine can't take at all was tried at another one. Change: reason retry_budget with a retry time; bad_request is not tried again.

--- a/internal/core/request/entry.go
+++ b/internal/core/request/entry.go
@@ -390,23 +390,36 @@
 		e.finish(now, r, nil, end.Answer)
 		return
 	}
-	if end.Err.Verdict == verdict.NotRun && !r.cancelled && e.retry(now, r, end.Err) {
-		return
+	if end.Err.Verdict == verdict.NotRun && !r.cancelled {
+		if end.Err = e.retry(now, r, end.Err); end.Err == nil {
+			return
+		}
 	}
 	e.finish(now, r, end.Err, end.Answer)
 }
 
-// retry puts a request that was not run back, to ask again after a pause.
-func (e *Entry) retry(now time.Time, r *row, err *verdict.Error) bool {
+// retry puts a request that was not run back, to ask again after a pause. It
+// returns what the caller is told where that is not allowed.
+func (e *Entry) retry(now time.Time, r *row, err *verdict.Error) *verdict.Error {
 	e.claims.NotSent(r.work.ID)
 	d := e.retries.Failed(now, &r.work, r.dispatches, err)
 	if !d.Retry {
-		return false
+		return notRetried(err, d.Reason)
 	}
 	e.ready.Retries = append(e.ready.Retries, Retry{ID: r.work.ID, Reason: err.Reason})
 	r.state, r.owner, r.holders, r.endpoint, r.resume, r.tried = StateAsking, "", nil, "", "", nil
 	e.wakeAfter(now, r, d.Wait)
-	return true
+	return nil
+}
+
+// notRetried is what a caller is told whose request was not run, and why it is
+// not tried again.
+func notRetried(err *verdict.Error, reason verdict.Reason) *verdict.Error {
+	if reason != verdict.ReasonRetryBudget {
+		return err
+	}
+	return &verdict.Error{Verdict: verdict.NotRun, Reason: reason, RetryAfter: max(err.RetryAfter, retryAfterBudget),
+		Message: "an endpoint refused the request, and the pool's budget for further tries is used up"}
 }
 
 // CallerGone tells that the caller closed its connection. Work that may not be
--- a/internal/core/request/entry_test.go
+++ b/internal/core/request/entry_test.go
@@ -163,3 +163,36 @@
 		}
 	}
 }
+
+// TestRetriesThatAreNotAllowed: a pool's budget that is used up is told as
+// such, with when to come back; what the endpoint can't take at all is not
+// tried again.
+func TestRetriesThatAreNotAllowed(t *testing.T) {
+	for reason, want := range map[verdict.Reason]verdict.Reason{
+		verdict.ReasonEndpointRefused: verdict.ReasonRetryBudget,
+		verdict.ReasonBadRequest:      verdict.ReasonBadRequest,
+	} {
+		s := retry.DefaultSettings()
+		s.DefaultShare = 0
+		e := New(Settings{Self: "self", KeepFinished: 8, DispatchWithin: time.Second}, &router{ask: []entity.InstanceID{"a"}},
+			retry.New(s, rand.New(rand.NewSource(1))), noClaims{})
+		e.Arrive(epoch, Arrival{Work: entity.Work{ID: "r", Pool: "p", Deadline: epoch.Add(10 * time.Second)}})
+		e.Granted(epoch, "a", entity.Grant{ID: "r", Question: 1, Endpoint: "e"})
+		e.Ready()
+		e.Ended(epoch, "r", End{Err: &verdict.Error{Verdict: verdict.NotRun, Reason: reason}})
+		r := e.Ready()
+		if len(r.Directives) != 1 || r.Directives[0].Kind != DirectiveFinish {
+			t.Fatalf("%s: %+v", reason, r)
+		}
+		got := r.Directives[0].Err
+		if got.Verdict != verdict.NotRun || got.Reason != want || (want == verdict.ReasonRetryBudget) != (got.RetryAfter > 0) {
+			t.Errorf("%s: %+v", reason, got)
+		}
+	}
+}
+
+// noClaims is for requests without a key.
+type noClaims struct{}
+
+func (noClaims) MayDispatch(time.Time, entity.RequestID) bool { return true }
+func (noClaims) NotSent(entity.RequestID)                     {}
--- a/internal/core/request/row.go
+++ b/internal/core/request/row.go
@@ -35,6 +35,9 @@
 	return [...]string{"claiming", "queued", "running", "pausing", "paused"}[s]
 }
 
+// retryAfterBudget is told to callers when a pool's retry budget is used up.
+const retryAfterBudget = time.Second
+
 // stateFinished is shown for requests that got their final answer.
 const stateFinished = "finished"
 
--- a/internal/core/retry/policy.go
+++ b/internal/core/retry/policy.go
@@ -59,7 +59,7 @@
 // Failed decides after the given attempt, counted from 1, of work failed with
 // err. The wait never passes the work's deadline.
 func (p *Policy) Failed(now time.Time, work *entity.Work, attempt int, err *verdict.Error) Decision {
-	if err.Verdict != verdict.NotRun || attempt >= p.settings.MaxAttempts {
+	if err.Verdict != verdict.NotRun || err.Reason == verdict.ReasonBadRequest || attempt >= p.settings.MaxAttempts {
 		return Decision{Reason: err.Reason}
 	}
 	wait := max(p.backoff(attempt), err.RetryAfter)
