--- a/internal/fleet/faults.go
+++ b/internal/fleet/faults.go
@@ -180,9 +180,14 @@
 	}
 }
 
+// logReached says whether the log answers the instances of a zone.
+func (f *Fleet) logReached(zone entity.ZoneID) bool {
+	return f.platform.refusing+f.platform.silent == 0 && f.net.reaches(zone, platformZone)
+}
+
 // markLog records that the instances of a zone lost or have the log.
 func (f *Fleet) markLog(kind history.Kind, zone entity.ZoneID) {
-	if kind == history.KindUp && (f.platform.refusing+f.platform.silent > 0 || !f.net.reaches(zone, platformZone)) {
+	if kind == history.KindUp && !f.logReached(zone) {
 		return
 	}
 	for _, in := range f.live() {
@@ -202,9 +207,6 @@
 }
 
 func (f *Fleet) endpointLeaves() func() {
-	if f.platform.refusing+f.platform.silent > 0 {
-		return nil
-	}
 	id := pick(f.clock, f.endpoints)
 	f.setLeaving(id, true)
 	return func() { f.setLeaving(id, false) }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -257,7 +257,7 @@
 }
 
 func (f *Fleet) informed(in *instance) bool {
-	if f.platform.refusing+f.platform.silent == 0 && f.net.reaches(in.zone, platformZone) {
+	if f.logReached(in.zone) {
 		return true
 	}
 	return slices.ContainsFunc(f.instances, func(o *instance) bool {
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -225,6 +225,14 @@
 	}
 	if in.follower.CaughtUp() && !in.ready {
 		in.ready = true
+		in.recordUp()
+	}
+}
+
+// recordUp records that the instance serves callers, in reach of the log. If
+// the log is out, its return says so.
+func (in *instance) recordUp() {
+	if in.f.logReached(in.zone) {
 		in.f.record(history.Event{Kind: history.KindUp, Instance: in.id, Zone: in.zone})
 	}
 }
@@ -317,7 +325,7 @@
 		in.do(what)
 	}
 	if in.ready && !in.stopping {
-		in.f.record(history.Event{Kind: history.KindUp, Instance: in.id, Zone: in.zone})
+		in.recordUp()
 	}
 }
 
--- a/internal/fleet/operators.go
+++ b/internal/fleet/operators.go
@@ -20,6 +20,9 @@
 // publish appends a change as an operator would, based on what stands now or
 // on what another operator has replaced meanwhile.
 func (f *Fleet) publish(k config.Kind, name string, doc any, basedOn config.Revision) {
+	if f.platform.refusing+f.platform.silent > 0 {
+		return // operators get through no more than instances
+	}
 	spec, err := json.Marshal(doc)
 	if err != nil {
 		panic(err)
