--- a/internal/core/admission/membership.go
+++ b/internal/core/admission/membership.go
@@ -51,6 +51,9 @@
 // unsettle has an endpoint count as one that was just gained.
 func (o *Owner) unsettle(now time.Time, e *endpoint) {
 	e.quietUntil = now.Add(o.settings.QuietFor)
+	if o.settings.Zone != "" && e.row.Zone != o.settings.Zone {
+		e.quietUntil = now.Add(o.settings.ForeignQuietFor)
+	}
 	e.settledAt = now.Add(o.settings.SettleFor)
 }
 
--- a/internal/core/admission/settings.go
+++ b/internal/core/admission/settings.go
@@ -37,6 +37,10 @@
 	// earlier owner may not know yet that it is none any more, and still give
 	// promises. One that is leaving does know; then FloorFor is enough.
 	QuietFor time.Duration
+	// Zone is the own availability zone. ForeignQuietFor is QuietFor for the
+	// endpoints of others: their zone may have members that are not known yet.
+	Zone            entity.ZoneID
+	ForeignQuietFor time.Duration
 	// PrefillAhead bounds the estimated time that an engine is still busy with
 	// prompts when it is granted another one.
 	PrefillAhead time.Duration
@@ -67,6 +71,7 @@
 		QueuePerEndpoint: 64,
 		FloorFor:         250 * time.Millisecond,
 		QuietFor:         1500 * time.Millisecond,
+		ForeignQuietFor:  4 * time.Second,
 		PrefillAhead:     50 * time.Millisecond,
 		SettleFor:        3 * time.Second,
 		FreezeGap:        time.Second,
--- a/internal/core/admission/settle_test.go
+++ b/internal/core/admission/settle_test.go
@@ -82,3 +82,20 @@
 		})
 	}
 }
+
+// The endpoints of another zone stay quiet for longer.
+func TestForeignEndpointIsQuietForLonger(t *testing.T) {
+	s := DefaultSettings()
+	s.Zone = "own"
+	o := New(s)
+	foreign := engine("e", 1)
+	foreign.Zone = "other"
+	o.SetEndpoints(epoch, []entity.Endpoint{foreign})
+	o.Reserve(epoch, ask(work("low", 1)))
+	for now := epoch; now.Before(epoch.Add(s.ForeignQuietFor)); now = now.Add(TickInterval) {
+		o.Tick(now)
+	}
+	expect(t, o)
+	o.Tick(epoch.Add(s.ForeignQuietFor))
+	expect(t, o, "grant low e")
+}
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -39,10 +39,12 @@
 func DefaultSettings(self entity.Instance) Settings {
 	routes := routing.DefaultSettings()
 	routes.Zone = self.Zone
+	owner := admission.DefaultSettings()
+	owner.Zone = self.Zone
 	return Settings{
 		Self:       self,
 		Membership: membership.DefaultSettings(),
-		Admission:  admission.DefaultSettings(),
+		Admission:  owner,
 		Request: request.Settings{
 			Self: self.ID, KeepFinished: 4096, RetryInterval: routing.RetryInterval,
 			FirstPatience: 100 * time.Millisecond, MaxPatience: 2 * time.Second,
