--- /dev/null
+++ b/internal/core/request/answer.go
@@ -0,0 +1,114 @@
+package request
+
+import (
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/verdict"
+)
+
+// Granted tells that an owner holds a slot for the request.
+func (e *Entry) Granted(now time.Time, from entity.InstanceID, g entity.Grant) {
+	r, ok := e.rows[g.ID]
+	if ok && r.endpoint == g.Endpoint && r.granted == g.Question {
+		return // a repetition of the grant that the request was dispatched on
+	}
+	if !ok || !r.awaits(from, g.Question) || (r.state != StateAsking && r.state != StatePaused) {
+		e.unused(from, g)
+		return
+	}
+	e.withdraw(r, from)
+	e.setTimer(r, r.work.Deadline)
+	e.router.Granted(now, from, &r.work, g)
+	r.owner, r.endpoint, r.granted = from, g.Endpoint, g.Question
+	r.heldBy(from)
+	if r.state == StatePaused {
+		r.state = StateRunning
+		e.tellOwner(r)
+		e.direct(Directive{ID: g.ID, Kind: DirectiveResume, Endpoint: g.Endpoint})
+		return
+	}
+	if r.work.NonIdempotent && !e.claims.MayDispatch(now, g.ID) {
+		e.unused(from, g)
+		e.refuse(now, r, verdict.ReasonKeyExpired, 0)
+		return
+	}
+	r.state = StateRunning
+	r.dispatches++
+	e.tellOwner(r)
+	e.direct(Directive{ID: g.ID, Kind: DirectiveDispatch, Endpoint: g.Endpoint, ImportFrom: g.ImportFrom,
+		NotAfter: now.Add(e.settings.DispatchWithin)})
+}
+
+// Refused tells that an owner does not take the request.
+func (e *Entry) Refused(now time.Time, from entity.InstanceID, f entity.Refusal) {
+	r, ok := e.rows[f.ID]
+	if !ok || !r.awaits(from, f.Question) {
+		return
+	}
+	a := r.answered(from)
+	e.router.Refused(now, from, &r.work, f, a.at)
+	r.retryAfter = max(r.retryAfter, f.RetryAfter)
+	r.markRefused(from, f.Infeasible)
+	switch {
+	case r.state == StatePaused && f.Infeasible:
+		e.cancelRunning(now, r, verdict.ReasonDeadline)
+	case r.state == StatePaused:
+		e.wakeAfter(now, r, e.settings.RetryInterval)
+	case len(r.asks) == 0 || a.NoWait:
+		e.ask(now, r)
+	}
+}
+
+// Unreachable tells that a question could not be delivered to an owner.
+func (e *Entry) Unreachable(now time.Time, owner entity.InstanceID, id entity.RequestID, question uint32) {
+	e.router.Unreachable(now, owner)
+	if r, ok := e.rows[id]; ok && r.awaits(owner, question) {
+		e.unanswered(now, r, owner)
+	}
+}
+
+// OwnerLost tells that an owner is gone. Undispatched requests go to another
+// owner: the lost one can't dispatch them, as only this entry can.
+func (e *Entry) OwnerLost(now time.Time, owner entity.InstanceID) {
+	e.router.Unreachable(now, owner)
+	for _, r := range e.sortedRows() {
+		if r.asked(owner) {
+			e.unanswered(now, r, owner)
+		}
+	}
+}
+
+// unanswered goes on without the answer of an owner.
+func (e *Entry) unanswered(now time.Time, r *row, owner entity.InstanceID) {
+	r.answered(owner)
+	switch {
+	case r.state == StatePaused:
+		e.wakeAfter(now, r, e.settings.RetryInterval)
+	case len(r.asks) == 0:
+		e.ask(now, r)
+	}
+}
+
+// Reask repeats the questions that an owner has not answered, after the
+// connection to it was lost. Owners answer a repeated question again.
+func (e *Entry) Reask(_ time.Time, owner entity.InstanceID) {
+	for _, r := range e.sortedRows() {
+		for _, a := range r.asks {
+			if a.Owner == owner {
+				e.question(r, a)
+			}
+		}
+	}
+}
+
+// Thawed tells that the instance was away. Answers to questions of before may
+// be long out of date, so the requests ask anew.
+func (e *Entry) Thawed(now time.Time) {
+	for _, r := range e.sortedRows() {
+		if len(r.asks) > 0 {
+			e.withdraw(r, "")
+			e.wakeAfter(now, r, 0)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/request/ask.go
@@ -0,0 +1,103 @@
+package request
+
+import (
+	"slices"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/routing"
+	"github.com/medlarhold/medlarhold/internal/verdict"
+)
+
+// ask sends the reservation to the next owner. Where none is left the request
+// waits in the queue that it has joined, is given up, or starts again.
+func (e *Entry) ask(now time.Time, r *row) {
+	if r.resume != "" {
+		e.askToResume(now, r)
+		return
+	}
+	r.state = StateAsking
+	choice, ok := e.router.Next(now, &r.work, r.tried)
+	switch {
+	case ok:
+		r.tried = append(r.tried, choice)
+		e.reserve(now, r, choice)
+	case len(r.asks) > 0:
+		e.startRound(r)
+		r.patience = min(2*r.patience, e.settings.MaxPatience)
+		e.wakeAfter(now, r, r.patience)
+	default:
+		e.giveUp(now, r)
+	}
+}
+
+// askToResume asks the present owner of the endpoint that holds the paused stream.
+func (e *Entry) askToResume(now time.Time, r *row) {
+	owner, ok := e.router.OwnerOf(r.resume)
+	e.withdraw(r, owner)
+	if ok {
+		e.reserve(now, r, routing.Choice{Owner: owner, Endpoint: r.resume})
+		return
+	}
+	e.wakeAfter(now, r, e.settings.RetryInterval)
+}
+
+// reserve sends one question. Only one question at a time may be queued; the
+// others want a slot at once or a refusal.
+func (e *Entry) reserve(now time.Time, r *row, c routing.Choice) {
+	r.questions++
+	a := ask{Choice: c, at: now, number: r.questions}
+	r.asks = append(r.asks, a)
+	e.question(r, a)
+	if !c.NoWait {
+		r.patience = e.settings.FirstPatience
+		e.wakeAfter(now, r, r.patience)
+	}
+}
+
+// question sends a question, for the first time or again.
+func (e *Entry) question(r *row, a ask) {
+	e.ready.Reservations = append(e.ready.Reservations, ReservationTo{
+		Owner: a.Owner,
+		Reservation: entity.Reservation{Work: r.work, From: e.settings.Self, Question: a.number,
+			Resume: r.resume, NoWait: a.NoWait},
+	})
+}
+
+// giveUp ends a request that no owner in reach takes, if that is proved; else
+// the request starts again after a pause.
+func (e *Entry) giveUp(now time.Time, r *row) {
+	switch {
+	case !e.router.HasEndpoint(&r.work):
+		e.refuse(now, r, verdict.ReasonNoEndpoint, retryAfterNoEndpoint)
+	case e.router.Reaches(now, &r.work) && e.router.MayShed(now, &r.work, r.tried):
+		e.refuse(now, r, r.shedReason(), r.retryAfter)
+	default:
+		e.startRound(r)
+		e.wakeAfter(now, r, e.settings.RetryInterval)
+	}
+}
+
+// startRound lets the request ask everybody again but the owners that could
+// not serve it in time at all, and the one in whose queue it waits.
+func (e *Entry) startRound(r *row) {
+	r.tried = slices.DeleteFunc(r.tried, func(c routing.Choice) bool {
+		return !c.Infeasible && (c.NoWait || !r.asked(c.Owner))
+	})
+}
+
+// withdraw takes back all questions but the one to an owner that answered.
+func (e *Entry) withdraw(r *row, answered entity.InstanceID) {
+	for _, a := range r.asks {
+		if a.Owner != answered {
+			e.ready.Cancels = append(e.ready.Cancels, CancelTo{Owner: a.Owner, ID: r.work.ID, Question: a.number})
+		}
+	}
+	r.asks = nil
+}
+
+// unused gives a slot back that the request has no use for.
+func (e *Entry) unused(owner entity.InstanceID, g entity.Grant) {
+	e.ready.Releases = append(e.ready.Releases, ReleaseTo{Owner: owner,
+		Release: entity.Release{ID: g.ID, Question: g.Question, Endpoint: g.Endpoint, Unused: true}})
+}
--- /dev/null
+++ b/internal/core/request/run.go
@@ -0,0 +1,123 @@
+package request
+
+import (
+	"slices"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/verdict"
+)
+
+// Preempted tells that an owner wants the slot back for a higher tier.
+func (e *Entry) Preempted(now time.Time, from entity.InstanceID, p entity.Preemption) {
+	r, ok := e.rows[p.ID]
+	if !ok || !slices.Contains(r.holders, from) || r.granted != p.Question || r.state != StateRunning {
+		return
+	}
+	if !p.Pause {
+		e.cancelRunning(now, r, verdict.ReasonPreempted)
+		return
+	}
+	r.state = StatePausing
+	e.direct(Directive{ID: p.ID, Kind: DirectivePause, Endpoint: r.endpoint})
+}
+
+// Paused tells that the endpoint confirmed the pause.
+func (e *Entry) Paused(now time.Time, id entity.RequestID) {
+	r, ok := e.rows[id]
+	if !ok || r.state != StatePausing {
+		return
+	}
+	r.state = StatePaused
+	r.paused = true
+	r.resume = r.endpoint
+	e.release(r, entity.Release{ID: id, Endpoint: r.endpoint, Paused: true})
+	e.ask(now, r)
+}
+
+// Ended tells how a dispatch ended: a nil error means a whole answer.
+func (e *Entry) Ended(now time.Time, id entity.RequestID, end End) {
+	r, ok := e.rows[id]
+	if !ok || r.state == StateAsking || r.state == StateClaiming {
+		return
+	}
+	end.Release.ID, end.Release.Endpoint = id, r.endpoint
+	if r.paused {
+		// How long it took says nothing of the endpoint's speed.
+		end.Release.TimeToFirstToken, end.Release.DecodeTime = 0, 0
+	}
+	e.withdraw(r, r.owner)
+	e.release(r, end.Release)
+	if end.Err == nil {
+		e.finish(now, r, nil, end.Answer)
+		return
+	}
+	if end.Err.Verdict == verdict.NotRun && !r.cancelled {
+		if end.Err = e.retry(now, r, end.Err); end.Err == nil {
+			return
+		}
+	}
+	e.finish(now, r, end.Err, end.Answer)
+}
+
+// retry puts a request that was not run back, to ask again after a pause. It
+// returns what the caller is told where that is not allowed.
+func (e *Entry) retry(now time.Time, r *row, err *verdict.Error) *verdict.Error {
+	e.claims.NotSent(r.work.ID)
+	d := e.retries.Failed(now, &r.work, r.dispatches, err)
+	if !d.Retry {
+		return notRetried(err, d.Reason)
+	}
+	e.ready.Retries = append(e.ready.Retries, Retry{ID: r.work.ID, Reason: err.Reason})
+	r.state, r.owner, r.holders, r.endpoint, r.resume, r.tried = StateAsking, "", nil, "", "", nil
+	e.wakeAfter(now, r, d.Wait)
+	return nil
+}
+
+// notRetried is what a caller is told whose request was not run, and why it is
+// not tried again.
+func notRetried(err *verdict.Error, reason verdict.Reason) *verdict.Error {
+	if reason != verdict.ReasonRetryBudget {
+		return err
+	}
+	return &verdict.Error{Verdict: verdict.NotRun, Reason: reason, RetryAfter: max(err.RetryAfter, retryAfterBudget),
+		Message: "an endpoint refused the request, and the pool's budget for further tries is used up"}
+}
+
+// CallerGone tells that the caller closed its connection. Work that may not be
+// repeated goes on, so that its outcome can be recorded.
+func (e *Entry) CallerGone(now time.Time, id entity.RequestID) {
+	r, ok := e.rows[id]
+	if !ok || (r.work.NonIdempotent && r.state == StateRunning) {
+		return
+	}
+	e.abandon(now, r, verdict.ReasonCallerGone, 0)
+}
+
+// abandon ends a request in whatever state it is, with the verdict that is true for it.
+func (e *Entry) abandon(now time.Time, r *row, reason verdict.Reason, retryAfter time.Duration) {
+	switch r.state {
+	case StateClaiming:
+		e.refuse(now, r, reason, retryAfter)
+	case StateAsking:
+		e.withdraw(r, "")
+		e.refuse(now, r, reason, retryAfter)
+	case StateRunning, StatePausing, StatePaused:
+		e.cancelRunning(now, r, reason)
+	}
+}
+
+// cancelRunning stops a dispatched request. Its end is reported by Ended.
+func (e *Entry) cancelRunning(_ time.Time, r *row, reason verdict.Reason) {
+	if r.cancelled {
+		return
+	}
+	if r.state == StatePaused {
+		e.withdraw(r, "")
+	}
+	r.cancelled = true
+	r.state = StateRunning
+	e.deadlines.Delete(r)
+	e.direct(Directive{ID: r.work.ID, Kind: DirectiveCancel, Endpoint: r.endpoint,
+		Err: &verdict.Error{Verdict: verdict.MayHaveRun, Reason: reason, Message: "the request was stopped after its dispatch"}})
+}
