Claims: the log's appends are shared out among zones and homes

Why: nothing bounded what the daemon appends for claims, though the log takes several hundred appends a second from everyone. Change: 150 a second for the fleet, equally among the zones, and in a zone by the shards an instance is home to.

--- a/internal/core/node/claims.go
+++ b/internal/core/node/claims.go
@@ -19,6 +19,13 @@
 	// claimNotReadyPause is the pause before a home is asked again that has not
 	// read its stream yet, and therefore refused without appending anything.
 	claimNotReadyPause = 100 * time.Millisecond
+	// fleetAppendsPerSec is what all instances together append for claims: half
+	// of what the log takes at the least, several hundred a second.
+	fleetAppendsPerSec = 150.0
+	// minAppendsPerSec is left to an instance that is home to no shard but is
+	// asked as if it were, and claimBurst may be appended at once.
+	minAppendsPerSec = 1.0
+	claimBurst       = 4
 	// outcomeRepeats bounds how often an outcome is sent. Without it the key
 	// counts as "may have run".
 	outcomeRepeats = 30
@@ -59,6 +66,7 @@
 // and the tickets of its own requests.
 type claims struct {
 	settings claim.Settings
+	budget   *claim.Budget
 	shards   map[claim.ShardNumber]*claim.Shard
 	order    []claim.ShardNumber // the shards' numbers, sorted
 	tickets  map[entity.RequestID]*ticket
@@ -75,7 +83,9 @@
 }
 
 func newClaims(s claim.Settings) *claims {
-	return &claims{settings: s, shards: make(map[claim.ShardNumber]*claim.Shard), tickets: make(map[entity.RequestID]*ticket)}
+	budget := claim.NewBudget(minAppendsPerSec, claimBurst)
+	s.Budget = budget
+	return &claims{settings: s, budget: budget, shards: make(map[claim.ShardNumber]*claim.Shard), tickets: make(map[entity.RequestID]*ticket)}
 }
 
 // propose starts the claim of a request.
@@ -203,13 +213,18 @@
 }
 
 // openHomes has the shards that this instance is home to read their streams
-// before the first proposal comes.
-func (n *Node) openHomes() {
+// before the first proposal comes, and shares the log's appends out: equally
+// among the zones, and in a zone by the shards that an instance is home to.
+func (n *Node) openHomes(now time.Time) {
+	homes := 0
 	for num := range claim.ShardNumber(claim.ShardCount) {
 		if n.claimHome(num) == n.settings.Self.ID {
 			n.shard(num)
+			homes++
 		}
 	}
+	zoneAppendsPerSec := fleetAppendsPerSec / float64(max(len(n.view.Zones), 1))
+	n.claims.budget.SetRate(now, max(minAppendsPerSec, zoneAppendsPerSec*float64(homes)/claim.ShardCount))
 }
 
 // tickClaims repeats what has no answer and lets time pass for the shards.
