The measuring program runs the core's own entry table

Cause: the entry side stood twice, in core/request for the daemon and the histories and in the measuring program for itself, and had begun to differ. Change: the program's instances are made of request.Entry and admission.Owner; what is left in it is the traffic side. What ends a paused request is now told as its deadline, not as a preemption.

--- a/internal/measure/baseline.go
+++ b/internal/measure/baseline.go
@@ -11,20 +11,20 @@
 // next endpoint in turn that has a free slot.
 type roundRobin struct {
 	run     *run
-	queues  map[entity.PoolID][]*request
+	queues  map[entity.PoolID][]*arrived
 	running map[entity.EndpointID]int
 	turn    map[entity.PoolID]int
-	where   map[*request]entity.EndpointID
+	where   map[*arrived]entity.EndpointID
 }
 
 func newRoundRobin(r *run) policy {
 	return &roundRobin{
-		run: r, queues: make(map[entity.PoolID][]*request), running: make(map[entity.EndpointID]int),
-		turn: make(map[entity.PoolID]int), where: make(map[*request]entity.EndpointID),
+		run: r, queues: make(map[entity.PoolID][]*arrived), running: make(map[entity.EndpointID]int),
+		turn: make(map[entity.PoolID]int), where: make(map[*arrived]entity.EndpointID),
 	}
 }
 
-func (p *roundRobin) submit(r *request) {
+func (p *roundRobin) submit(r *arrived) {
 	r.onEnd = func() { p.free(r) }
 	pool := r.a.work.Pool
 	p.queues[pool] = append(p.queues[pool], r)
@@ -59,7 +59,7 @@
 	}
 }
 
-func (p *roundRobin) free(r *request) {
+func (p *roundRobin) free(r *arrived) {
 	id, ok := p.where[r]
 	if !ok {
 		return
@@ -69,9 +69,9 @@
 	p.next(r.a.work.Pool)
 }
 
-func (p *roundRobin) stopped(r *request) { p.free(r) }
+func (p *roundRobin) stopped(r *arrived) { p.free(r) }
 
-func (p *roundRobin) killed(_ int, lost []*request) {
+func (p *roundRobin) killed(_ int, lost []*arrived) {
 	for _, r := range lost {
 		p.free(r)
 	}
@@ -117,7 +117,7 @@
 	return &direct{run: r, rng: rand.New(rand.NewSource(1)), outstanding: make(map[entity.EndpointID]int), choose: choose}
 }
 
-func (p *direct) submit(r *request) {
+func (p *direct) submit(r *arrived) {
 	rows := slices.DeleteFunc(slices.Clone(p.run.rows), func(e entity.Endpoint) bool { return e.Pool != r.a.work.Pool })
 	id := p.choose(p, rows)
 	p.outstanding[id]++
@@ -126,9 +126,9 @@
 	r.dispatch(p.run.endpoints[id])
 }
 
-func (p *direct) stopped(r *request) { r.onEnd() }
+func (p *direct) stopped(r *arrived) { r.onEnd() }
 
-func (p *direct) killed(_ int, lost []*request) {
+func (p *direct) killed(_ int, lost []*arrived) {
 	for _, r := range lost {
 		r.onEnd()
 	}
--- a/internal/measure/cluster.go
+++ b/internal/measure/cluster.go
@@ -2,13 +2,14 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/medlarhold/medlarhold/internal/core/admission"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
+	corenode "github.com/medlarhold/medlarhold/internal/core/node"
+	"github.com/medlarhold/medlarhold/internal/core/request"
 	"github.com/medlarhold/medlarhold/internal/core/routing"
 )
 
@@ -28,10 +29,7 @@
 func newCluster(r *run, as admission.Settings, rs routing.Settings) policy {
 	c := &cluster{run: r, nodes: make(map[entity.InstanceID]*node)}
 	for i := range instances {
-		n := &node{
-			id: instanceID(i), index: i, zone: r.d.zone(i), cluster: c,
-			owner: admission.New(as), router: routing.New(rs), flights: make(map[entity.RequestID]*flight),
-		}
+		n := newNode(c, i, as, rs)
 		c.nodes[n.id] = n
 		c.order = append(c.order, n)
 	}
@@ -55,6 +53,11 @@
 			c.step(n, func(o *admission.Owner, now time.Time) { o.Tick(now) })
 		}
 	})
+	c.run.c.every(corenode.TickInterval, func() {
+		for _, n := range c.order {
+			n.step(func(e *request.Entry, now time.Time) { e.Tick(now) })
+		}
+	})
 	c.run.c.every(reportEvery, c.report)
 }
 
@@ -128,13 +131,13 @@
 	fn(n.owner, c.run.c.now)
 	ready := n.owner.Ready()
 	for _, g := range ready.Grants {
-		c.toEntry(n, g.To, func(e *node) { e.onGrant(n.id, g.Grant) })
+		c.toEntry(n, g.To, func(e *node) { e.step(func(e *request.Entry, now time.Time) { e.Granted(now, n.id, g.Grant) }) })
 	}
 	for _, p := range ready.Preemptions {
-		c.toEntry(n, p.To, func(e *node) { e.onPreempt(n.id, p.Preemption) })
+		c.toEntry(n, p.To, func(e *node) { e.step(func(e *request.Entry, now time.Time) { e.Preempted(now, n.id, p.Preemption) }) })
 	}
 	for _, f := range ready.Refusals {
-		c.toEntry(n, f.To, func(e *node) { e.onRefusal(n.id, f.Refusal) })
+		c.toEntry(n, f.To, func(e *node) { e.step(func(e *request.Entry, now time.Time) { e.Refused(now, n.id, f.Refusal) }) })
 	}
 }
 
@@ -146,15 +149,9 @@
 	})
 }
 
-func (c *cluster) submit(r *request) {
-	n := c.order[r.a.entry]
-	f := &flight{r: r}
-	n.flights[r.a.work.ID] = f
-	r.onEnd = func() { n.finished(f) }
-	n.ask(f)
-}
+func (c *cluster) submit(r *arrived) { c.order[r.a.entry].submit(r) }
 
-func (c *cluster) stopped(r *request) {
+func (c *cluster) stopped(r *arrived) {
 	n := c.order[r.a.entry]
 	if f := n.flights[r.a.work.ID]; f != nil {
 		n.stopped(f)
@@ -163,7 +160,7 @@
 
 // killed moves the dead instance's endpoints to new owners, and tells these
 // what the entries run there.
-func (c *cluster) killed(instance int, _ []*request) {
+func (c *cluster) killed(instance int, _ []*arrived) {
 	dead := instanceID(instance)
 	c.run.c.after(membershipLag, func() {
 		for _, n := range c.order {
@@ -182,32 +179,20 @@
 }
 
 // hold tells new owners what runs on the endpoints of the dead one, and asks
-// again where it had been asked.
+// elsewhere where it had been asked.
 func (n *node) hold(dead entity.InstanceID) {
-	for _, f := range n.sorted() {
-		n.unreachable(f, dead)
-		if f.granted != dead {
-			continue
-		}
-		held := entity.Held{Work: f.r.a.work, From: n.id, Endpoint: f.endpoint, Paused: f.paused}
-		f.granted = n.cluster.ownerOf(n.cluster.row(f.endpoint))
-		n.cluster.toOwner(n, f.granted, func(o *admission.Owner, now time.Time) { o.Hold(now, []entity.Held{held}) })
-		if f.paused {
-			n.resume(f)
+	n.step(func(e *request.Entry, now time.Time) { e.OwnerLost(now, dead) })
+	for i := range n.cluster.run.rows {
+		row := &n.cluster.run.rows[i]
+		owner := n.cluster.ownerOf(row)
+		var held []entity.Held
+		n.step(func(e *request.Entry, now time.Time) { held = e.Adopt(now, row.ID, owner) })
+		if len(held) > 0 {
+			n.cluster.toOwner(n, owner, func(o *admission.Owner, now time.Time) { o.Hold(now, held) })
 		}
 	}
 }
 
-// sorted returns n's flights in the order of their names.
-func (n *node) sorted() []*flight {
-	all := make([]*flight, 0, len(n.flights))
-	for _, f := range n.flights {
-		all = append(all, f)
-	}
-	slices.SortFunc(all, func(a, b *flight) int { return strings.Compare(string(a.r.a.work.ID), string(b.r.a.work.ID)) })
-	return all
-}
-
 func (c *cluster) row(id entity.EndpointID) *entity.Endpoint {
 	i := slices.IndexFunc(c.run.rows, func(e entity.Endpoint) bool { return e.ID == id })
 	return &c.run.rows[i]
--- a/internal/measure/engine.go
+++ b/internal/measure/engine.go
@@ -31,11 +31,11 @@
 
 // endpoint is what a policy may do with an engine or a service.
 type endpoint interface {
-	submit(r *request)
+	submit(r *arrived)
 	// pause stops the stream and keeps it; resume goes on with it.
-	pause(r *request) bool
-	resume(r *request)
-	cancel(r *request) bool
+	pause(r *arrived) bool
+	resume(r *arrived)
+	cancel(r *arrived) bool
 	load() int
 }
 
@@ -46,7 +46,7 @@
 	slow     float64
 	queue    []*stream
 	batch    []*stream
-	paused   map[*request]*stream
+	paused   map[*arrived]*stream
 	cache    *simplelru.LRU[entity.BlockHash, struct{}]
 	evicted  []entity.BlockHash
 	stepping bool
@@ -60,7 +60,7 @@
 
 // stream is one request on the engine.
 type stream struct {
-	r       *request
+	r       *arrived
 	left    int // prompt tokens to process
 	started bool
 	made    int
@@ -68,19 +68,19 @@
 }
 
 func newEngine(c *clock, row entity.Endpoint, speed float64, l *ledger, rng *rand.Rand) *engine {
-	e := &engine{row: row, c: c, slow: 1 / speed, paused: make(map[*request]*stream), ledger: l, rng: rng}
+	e := &engine{row: row, c: c, slow: 1 / speed, paused: make(map[*arrived]*stream), ledger: l, rng: rng}
 	e.cache, _ = simplelru.NewLRU(engineCache, func(b entity.BlockHash, _ struct{}) { e.evicted = append(e.evicted, b) })
 	return e
 }
 
 func (e *engine) load() int { return len(e.queue) + len(e.batch) }
 
-func (e *engine) submit(r *request) {
+func (e *engine) submit(r *arrived) {
 	e.queue = append(e.queue, &stream{r: r})
 	e.kick()
 }
 
-func (e *engine) pause(r *request) bool {
+func (e *engine) pause(r *arrived) bool {
 	s := e.take(r)
 	if s == nil {
 		return false
@@ -89,7 +89,7 @@
 	return true
 }
 
-func (e *engine) resume(r *request) {
+func (e *engine) resume(r *arrived) {
 	s := e.paused[r]
 	if s == nil {
 		return
@@ -99,7 +99,7 @@
 	e.kick()
 }
 
-func (e *engine) cancel(r *request) bool {
+func (e *engine) cancel(r *arrived) bool {
 	if e.paused[r] != nil {
 		delete(e.paused, r)
 		return true
@@ -108,7 +108,7 @@
 }
 
 // take removes r's stream from the queue or the batch.
-func (e *engine) take(r *request) *stream {
+func (e *engine) take(r *arrived) *stream {
 	for _, list := range []*[]*stream{&e.queue, &e.batch} {
 		i := slices.IndexFunc(*list, func(s *stream) bool { return s.r == r })
 		if i >= 0 {
@@ -248,13 +248,13 @@
 type service struct {
 	c       *clock
 	slow    float64
-	queue   []*request
+	queue   []*arrived
 	running int
 }
 
 func (s *service) load() int { return len(s.queue) + s.running }
 
-func (s *service) submit(r *request) {
+func (s *service) submit(r *arrived) {
 	s.queue = append(s.queue, r)
 	s.next()
 }
@@ -273,10 +273,10 @@
 	}
 }
 
-func (s *service) pause(*request) bool { return false }
-func (s *service) resume(*request)     {}
+func (s *service) pause(*arrived) bool { return false }
+func (s *service) resume(*arrived)     {}
 
-func (s *service) cancel(r *request) bool {
+func (s *service) cancel(r *arrived) bool {
 	i := slices.Index(s.queue, r)
 	if i < 0 {
 		return false
--- a/internal/measure/ledger.go
+++ b/internal/measure/ledger.go
@@ -14,7 +14,7 @@
 }
 
 // prefill records that blocks are processed for r.
-func (l *ledger) prefill(blocks []entity.BlockHash, r *request) {
+func (l *ledger) prefill(blocks []entity.BlockHash, r *arrived) {
 	for _, b := range blocks {
 		l.total += blockTokens
 		if l.seen[b] {
--- a/internal/measure/node.go
+++ b/internal/measure/node.go
@@ -2,24 +2,23 @@
 
 import (
 	"fmt"
+	"math/rand"
 	"time"
 
 	"github.com/medlarhold/medlarhold/internal/core/admission"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
+	corenode "github.com/medlarhold/medlarhold/internal/core/node"
+	"github.com/medlarhold/medlarhold/internal/core/request"
+	"github.com/medlarhold/medlarhold/internal/core/retry"
 	"github.com/medlarhold/medlarhold/internal/core/routing"
 	"github.com/medlarhold/medlarhold/internal/verdict"
 )
 
-const (
-	// answerTimeout is after which an entry takes an owner for unreachable.
-	answerTimeout = 200 * time.Millisecond
-	// firstPatience is how long a request waits in a queue before its entry
-	// looks for room elsewhere; it doubles up to maxPatience.
-	firstPatience = 100 * time.Millisecond
-	maxPatience   = 2 * time.Second
-)
+// answerTimeout is after which an entry is told that an owner can't be reached.
+const answerTimeout = 200 * time.Millisecond
 
-// node is one instance: an owner of endpoints, and an entry for callers.
+// node is one instance: an owner of endpoints, and an entry for callers. Both
+// are the core's own; what stands here is the traffic side.
 type node struct {
 	id      entity.InstanceID
 	index   int
@@ -27,243 +26,175 @@
 	cluster *cluster
 	owner   *admission.Owner
 	router  *routing.Router
+	entry   *request.Entry
 	flights map[entity.RequestID]*flight
 }
 
-// flight is one request at its entry.
+// flight is one request that an entry has given no final answer to.
 type flight struct {
-	r     *request
-	tried []routing.Choice
-	// probing and waiting name the owners with an open question, without and
-	// with a place in the queue.
-	probing, waiting entity.InstanceID
-	patience         time.Duration
-	granted          entity.InstanceID
-	endpoint         entity.EndpointID
-	dispatchedAt     time.Time
-	paused, everHeld bool
+	r            *arrived
+	dispatchedAt time.Time
+	// everHeld is set once the stream was paused: its times teach no speed.
+	everHeld bool
+}
+
+func newNode(c *cluster, i int, as admission.Settings, rs routing.Settings) *node {
+	n := &node{
+		id: instanceID(i), index: i, zone: c.run.d.zone(i), cluster: c,
+		owner: admission.New(as), router: routing.New(rs), flights: make(map[entity.RequestID]*flight),
+	}
+	s := corenode.DefaultSettings(entity.Instance{ID: n.id, Zone: n.zone}).Request
+	retries := retry.New(retry.DefaultSettings(), rand.New(rand.NewSource(int64(i))))
+	n.entry = request.New(s, entryRouter{n.router, n}, retries, allClaimed{})
+	return n
 }
 
 func instanceID(i int) entity.InstanceID {
 	return entity.InstanceID(fmt.Sprintf("instance-%02d", i))
 }
 
-// ask sends the next question for f, or sheds it.
-func (n *node) ask(f *flight) {
-	if f.r.over || f.granted != "" || f.probing != "" {
-		return
-	}
-	now := n.cluster.run.c.now
-	choice, ok := n.router.Next(now, &f.r.a.work, f.tried)
-	if !ok {
-		n.exhausted(f)
-		return
-	}
-	f.tried = append(f.tried, choice)
-	if choice.NoWait {
-		f.probing = choice.Owner
-	} else {
-		f.waiting = choice.Owner
-		f.patience = firstPatience
-		n.askLater(f, f.patience)
-	}
-	n.reserve(f, choice)
+// entryRouter joins the routing decisions with ownership.
+type entryRouter struct {
+	*routing.Router
+	n *node
 }
 
-func (n *node) reserve(f *flight, choice routing.Choice) {
-	sentAt := n.cluster.run.c.now
-	res := entity.Reservation{Work: f.r.a.work, From: n.id, NoWait: choice.NoWait}
-	n.cluster.toOwner(n, choice.Owner, func(o *admission.Owner, now time.Time) { o.Reserve(now, res) })
-	f.r.sentAt(choice.Owner, sentAt)
-	if n.cluster.nodes[choice.Owner].dead() {
-		n.cluster.run.c.after(answerTimeout, func() { n.unreachable(f, choice.Owner) })
-	}
+// OwnerOf implements request.Router.
+func (r entryRouter) OwnerOf(e entity.EndpointID) (entity.InstanceID, bool) {
+	o := r.n.cluster.ownerOf(r.n.cluster.row(e))
+	return o, o != ""
 }
 
-// exhausted deals with a request for which there is nobody left to ask.
-func (n *node) exhausted(f *flight) {
-	now := n.cluster.run.c.now
-	if f.waiting == "" && n.router.MayShed(now, &f.r.a.work, f.tried) {
-		n.shed(f)
-		return
-	}
-	kept := f.tried[:0]
-	for _, c := range f.tried {
-		if c.Infeasible || (c.Owner == f.waiting && !c.NoWait) {
-			kept = append(kept, c)
-		}
-	}
-	f.tried = kept
-	wait := routing.RetryInterval
-	if f.waiting != "" {
-		f.patience = min(2*f.patience, maxPatience)
-		wait = f.patience
-	}
-	n.askLater(f, wait)
-}
+// HasEndpoint implements request.Router: each deployment serves all its work.
+func (r entryRouter) HasEndpoint(*entity.Work) bool { return true }
 
-func (n *node) shed(f *flight) {
-	why := verdict.ReasonDeadline
-	for _, c := range f.tried {
-		if !c.Infeasible {
-			why = verdict.ReasonOverload
-		}
-	}
-	f.r.infeasible = why == verdict.ReasonDeadline
-	f.r.refuse(why)
-	n.forget(f)
-}
+// allClaimed has every key free: claims are not part of the measurement.
+type allClaimed struct{}
 
-func (n *node) askLater(f *flight, d time.Duration) {
-	n.cluster.run.c.after(d, func() {
-		if !n.dead() {
-			n.ask(f)
-		}
-	})
-}
+// MayDispatch implements request.Claims.
+func (allClaimed) MayDispatch(time.Time, entity.RequestID) bool { return true }
 
-func (n *node) unreachable(f *flight, owner entity.InstanceID) {
-	if f.probing != owner && f.waiting != owner {
-		return
-	}
-	n.router.Unreachable(n.cluster.run.c.now, owner)
-	n.answered(f, owner)
-	n.ask(f)
-}
+// NotSent implements request.Claims.
+func (allClaimed) NotSent(entity.RequestID) {}
 
-// answered closes the question to an owner.
-func (n *node) answered(f *flight, owner entity.InstanceID) {
-	if f.probing == owner {
-		f.probing = ""
-	}
-	if f.waiting == owner {
-		f.waiting = ""
-	}
+func (n *node) dead() bool { return n.cluster.run.dead[n.index] }
+
+// submit takes a request of a caller in.
+func (n *node) submit(r *arrived) {
+	f := &flight{r: r}
+	n.flights[r.a.work.ID] = f
+	r.onEnd = func() { n.finished(f) }
+	n.step(func(e *request.Entry, now time.Time) { e.Arrive(now, request.Arrival{Work: r.a.work}) })
 }
 
-func (n *node) onRefusal(from entity.InstanceID, ref entity.Refusal) {
-	f := n.flights[ref.ID]
-	if f == nil || f.r.over {
+// step steps the entry and carries out what it decided.
+func (n *node) step(fn func(e *request.Entry, now time.Time)) {
+	if n.dead() {
 		return
 	}
-	if f.paused {
-		n.preempted(f)
-		return
+	now := n.cluster.run.c.now
+	fn(n.entry, now)
+	r := n.entry.Ready()
+	for _, p := range r.Proposals {
+		n.step(func(e *request.Entry, now time.Time) { e.Claimed(now, p.ID) })
 	}
-	n.router.Refused(n.cluster.run.c.now, from, &f.r.a.work, ref, f.r.sent[from])
-	for i := range f.tried {
-		if f.tried[i].Owner == from {
-			f.tried[i].Refused = true
-			f.tried[i].Infeasible = ref.Infeasible
-		}
+	for _, x := range r.Releases {
+		n.cluster.toOwner(n, x.Owner, func(o *admission.Owner, now time.Time) { o.Release(now, x.Release) })
 	}
-	n.answered(f, from)
-	n.ask(f)
-}
-
-func (n *node) onGrant(from entity.InstanceID, g entity.Grant) {
-	f := n.flights[g.ID]
-	if f == nil || f.r.over || (f.granted != "" && !f.paused) {
-		if f == nil || f.granted != from {
-			n.release(from, entity.Release{ID: g.ID, Endpoint: g.Endpoint})
-		}
-		return
+	for _, x := range r.Cancels {
+		n.cluster.toOwner(n, x.Owner, func(o *admission.Owner, now time.Time) { o.Withdraw(now, x.ID, x.Question) })
 	}
-	n.router.Granted(n.cluster.run.c.now, from, &f.r.a.work, g)
-	n.answered(f, from)
-	for _, other := range []entity.InstanceID{f.probing, f.waiting} {
-		n.cancelAt(other, g.ID)
+	for _, x := range r.Reservations {
+		n.reserve(x)
 	}
-	f.probing, f.waiting = "", ""
-	f.granted, f.endpoint = from, g.Endpoint
-	at := n.cluster.run.endpoints[g.Endpoint]
-	if f.paused {
-		f.paused = false
-		f.r.resumed(at)
-		return
+	for _, d := range r.Directives {
+		n.carryOut(d)
 	}
-	f.dispatchedAt = n.cluster.run.c.now
-	f.r.dispatch(at)
 }
 
-func (n *node) cancelAt(owner entity.InstanceID, id entity.RequestID) {
-	if owner == "" {
+// reserve sends a question; one to a dead owner comes back as undeliverable.
+func (n *node) reserve(x request.ReservationTo) {
+	n.cluster.toOwner(n, x.Owner, func(o *admission.Owner, now time.Time) { o.Reserve(now, x.Reservation) })
+	if !n.cluster.nodes[x.Owner].dead() {
 		return
 	}
-	n.cluster.toOwner(n, owner, func(o *admission.Owner, now time.Time) { o.Cancel(now, id) })
-}
-
-func (n *node) release(owner entity.InstanceID, rel entity.Release) {
-	n.cluster.toOwner(n, owner, func(o *admission.Owner, now time.Time) { o.Release(now, rel) })
+	n.cluster.run.c.after(answerTimeout, func() {
+		n.step(func(e *request.Entry, now time.Time) {
+			e.Unreachable(now, x.Owner, x.Reservation.Work.ID, x.Reservation.Question)
+		})
+	})
 }
 
-func (n *node) onPreempt(from entity.InstanceID, p entity.Preemption) {
-	f := n.flights[p.ID]
-	if f == nil || f.r.over || f.granted != from {
+// carryOut acts on one directive, as the callers' edge does.
+func (n *node) carryOut(d request.Directive) {
+	f := n.flights[d.ID]
+	if f == nil {
 		return
 	}
-	if !p.Pause {
-		n.preempted(f)
-		return
-	}
-	if f.paused {
+	switch d.Kind {
+	case request.DirectiveDispatch:
+		f.dispatchedAt = n.cluster.run.c.now
+		f.r.dispatch(n.cluster.run.endpoints[d.Endpoint])
+	case request.DirectivePause:
+		n.pause(f)
+	case request.DirectiveResume:
+		f.r.resumed(n.cluster.run.endpoints[d.Endpoint])
+	case request.DirectiveCancel:
+		f.r.stop()
+		n.ended(f, request.End{Err: d.Err})
+	case request.DirectiveFinish:
+		n.finish(f, d.Err)
+	}
+}
+
+// pause pauses a stream. One whose dispatch is still on its way is paused when
+// it has arrived.
+func (n *node) pause(f *flight) {
+	if f.r.over {
 		return
 	}
 	if !f.r.at.pause(f.r) {
-		// The dispatch is still on its way to the endpoint.
-		n.cluster.run.c.after(netDelay, func() { n.onPreempt(from, p) })
+		n.cluster.run.c.after(netDelay, func() { n.pause(f) })
 		return
 	}
-	f.paused, f.everHeld = true, true
+	f.everHeld = true
 	f.r.inactive()
-	rel := entity.Release{ID: p.ID, Endpoint: f.endpoint, Paused: true}
-	n.router.Finished(rel)
-	n.release(from, rel)
-	n.resume(f)
+	n.step(func(e *request.Entry, now time.Time) { e.Paused(now, f.r.a.work.ID) })
 }
 
-// resume asks for a slot to go on with a paused stream.
-func (n *node) resume(f *flight) {
-	res := entity.Reservation{Work: f.r.a.work, From: n.id, Resume: f.endpoint}
-	n.cluster.toOwner(n, f.granted, func(o *admission.Owner, now time.Time) { o.Reserve(now, res) })
+// ended reports the end of a dispatch.
+func (n *node) ended(f *flight, end request.End) {
+	n.step(func(e *request.Entry, now time.Time) { e.Ended(now, f.r.a.work.ID, end) })
 }
 
-// preempted gives up a request that had been dispatched.
-func (n *node) preempted(f *flight) {
-	f.r.refuse(verdict.ReasonPreempted)
-	f.r.stop()
-	n.stopped(f)
-}
-
-// stopped tells the owners that f is over without an answer.
-func (n *node) stopped(f *flight) {
-	id := f.r.a.work.ID
-	n.cancelAt(f.probing, id)
-	n.cancelAt(f.waiting, id)
-	if f.granted != "" {
-		rel := entity.Release{ID: id, Endpoint: f.endpoint}
-		if !f.paused {
-			n.router.Finished(rel)
+// finished reports a whole answer, and how fast it came.
+func (n *node) finished(f *flight) {
+	var rel entity.Release
+	if !f.everHeld {
+		rel = entity.Release{
+			PrefillTokens: f.r.processed, GeneratedTokens: f.r.a.answer,
+			TimeToFirstToken: f.r.firstToken.Sub(f.dispatchedAt), DecodeTime: f.r.lastToken.Sub(f.r.firstToken),
 		}
-		n.release(f.granted, rel)
 	}
-	n.forget(f)
+	n.ended(f, request.End{Release: rel})
 }
 
-// finished tells the owner that f has its answer, and how fast it came.
-func (n *node) finished(f *flight) {
-	rel := entity.Release{ID: f.r.a.work.ID, Endpoint: f.endpoint}
-	if !f.everHeld {
-		rel.PrefillTokens = f.r.processed
-		rel.GeneratedTokens = f.r.a.answer
-		rel.TimeToFirstToken = f.r.firstToken.Sub(f.dispatchedAt)
-		rel.DecodeTime = f.r.lastToken.Sub(f.r.firstToken)
+// finish takes the final answer in.
+func (n *node) finish(f *flight, err *verdict.Error) {
+	delete(n.flights, f.r.a.work.ID)
+	if err == nil || f.r.over {
+		return
 	}
-	n.router.Finished(rel)
-	n.release(f.granted, rel)
-	n.forget(f)
+	f.r.infeasible = err.Reason == verdict.ReasonDeadline && n.cluster.run.c.now.Before(f.r.deadline)
+	f.r.refuse(err.Reason)
 }
 
-func (n *node) forget(f *flight) { delete(n.flights, f.r.a.work.ID) }
-
-func (n *node) dead() bool { return n.cluster.run.dead[n.index] }
+// stopped tells the entry that a request was given up on and was cancelled
+// where it ran.
+func (n *node) stopped(f *flight) {
+	id := f.r.a.work.ID
+	n.step(func(e *request.Entry, now time.Time) { e.CallerGone(now, id) })
+	if n.flights[id] != nil { // work that a caller's leaving doesn't end
+		n.ended(f, request.End{Err: &verdict.Error{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonDeadline}})
+	}
+}
--- a/internal/measure/request.go
+++ b/internal/measure/request.go
@@ -3,12 +3,11 @@
 import (
 	"time"
 
-	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/verdict"
 )
 
-// request is one arrival on its way through a policy.
-type request struct {
+// arrived is one request on its way through a policy.
+type arrived struct {
 	a        *arrival
 	run      *run
 	arrived  time.Time
@@ -25,14 +24,12 @@
 	over       bool
 	// infeasible says that no endpoint could have answered in time, even idle.
 	infeasible bool
-	// sent is when each owner was asked last.
-	sent map[entity.InstanceID]time.Time
 	// onEnd tells the policy that the answer is whole.
 	onEnd func()
 }
 
 // dispatch sends r to an endpoint, after the delay of the network.
-func (r *request) dispatch(e endpoint) {
+func (r *arrived) dispatch(e endpoint) {
 	r.dispatches++
 	r.at, r.active = e, true
 	r.run.serving[r] = struct{}{}
@@ -44,7 +41,7 @@
 }
 
 // resumed goes on with a stream that was paused.
-func (r *request) resumed(e endpoint) {
+func (r *arrived) resumed(e endpoint) {
 	r.active = true
 	r.run.serving[r] = struct{}{}
 	r.run.c.after(netDelay, func() {
@@ -54,15 +51,7 @@
 	})
 }
 
-// sentAt records when an owner was asked.
-func (r *request) sentAt(owner entity.InstanceID, at time.Time) {
-	if r.sent == nil {
-		r.sent = make(map[entity.InstanceID]time.Time)
-	}
-	r.sent[owner] = at
-}
-
-func (r *request) token(now time.Time) {
+func (r *arrived) token(now time.Time) {
 	if r.firstToken.IsZero() {
 		r.firstToken = now
 		r.run.result.firstToken(r)
@@ -73,7 +62,7 @@
 }
 
 // ended is called by the endpoint when the answer is whole.
-func (r *request) ended(now time.Time) {
+func (r *arrived) ended(now time.Time) {
 	r.inactive()
 	if r.over {
 		return
@@ -86,7 +75,7 @@
 }
 
 // refuse ends r without an answer.
-func (r *request) refuse(why verdict.Reason) {
+func (r *arrived) refuse(why verdict.Reason) {
 	if r.over {
 		return
 	}
@@ -96,14 +85,14 @@
 }
 
 // stop cancels r where it runs.
-func (r *request) stop() {
+func (r *arrived) stop() {
 	if r.at != nil {
 		r.at.cancel(r)
 	}
 	r.inactive()
 }
 
-func (r *request) inactive() {
+func (r *arrived) inactive() {
 	r.active = false
 	delete(r.run.serving, r)
 }
--- a/internal/measure/result.go
+++ b/internal/measure/result.go
@@ -57,19 +57,19 @@
 	return float64(t.Good) / float64(t.Offered)
 }
 
-func (res *Result) tier(r *request) *Tier { return &res.Tiers[r.a.work.Tier] }
+func (res *Result) tier(r *arrived) *Tier { return &res.Tiers[r.a.work.Tier] }
 
-func (res *Result) firstToken(r *request) {
+func (res *Result) firstToken(r *arrived) {
 	if r.a.answer > 0 {
 		record(res.tier(r).FirstToken, r.firstToken.Sub(r.arrived))
 	}
 }
 
-func (res *Result) between(r *request, d time.Duration) {
+func (res *Result) between(r *arrived, d time.Duration) {
 	record(res.tier(r).Between, d)
 }
 
-func (res *Result) done(r *request, inTime bool) {
+func (res *Result) done(r *arrived, inTime bool) {
 	if inTime {
 		res.tier(r).Good++
 		return
@@ -78,7 +78,7 @@
 	res.Thrown += r.firstTime
 }
 
-func (res *Result) refused(r *request, why verdict.Reason) {
+func (res *Result) refused(r *arrived, why verdict.Reason) {
 	res.tier(r).Refused[why]++
 	res.Thrown += r.firstTime
 	if why != verdict.ReasonConnectionLost && r.dispatches == 0 && !r.infeasible && r.run.lowerServed(r) {
--- a/internal/measure/run.go
+++ b/internal/measure/run.go
@@ -48,11 +48,11 @@
 
 // policy is a scheduler under measurement.
 type policy interface {
-	submit(r *request)
+	submit(r *arrived)
 	// stopped tells that r is over without an answer and was cancelled.
-	stopped(r *request)
+	stopped(r *arrived)
 	// killed tells that an instance is dead, and which requests are lost with it.
-	killed(instance int, lost []*request)
+	killed(instance int, lost []*arrived)
 	messages() int
 }
 
@@ -66,9 +66,9 @@
 	engines   []*engine
 	// loads is what endpoints said of their load, with a lag.
 	loads   map[entity.EndpointID]int
-	serving map[*request]struct{}
+	serving map[*arrived]struct{}
 	dead    map[int]bool
-	all     []*request
+	all     []*arrived
 	policy  policy
 	result  *Result
 	ledger  *ledger
@@ -89,7 +89,7 @@
 	r := &run{
 		d: d, c: newClock(), cond: cond, rows: d.endpoints(),
 		endpoints: make(map[entity.EndpointID]endpoint), loads: make(map[entity.EndpointID]int),
-		serving: make(map[*request]struct{}), dead: make(map[int]bool),
+		serving: make(map[*arrived]struct{}), dead: make(map[int]bool),
 		result: newResult(), ledger: newLedger(),
 	}
 	for i := range r.rows {
@@ -121,7 +121,7 @@
 
 func (r *run) arrive(a *arrival) {
 	patience := a.deadline()
-	q := &request{a: a, run: r, arrived: r.c.now, deadline: r.c.now.Add(patience)}
+	q := &arrived{a: a, run: r, arrived: r.c.now, deadline: r.c.now.Add(patience)}
 	q.a.work.Deadline = q.deadline
 	r.all = append(r.all, q)
 	r.result.tier(q).Offered++
@@ -133,7 +133,7 @@
 }
 
 // give ends a request without an answer, and whatever runs for it.
-func (r *run) give(q *request, why verdict.Reason) {
+func (r *run) give(q *arrived, why verdict.Reason) {
 	if q.over {
 		return
 	}
@@ -146,7 +146,7 @@
 // drop the streams they sent to it.
 func (r *run) kill() {
 	r.dead[killed] = true
-	var lost []*request
+	var lost []*arrived
 	for _, q := range r.all {
 		if !q.over && q.a.entry == killed {
 			q.refuse(verdict.ReasonConnectionLost)
@@ -170,7 +170,7 @@
 }
 
 // lowerServed says that work of a lower tier is served where q could be.
-func (r *run) lowerServed(q *request) bool {
+func (r *run) lowerServed(q *arrived) bool {
 	for s := range r.serving {
 		if s.a.work.Pool == q.a.work.Pool && s.a.work.Tier > q.a.work.Tier {
 			return true
