--- a/test/e2e/orders_test.go
+++ b/test/e2e/orders_test.go
@@ -1,12 +1,18 @@
 package e2e
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 
+	"github.com/medlarhold/medlarhold/internal/config"
 	"github.com/medlarhold/medlarhold/internal/endpoint"
 	"github.com/medlarhold/medlarhold/internal/testbed"
 )
@@ -57,3 +63,92 @@
 		t.Fatal(res.Status)
 	}
 }
+
+// logged says whether an instance has logged the event about the lease.
+func logged(t *testing.T, b *testbed.Bed, name string, event int, lease string) bool {
+	t.Helper()
+	data, err := os.ReadFile(filepath.Join(b.Dir, name+".log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, line := range bytes.Split(data, []byte("\n")) {
+		var l struct {
+			Event int    `json:"event"`
+			Lease string `json:"lease"`
+		}
+		if json.Unmarshal(line, &l) == nil && l.Event == event && l.Lease == lease {
+			return true
+		}
+	}
+	return false
+}
+
+// TestLeaseHolderFrozen stops the holder of the orders' lease past its term.
+// The other instance takes over with a higher fencing number, and the old
+// holder, continued, gives the engine no order any more.
+func TestLeaseHolderFrozen(t *testing.T) {
+	t.Parallel()
+	const lease, won, lost = "orders/a", 6002, 6003
+	b, err := testbed.New(t.TempDir(), programs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.Close)
+	engine, err := b.Standin("engine", map[string]any{"models": []string{"other"}, "checks_fencing": true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	putWeights(t, b, "narrative-1", 1000)
+	row := fmt.Sprintf(`{"kind":"endpoint","name":"engine-a","spec":{"pool":"reports","zone":"a","address":%q,
+		"models":["narrative"],"slots":8,"kv_tokens":65536,"weight_bytes":10000,"checks_fencing":true}},`, engine.Address)
+	if err := b.Publish(context.Background(), []byte(fmt.Sprintf(configuration, row))); err != nil {
+		t.Fatal(err)
+	}
+	instances := make(map[string]*testbed.Instance)
+	for _, name := range []string{"a0", "a1"} {
+		if instances[name], err = b.Start(name, b.InstanceSettings(name, "a")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	client := endpoint.New(endpoint.Options{})
+	t.Cleanup(client.Close)
+	var held endpoint.OrderStatus
+	eventually(t, func() bool {
+		held, err = client.Orders(context.Background(), engine.Address)
+		return err == nil && held.Models["narrative"] == "1"
+	})
+	holder, other := "a0", "a1"
+	if !logged(t, b, holder, won, lease) {
+		holder, other = other, holder
+	}
+	if err := instances[holder].Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, func() bool { return logged(t, b, other, won, lease) })
+	if err := newOperator("anna").change(&cluster{Bed: b}, "version-2", config.KindModel, "narrative", "version", "2"); err != nil {
+		t.Fatal(err)
+	}
+	var after endpoint.OrderStatus
+	eventually(t, func() bool {
+		after, err = client.Orders(context.Background(), engine.Address)
+		return err == nil && after.Models["narrative"] == "2"
+	})
+	if after.Fence <= held.Fence {
+		t.Errorf("fencing number %d after %d", after.Fence, held.Fence)
+	}
+	if err := instances[holder].Signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, func() bool { return logged(t, b, holder, lost, lease) })
+	last, err := client.Orders(context.Background(), engine.Address)
+	if err != nil || last.Models["narrative"] != "2" || last.Fence < after.Fence {
+		t.Errorf("%+v, %v; before the old holder went on %+v", last, err, after)
+	}
+}
+
+func eventually(t *testing.T, condition func() bool) {
+	t.Helper()
+	if err := testbed.Eventually(condition); err != nil {
+		t.Fatal(err)
+	}
+}
