A request whose deadline has passed is told so, not that it was shed

Cause ( by trace): the last owner's refusal came 27 ms after the deadline and before the timer; the request was then given up for overload on the promises in hand, though it was late and nothing else. Change: an entry looks at the deadline before it asks on. TestRefusalAfterTheDeadline, red before.

--- a/internal/core/request/ask.go
+++ b/internal/core/request/ask.go
@@ -12,6 +12,10 @@
 // ask sends the reservation to the next owner. Where none is left the request
 // waits in the queue that it has joined, is given up, or starts again.
 func (e *Entry) ask(now time.Time, r *row) {
+	if !now.Before(r.work.Deadline) {
+		e.abandon(now, r, verdict.ReasonDeadline, 0)
+		return
+	}
 	if r.resume != "" {
 		e.askToResume(now, r)
 		return
--- a/internal/core/request/entry_test.go
+++ b/internal/core/request/entry_test.go
@@ -196,3 +196,18 @@
 
 func (noClaims) MayDispatch(time.Time, entity.RequestID) bool { return true }
 func (noClaims) NotSent(entity.RequestID)                     {}
+
+// TestRefusalAfterTheDeadline: the last owner's refusal comes when the deadline
+// has passed, a moment before the timer. It is the deadline that ends the
+// request, also where every owner has promised.
+func TestRefusalAfterTheDeadline(t *testing.T) {
+	e := entry(&router{ask: []entity.InstanceID{"a"}, mayShed: true})
+	e.Ready()
+	late := epoch.Add(10*time.Second + time.Millisecond)
+	e.Refused(late, "a", entity.Refusal{ID: "r", Question: 1, FloorFor: time.Second})
+	r := e.Ready()
+	if len(r.Directives) != 1 || r.Directives[0].Err == nil || r.Directives[0].Err.Reason != verdict.ReasonDeadline ||
+		r.Directives[0].Err.Verdict != verdict.NotRun {
+		t.Fatalf("%+v", r)
+	}
+}
