A stream that its entry gave up on keeps its slot while the engine may run it

Cause ( by trace): the engine dropped connections and refused controls; the client gave the stream up, its entry gave the slot back, and the owner promised that nothing of tier 2 ran while the engine still ran it for half a second. Ruled out: the promise's time, the view of members.

Change: an entry that can't cancel a stream says so in its release; the owner counts the slot until the load report or a timeout frees it, as with entries that died. The harness cancels what it gives up, as the callers' edge does.

--- a/internal/caller/enginejob.go
+++ b/internal/caller/enginejob.go
@@ -50,11 +50,13 @@
 		RequestID: j.id, Model: j.body.Model, Adapter: j.body.Adapter, Prompt: j.body.Prompt, MaxTokens: j.body.MaxTokens, Stream: true,
 	}, func(t endpoint.Token) error { return j.token(start, t) })
 	j.result = res
+	unended := false
 	if err != nil && verdict.Of(err).Verdict == verdict.MayHaveRun && res.FinishReason == "" {
-		j.stopEngine(ctx, e) // before the slot is given back
+		unended = !j.stopEngine(ctx, e) // before the slot is given back
 	}
 	j.ended.Store(true)
 	end := j.end(res, err)
+	end.Release.Unended = unended
 	if end.Release.Failed {
 		j.s.endpointFailed(j.id, e, end.Err)
 	}
--- a/internal/core/admission/job.go
+++ b/internal/core/admission/job.go
@@ -51,7 +51,8 @@
 	endpoint  *endpoint
 	grantedAt time.Time
 	expectEnd time.Time
-	// orphanedAt is when the entry instance was dropped; zero while it lives.
+	// orphanedAt is when the entry instance was dropped, or gave up on a stream
+	// that it could not cancel; zero while it has the stream.
 	orphanedAt time.Time
 	// prefill and prefillEnd estimate the processing of the prompt; for a paused
 	// job prefill is what was left of it.
--- a/internal/core/admission/membership.go
+++ b/internal/core/admission/membership.go
@@ -120,13 +120,21 @@
 	slices.SortFunc(lost, func(a, b *job) int { return strings.Compare(string(a.work.ID), string(b.work.ID)) })
 	for _, j := range lost {
 		if j.state == stateRunning || j.state == statePreempting {
-			j.orphanedAt = now
+			o.orphan(now, j)
 			continue
 		}
 		o.Cancel(now, j.work.ID)
 	}
 }
 
+// orphan has j's slot stay taken, though nobody will give it back, until the
+// endpoint's load report or a timeout says that it is free.
+func (o *Owner) orphan(now time.Time, j *job) {
+	if j.orphanedAt.IsZero() {
+		j.orphanedAt = now
+	}
+}
+
 // Hold takes in work that entries already run on endpoints that this instance
 // has come to own.
 func (o *Owner) Hold(now time.Time, held []entity.Held) {
--- a/internal/core/admission/owner.go
+++ b/internal/core/admission/owner.go
@@ -129,6 +129,11 @@
 		return
 	}
 	e := j.endpoint
+	if r.Unended && j.holdsSlot() {
+		o.orphan(now, j)
+		e.result(now, r.Failed)
+		return
+	}
 	if !r.Paused && !r.Unused {
 		o.speeds.Observe(&e.row, r)
 		e.result(now, r.Failed)
--- /dev/null
+++ b/internal/core/admission/unended_test.go
@@ -0,0 +1,35 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
+
+// TestUnendedWorkStillCounts: an entry gives up on a stream that it can't
+// cancel. Until the engine's load report shows it gone, higher work is not
+// refused with a promise that nothing below it runs.
+func TestUnendedWorkStillCounts(t *testing.T) {
+	o, now := settled(engine("e", 1))
+	o.Reserve(now, ask(work("low", 2)))
+	if r := o.Ready(); len(r.Grants) != 1 {
+		t.Fatalf("%+v", r)
+	}
+	o.Release(now, entity.Release{ID: "low", Endpoint: "e", Unended: true, Failed: true})
+	high := ask(work("high", 1))
+	high.NoWait = true
+	o.Reserve(now, high)
+	for _, f := range o.Ready().Refusals {
+		if f.Refusal.Floor <= 1 {
+			t.Fatalf("promised floor %d while work of tier 2 runs", f.Refusal.Floor)
+		}
+	}
+	later := now.Add(500 * time.Millisecond)
+	o.Report(later, entity.LoadReport{Endpoint: "e", At: later, Running: 0})
+	o.Cancel(later, "high")
+	o.Reserve(later, ask(work("next", 1)))
+	if r := o.Ready(); len(r.Grants) != 1 || r.Grants[0].Grant.ID != "next" {
+		t.Fatalf("the slot did not come back: %+v", r)
+	}
+}
--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -183,6 +183,20 @@
 
 func (j *job) abort(why *verdict.Error) { j.end(why, "") }
 
+// stopEngine cancels a stream that no one reads any more, and says whether the
+// engine still runs it.
+func (j *job) stopEngine() bool {
+	e := j.in.f.engines[j.at]
+	if e == nil || e.streams[j.id] == nil || e.streams[j.id].end != nil {
+		return false
+	}
+	if !e.reach(j.in) || e.refusing > 0 {
+		return true
+	}
+	e.cancel(j.id)
+	return false
+}
+
 // end reports how the dispatch ended, once.
 func (j *job) end(err *verdict.Error, digest string) {
 	j.in.do(func() {
@@ -193,10 +207,12 @@
 		if err != nil && j.aborted != nil {
 			err = j.aborted
 		}
+		unended := err != nil && j.stopEngine()
 		end := request.End{Err: err, Release: entity.Release{TimeToFirstToken: time.Millisecond}}
 		if e := j.in.f.engines[j.at]; e != nil && e.streams[j.id] != nil && e.streams[j.id].end != nil {
 			end.Release = e.streams[j.id].release()
 		}
+		end.Release.Unended = unended
 		if err != nil {
 			end.Release.Failed = err.Reason != verdict.ReasonPreempted
 		} else {
