--- a/internal/core/admission/unended_test.go
+++ b/internal/core/admission/unended_test.go
@@ -17,17 +17,22 @@
 		t.Fatalf("%+v", r)
 	}
 	o.Release(now, entity.Release{ID: "low", Endpoint: "e", Unended: true, Failed: true})
-	high := ask(work("high", 1))
-	high.NoWait = true
-	o.Reserve(now, high)
-	for _, f := range o.Ready().Refusals {
+	for _, id := range []string{"high", "higher"} {
+		r := ask(work(id, 1))
+		r.NoWait = true
+		o.Reserve(now, r)
+	}
+	refusals := o.Ready().Refusals
+	if len(refusals) != 2 {
+		t.Fatalf("%+v", refusals)
+	}
+	for _, f := range refusals {
 		if f.Refusal.Floor <= 1 {
 			t.Fatalf("promised floor %d while work of tier 2 runs", f.Refusal.Floor)
 		}
 	}
 	later := now.Add(500 * time.Millisecond)
 	o.Report(later, entity.LoadReport{Endpoint: "e", At: later, Running: 0})
-	o.Cancel(later, "high")
 	o.Reserve(later, ask(work("next", 1)))
 	if r := o.Ready(); len(r.Grants) != 1 || r.Grants[0].Grant.ID != "next" {
 		t.Fatalf("the slot did not come back: %+v", r)
