An owner that was frozen grants nothing until it can have heard what leaves

Cause ( by trace): a request waited in the buffers of a frozen instance; thawed, the instance granted itself a slot and dispatched within 2 ms, to an endpoint that had begun to leave 3.8 s before, by the configuration it was frozen with. Ruled out: NotAfter, which bounds old grants and not new ones. Weighed: waiting for a read of the log (cut off from it the instance would never serve again). Change: for QuietFor, 1.5 s, after it was away an owner's endpoints get no work.

--- a/internal/core/admission/membership.go
+++ b/internal/core/admission/membership.go
@@ -66,12 +66,14 @@
 }
 
 // wake unsettles all endpoints after the instance was away: others may have
-// owned them meanwhile.
+// owned them meanwhile. For QuietFor they get no work at all, so that there is
+// time to hear which of them are leaving.
 func (o *Owner) wake(now time.Time) {
 	if away := now.Sub(o.awake); !o.awake.IsZero() && away > o.settings.FreezeGap {
 		for _, p := range o.pools {
 			for _, e := range p.endpoints {
 				o.unsettle(now, e)
+				e.suspendedUntil = now.Add(max(o.settings.QuietFor, e.suspendedUntil.Sub(now)))
 			}
 		}
 	}
