The whole path on the platform, thin: adapter, edge, upstream, gateway

Cause: the users ask that medlarhold run on their platform. Change: platform/ translates; edge, upstream and gateway are the product's. Each instance still places for itself and follows the store for itself; no limits.

--- a/cmd/medlarholdd/main.go
+++ b/cmd/medlarholdd/main.go
@@ -40,6 +40,7 @@
 		RunE:          func(cmd *cobra.Command, _ []string) error { return run(cmd.Context(), file) },
 	}
 	cmd.Flags().StringVar(&file, "settings", "medlarhold.jsonc", "settings file, JSON with comments")
+	cmd.AddCommand(platformCommand())
 	if err := cmd.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "medlarholdd:", trace.UserMessage(err))
 		if trace.IsBadParameter(err) || trace.IsNotFound(err) {
--- a/internal/caller/services.go
+++ b/internal/caller/services.go
@@ -15,6 +15,7 @@
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/core/request"
 	"github.com/medlarhold/medlarhold/internal/endpoint"
+	"github.com/medlarhold/medlarhold/internal/hopbyhop"
 	"github.com/medlarhold/medlarhold/internal/verdict"
 )
 
@@ -91,17 +92,14 @@
 	return path
 }
 
-// notPassedOn are headers meant for this hop only.
+// notPassedOn are headers that concern the system only.
 var notPassedOn = []string{
-	"Authorization", "Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Content-Length", callerapi.HeaderTier, callerapi.HeaderDeadlineMS, callerapi.HeaderLabel, callerapi.HeaderRequestID,
+	"Authorization", "Content-Length", callerapi.HeaderTier, callerapi.HeaderDeadlineMS, callerapi.HeaderLabel, callerapi.HeaderRequestID,
 }
 
 func passedOn(h http.Header) http.Header {
 	out := h.Clone()
-	for _, name := range strings.Split(h.Get("Connection"), ",") {
-		out.Del(strings.TrimSpace(name))
-	}
+	hopbyhop.Drop(out)
 	for _, name := range notPassedOn {
 		out.Del(name)
 	}
--- /dev/null
+++ b/internal/edge/call.go
@@ -0,0 +1,253 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/catalog"
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/hopbyhop"
+	"github.com/medlarhold/medlarhold/internal/telemetry"
+	"github.com/medlarhold/medlarhold/internal/verdict"
+)
+
+const (
+	// minRetryAfter keeps refused callers from coming back at once.
+	minRetryAfter = 50 * time.Millisecond
+	// noConfigRetryAfter is told before the first configuration is known.
+	noConfigRetryAfter = 300 * time.Millisecond
+	// memoryRetryAfter is told while too many bodies are held.
+	memoryRetryAfter = 200 * time.Millisecond
+	// bodyTimeout bounds how long a caller may take to send a body.
+	bodyTimeout = 10 * time.Second
+	// defaultTimeout is the timeout of a route that names none.
+	defaultTimeout = 30 * time.Second
+)
+
+// call is one request of a caller.
+type call struct {
+	s       *Server
+	w       http.ResponseWriter
+	r       *http.Request
+	arrived time.Time
+
+	config *catalog.Config
+	route  *catalog.Route
+	org    *catalog.Organisation
+	meta   Meta
+	cost   float64
+	work   Work
+	body   []byte
+	held   int64 // bytes of the body counted as buffered
+	header http.Header
+	// deadline is when the request is of no use any more.
+	deadline time.Time
+	// tried are the endpoints that it was sent to.
+	tried []entity.EndpointID
+	// runs counts the endpoints that may have run it.
+	runs int
+	// begun says that the header of an answer was sent to the caller.
+	begun bool
+}
+
+func (c *call) serve() {
+	if v := c.admit(); v != nil {
+		c.refuse(v)
+		return
+	}
+	defer c.s.buffered.Add(-c.held)
+	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
+	defer cancel()
+	c.run(ctx)
+}
+
+// admit checks the request and charges the organisation's limit.
+func (c *call) admit() *verdict.Error {
+	c.meta = c.s.opts.Dialect.ReadRequest(c.r.Header)
+	for _, step := range []func() *verdict.Error{c.findRoute, c.findOrganisation, c.readBody, c.charge} {
+		if v := step(); v != nil {
+			return v
+		}
+	}
+	c.describe()
+	return nil
+}
+
+func (c *call) findRoute() *verdict.Error {
+	c.config = c.s.opts.Desk.Config()
+	if c.config == nil {
+		return refusal(verdict.ReasonNotReady, noConfigRetryAfter, "no configuration is known yet")
+	}
+	if c.s.opts.Desk.Closed() {
+		return refusal(verdict.ReasonStopping, minRetryAfter, "the instance is stopping")
+	}
+	path, _, _ := strings.Cut(c.r.RequestURI, "?")
+	route, ok := c.config.Match(c.r.Host, path)
+	if !ok {
+		return refusal(verdict.ReasonUnknownPool, 0, "no route has this host and path")
+	}
+	if c.meta.ID == "" {
+		return refusal(verdict.ReasonBadRequest, 0, "the request has no id")
+	}
+	c.route = route
+	return nil
+}
+
+func (c *call) findOrganisation() *verdict.Error {
+	if c.route.Public || !c.config.NeedsKeys() {
+		return nil
+	}
+	if !c.s.opts.Desk.KeysKnown() {
+		return refusal(verdict.ReasonNotReady, noConfigRetryAfter, "it is not known well enough which keys are in force")
+	}
+	org, ok := c.config.ByKey(c.meta.Key)
+	if !ok {
+		return refusal(verdict.ReasonUnauthenticated, 0, "the key is not in force")
+	}
+	c.org = org
+	return nil
+}
+
+// readBody reads the whole body, so that it can be sent to another endpoint
+// and so that the caller's leaving is noticed.
+func (c *call) readBody() *verdict.Error {
+	limit := c.config.Bounds.BodyBytes
+	if limit > 0 && c.r.ContentLength > limit {
+		return refusal(verdict.ReasonBodyTooLarge, 0, "the body is over the limit")
+	}
+	if c.r.ContentLength == 0 {
+		return nil
+	}
+	if c.s.buffered.Load()+max(0, c.r.ContentLength) > c.s.opts.MaxBuffered {
+		return refusal(verdict.ReasonOverload, memoryRetryAfter, "too many bodies are held")
+	}
+	// Only writers of tests have no deadlines.
+	_ = http.NewResponseController(c.w).SetReadDeadline(c.arrived.Add(bodyTimeout))
+	body := io.Reader(c.r.Body)
+	if limit > 0 {
+		body = http.MaxBytesReader(c.w, c.r.Body, limit)
+	}
+	data, err := readSized(body, c.r.ContentLength)
+	_ = http.NewResponseController(c.w).SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return refusal(verdict.ReasonBodyTooLarge, 0, "the body is over the limit")
+	case err != nil:
+		return refusal(verdict.ReasonBadRequest, 0, "the body could not be read")
+	}
+	c.body, c.held = data, int64(len(data))
+	c.s.buffered.Add(c.held)
+	return nil
+}
+
+// readSized reads a body of a known length into a buffer of that size.
+func readSized(r io.Reader, length int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(r)
+	}
+	data := make([]byte, length)
+	_, err := io.ReadFull(r, data)
+	return data, err
+}
+
+func (c *call) charge() *verdict.Error {
+	if c.org == nil || !c.org.Limited {
+		return nil
+	}
+	c.cost = c.org.Cost(c.meta.PromptTokens+c.meta.MaxTokens, c.meta.HasTokens)
+	ok, after := c.s.opts.Desk.Charge(c.org, c.cost)
+	if !ok {
+		c.s.buffered.Add(-c.held)
+		return refusal(verdict.ReasonRateLimit, after, "the organisation's limit is used up")
+	}
+	return nil
+}
+
+// describe fills in what decisions need to know.
+func (c *call) describe() {
+	timeout := c.route.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	var spent time.Duration
+	if c.meta.HasDeadline {
+		spent = c.s.waits.spent(c.route, c.meta.Remaining)
+		timeout = min(timeout, c.meta.Remaining)
+	}
+	c.deadline = c.arrived.Add(timeout)
+	pool := c.route.PoolFor(c.meta.ID)
+	c.work = Work{
+		ID: c.meta.ID, Pool: pool, Route: c.route.Name, Kind: entity.KindService, Rank: c.route.Rank,
+		PromptTokens: c.meta.PromptTokens, AnswerTokens: c.meta.MaxTokens,
+		Target: c.arrived.Add(c.route.Target - spent), Deadline: c.deadline,
+	}
+	if p := c.config.Pools[pool]; p != nil {
+		c.work.Kind = p.Kind
+	}
+	if c.meta.ExpectedTokens > 0 {
+		c.work.AnswerTokens = min(c.meta.ExpectedTokens, max(1, c.meta.MaxTokens))
+	}
+	if c.org != nil {
+		c.work.Org = c.org.ID
+	}
+	c.header = c.r.Header.Clone()
+	hopbyhop.Drop(c.header)
+	c.header.Del("Content-Length")
+	c.header.Del("Expect")
+	c.s.opts.Dialect.ForEndpoint(c.header, c.work.Org)
+}
+
+// refund takes the charge back where nothing ran.
+func (c *call) refund() {
+	if c.cost > 0 && c.runs == 0 {
+		c.s.opts.Desk.Refund(c.org, c.cost)
+		c.cost = 0
+	}
+}
+
+// refusal is the verdict on a request that was not run and will not be.
+func refusal(reason verdict.Reason, after time.Duration, message string) *verdict.Error {
+	return &verdict.Error{Verdict: verdict.NotRun, Reason: reason, RetryAfter: after, Message: message}
+}
+
+// refuse answers a request with an error of the system's own.
+func (c *call) refuse(v *verdict.Error) {
+	c.refund()
+	if c.r.Context().Err() != nil {
+		v = &verdict.Error{Verdict: v.Verdict, Reason: verdict.ReasonCallerGone, Message: "the caller closed its connection"}
+	}
+	c.s.opts.Metrics.Refused(v.Reason, v.Verdict)
+	c.logEnd("verdict", v.Verdict, "reason", v.Reason, "retry_after_ms", v.RetryAfter.Milliseconds(), "why", v.Message)
+	if v.Reason == verdict.ReasonCallerGone {
+		panic(http.ErrAbortHandler) // nobody is there to be answered
+	}
+	h := c.w.Header()
+	status := v.Reason.HTTPStatus()
+	if promises(status) {
+		h.Set("Retry-After", strconv.FormatFloat(max(v.RetryAfter, minRetryAfter).Seconds(), 'f', 3, 64))
+	}
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	c.w.WriteHeader(status)
+	// A caller that went away is noticed by its context.
+	_, _ = io.WriteString(c.w, v.Message+"\n")
+}
+
+// promises says that a status tells the caller that nothing ran.
+func promises(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
+
+// logEnd writes the one line on the end of a request.
+func (c *call) logEnd(keysAndValues ...any) {
+	fields := []any{"request", c.meta.ID, "ms", time.Since(c.arrived).Milliseconds(), "tried", c.tried}
+	if c.route != nil {
+		fields = append(fields, "route", c.route.Name, "organisation", c.work.Org, "config", c.config.Version, "rank", c.work.Rank)
+	}
+	telemetry.Log(c.s.opts.Log, telemetry.EventCallEnded, append(fields, keysAndValues...)...)
+}
--- /dev/null
+++ b/internal/edge/server.go
@@ -0,0 +1,71 @@
+package edge
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/medlarhold/medlarhold/internal/core/catalog"
+	"github.com/medlarhold/medlarhold/internal/telemetry"
+	"github.com/medlarhold/medlarhold/internal/upstream"
+)
+
+// Options of a Server.
+type Options struct {
+	Desk    Desk
+	Dialect Dialect
+	Client  *upstream.Client
+	Log     logr.Logger
+	Metrics *telemetry.Metrics
+	// MaxBuffered bounds the bytes of bodies that are held at the same time.
+	MaxBuffered int64
+}
+
+// Server is the callers' side of transparent routes.
+type Server struct {
+	opts     Options
+	buffered atomic.Int64
+	inFlight atomic.Int64
+	waits    longestWaits
+}
+
+// NewServer returns a Server.
+func NewServer(o Options) *Server { return &Server{opts: o} }
+
+// InFlight returns the number of requests without a whole answer.
+func (s *Server) InFlight() int64 { return s.inFlight.Load() }
+
+// ServeHTTP carries one request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	c := &call{s: s, w: w, r: r, arrived: time.Now()}
+	if s.opts.Desk.Leaving() {
+		w.Header().Set("Connection", "close")
+	}
+	c.serve()
+}
+
+// longestWaits remembers, by route, the longest time that callers have been
+// seen to wait. A caller that names less has tried before: what is missing is
+// how long ago.
+type longestWaits struct {
+	mu      sync.Mutex
+	byRoute map[string]time.Duration
+}
+
+// spent returns how long ago the caller's first attempt was.
+func (l *longestWaits) spent(route *catalog.Route, remaining time.Duration) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.byRoute == nil {
+		l.byRoute = make(map[string]time.Duration)
+	}
+	if remaining > l.byRoute[route.Name] {
+		l.byRoute[route.Name] = remaining
+	}
+	return l.byRoute[route.Name] - remaining
+}
--- /dev/null
+++ b/internal/edge/types.go
@@ -0,0 +1,98 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/catalog"
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/upstream"
+	"github.com/medlarhold/medlarhold/internal/verdict"
+)
+
+// Dialect reads the headers of callers.
+type Dialect interface {
+	// ReadRequest reads what the headers of a request say.
+	ReadRequest(h http.Header) Meta
+	// ForEndpoint takes the headers off that callers may not set or that only
+	// concern the system, and names the organisation.
+	ForEndpoint(h http.Header, org entity.OrgID)
+}
+
+// Meta is what the headers of a request say.
+type Meta struct {
+	ID  entity.RequestID
+	Key string
+	// Remaining is how long the caller waits, where HasDeadline is set.
+	Remaining   time.Duration
+	HasDeadline bool
+	// PromptTokens and MaxTokens are the size of the work, where HasTokens is set.
+	PromptTokens, MaxTokens int
+	HasTokens               bool
+	// ExpectedTokens is the caller's guess of the answer's tokens, 0 for none.
+	ExpectedTokens int
+	// LastEventID is the last event that the caller has of a stream it resumes.
+	LastEventID string
+}
+
+// Work describes a request to the Desk.
+type Work struct {
+	ID    entity.RequestID
+	Org   entity.OrgID
+	Pool  entity.PoolID
+	Route string
+	// Kind tells engines, whose slots are granted, from plain services.
+	Kind entity.EndpointKind
+	// Rank orders requests: 0 is the highest.
+	Rank int
+	// PromptTokens and AnswerTokens estimate the work.
+	PromptTokens, AnswerTokens int
+	// Target is when the answer begins to be late, Deadline when it is useless.
+	Target, Deadline time.Time
+}
+
+// Slot allows one dispatch to an endpoint.
+type Slot struct {
+	Endpoint *catalog.Endpoint
+	// Release must be called once, when the dispatch is over.
+	Release func(Outcome)
+	// Started, if set, is to be called when the first event has come.
+	Started func()
+}
+
+// Outcome is how a dispatch went.
+type Outcome struct {
+	// Failed says that the endpoint did not answer as it should.
+	Failed bool
+	// NotRun says that the endpoint did not run the request.
+	NotRun bool
+	// Cancelled says that the system or the caller ended it.
+	Cancelled bool
+	// Load is what the endpoint said of itself.
+	Load upstream.Meta
+	// FirstEvent is the time from the dispatch to the first byte of the answer,
+	// Streaming the time from there to the last one, Events how many came.
+	FirstEvent, Streaming time.Duration
+	Events                int
+}
+
+// Desk decides about requests. Its methods are called by many goroutines.
+type Desk interface {
+	// Config returns the configuration in force, nil before the first one.
+	Config() *catalog.Config
+	// KeysKnown says whether it is known well enough which keys are in force.
+	KeysKnown() bool
+	// Charge counts a request against the organisation's limit. It returns when
+	// to come back if that is used up.
+	Charge(org *catalog.Organisation, cost float64) (ok bool, retryAfter time.Duration)
+	// Refund takes the charge of a request back that was not run.
+	Refund(org *catalog.Organisation, cost float64)
+	// Acquire waits for a slot on an endpoint, other than those to avoid.
+	Acquire(ctx context.Context, w Work, avoid []entity.EndpointID) (Slot, *verdict.Error)
+	// MayRetry takes a second try for a pool from the retry budget.
+	MayRetry(pool entity.PoolID) bool
+	// Leaving says that the instance is stopping, Closed that it takes no more requests.
+	Leaving() bool
+	Closed() bool
+}
--- a/internal/endpoint/call.go
+++ b/internal/endpoint/call.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/hopbyhop"
 	"github.com/medlarhold/medlarhold/internal/verdict"
 )
 
@@ -58,7 +59,7 @@
 	if err != nil {
 		return CallResponse{}, c.lost(ctx, verdict.ReasonAnswerIncomplete, address, err)
 	}
-	dropHopByHop(resp.Header)
+	hopbyhop.Drop(resp.Header)
 	return CallResponse{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
 
@@ -82,25 +83,7 @@
 	if r.Header != nil {
 		req.Header = r.Header.Clone()
 	}
-	dropHopByHop(req.Header)
+	hopbyhop.Drop(req.Header)
 	req.Header.Set(HeaderRequestID, string(r.RequestID))
 	return req, nil
 }
-
-// hopByHop lists the headers that are meant for one connection only.
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
-// dropHopByHop removes the headers that are meant for one connection only.
-func dropHopByHop(h http.Header) {
-	for _, list := range h.Values("Connection") {
-		for name := range strings.SplitSeq(list, ",") {
-			h.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHop {
-		h.Del(name)
-	}
-}
--- /dev/null
+++ b/internal/gateway/instance.go
@@ -0,0 +1,169 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/gravitational/trace"
+
+	"github.com/medlarhold/medlarhold/internal/core/balance"
+	"github.com/medlarhold/medlarhold/internal/core/catalog"
+	"github.com/medlarhold/medlarhold/internal/edge"
+	"github.com/medlarhold/medlarhold/internal/telemetry"
+	"github.com/medlarhold/medlarhold/internal/upstream"
+)
+
+const (
+	// readHeaderTimeout bounds how long a caller may take to send a header.
+	readHeaderTimeout = 10 * time.Second
+	// callerIdleTimeout is longer than any caller keeps a connection unused.
+	callerIdleTimeout = 2 * time.Minute
+	// maxHeaderBytes bounds a request's header before a configuration says less.
+	maxHeaderBytes = 64 << 10
+	// bodyShareOfMemory is the part of the memory that callers' bodies may take.
+	bodyShareOfMemory = 5
+	// proofMargin is kept between the oldest proof that is acted on and what
+	// operators allow.
+	proofMargin = 500 * time.Millisecond
+	// sweepInterval is the time between two looks for connections that were idle too long.
+	sweepInterval = time.Second
+	// forgetAfter is how long an endpoint that isn't used is remembered.
+	forgetAfter = time.Minute
+)
+
+// Adapter is the platform as the instance sees it.
+type Adapter struct {
+	Store    Store
+	Callers  edge.Dialect
+	Upstream upstream.Dialect
+}
+
+// Instance is one process of the system.
+type Instance struct {
+	settings Settings
+	adapter  Adapter
+	log      logr.Logger
+	metrics  *telemetry.Metrics
+	belief   belief
+	follower *follower
+	client   *upstream.Client
+	edge     *edge.Server
+	services *services
+	leaving  atomic.Bool
+	closed   atomic.Bool
+	stop     chan struct{}
+	stopOnce sync.Once
+}
+
+// New puts an instance together. Nothing runs yet.
+func New(s Settings, a Adapter, log logr.Logger, m *telemetry.Metrics) *Instance {
+	g := &Instance{settings: s, adapter: a, log: log, metrics: m, stop: make(chan struct{})}
+	g.belief.endpoints.Store(catalog.NewEndpoints(nil))
+	g.client = upstream.New(upstream.Options{Dialect: a.Upstream, Dialled: m.Dialled})
+	g.services = &services{table: balance.New(), zone: s.Zone}
+	g.follower = newFollower(g)
+	g.edge = edge.NewServer(edge.Options{
+		Desk: g, Dialect: a.Callers, Client: g.client, Log: log, Metrics: m, MaxBuffered: max(s.MaxMemory, 64<<20) / bodyShareOfMemory,
+	})
+	return g
+}
+
+// Leave begins the planned stop.
+func (g *Instance) Leave() { g.stopOnce.Do(func() { close(g.stop) }) }
+
+// Run serves until the planned stop has ended or ctx ends.
+func (g *Instance) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	telemetry.Log(g.log, telemetry.EventStarting, "instance", g.settings.Name, "zone", g.settings.Zone)
+	servers, err := g.listen()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	failed := make(chan error, len(servers))
+	for _, s := range servers {
+		go func() { failed <- s.serve() }()
+	}
+	var background sync.WaitGroup
+	for _, f := range []func(context.Context){g.follower.run, g.housekeep} {
+		background.Go(func() { f(ctx) })
+	}
+	select {
+	case err = <-failed:
+		telemetry.Log(g.log, telemetry.EventServerFailed, "error", trace.UserMessage(err))
+	case <-ctx.Done():
+		err = ctx.Err()
+	case <-g.stop:
+		g.drain(ctx, servers)
+	}
+	cancel()
+	for _, s := range servers {
+		s.http.Close()
+	}
+	background.Wait()
+	g.client.Close()
+	return err
+}
+
+// server is one HTTP server with its listener.
+type server struct {
+	http     *http.Server
+	listener net.Listener
+}
+
+func (s *server) serve() error { return s.http.Serve(s.listener) }
+
+// listen opens the instance's sockets for callers, readiness and metrics.
+func (g *Instance) listen() ([]*server, error) {
+	handlers := []struct {
+		address string
+		handler http.Handler
+	}{
+		{g.settings.Callers, g.edge},
+		{g.settings.Ready, http.HandlerFunc(g.serveReady)},
+		{g.settings.Metrics, g.metrics.Handler()},
+	}
+	var out []*server
+	for _, h := range handlers {
+		l, err := net.Listen("tcp", h.address)
+		if err != nil {
+			return nil, trace.Wrap(err, "listening on %s", h.address)
+		}
+		out = append(out, &server{listener: l, http: &http.Server{
+			Handler: h.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		}})
+	}
+	return out, nil
+}
+
+// serveReady answers the balancer.
+func (g *Instance) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !g.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// ready says whether the instance wants new callers.
+func (g *Instance) ready() bool {
+	return !g.Leaving() && g.belief.config.Load() != nil && g.belief.endpoints.Load().Len() > 0 && g.KeysKnown()
+}
+
+// housekeep closes what is no longer used.
+func (g *Instance) housekeep(ctx context.Context) {
+	tick := time.NewTicker(sweepInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			g.client.Sweep(now)
+			g.services.forget(now.Add(-forgetAfter))
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/settings.go
@@ -0,0 +1,40 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
+
+// Settings of an instance that serves transparent routes.
+type Settings struct {
+	// Name is the instance's name; its id is this and a part of its own per start.
+	Name   string
+	Zone   entity.ZoneID
+	Region entity.RegionID
+	// Callers, Ready, Peers and Metrics are the addresses to listen on, host:port.
+	Callers, Ready, Peers, Metrics string
+	// Store is the address of the platform's store, host:port.
+	Store string
+	// SeedAddresses are peer addresses of instances that may be there.
+	SeedAddresses []string
+	// FirstStart is true when the whole deployment starts for the first time.
+	FirstStart bool
+	// MaxMemory in bytes and MaxFiles are what the process may use.
+	MaxMemory int64
+	MaxFiles  int
+	// GracePeriod is how long a process lives on after it was told to stop.
+	GracePeriod time.Duration
+	// RevokeWithin is how long after its removal a key may still be accepted,
+	// binding where StrictKeys is set.
+	RevokeWithin time.Duration
+	StrictKeys   bool
+	// DrainWithin is how long an endpoint that is leaving may still get requests.
+	DrainWithin time.Duration
+	// RetryRatio is the share of requests, over RetryWindow, that may be sent
+	// to an endpoint once more; RetryAllowed is added to it. Both are for the
+	// whole deployment.
+	RetryRatio   float64
+	RetryWindow  time.Duration
+	RetryAllowed float64
+}
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -24,9 +24,11 @@
 	EventDrainTimeout      = Event{1005, "planned stop ran out of time, requests were cut", 0}
 	EventSecondSignal      = Event{1006, "second stop signal, exiting at once", 0}
 	EventServerFailed      = Event{1007, "listener failed", 0}
+	EventLogDropped        = Event{1008, "log lines dropped, their reader was slow", 0}
 	EventRequestFinished   = Event{2001, "request finished", 1}
 	EventRequestRetried    = Event{2002, "request tried again after verdict not run", 1}
 	EventRequestPanicked   = Event{2003, "request handler failed", 0}
+	EventCallEnded         = Event{2004, "call on a transparent route ended", 0}
 	EventPeerConnected     = Event{3001, "peer connected", 1}
 	EventPeerLost          = Event{3002, "peer connection lost", 0}
 	EventPeerSilent        = Event{3003, "peer connection made no progress and was closed", 0}
@@ -43,6 +45,8 @@
 	EventConfigSnapshot    = Event{5004, "configuration snapshot appended", 0}
 	EventConfigFromPeer    = Event{5005, "configuration taken from a peer", 0}
 	EventEndpointFailed    = Event{6001, "endpoint failed", 0}
+	EventEntryMalformed    = Event{6006, "discovery entry names no endpoint to use", 0}
+	EventEndpointsChanged  = Event{6007, "endpoints appeared or left", 0}
 	EventLeaseWon          = Event{6002, "lease held", 0}
 	EventLeaseLost         = Event{6003, "lease given up or lapsed", 0}
 	EventOrderSent         = Event{6004, "order sent to endpoint", 0}
@@ -55,12 +59,12 @@
 // Catalogue returns all events by number.
 func Catalogue() []Event {
 	return []Event{
-		EventStarting, EventReady, EventDrainBegin, EventDrainEnd, EventDrainTimeout, EventSecondSignal, EventServerFailed,
-		EventRequestFinished, EventRequestRetried, EventRequestPanicked,
+		EventStarting, EventReady, EventDrainBegin, EventDrainEnd, EventDrainTimeout, EventSecondSignal, EventServerFailed, EventLogDropped,
+		EventRequestFinished, EventRequestRetried, EventRequestPanicked, EventCallEnded,
 		EventPeerConnected, EventPeerLost, EventPeerSilent, EventPeerRefused, EventMembersChanged, EventOwnershipChanged,
 		EventLogUnavailable, EventLogBack, EventListUnavailable, EventAppendUnknown,
 		EventConfigApplied, EventConfigRejected, EventConfigCaughtUp, EventConfigSnapshot, EventConfigFromPeer,
-		EventEndpointFailed, EventLeaseWon, EventLeaseLost, EventOrderSent, EventOrderRefused,
+		EventEndpointFailed, EventLeaseWon, EventLeaseLost, EventOrderSent, EventOrderRefused, EventEntryMalformed, EventEndpointsChanged,
 		EventBadInput, EventSettingsReloaded, EventSettingsUnchanged,
 	}
 }
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -51,6 +51,8 @@
 	Members metrics.Gauge
 	// FirstTokenMillis and TokenGapMicros are what callers wait for.
 	FirstTokenMillis, TokenGapMicros metrics.Histogram
+	// AnswerMillis is how long callers of transparent routes wait for the end of an answer.
+	AnswerMillis metrics.Histogram
 }
 
 // NewMetrics returns the metrics of one instance, registered under their names.
@@ -75,6 +77,7 @@
 		ConfigRevision:      metrics.GetOrRegisterGauge("medlarhold_config_revision", r),
 		Members:             metrics.GetOrRegisterGauge("medlarhold_zone_members", r),
 		FirstTokenMillis:    metrics.GetOrRegisterHistogram("medlarhold_first_token_milliseconds", r, metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
+		AnswerMillis:        metrics.GetOrRegisterHistogram("medlarhold_answer_milliseconds", r, metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
 		TokenGapMicros:      metrics.GetOrRegisterHistogram("medlarhold_token_gap_microseconds", r, metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
 	}
 }
@@ -114,6 +117,16 @@
 	m.counter(fmt.Sprintf(`medlarhold_goodput_tokens_total{tier=%q}`, tier)).Inc(tokens)
 }
 
+// Answered counts one answer of an endpoint that was passed on, by its status,
+// and records how long its caller waited for its end.
+func (m *Metrics) Answered(status int, d time.Duration) {
+	m.counter(fmt.Sprintf(`medlarhold_answers_total{status="%d"}`, status)).Inc(1)
+	m.AnswerMillis.Update(d.Milliseconds())
+}
+
+// Dialled counts one connection to an endpoint that was opened.
+func (m *Metrics) Dialled() { m.counter("medlarhold_endpoint_connections_total").Inc(1) }
+
 // FirstToken records how long a caller waited for its first token.
 func (m *Metrics) FirstToken(d time.Duration) { m.FirstTokenMillis.Update(d.Milliseconds()) }
 
--- /dev/null
+++ b/internal/upstream/exchange.go
@@ -0,0 +1,226 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/catalog"
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/verdict"
+)
+
+const (
+	// inlineBytes is the largest request that is written before its answer is
+	// read: it fits the send buffer of any connection.
+	inlineBytes = 2 << 10
+	// maxForeign bounds the answers to other requests that are thrown away.
+	maxForeign = 2
+	// maxForeignBytes bounds what is read of one of them.
+	maxForeignBytes = 256 << 10
+	// idleMargin is how long before the endpoint's idle timeout a connection is
+	// no longer used.
+	idleMargin = time.Second
+)
+
+// Request is one request as it goes to an endpoint.
+type Request struct {
+	ID     entity.RequestID
+	To     *catalog.Endpoint
+	Method string
+	// URI is the path and query exactly as the caller sent them.
+	URI  string
+	Host string
+	// Header is changed by the exchange.
+	Header http.Header
+	Body   []byte
+	// Remaining is how long the endpoint may work on it.
+	Remaining time.Duration
+	// LastEvent is the last event that the caller has of a resumed stream.
+	LastEvent string
+}
+
+// Answer is what an endpoint answers. Its body must be read to the end or the
+// answer closed.
+type Answer struct {
+	Status int
+	Header http.Header
+	Meta   Meta
+	// Length is the length of the body, -1 if it isn't stated.
+	Length int64
+	Body   io.Reader
+
+	client  *Client
+	conn    *conn
+	written *atomic.Bool
+	close   bool // the connection ends with this answer
+	ended   bool // the body was read to its end
+	stop    func() bool
+}
+
+// Do sends a request, once, and reads the header of its answer. The error is a
+// *verdict.Error. When ctx ends, the connection is closed.
+func (c *Client) Do(ctx context.Context, r Request) (*Answer, error) {
+	k, err := c.connection(ctx, r.To.Address)
+	if err != nil {
+		return nil, notSent(r.To, err)
+	}
+	stop := context.AfterFunc(ctx, func() { k.Close() })
+	answer, err := c.exchange(k, r)
+	if err != nil {
+		stop()
+		k.Close()
+		return nil, lost(r.To, err)
+	}
+	answer.stop = stop
+	return answer, nil
+}
+
+func (c *Client) exchange(k *conn, r Request) (*Answer, error) {
+	c.opts.Dialect.Address(r.Header, r.To.ID, r.Remaining, r.LastEvent)
+	head := requestHead(r)
+	k.exchanges++
+	written := new(atomic.Bool)
+	if len(head)+len(r.Body) <= inlineBytes {
+		if _, err := k.Write(append(head, r.Body...)); err != nil {
+			return nil, err
+		}
+		written.Store(true)
+	} else {
+		go func() {
+			buffers := net.Buffers{head, r.Body}
+			// A failure shows when the answer is read.
+			if _, err := buffers.WriteTo(k.Conn); err == nil {
+				written.Store(true)
+			}
+		}()
+	}
+	return c.readAnswer(k, r, written)
+}
+
+// requestHead returns the request line and the headers.
+func requestHead(r Request) []byte {
+	b := make([]byte, 0, 1024)
+	b = append(b, r.Method...)
+	b = append(b, ' ')
+	b = append(b, r.URI...)
+	b = append(b, " HTTP/1.1\r\nHost: "...)
+	b = append(b, r.Host...)
+	b = append(b, "\r\n"...)
+	for name, values := range r.Header {
+		for _, v := range values {
+			b = append(b, name...)
+			b = append(b, ": "...)
+			b = append(b, v...)
+			b = append(b, "\r\n"...)
+		}
+	}
+	if len(r.Body) > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
+		b = append(b, "Content-Length: "...)
+		b = strconv.AppendInt(b, int64(len(r.Body)), 10)
+		b = append(b, "\r\n"...)
+	}
+	return append(b, "\r\n"...)
+}
+
+// readAnswer reads headers until one belongs to the request.
+func (c *Client) readAnswer(k *conn, r Request, written *atomic.Bool) (*Answer, error) {
+	for foreign := 0; ; {
+		resp, err := http.ReadResponse(k.reader, &http.Request{Method: r.Method})
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode < http.StatusOK {
+			continue // an interim answer
+		}
+		meta := c.opts.Dialect.ReadAnswer(resp.StatusCode, resp.Header)
+		if meta.RequestID == r.ID || (meta.RequestID == "" && k.exchanges == 1) {
+			return c.newAnswer(k, resp, meta, written), nil
+		}
+		if foreign++; foreign > maxForeign || resp.ContentLength < 0 {
+			return nil, errForeign
+		}
+		if _, err := io.CopyN(io.Discard, resp.Body, min(resp.ContentLength, maxForeignBytes)); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// errForeign says that answers to other requests came instead of the answer.
+var errForeign = errors.New("the connection carries answers to other requests")
+
+func (c *Client) newAnswer(k *conn, resp *http.Response, meta Meta, written *atomic.Bool) *Answer {
+	idle := keepAliveTimeout(resp.Header, c.opts.IdleTimeout)
+	k.usableUntil = time.Now().Add(idle)
+	a := &Answer{
+		Status: resp.StatusCode, Header: resp.Header, Meta: meta, Length: resp.ContentLength,
+		client: c, conn: k, written: written, close: resp.Close || idle <= 0,
+	}
+	a.Body = &bodyReader{answer: a, body: resp.Body}
+	return a
+}
+
+// keepAliveTimeout is how long the connection may be idle before it is no
+// longer used.
+func keepAliveTimeout(h http.Header, fallback time.Duration) time.Duration {
+	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
+		value, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if !ok {
+			continue
+		}
+		if n, err := strconv.Atoi(value); err == nil {
+			return time.Duration(n)*time.Second - idleMargin
+		}
+	}
+	return fallback
+}
+
+// bodyReader notes when the body has been read to its end.
+type bodyReader struct {
+	answer *Answer
+	body   io.Reader
+}
+
+// Read implements io.Reader.
+func (b *bodyReader) Read(p []byte) (int, error) {
+	n, err := b.body.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.answer.ended = true
+	}
+	return n, err
+}
+
+// Close ends the exchange. The connection is kept where it carries nothing of
+// the exchange any more, and closed otherwise, which has most endpoints drop
+// the request.
+func (a *Answer) Close() {
+	if a.stop != nil && !a.stop() {
+		return // the context has ended and the connection with it
+	}
+	if a.ended && !a.close && a.written.Load() && a.conn.reader.Buffered() == 0 {
+		a.client.keep(a.conn)
+		return
+	}
+	a.conn.Close()
+}
+
+// notSent is the verdict on a request that had no connection.
+func notSent(to *catalog.Endpoint, err error) error {
+	reason := verdict.ReasonConnectionLost
+	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) {
+		reason = verdict.ReasonEndpointRefused
+	}
+	return verdict.New(verdict.NotRun, reason, 0, "no connection to endpoint %s at %s: %v", to.ID, to.Address, err)
+}
+
+// lost is the verdict on a request whose answer did not come.
+func lost(to *catalog.Endpoint, err error) error {
+	return verdict.New(verdict.MayHaveRun, verdict.ReasonConnectionLost, 0, "no answer from endpoint %s at %s: %v", to.ID, to.Address, err)
+}
