--- /dev/null
+++ b/internal/core/broker/broker.go
@@ -0,0 +1,222 @@
+package broker
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/catalog"
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
+
+// Broker grants the slots of the pools of one zone.
+type Broker struct {
+	settings Settings
+	pools    map[entity.PoolID]*pool
+	jobs     map[entity.RequestID]*job
+	runs     map[entity.RequestID]*run
+	seq      uint64
+	awake    time.Time
+	ready    []To
+}
+
+// New returns a Broker without endpoints.
+func New(s Settings) *Broker {
+	return &Broker{
+		settings: s, pools: make(map[entity.PoolID]*pool),
+		jobs: make(map[entity.RequestID]*job), runs: make(map[entity.RequestID]*run),
+	}
+}
+
+// Ready returns what is to be sent, in order, and clears it.
+func (b *Broker) Ready() []To {
+	r := b.ready
+	b.ready = nil
+	return r
+}
+
+// SetPart changes the part of the slots that may be used.
+func (b *Broker) SetPart(part float64) { b.settings.Part = part }
+
+// SetEndpoints replaces the engines of the given pools.
+func (b *Broker) SetEndpoints(now time.Time, pools []entity.PoolID, t *catalog.Endpoints) {
+	b.wake(now)
+	for _, id := range pools {
+		p := b.pool(id)
+		for _, r := range p.setEndpoints(t.Pool(id), b.settings.Zone) {
+			delete(b.runs, r.id)
+		}
+		b.schedule(now, p)
+	}
+}
+
+// Ask takes in a question for a slot.
+func (b *Broker) Ask(now time.Time, a Ask) {
+	b.wake(now)
+	if old := b.jobs[a.ID]; old != nil {
+		if a.Number <= old.ask.Number {
+			return
+		}
+		b.forget(old)
+	}
+	if old := b.runs[a.ID]; old != nil {
+		if a.Number <= old.number {
+			return
+		}
+		b.end(now, old)
+	}
+	b.seq++
+	j := &job{ask: a, arrived: now, target: now.Add(a.TargetIn), deadline: now.Add(a.DeadlineIn), seq: b.seq}
+	p := b.pool(a.Pool)
+	b.jobs[a.ID] = j
+	fastest, ok := p.fastest(a.PromptTokens)
+	if !ok && !b.spill(now, p, j) {
+		b.deny(now, p, j, DenyNoEndpoint)
+		return
+	}
+	if b.jobs[a.ID] != j {
+		return
+	}
+	j.late = now.Add(fastest).After(j.target)
+	p.enqueue(j)
+	b.schedule(now, p)
+	if b.jobs[a.ID] == j && !b.spill(now, p, j) {
+		b.send(a.From, Queued{ID: a.ID, Number: a.Number})
+		b.refuseHopeless(now, p)
+	}
+}
+
+// Withdraw takes a question back, or a grant that crossed it.
+func (b *Broker) Withdraw(now time.Time, w Withdraw) {
+	b.wake(now)
+	if j := b.jobs[w.ID]; j != nil && j.ask.Number <= w.Number {
+		b.forget(j)
+	}
+	if r := b.runs[w.ID]; r != nil && r.number <= w.Number {
+		b.end(now, r)
+		b.schedule(now, r.pool)
+	}
+}
+
+// Started takes in that an answer has begun.
+func (b *Broker) Started(now time.Time, s Started) {
+	b.wake(now)
+	if r := b.runs[s.ID]; r != nil && !r.started {
+		r.engine.begun(now, r, s.After)
+		r.pool.mean.follow(r.engine.pace)
+	}
+}
+
+// Done takes a slot back.
+func (b *Broker) Done(now time.Time, d Done) {
+	b.wake(now)
+	r := b.runs[d.ID]
+	if r == nil || r.number != d.Number {
+		return
+	}
+	r.engine.pace.learnAnswer(r.answerTokens, d.Streaming)
+	r.engine.result(now, d)
+	b.end(now, r)
+	b.schedule(now, r.pool)
+}
+
+// Hold takes in what an entry runs without a grant of this broker.
+func (b *Broker) Hold(now time.Time, from entity.InstanceID, h Holding) {
+	b.wake(now)
+	p := b.pool(h.Pool)
+	for _, held := range h.Held {
+		e := p.engine(held.Endpoint)
+		if e == nil || b.runs[held.ID] != nil {
+			continue
+		}
+		r := &run{id: held.ID, from: from, number: held.Number, pool: p, promptTokens: held.PromptTokens, answerTokens: held.AnswerTokens,
+			grantedAt: now, started: held.Started, expires: now.Add(held.DeadlineIn + expireAfter)}
+		e.take(now, r)
+		b.runs[r.id] = r
+	}
+}
+
+// Drop takes in that an entry instance is gone.
+func (b *Broker) Drop(now time.Time, from entity.InstanceID) {
+	b.wake(now)
+	for _, id := range slices.Sorted(maps.Keys(b.jobs)) {
+		if j := b.jobs[id]; j.ask.From == from {
+			b.forget(j)
+		}
+	}
+	for _, r := range b.runs {
+		if r.from == from {
+			r.expires = now.Add(orphanFor)
+		}
+	}
+}
+
+// Tick lets time pass.
+func (b *Broker) Tick(now time.Time) {
+	b.wake(now)
+	for _, id := range slices.Sorted(maps.Keys(b.runs)) {
+		if r := b.runs[id]; now.After(r.expires) {
+			b.end(now, r)
+		}
+	}
+	for _, p := range b.sortedPools() {
+		for _, e := range p.engines {
+			e.silent = e.overdue(now)
+		}
+		b.schedule(now, p)
+		b.spillWaiting(now, p)
+		b.refuseHopeless(now, p)
+	}
+}
+
+// Waiting returns how many requests wait, and Running how many slots are taken.
+func (b *Broker) Waiting() int { return len(b.jobs) }
+
+// Running returns how many granted slots are taken.
+func (b *Broker) Running() int { return len(b.runs) }
+
+// wake forgets everything about requests after the broker was away.
+func (b *Broker) wake(now time.Time) {
+	if !b.awake.IsZero() && now.Sub(b.awake) > awayAfter {
+		clear(b.jobs)
+		clear(b.runs)
+		for _, p := range b.pools {
+			p.waiting = nil
+			for _, e := range p.engines {
+				clear(e.runs)
+				e.prefillEnd, e.silent = now, false
+			}
+		}
+	}
+	b.awake = now
+}
+
+func (b *Broker) pool(id entity.PoolID) *pool {
+	p := b.pools[id]
+	if p == nil {
+		p = newPool(id)
+		b.pools[id] = p
+	}
+	return p
+}
+
+func (b *Broker) sortedPools() []*pool {
+	return slices.SortedFunc(maps.Values(b.pools), func(a, c *pool) int { return cmp.Compare(a.id, c.id) })
+}
+
+func (b *Broker) send(to entity.InstanceID, msg any) {
+	b.ready = append(b.ready, To{Instance: to, Message: msg})
+}
+
+// forget drops a job.
+func (b *Broker) forget(j *job) {
+	b.pool(j.ask.Pool).dequeue(j)
+	delete(b.jobs, j.ask.ID)
+}
+
+// end frees a run's slot.
+func (b *Broker) end(now time.Time, r *run) {
+	r.engine.end(now, r)
+	delete(b.runs, r.id)
+}
--- /dev/null
+++ b/internal/core/broker/message.go
@@ -0,0 +1,122 @@
+package broker
+
+import (
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
+
+// Ask asks for a slot of a pool.
+type Ask struct {
+	ID entity.RequestID `json:"i"`
+	// From is the entry instance, which alone dispatches.
+	From entity.InstanceID `json:"f"`
+	// Number tells the questions about one request apart.
+	Number uint32        `json:"n"`
+	Pool   entity.PoolID `json:"p"`
+	Rank   int           `json:"r,omitempty"`
+	// PromptTokens and AnswerTokens estimate the work.
+	PromptTokens int `json:"t,omitempty"`
+	AnswerTokens int `json:"a,omitempty"`
+	// TargetIn and DeadlineIn count from when the message is sent.
+	TargetIn   time.Duration `json:"g"`
+	DeadlineIn time.Duration `json:"d"`
+	// Returned says that the caller was refused before.
+	Returned bool `json:"b,omitempty"`
+	// Avoid lists endpoints that have failed the request.
+	Avoid []entity.EndpointID `json:"x,omitempty"`
+	// Forwarded says that another zone's broker passed the question on.
+	Forwarded bool `json:"w,omitempty"`
+}
+
+// Queued says that a request waits here.
+type Queued struct {
+	ID     entity.RequestID `json:"i"`
+	Number uint32           `json:"n"`
+}
+
+// Grant gives a slot of an endpoint.
+type Grant struct {
+	ID       entity.RequestID  `json:"i"`
+	Number   uint32            `json:"n"`
+	Endpoint entity.EndpointID `json:"e"`
+}
+
+// DenyReason says why a request gets no slot.
+type DenyReason string
+
+// The reasons.
+const (
+	// DenyOverload: the request can't be served in time, and too many wait.
+	DenyOverload DenyReason = "overload"
+	// DenyDeadline: no engine could answer before the deadline.
+	DenyDeadline DenyReason = "deadline"
+	// DenyNoEndpoint: no engine of the pool is known here.
+	DenyNoEndpoint DenyReason = "no_endpoint"
+)
+
+// Deny says that a request gets no slot, and when to come back.
+type Deny struct {
+	ID         entity.RequestID `json:"i"`
+	Number     uint32           `json:"n"`
+	Reason     DenyReason       `json:"r"`
+	RetryAfter time.Duration    `json:"a,omitempty"`
+}
+
+// Withdraw takes a question back.
+type Withdraw struct {
+	ID     entity.RequestID `json:"i"`
+	Number uint32           `json:"n"`
+}
+
+// Started tells that the first event of an answer has come.
+type Started struct {
+	ID entity.RequestID `json:"i"`
+	// After is the time since the dispatch.
+	After time.Duration `json:"a"`
+}
+
+// Done gives a slot back.
+type Done struct {
+	ID entity.RequestID `json:"i"`
+	// Number is the question whose grant ends.
+	Number uint32 `json:"n"`
+	// Failed says that the engine did not answer as it should, NotRun that it
+	// refused to run the request.
+	Failed bool `json:"x,omitempty"`
+	NotRun bool `json:"z,omitempty"`
+	// Streaming is the time from the first event to the last of a whole
+	// answer, 0 where it says nothing of the engine.
+	Streaming time.Duration `json:"s,omitempty"`
+}
+
+// Held is a request that an entry runs on an endpoint without the broker's grant.
+type Held struct {
+	ID           entity.RequestID  `json:"i"`
+	Number       uint32            `json:"n"`
+	Endpoint     entity.EndpointID `json:"e"`
+	PromptTokens int               `json:"t,omitempty"`
+	AnswerTokens int               `json:"a,omitempty"`
+	DeadlineIn   time.Duration     `json:"d"`
+	Started      bool              `json:"s,omitempty"`
+}
+
+// Holding tells a broker what an entry runs on the pool's endpoints.
+type Holding struct {
+	Pool entity.PoolID `json:"p"`
+	Held []Held        `json:"h"`
+}
+
+// State is what a broker tells those of other zones.
+type State struct {
+	Pool entity.PoolID `json:"p"`
+	Zone entity.ZoneID `json:"z"`
+	// Free is the number of free slots, less what waits for them.
+	Free int `json:"f"`
+}
+
+// To is a message and the instance it goes to.
+type To struct {
+	Instance entity.InstanceID
+	Message  any
+}
--- /dev/null
+++ b/internal/core/broker/pace.go
@@ -0,0 +1,64 @@
+package broker
+
+import "time"
+
+const (
+	// defaultPrefill and defaultAnswer are an engine's times for one token
+	// before anything is known of the pool: a 70B model on 4 accelerators.
+	defaultPrefill = 18 * time.Microsecond
+	defaultAnswer  = 3500 * time.Microsecond
+	// paceWeight is the weight of a sample.
+	paceWeight = 0.25
+	// poolWeight is the same for the pool's mean, from which new engines start.
+	poolWeight = 0.05
+	// minSampleTokens is the least prompt that says something of the pace.
+	minSampleTokens = 200
+	// minSampleAnswer is the least answer that does.
+	minSampleAnswer = 16
+	// maxRatio bounds how far one sample may be from what was expected.
+	maxRatio = 4
+)
+
+// pace is the time that an engine takes for one token.
+type pace struct {
+	promptToken, answerToken time.Duration
+}
+
+func defaultPace() pace { return pace{promptToken: defaultPrefill, answerToken: defaultAnswer} }
+
+// prefill is the time to process a prompt.
+func (p pace) prefill(tokens int) time.Duration { return time.Duration(tokens) * p.promptToken }
+
+// occupancy is how long a request holds its slot.
+func (p pace) occupancy(promptTokens, answerTokens int) time.Duration {
+	return p.prefill(promptTokens) + time.Duration(answerTokens)*p.answerToken
+}
+
+// learnPrefill takes in how long a first event took against what was expected.
+func (p *pace) learnPrefill(tokens int, expected, actual time.Duration) {
+	if tokens < minSampleTokens || expected <= 0 {
+		return
+	}
+	ratio := min(max(float64(actual)/float64(expected), 1.0/maxRatio), maxRatio)
+	p.promptToken = toward(p.promptToken, time.Duration(float64(p.promptToken)*ratio), paceWeight)
+}
+
+// learnAnswer takes in how long an answer took after its first event.
+func (p *pace) learnAnswer(tokens int, streaming time.Duration) {
+	if tokens < minSampleAnswer || streaming <= 0 {
+		return
+	}
+	sample := streaming / time.Duration(tokens)
+	sample = min(max(sample, p.answerToken/maxRatio), p.answerToken*maxRatio)
+	p.answerToken = toward(p.answerToken, sample, paceWeight)
+}
+
+// follow moves the pool's mean towards an engine's pace.
+func (p *pace) follow(e pace) {
+	p.promptToken = toward(p.promptToken, e.promptToken, poolWeight)
+	p.answerToken = toward(p.answerToken, e.answerToken, poolWeight)
+}
+
+func toward(old, sample time.Duration, weight float64) time.Duration {
+	return max(time.Nanosecond, old+time.Duration(weight*float64(sample-old)))
+}
--- /dev/null
+++ b/internal/core/broker/settings.go
@@ -0,0 +1,64 @@
+package broker
+
+import (
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
+
+// TickInterval is the longest time between two calls of Tick.
+const TickInterval = 20 * time.Millisecond
+
+// Settings of a Broker.
+type Settings struct {
+	// Zone is the availability zone whose endpoints are granted.
+	Zone entity.ZoneID
+	// Part, if above 0, is the part of each endpoint's slots that may be used,
+	// at least one: an instance that can't reach its broker grants itself so much.
+	Part float64
+	// LateBacklog bounds the late requests that wait, by the time that all
+	// slots together would take to serve them.
+	LateBacklog time.Duration
+	// LateHold is the share of a request's time that it may wait here while late.
+	LateHold float64
+}
+
+// DefaultSettings returns the settings of a zone's broker.
+func DefaultSettings(zone entity.ZoneID) Settings {
+	return Settings{Zone: zone, LateBacklog: 1500 * time.Millisecond, LateHold: 0.3}
+}
+
+const (
+	// awayAfter is the time without a step after which the broker was away.
+	awayAfter = 700 * time.Millisecond
+	// expireAfter is how long past its deadline a run counts whose end was not told.
+	expireAfter = time.Second
+	// orphanFor is how long the slots of an entry that is gone stay taken: its
+	// connections are reset, and most engines then drop the request.
+	orphanFor = 300 * time.Millisecond
+	// dispatchOverhead is what a first event takes beside the prompt: the way
+	// to the engine and back, and the engine's own first step.
+	dispatchOverhead = 12 * time.Millisecond
+	// safetyFactor is kept between an estimate and the target.
+	safetyFactor = 1.25
+	// overdueFactor and minOverdue say when an engine that has not begun a
+	// request is taken for silent.
+	overdueFactor = 4
+	minOverdue    = 600 * time.Millisecond
+	// shedPause is how long an engine gets nothing that refused a request.
+	shedPause = 250 * time.Millisecond
+	// failurePause is how long an engine gets nothing that fails too often.
+	failurePause = 2 * time.Second
+	// failureWeight is the weight of the latest outcome in an engine's failure
+	// rate, failureLimit the rate that has it passed over.
+	failureWeight = 0.2
+	failureLimit  = 0.3
+	// minRetryAfter and retryShare bound what refused callers are told: callers
+	// wait no longer than a third of the time that they have left.
+	minRetryAfter = 100 * time.Millisecond
+	retryShare    = 3
+	// spillReserve is how many free slots are left to the other zone's own requests.
+	spillReserve = 2
+	// stateFresh is how long another zone's word on its free slots counts.
+	stateFresh = 400 * time.Millisecond
+)
--- a/internal/core/catalog/config.go
+++ b/internal/core/catalog/config.go
@@ -178,3 +178,15 @@
 	o, ok := c.byKey[key]
 	return o, ok
 }
+
+// PoolsOf returns the pools of a kind, sorted.
+func (c *Config) PoolsOf(kind entity.EndpointKind) []entity.PoolID {
+	var out []entity.PoolID
+	for id, p := range c.Pools {
+		if p.Kind == kind {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/internal/core/reserve/entry.go
@@ -0,0 +1,312 @@
+package reserve
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/broker"
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
+
+const (
+	// AnswerWithin is how long a broker may take to say that it has a question:
+	// some round trips within a zone.
+	AnswerWithin = 80 * time.Millisecond
+	// SilentFor is how long a silent broker is not asked.
+	SilentFor = 500 * time.Millisecond
+	// PollInterval is the time between two messages to a broker where requests
+	// wait, so that its silence is noticed.
+	PollInterval = 100 * time.Millisecond
+)
+
+// Local names the instance's own broker for when no other answers.
+const Local entity.InstanceID = ""
+
+// Request is what a request asks for.
+type Request struct {
+	ID                         entity.RequestID
+	Pool                       entity.PoolID
+	Rank                       int
+	PromptTokens, AnswerTokens int
+	Target, Deadline           time.Time
+	Returned                   bool
+	Avoid                      []entity.EndpointID
+}
+
+// Decision is the final word on a request: an endpoint, or why not.
+type Decision struct {
+	ID entity.RequestID
+	// Endpoint is where the request may be sent; empty if it is denied.
+	Endpoint entity.EndpointID
+	// By is the broker that decided, Number the question.
+	By     entity.InstanceID
+	Number uint32
+	Deny   broker.Deny
+}
+
+// Poll asks a broker for a sign of life.
+type Poll struct{}
+
+// waiting is a question without a decision.
+type waiting struct {
+	request Request
+	broker  entity.InstanceID
+	number  uint32
+	askedAt time.Time
+	queued  bool // the broker has said that it has the question
+}
+
+// running is a granted request.
+type running struct {
+	request Request
+	number  uint32
+	// holders are the brokers that count it.
+	holders  []entity.InstanceID
+	endpoint entity.EndpointID
+	started  bool
+}
+
+// Entry keeps the requests of one instance.
+type Entry struct {
+	self    entity.InstanceID
+	numbers uint32
+	brokers map[entity.PoolID]entity.InstanceID
+	// silentUntil is when a broker that did not answer is asked again.
+	silentUntil map[entity.InstanceID]time.Time
+	// told says which broker of a pool knows what runs here.
+	told      map[entity.PoolID]entity.InstanceID
+	waiting   map[entity.RequestID]*waiting
+	running   map[entity.RequestID]*running
+	nextPoll  time.Time
+	messages  []broker.To
+	decisions []Decision
+}
+
+// New returns an Entry that knows no brokers.
+func New(self entity.InstanceID) *Entry {
+	return &Entry{
+		self: self, brokers: make(map[entity.PoolID]entity.InstanceID), silentUntil: make(map[entity.InstanceID]time.Time),
+		told: make(map[entity.PoolID]entity.InstanceID), waiting: make(map[entity.RequestID]*waiting), running: make(map[entity.RequestID]*running),
+	}
+}
+
+// Ready returns the messages and decisions since the last call, in order.
+func (e *Entry) Ready() ([]broker.To, []Decision) {
+	m, d := e.messages, e.decisions
+	e.messages, e.decisions = nil, nil
+	return m, d
+}
+
+// SetBrokers names the broker of each pool. What waits at another one is asked anew.
+func (e *Entry) SetBrokers(now time.Time, brokers map[entity.PoolID]entity.InstanceID) {
+	e.brokers = brokers
+	for _, id := range e.sortedWaiting() {
+		w := e.waiting[id]
+		if w.broker != Local && !e.inCharge(w) {
+			e.withdraw(w)
+			e.ask(now, w)
+		}
+	}
+}
+
+// inCharge says that a question waits where it should, or was passed on there.
+func (e *Entry) inCharge(w *waiting) bool {
+	return w.broker == e.brokers[w.request.Pool] || w.queued
+}
+
+// Ask asks for a slot.
+func (e *Entry) Ask(now time.Time, r Request) {
+	w := &waiting{request: r}
+	e.waiting[r.ID] = w
+	e.ask(now, w)
+}
+
+// ask sends the question to the broker in charge, or to the own one.
+func (e *Entry) ask(now time.Time, w *waiting) {
+	b, ok := e.brokers[w.request.Pool]
+	if !ok || now.Before(e.silentUntil[b]) {
+		b = Local
+	}
+	e.numbers++
+	w.broker, w.number, w.askedAt, w.queued = b, e.numbers, now, false
+	if b != Local {
+		e.tell(now, w.request.Pool, b)
+	}
+	r := w.request
+	e.send(b, broker.Ask{
+		ID: r.ID, From: e.self, Number: w.number, Pool: r.Pool, Rank: r.Rank, PromptTokens: r.PromptTokens, AnswerTokens: r.AnswerTokens,
+		TargetIn: r.Target.Sub(now), DeadlineIn: r.Deadline.Sub(now), Returned: r.Returned, Avoid: r.Avoid,
+	})
+}
+
+// tell tells a broker, when it is asked for the first time, what runs here.
+func (e *Entry) tell(now time.Time, pool entity.PoolID, b entity.InstanceID) {
+	if e.told[pool] == b {
+		return
+	}
+	e.told[pool] = b
+	h := broker.Holding{Pool: pool}
+	for _, id := range slices.Sorted(maps.Keys(e.running)) {
+		r := e.running[id]
+		if r.request.Pool != pool || slices.Contains(r.holders, b) {
+			continue
+		}
+		r.holders = append(r.holders, b)
+		h.Held = append(h.Held, r.held(now))
+	}
+	if len(h.Held) > 0 {
+		e.send(b, h)
+	}
+}
+
+func (r *running) held(now time.Time) broker.Held {
+	return broker.Held{
+		ID: r.request.ID, Number: r.number, Endpoint: r.endpoint, PromptTokens: r.request.PromptTokens,
+		AnswerTokens: r.request.AnswerTokens, DeadlineIn: r.request.Deadline.Sub(now), Started: r.started,
+	}
+}
+
+// Queued takes in that a broker has a question. One of another zone may say so
+// that it was passed on to.
+func (e *Entry) Queued(from entity.InstanceID, q broker.Queued) {
+	if w := e.waiting[q.ID]; w != nil && w.number == q.Number {
+		w.broker, w.queued = from, true
+	}
+}
+
+// Granted takes in a grant.
+func (e *Entry) Granted(now time.Time, from entity.InstanceID, g broker.Grant) {
+	w := e.waiting[g.ID]
+	if w == nil || w.number != g.Number {
+		e.send(from, broker.Withdraw{ID: g.ID, Number: g.Number})
+		return
+	}
+	delete(e.waiting, g.ID)
+	r := &running{request: w.request, number: g.Number, holders: []entity.InstanceID{from}, endpoint: g.Endpoint}
+	e.running[g.ID] = r
+	e.decisions = append(e.decisions, Decision{ID: g.ID, Endpoint: g.Endpoint, By: from, Number: g.Number})
+	if from == Local {
+		e.tellOne(now, r)
+	}
+}
+
+// tellOne tells the broker in charge of a request that runs without its grant.
+func (e *Entry) tellOne(now time.Time, r *running) {
+	b, ok := e.brokers[r.request.Pool]
+	if !ok || now.Before(e.silentUntil[b]) {
+		return // it hears of all when it is asked again
+	}
+	r.holders = append(r.holders, b)
+	e.send(b, broker.Holding{Pool: r.request.Pool, Held: []broker.Held{r.held(now)}})
+}
+
+// Denied takes in a refusal.
+func (e *Entry) Denied(from entity.InstanceID, d broker.Deny) {
+	w := e.waiting[d.ID]
+	if w == nil || w.number != d.Number {
+		return
+	}
+	delete(e.waiting, d.ID)
+	e.decisions = append(e.decisions, Decision{ID: d.ID, By: from, Number: d.Number, Deny: d})
+}
+
+// Withdraw ends a request that has no decision yet, or whose decision nobody
+// took: a grant is given back.
+func (e *Entry) Withdraw(id entity.RequestID) {
+	if w := e.waiting[id]; w != nil {
+		e.withdraw(w)
+		delete(e.waiting, id)
+	}
+	if r := e.running[id]; r != nil {
+		delete(e.running, id)
+		for _, b := range r.holders {
+			e.send(b, broker.Withdraw{ID: id, Number: r.number})
+		}
+	}
+}
+
+func (e *Entry) withdraw(w *waiting) {
+	e.send(w.broker, broker.Withdraw{ID: w.request.ID, Number: w.number})
+}
+
+// Started tells the brokers that an answer has begun.
+func (e *Entry) Started(id entity.RequestID, after time.Duration) {
+	r := e.running[id]
+	if r == nil {
+		return
+	}
+	r.started = true
+	for _, b := range r.holders {
+		e.send(b, broker.Started{ID: id, After: after})
+	}
+}
+
+// Done tells the brokers that a dispatch is over.
+func (e *Entry) Done(d broker.Done) {
+	r := e.running[d.ID]
+	if r == nil {
+		return
+	}
+	delete(e.running, d.ID)
+	d.Number = r.number
+	for _, b := range r.holders {
+		e.send(b, d)
+	}
+}
+
+// PeerFailed takes in that a message did not reach an instance.
+func (e *Entry) PeerFailed(now time.Time, id entity.InstanceID) { e.silence(now, id) }
+
+// silence goes on without a broker for a while.
+func (e *Entry) silence(now time.Time, b entity.InstanceID) {
+	if b == Local {
+		return
+	}
+	e.silentUntil[b] = now.Add(SilentFor)
+	for pool, told := range e.told {
+		if told == b {
+			delete(e.told, pool)
+		}
+	}
+	for _, r := range e.running {
+		r.holders = slices.DeleteFunc(r.holders, func(h entity.InstanceID) bool { return h == b })
+	}
+	for _, id := range e.sortedWaiting() {
+		if w := e.waiting[id]; w.broker == b {
+			e.withdraw(w)
+			e.ask(now, w)
+		}
+	}
+}
+
+// Tick lets time pass.
+func (e *Entry) Tick(now time.Time) {
+	poll := make(map[entity.InstanceID]bool)
+	for _, id := range e.sortedWaiting() {
+		w := e.waiting[id]
+		switch {
+		case w == nil || w.broker == Local:
+		case !w.queued && now.Sub(w.askedAt) >= AnswerWithin:
+			e.silence(now, w.broker)
+		case w.queued:
+			poll[w.broker] = true
+		}
+	}
+	if now.Before(e.nextPoll) {
+		return
+	}
+	e.nextPoll = now.Add(PollInterval)
+	for _, b := range slices.Sorted(maps.Keys(poll)) {
+		e.send(b, Poll{})
+	}
+}
+
+// Silent says whether a broker is passed over at the moment.
+func (e *Entry) Silent(now time.Time, b entity.InstanceID) bool { return now.Before(e.silentUntil[b]) }
+
+func (e *Entry) sortedWaiting() []entity.RequestID { return slices.Sorted(maps.Keys(e.waiting)) }
+
+func (e *Entry) send(to entity.InstanceID, msg any) {
+	e.messages = append(e.messages, broker.To{Instance: to, Message: msg})
+}
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -25,6 +25,8 @@
 	memoryRetryAfter = 200 * time.Millisecond
 	// bodyTimeout bounds how long a caller may take to send a body.
 	bodyTimeout = 10 * time.Second
+	// returnedAfter tells a caller that comes back from one whose clock is coarse.
+	returnedAfter = 20 * time.Millisecond
 	// defaultTimeout is the timeout of a route that names none.
 	defaultTimeout = 30 * time.Second
 )
@@ -185,7 +187,7 @@
 	c.work = Work{
 		ID: c.meta.ID, Pool: pool, Route: c.route.Name, Kind: entity.KindService, Rank: c.route.Rank,
 		PromptTokens: c.meta.PromptTokens, AnswerTokens: c.meta.MaxTokens,
-		Target: c.arrived.Add(c.route.Target - spent), Deadline: c.deadline,
+		Target: c.arrived.Add(c.route.Target - spent), Deadline: c.deadline, Returned: spent > returnedAfter,
 	}
 	if p := c.config.Pools[pool]; p != nil {
 		c.work.Kind = p.Kind
--- a/internal/edge/types.go
+++ b/internal/edge/types.go
@@ -50,6 +50,8 @@
 	PromptTokens, AnswerTokens int
 	// Target is when the answer begins to be late, Deadline when it is useless.
 	Target, Deadline time.Time
+	// Returned says that the caller has tried before.
+	Returned bool
 }
 
 // Slot allows one dispatch to an endpoint.
--- /dev/null
+++ b/internal/gateway/control.go
@@ -0,0 +1,400 @@
+package gateway
+
+import (
+	"context"
+	"math/rand"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/broker"
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/membership"
+	"github.com/medlarhold/medlarhold/internal/core/ownership"
+	"github.com/medlarhold/medlarhold/internal/core/reserve"
+	"github.com/medlarhold/medlarhold/internal/telemetry"
+)
+
+const (
+	// inboxSize bounds the messages that wait for the control goroutine.
+	inboxSize = 4096
+	// batchSize bounds the messages handled between two ticks.
+	batchSize = 64
+	// stateInterval is the time between two words to other zones on free slots.
+	stateInterval = 150 * time.Millisecond
+	// localPart is an instance's part of each engine's slots while it can't reach
+	// the broker, times the members of its zone.
+	localPart = 1.5
+)
+
+// control is the control goroutine and what it alone may touch.
+type control struct {
+	g       *Instance
+	self    entity.Instance
+	inbox   chan any
+	members *membership.Core
+	entry   *reserve.Entry
+	// elected grants for the zone where this instance is chosen to; local
+	// grants to this instance alone while the chosen one is silent.
+	elected, local *broker.Broker
+	view           membership.View
+	address        map[entity.InstanceID]string
+	brokers        map[entity.PoolID]entity.InstanceID
+	pools          []entity.PoolID
+	waiters        map[entity.RequestID]chan<- reserve.Decision
+	nextState      time.Time
+	send           func(to entity.InstanceID, address string, msg any)
+}
+
+// Messages to the control goroutine.
+type (
+	// acquire asks for a slot.
+	acquire struct {
+		request reserve.Request
+		reply   chan<- reserve.Decision
+	}
+	// abandon ends a request that nobody waits for any more.
+	abandon struct{ id entity.RequestID }
+	// started and done report on a dispatch.
+	started struct {
+		id    entity.RequestID
+		after time.Duration
+	}
+	done struct{ done broker.Done }
+	// fromPeer is a message of another instance.
+	fromPeer struct {
+		from entity.InstanceID
+		msg  any
+	}
+	// peerFailed is a message that did not get through.
+	peerFailed struct {
+		to  entity.InstanceID
+		msg any
+	}
+	// listed is who has registered in the store.
+	listed struct{ instances []entity.Instance }
+	// changed says that configuration or endpoints have changed.
+	changed struct{}
+	// leave begins the planned stop.
+	leave struct{}
+)
+
+// membershipSettings are quicker than those of the product's own deployments:
+// the zone's broker must be replaced within the time that callers can wait.
+func membershipSettings() membership.Settings {
+	s := membership.DefaultSettings()
+	s.ProbeInterval = 250 * time.Millisecond
+	s.PingTimeout = 120 * time.Millisecond
+	s.ProbeTimeout = 350 * time.Millisecond
+	s.SuspicionTimeout = 900 * time.Millisecond
+	s.LinkInterval = 500 * time.Millisecond
+	s.LinkTimeout = 1500 * time.Millisecond
+	s.JoinTimeout = 600 * time.Millisecond
+	s.LeaveRepeat = 150 * time.Millisecond
+	s.FreezeGap = 700 * time.Millisecond
+	return s
+}
+
+func newControl(g *Instance, self entity.Instance) *control {
+	local := broker.DefaultSettings(self.Zone)
+	local.Part = 1
+	return &control{
+		g: g, self: self, inbox: make(chan any, inboxSize),
+		members: membership.New(membershipSettings(), self, rand.New(rand.NewSource(time.Now().UnixNano()))),
+		entry:   reserve.New(self.ID),
+		elected: broker.New(broker.DefaultSettings(self.Zone)), local: broker.New(local),
+		address: make(map[entity.InstanceID]string), brokers: make(map[entity.PoolID]entity.InstanceID),
+		waiters: make(map[entity.RequestID]chan<- reserve.Decision),
+	}
+}
+
+// post hands a message over. It blocks only while the inbox is full.
+func (c *control) post(ctx context.Context, msg any) {
+	select {
+	case c.inbox <- msg:
+	case <-ctx.Done():
+	}
+}
+
+// run is the control goroutine.
+func (c *control) run(ctx context.Context) {
+	tick := time.NewTicker(broker.TickInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			c.step(c.tick)
+		case msg := <-c.inbox:
+			c.step(func(now time.Time) { c.handle(now, msg) })
+			c.handleWaiting()
+		}
+	}
+}
+
+// handleWaiting handles messages that are there already, up to a batch.
+func (c *control) handleWaiting() {
+	for range batchSize {
+		select {
+		case msg := <-c.inbox:
+			c.step(func(now time.Time) { c.handle(now, msg) })
+		default:
+			return
+		}
+	}
+}
+
+// step runs one step and carries out what it decided.
+func (c *control) step(f func(now time.Time)) {
+	now := time.Now()
+	f(now)
+	c.settle(now)
+	c.g.metrics.ControlNanoseconds.Inc(time.Since(now).Nanoseconds())
+}
+
+func (c *control) tick(now time.Time) {
+	c.members.Tick(now)
+	c.entry.Tick(now)
+	c.elected.Tick(now)
+	c.local.Tick(now)
+	if !now.Before(c.nextState) {
+		c.nextState = now.Add(stateInterval)
+		c.tellZones(now)
+	}
+}
+
+func (c *control) handle(now time.Time, msg any) {
+	switch m := msg.(type) {
+	case acquire:
+		c.waiters[m.request.ID] = m.reply
+		c.entry.Ask(now, m.request)
+	case abandon:
+		delete(c.waiters, m.id)
+		c.entry.Withdraw(m.id)
+	case started:
+		c.entry.Started(m.id, m.after)
+	case done:
+		c.entry.Done(m.done)
+	case fromPeer:
+		c.fromPeer(now, m.from, m.msg)
+	case peerFailed:
+		c.members.ProbeFailed(now, m.to)
+		c.entry.PeerFailed(now, m.to)
+	case listed:
+		c.members.Platform(now, m.instances)
+	case changed:
+		c.refresh(now)
+	case leave:
+		c.members.Leave(now)
+	}
+}
+
+// fromPeer passes a message of an instance to the part it is for.
+func (c *control) fromPeer(now time.Time, from entity.InstanceID, msg any) {
+	switch m := msg.(type) {
+	case membership.Message:
+		c.members.Step(now, from, m)
+	case broker.State:
+		c.elected.Elsewhere(now, from, m)
+	case reserve.Poll:
+		// The acknowledgement is all that is asked for.
+	default:
+		if !c.toBroker(now, c.elected, from, msg) {
+			c.toEntry(now, from, msg)
+		}
+	}
+}
+
+// toBroker passes a message of an entry to a broker.
+func (c *control) toBroker(now time.Time, b *broker.Broker, from entity.InstanceID, msg any) bool {
+	switch m := msg.(type) {
+	case broker.Ask:
+		b.Ask(now, m)
+	case broker.Withdraw:
+		b.Withdraw(now, m)
+	case broker.Started:
+		b.Started(now, m)
+	case broker.Done:
+		b.Done(now, m)
+	case broker.Holding:
+		b.Hold(now, from, m)
+	default:
+		return false
+	}
+	return true
+}
+
+// toEntry passes a message of a broker to the entry.
+func (c *control) toEntry(now time.Time, from entity.InstanceID, msg any) {
+	switch m := msg.(type) {
+	case broker.Queued:
+		c.entry.Queued(from, m)
+	case broker.Grant:
+		c.entry.Granted(now, from, m)
+	case broker.Deny:
+		c.entry.Denied(from, m)
+	}
+}
+
+// settle lets the parts work until none has anything left to say to another
+// one on this instance.
+func (c *control) settle(now time.Time) {
+	for {
+		busy := c.settleMembers(now)
+		busy = c.settleEntry(now) || busy
+		busy = c.settleBroker(now, c.local, reserve.Local) || busy
+		busy = c.settleBroker(now, c.elected, c.self.ID) || busy
+		if !busy {
+			return
+		}
+	}
+}
+
+func (c *control) settleMembers(now time.Time) bool {
+	r := c.members.Ready()
+	for _, m := range r.Messages {
+		c.send(m.To, m.Address, m.Message)
+	}
+	if r.Changed {
+		c.membersChanged(now)
+	}
+	return r.Changed
+}
+
+func (c *control) settleEntry(now time.Time) bool {
+	messages, decisions := c.entry.Ready()
+	for _, m := range messages {
+		switch m.Instance {
+		case reserve.Local:
+			c.toBroker(now, c.local, c.self.ID, m.Message)
+		case c.self.ID:
+			c.toBroker(now, c.elected, c.self.ID, m.Message)
+		default:
+			c.send(m.Instance, c.address[m.Instance], m.Message)
+		}
+	}
+	for _, d := range decisions {
+		c.decide(d)
+	}
+	return len(messages)+len(decisions) > 0
+}
+
+// decide gives a request's goroutine the word that it waits for.
+func (c *control) decide(d reserve.Decision) {
+	reply, ok := c.waiters[d.ID]
+	if !ok {
+		c.entry.Withdraw(d.ID)
+		return
+	}
+	delete(c.waiters, d.ID)
+	reply <- d // has room for one
+}
+
+// settleBroker hands out what a broker has to say. The local one speaks to
+// this instance's entry only.
+func (c *control) settleBroker(now time.Time, b *broker.Broker, name entity.InstanceID) bool {
+	messages := b.Ready()
+	for _, m := range messages {
+		if name == reserve.Local || m.Instance == c.self.ID {
+			c.toEntry(now, name, m.Message)
+			continue
+		}
+		c.send(m.Instance, c.address[m.Instance], m.Message)
+	}
+	return len(messages) > 0
+}
+
+// membersChanged takes in who is live.
+func (c *control) membersChanged(now time.Time) {
+	before := c.address
+	c.view = c.members.View()
+	c.address = make(map[entity.InstanceID]string, len(before))
+	members := 0
+	for _, z := range c.view.Zones {
+		for _, m := range z.Members {
+			c.address[m.ID] = m.PeerAddress
+		}
+		members += len(z.Members)
+	}
+	for id := range before {
+		if _, ok := c.address[id]; !ok {
+			c.elected.Drop(now, id)
+			c.g.transport.Forget(id)
+		}
+	}
+	own, _ := c.view.Zone(c.self.Zone)
+	c.local.SetPart(localPart / float64(max(1, len(own.Members))))
+	c.g.metrics.Members.Update(int64(len(own.Members)))
+	telemetry.Log(c.g.log, telemetry.EventMembersChanged, "zone_members", len(own.Members), "members", members, "version", c.view.Version)
+	c.refresh(now)
+}
+
+// refresh chooses the brokers anew, and gives them the endpoints in force.
+func (c *control) refresh(now time.Time) {
+	c.pools = c.g.enginePools()
+	t := c.g.belief.endpoints.Load()
+	brokers := make(map[entity.PoolID]entity.InstanceID, len(c.pools))
+	for _, p := range c.pools {
+		if id := c.brokerOf(c.self.Zone, p); id != "" {
+			brokers[p] = id
+		}
+	}
+	c.logBrokers(brokers)
+	c.brokers = brokers
+	c.elected.SetEndpoints(now, c.pools, t)
+	c.local.SetEndpoints(now, c.pools, t)
+	c.entry.SetBrokers(now, brokers)
+}
+
+func (c *control) logBrokers(brokers map[entity.PoolID]entity.InstanceID) {
+	for p, id := range brokers {
+		if c.brokers[p] != id {
+			telemetry.Log(c.g.log, telemetry.EventBrokerChanged, "pool", p, "broker", id, "before", c.brokers[p], "view", c.view.Version)
+		}
+	}
+}
+
+// brokerOf returns the member of a zone that grants the zone's engines of a
+// pool: the winner of a rendezvous hash among those that are not suspected.
+func (c *control) brokerOf(zone entity.ZoneID, pool entity.PoolID) entity.InstanceID {
+	z, ok := c.view.Zone(zone)
+	if !ok || !z.Reachable {
+		return ""
+	}
+	var candidates []entity.Instance
+	for _, m := range z.Members {
+		if !m.Suspect && !m.Leaving {
+			candidates = append(candidates, m.Instance)
+		}
+	}
+	winner := ownership.Ranked(candidates, "broker/"+string(pool), 1)
+	if len(winner) == 0 {
+		return ""
+	}
+	return winner[0]
+}
+
+// tellZones tells the brokers of other zones how many slots are free here.
+func (c *control) tellZones(now time.Time) {
+	for _, s := range c.elected.States(now) {
+		if c.brokers[s.Pool] != c.self.ID {
+			continue
+		}
+		for _, z := range c.view.Zones {
+			if z.Zone == c.self.Zone {
+				continue
+			}
+			if to := c.brokerOf(z.Zone, s.Pool); to != "" {
+				c.send(to, c.address[to], s)
+			}
+		}
+	}
+}
+
+// enginePools returns the pools whose slots are granted.
+func (g *Instance) enginePools() []entity.PoolID {
+	cfg := g.belief.config.Load()
+	if cfg == nil {
+		return nil
+	}
+	return cfg.PoolsOf(entity.KindEngine)
+}
--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -4,8 +4,10 @@
 	"context"
 	"time"
 
+	"github.com/medlarhold/medlarhold/internal/core/broker"
 	"github.com/medlarhold/medlarhold/internal/core/catalog"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/reserve"
 	"github.com/medlarhold/medlarhold/internal/edge"
 	"github.com/medlarhold/medlarhold/internal/verdict"
 )
@@ -38,6 +40,9 @@
 
 // Acquire implements edge.Desk.
 func (g *Instance) Acquire(ctx context.Context, w edge.Work, avoid []entity.EndpointID) (edge.Slot, *verdict.Error) {
+	if w.Kind == entity.KindEngine {
+		return g.reserve(ctx, w, avoid)
+	}
 	slot, ok := g.services.acquire(g.belief.endpoints.Load().Pool(w.Pool), w, avoid)
 	if !ok {
 		return edge.Slot{}, noEndpoint(w)
@@ -45,6 +50,66 @@
 	return slot, nil
 }
 
+// reserve waits for a broker's word.
+func (g *Instance) reserve(ctx context.Context, w edge.Work, avoid []entity.EndpointID) (edge.Slot, *verdict.Error) {
+	reply := make(chan reserve.Decision, 1)
+	g.control.post(g.ctx, acquire{reply: reply, request: reserve.Request{
+		ID: w.ID, Pool: w.Pool, Rank: w.Rank, PromptTokens: w.PromptTokens, AnswerTokens: w.AnswerTokens,
+		Target: w.Target, Deadline: w.Deadline, Returned: w.Returned, Avoid: avoid,
+	}})
+	select {
+	case d := <-reply:
+		return g.slot(w, d)
+	case <-ctx.Done():
+		g.control.post(g.ctx, abandon{id: w.ID})
+		return edge.Slot{}, &verdict.Error{Verdict: verdict.NotRun, Reason: verdict.ReasonDeadline, Message: "the request's time ran out before a slot was free"}
+	}
+}
+
+// slot turns a broker's word into a slot or a refusal.
+func (g *Instance) slot(w edge.Work, d reserve.Decision) (edge.Slot, *verdict.Error) {
+	if d.Endpoint == "" {
+		return edge.Slot{}, denied(w, d)
+	}
+	e, ok := g.belief.endpoints.Load().Get(d.Endpoint)
+	if !ok || e.Leaving {
+		g.control.post(g.ctx, done{done: broker.Done{ID: w.ID}})
+		return edge.Slot{}, noEndpoint(w)
+	}
+	sentAt := time.Now()
+	return edge.Slot{
+		Endpoint: e,
+		Started:  func() { g.control.post(g.ctx, started{id: w.ID, after: time.Since(sentAt)}) },
+		Release: func(o edge.Outcome) {
+			g.control.post(g.ctx, done{done: broker.Done{
+				ID: w.ID, Failed: o.Failed, NotRun: o.NotRun, Streaming: streaming(o),
+			}})
+		},
+	}, nil
+}
+
+// streaming is what an outcome says of the engine's pace, 0 for nothing.
+func streaming(o edge.Outcome) time.Duration {
+	if o.Failed || o.Cancelled || o.NotRun {
+		return 0
+	}
+	return o.Streaming
+}
+
+// denied is what a caller is told of a broker's refusal.
+func denied(w edge.Work, d reserve.Decision) *verdict.Error {
+	v := &verdict.Error{Verdict: verdict.NotRun, Reason: verdict.ReasonOverload, RetryAfter: d.Deny.RetryAfter}
+	switch d.Deny.Reason {
+	case broker.DenyNoEndpoint:
+		return noEndpoint(w)
+	case broker.DenyDeadline:
+		v.Message = "no engine could answer in the time that is left"
+	default:
+		v.Message = "more requests wait than the engines can serve in time"
+	}
+	return v
+}
+
 func noEndpoint(w edge.Work) *verdict.Error {
 	return &verdict.Error{Verdict: verdict.NotRun, Reason: verdict.ReasonNoEndpoint, RetryAfter: noEndpointRetryAfter,
 		Message: "no endpoint of pool " + string(w.Pool) + " is known"}
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -25,6 +25,7 @@
 func (g *Instance) drain(ctx context.Context, servers []*server) {
 	begun := time.Now()
 	g.leaving.Store(true)
+	g.control.post(ctx, leave{})
 	telemetry.Log(g.log, telemetry.EventDrainBegin, "in_flight", g.edge.InFlight())
 	end := begun.Add(g.settings.GracePeriod - exitMargin)
 	tick := time.NewTicker(drainPoll)
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -119,12 +119,14 @@
 	if g.belief.setConfig(c) {
 		g.metrics.ConfigRevision.Update(c.Version)
 		telemetry.Log(g.log, telemetry.EventConfigApplied, "version", c.Version, "from", from, "routes", len(c.Routes))
+		g.control.post(g.ctx, changed{})
 	}
 }
 
 // setEndpoints puts a table of endpoints into force.
 func (g *Instance) setEndpoints(t *catalog.Endpoints) {
 	before := g.belief.endpoints.Swap(t)
+	g.control.post(g.ctx, changed{})
 	if before.Len() != t.Len() {
 		telemetry.Log(g.log, telemetry.EventEndpointsChanged, "endpoints", t.Len(), "before", before.Len())
 	}
--- a/internal/gateway/instance.go
+++ b/internal/gateway/instance.go
@@ -13,9 +13,12 @@
 
 	"github.com/medlarhold/medlarhold/internal/core/balance"
 	"github.com/medlarhold/medlarhold/internal/core/catalog"
+	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/edge"
+	"github.com/medlarhold/medlarhold/internal/peer"
 	"github.com/medlarhold/medlarhold/internal/telemetry"
 	"github.com/medlarhold/medlarhold/internal/upstream"
+	"github.com/medlarhold/medlarhold/internal/version"
 )
 
 const (
@@ -45,15 +48,21 @@
 
 // Instance is one process of the system.
 type Instance struct {
-	settings Settings
-	adapter  Adapter
-	log      logr.Logger
-	metrics  *telemetry.Metrics
-	belief   belief
-	follower *follower
-	client   *upstream.Client
-	edge     *edge.Server
-	services *services
+	settings  Settings
+	adapter   Adapter
+	log       logr.Logger
+	metrics   *telemetry.Metrics
+	belief    belief
+	follower  *follower
+	client    *upstream.Client
+	edge      *edge.Server
+	services  *services
+	self      entity.Instance
+	control   *control
+	transport *peer.Transport
+	// ctx ends when the instance stops.
+	ctx      context.Context
+	cancel   context.CancelFunc
 	leaving  atomic.Bool
 	closed   atomic.Bool
 	stop     chan struct{}
@@ -66,6 +75,11 @@
 	g.belief.endpoints.Store(catalog.NewEndpoints(nil))
 	g.client = upstream.New(upstream.Options{Dialect: a.Upstream, Dialled: m.Dialled})
 	g.services = &services{table: balance.New(), zone: s.Zone}
+	g.ctx, g.cancel = context.WithCancel(context.Background())
+	g.self = newIdentity(s)
+	g.transport = g.newTransport(g.self)
+	g.control = newControl(g, g.self)
+	g.control.send = g.transport.Send
 	g.follower = newFollower(g)
 	g.edge = edge.NewServer(edge.Options{
 		Desk: g, Dialect: a.Callers, Client: g.client, Log: log, Metrics: m, MaxBuffered: max(s.MaxMemory, 64<<20) / bodyShareOfMemory,
@@ -78,19 +92,25 @@
 
 // Run serves until the planned stop has ended or ctx ends.
 func (g *Instance) Run(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	telemetry.Log(g.log, telemetry.EventStarting, "instance", g.settings.Name, "zone", g.settings.Zone)
+	defer g.cancel()
+	context.AfterFunc(ctx, g.cancel)
+	ctx = g.ctx
+	telemetry.Log(g.log, telemetry.EventStarting, "instance", g.self.ID, "zone", g.settings.Zone, "version", version.String())
 	servers, err := g.listen()
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	failed := make(chan error, len(servers))
+	servePeers, err := g.servePeers()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	failed := make(chan error, len(servers)+1)
+	go func() { failed <- servePeers() }()
 	for _, s := range servers {
 		go func() { failed <- s.serve() }()
 	}
 	var background sync.WaitGroup
-	for _, f := range []func(context.Context){g.follower.run, g.housekeep} {
+	for _, f := range []func(context.Context){g.control.run, g.register, g.follower.run, g.housekeep} {
 		background.Go(func() { f(ctx) })
 	}
 	select {
@@ -101,10 +121,11 @@
 	case <-g.stop:
 		g.drain(ctx, servers)
 	}
-	cancel()
 	for _, s := range servers {
 		s.http.Close()
 	}
+	g.cancel()
+	g.transport.Close()
 	background.Wait()
 	g.client.Close()
 	return err
--- /dev/null
+++ b/internal/gateway/peers.go
@@ -0,0 +1,102 @@
+package gateway
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/medlarhold/medlarhold/internal/core/broker"
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/membership"
+	"github.com/medlarhold/medlarhold/internal/core/reserve"
+	"github.com/medlarhold/medlarhold/internal/peer"
+)
+
+// exchangeTimeout bounds one exchange with another instance: many round trips
+// within a region, and short beside what callers can wait.
+const exchangeTimeout = 200 * time.Millisecond
+
+// registerPause is the time between two tries to register.
+const registerPause = 500 * time.Millisecond
+
+// messages lists what travels between instances, and what of it is control.
+func messages() *peer.Registry {
+	r := peer.NewRegistry()
+	peer.Register[membership.Message](r, "m", peer.ClassControl)
+	peer.Register[broker.State](r, "free", peer.ClassControl)
+	peer.Register[broker.Holding](r, "hold", peer.ClassControl)
+	peer.Register[reserve.Poll](r, "poll", peer.ClassRequest)
+	peer.Register[broker.Ask](r, "ask", peer.ClassRequest)
+	peer.Register[broker.Queued](r, "wait", peer.ClassRequest)
+	peer.Register[broker.Grant](r, "ok", peer.ClassRequest)
+	peer.Register[broker.Deny](r, "no", peer.ClassRequest)
+	peer.Register[broker.Withdraw](r, "undo", peer.ClassRequest)
+	peer.Register[broker.Started](r, "begun", peer.ClassRequest)
+	peer.Register[broker.Done](r, "done", peer.ClassRequest)
+	return r
+}
+
+// newTransport makes the links to other instances.
+func (g *Instance) newTransport(self entity.Instance) *peer.Transport {
+	return peer.NewTransport(peer.Options{
+		Self: self, Keys: g.peerKeys, ExchangeTimeout: exchangeTimeout, Registry: messages(),
+		Deliver: func(from entity.Instance, msg any) { g.control.post(g.ctx, fromPeer{from: from.ID, msg: msg}) },
+		Failed:  func(to entity.InstanceID, msg any) { go g.control.post(g.ctx, peerFailed{to: to, msg: msg}) },
+		Lost:    func(to entity.InstanceID) { go g.control.post(g.ctx, peerFailed{to: to}) },
+		Query: func(context.Context, entity.Instance, string, json.RawMessage) (any, error) {
+			return nil, trace.NotImplemented("no questions are answered")
+		},
+		Clock: time.Now, Log: g.log, Metrics: g.metrics,
+	})
+}
+
+// peerKeys returns the key by which instances know each other. The platform
+// hands out no secret, so it only keeps deployments apart.
+func (g *Instance) peerKeys() [][]byte {
+	sum := sha256.Sum256([]byte("medlarhold peers of " + g.settings.Store))
+	return [][]byte{sum[:]}
+}
+
+// newIdentity names this process.
+func newIdentity(s Settings) entity.Instance {
+	b := make([]byte, 3)
+	rand.Read(b) // never fails
+	return entity.Instance{
+		ID: entity.InstanceID(s.Name + "-" + hex.EncodeToString(b)), Zone: s.Zone, Region: s.Region, PeerAddress: s.Peers,
+	}
+}
+
+// register makes the instance known and learns who else is there, until the
+// store has answered both.
+func (g *Instance) register(ctx context.Context) {
+	registered := false
+	for ctx.Err() == nil {
+		if !registered {
+			g.metrics.LogCall("append", "instances")
+			registered = g.adapter.Store.Register(ctx, g.self) == nil
+		}
+		if registered {
+			g.metrics.LogCall("newest", "instances")
+			if instances, err := g.adapter.Store.Instances(ctx); err == nil {
+				g.control.post(ctx, listed{instances: instances})
+				return
+			}
+		}
+		pause(ctx, registerPause)
+	}
+}
+
+// servePeers opens the socket for other instances.
+func (g *Instance) servePeers() (func() error, error) {
+	l, err := net.Listen("tcp", g.settings.Peers)
+	if err != nil {
+		return nil, trace.Wrap(err, "listening on %s", g.settings.Peers)
+	}
+	return func() error { return g.transport.Serve(l) }, nil
+}
