--- a/internal/core/catalog/endpoints.go
+++ b/internal/core/catalog/endpoints.go
@@ -2,9 +2,12 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 )
 
@@ -30,14 +33,18 @@
 type Endpoints struct {
 	byID   map[entity.EndpointID]*Endpoint
 	byPool map[entity.PoolID][]*Endpoint // sorted by id
+	digest uint64
 }
 
 // NewEndpoints returns the table of the given rows.
 func NewEndpoints(rows []Endpoint) *Endpoints {
-	t := &Endpoints{byID: make(map[entity.EndpointID]*Endpoint, len(rows)), byPool: make(map[entity.PoolID][]*Endpoint)}
+	t := &Endpoints{
+		byID: make(map[entity.EndpointID]*Endpoint, len(rows)), byPool: make(map[entity.PoolID][]*Endpoint),
+	}
 	for i := range rows {
 		t.byID[rows[i].ID] = &rows[i]
 	}
+	t.digest = digestOf(t.byID)
 	for _, e := range t.byID {
 		t.byPool[e.Pool] = append(t.byPool[e.Pool], e)
 	}
@@ -68,6 +75,17 @@
 	return rows
 }
 
+// Digest tells tables apart that differ in more than sequence numbers.
+func (t *Endpoints) Digest() uint64 { return t.digest }
+
+func digestOf(rows map[entity.EndpointID]*Endpoint) uint64 {
+	var sum uint64
+	for _, e := range rows {
+		sum += xxhash.Sum64String(fmt.Sprint(e.ID, e.Pool, e.Zone, e.Address, e.Slots, e.Leaving, e.Incarnation))
+	}
+	return sum
+}
+
 // Change is one record of discovery: a new row, or the removal of an id.
 type Change struct {
 	ID entity.EndpointID
--- /dev/null
+++ b/internal/core/quota/ledger.go
@@ -0,0 +1,261 @@
+package quota
+
+import (
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
+
+const (
+	// memberSilentAfter is when a member counts as cut off, zoneSilentAfter
+	// when a zone does.
+	memberSilentAfter = 800 * time.Millisecond
+	zoneSilentAfter   = 1200 * time.Millisecond
+	// forgetAfter is how long what a silent party used before is still deducted.
+	forgetAfter = 30 * time.Second
+)
+
+// Party is a member of the zone, or another zone.
+type Party struct {
+	// Name is what stays the same over restarts: a peer address or a zone.
+	Name string
+	// Process tells the runs of one name apart: totals begin anew with each.
+	Process entity.InstanceID
+	// Instances is how many instances it stands for.
+	Instances int
+}
+
+// Ledger keeps the buckets of the organisations at a coordinator.
+type Ledger struct {
+	limits  map[entity.OrgID]Limit
+	buckets map[entity.OrgID]*bucket
+	members map[string]*party
+	zones   map[string]*party
+	// seed is asked for the level of a bucket that is opened.
+	seed func(now time.Time, org entity.OrgID, l Limit) float64
+}
+
+// party is what is known of a member or of another zone.
+type party struct {
+	Party
+	heardAt     time.Time
+	silentAfter time.Duration
+	used        map[entity.OrgID]*partyUse
+}
+
+// partyUse is what a party has used of one organisation's limit.
+type partyUse struct {
+	total float64
+	rate  rate
+}
+
+// bucket is one organisation's.
+type bucket struct {
+	level float64
+	at    time.Time
+	// zoneTotal is what the zone's members have used since the ledger was opened.
+	zoneTotal float64
+	// told is the total that other zones were told last.
+	told     float64
+	zoneRate rate
+}
+
+// NewLedger returns a ledger without entries.
+func NewLedger(seed func(now time.Time, org entity.OrgID, l Limit) float64) *Ledger {
+	return &Ledger{
+		limits: make(map[entity.OrgID]Limit), buckets: make(map[entity.OrgID]*bucket),
+		members: make(map[string]*party), zones: make(map[string]*party), seed: seed,
+	}
+}
+
+// SetLimits replaces the limits.
+func (l *Ledger) SetLimits(limits map[entity.OrgID]Limit) { l.limits = limits }
+
+// Member takes in a member's report.
+func (l *Ledger) Member(now time.Time, p Party, used map[entity.OrgID]Usage) {
+	m, again := partyOf(l.members, now, p, memberSilentAfter)
+	for org, u := range used {
+		b := l.bucket(now, org)
+		if b == nil {
+			continue
+		}
+		counted := u.Counted
+		use, known := m.used[org]
+		if known && again {
+			counted = use.total
+		}
+		if !known {
+			use = &partyUse{rate: rate{at: now}}
+			m.used[org] = use
+		}
+		delta := u.Total - counted
+		use.total = u.Total
+		use.rate.add(now, delta)
+		b.level -= delta
+		b.zoneTotal += delta
+		b.zoneRate.add(now, delta)
+	}
+}
+
+// Zone takes in what the coordinator of another zone reports: what its zone
+// has used since that ledger was opened.
+func (l *Ledger) Zone(now time.Time, p Party, used map[entity.OrgID]float64) {
+	z, again := partyOf(l.zones, now, p, zoneSilentAfter)
+	for org, total := range used {
+		b := l.bucket(now, org)
+		if b == nil {
+			continue
+		}
+		use, known := z.used[org]
+		if !known {
+			use = &partyUse{rate: rate{at: now}, total: total}
+			z.used[org] = use
+		}
+		delta := total - use.total
+		if !again {
+			delta = 0 // another ledger: its total says nothing of what is new
+		}
+		use.total = total
+		use.rate.add(now, delta)
+		b.level -= delta
+	}
+}
+
+// partyOf returns the row of a party, and whether it is the same process as before.
+func partyOf(parties map[string]*party, now time.Time, p Party, silentAfter time.Duration) (row *party, again bool) {
+	row = parties[p.Name]
+	if row == nil {
+		row = &party{used: make(map[entity.OrgID]*partyUse)}
+		parties[p.Name] = row
+	}
+	again = row.Process == p.Process
+	row.Party, row.heardAt, row.silentAfter = p, now, silentAfter
+	return row, again
+}
+
+// Account returns what a member is told of the organisations that it has reported.
+func (l *Ledger) Account(now time.Time, member string) map[entity.OrgID]Account {
+	m := l.members[member]
+	if m == nil {
+		return nil
+	}
+	out := make(map[entity.OrgID]Account, len(m.used))
+	for org, use := range m.used {
+		b := l.bucket(now, org)
+		if b == nil {
+			continue
+		}
+		in, group := l.inflow(now, org)
+		out[org] = Account{Level: b.level, Rate: in, GroupRate: group, Counted: use.total}
+	}
+	return out
+}
+
+// ZoneTotals returns what the zone has used, for other zones.
+func (l *Ledger) ZoneTotals() map[entity.OrgID]float64 {
+	out := make(map[entity.OrgID]float64, len(l.buckets))
+	for org, b := range l.buckets {
+		b.told = b.zoneTotal
+		out[org] = b.zoneTotal
+	}
+	return out
+}
+
+// Urgent says that enough was used since then to tell other zones at once.
+func (l *Ledger) Urgent() bool {
+	for org, b := range l.buckets {
+		if b.zoneTotal-b.told > urgentPart*l.limits[org].Burst {
+			return true
+		}
+	}
+	return false
+}
+
+// Instances returns how many instances are known, in reach or not.
+func (l *Ledger) Instances(now time.Time) int {
+	reached, cut := l.count(now)
+	return reached + cut
+}
+
+// bucket returns an organisation's bucket, filled up to now; nil without a limit.
+func (l *Ledger) bucket(now time.Time, org entity.OrgID) *bucket {
+	limit, ok := l.limits[org]
+	if !ok {
+		return nil
+	}
+	b := l.buckets[org]
+	if b == nil {
+		b = &bucket{level: l.seed(now, org, limit), at: now, zoneRate: rate{at: now}}
+		l.buckets[org] = b
+	}
+	if d := now.Sub(b.at).Seconds(); d > 0 {
+		in, _ := l.inflow(now, org)
+		b.level += in * d
+		b.at = now
+	}
+	b.level = min(b.level, limit.Burst)
+	return b
+}
+
+// inflow returns what this side may use per second, and what it does use.
+func (l *Ledger) inflow(now time.Time, org entity.OrgID) (in, group float64) {
+	limit := l.limits[org]
+	reached, cut := l.count(now)
+	floor := floorPart * limit.Rate / float64(max(1, reached+cut))
+	var groupUse, cutUse float64
+	for _, parties := range []map[string]*party{l.members, l.zones} {
+		for _, p := range parties {
+			silent, gone := p.silent(now)
+			use := p.use(org, now, silent) + floor*float64(p.Instances)
+			switch {
+			case gone:
+			case silent:
+				cutUse += use
+			default:
+				groupUse += use
+			}
+		}
+	}
+	if cut == 0 {
+		return limit.Rate, groupUse
+	}
+	if reached > cut {
+		return max(0, limit.Rate-cutUse), groupUse
+	}
+	return min(limit.Rate, groupUse), groupUse
+}
+
+// count returns how many instances are in reach and how many are cut off.
+func (l *Ledger) count(now time.Time) (reached, cut int) {
+	for _, parties := range []map[string]*party{l.members, l.zones} {
+		for _, p := range parties {
+			silent, gone := p.silent(now)
+			switch {
+			case gone:
+			case silent:
+				cut += p.Instances
+			default:
+				reached += p.Instances
+			}
+		}
+	}
+	return reached, cut
+}
+
+// silent says that the party has not reported for a while, gone that it is forgotten.
+func (p *party) silent(now time.Time) (silent, gone bool) {
+	age := now.Sub(p.heardAt)
+	return age > p.silentAfter, age > forgetAfter
+}
+
+// use is the party's rate, as of its last report where it is silent.
+func (p *party) use(org entity.OrgID, now time.Time, silent bool) float64 {
+	u := p.used[org]
+	if u == nil {
+		return 0
+	}
+	if !silent {
+		u.rate.decay(now)
+	}
+	return u.rate.value
+}
--- /dev/null
+++ b/internal/core/quota/meter.go
@@ -0,0 +1,232 @@
+package quota
+
+import (
+	"math"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
+
+const (
+	// aloneAfter is how long a meter goes on with what it was told last.
+	aloneAfter = 800 * time.Millisecond
+	// rateWindow is the time constant of the measured rates.
+	rateWindow = 2 * time.Second
+	// floorPart is the part of a limit that all instances together may use
+	// beside what they have used lately, divided by their number.
+	floorPart = 0.1
+	// unknownInstances is assumed before the number of instances is known.
+	unknownInstances = 16
+	// staleAfter is the age of the coordinator's word from which on an instance
+	// spends no more than its share of the bucket.
+	staleAfter = 300 * time.Millisecond
+	// urgentPart is the part of a limit's burst that is reported at once.
+	urgentPart = 0.04
+	// minRetryAfter and maxRetryAfter bound what refused callers are told.
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 5 * time.Second
+)
+
+// Limit is an organisation's limit over all instances.
+type Limit struct {
+	// Rate is per second, Burst at once.
+	Rate, Burst float64
+}
+
+// Usage is what a member reports.
+type Usage struct {
+	// Total is what was admitted since its start, Counted the part of it that
+	// the coordinator was last known to have counted.
+	Total   float64 `json:"t"`
+	Counted float64 `json:"c"`
+}
+
+// Account is what the coordinator tells a member.
+type Account struct {
+	// Level is what the bucket holds; it may be below zero.
+	Level float64 `json:"l"`
+	// Rate is what comes in per second, GroupRate what all together use.
+	Rate      float64 `json:"r"`
+	GroupRate float64 `json:"g"`
+	// Counted is the member's total that the level contains.
+	Counted float64 `json:"c"`
+}
+
+// Meter admits the requests of one instance.
+type Meter struct {
+	accounts  map[entity.OrgID]*meterAccount
+	heardAt   time.Time
+	instances int
+	// firstStart says that nothing was used before.
+	firstStart bool
+}
+
+// meterAccount is one organisation at one instance.
+type meterAccount struct {
+	limit Limit
+	total float64 // admitted since the start
+	// level is this instance's copy of the bucket, as of at.
+	level   float64
+	at      time.Time
+	told    Account
+	rate    rate
+	counted float64
+	// reported is the total that was reported last.
+	reported float64
+	// spent is what was admitted since the coordinator's last word.
+	spent float64
+}
+
+// NewMeter returns a meter that was told nothing yet.
+func NewMeter(firstStart bool) *Meter {
+	return &Meter{accounts: make(map[entity.OrgID]*meterAccount), instances: unknownInstances, firstStart: firstStart}
+}
+
+// Charge admits a request of the given cost, or says when to come back. One
+// request may take the bucket below zero, or those larger than what it holds
+// would never be admitted.
+func (m *Meter) Charge(now time.Time, org entity.OrgID, l Limit, cost float64) (ok bool, retryAfter time.Duration) {
+	a := m.account(now, org, l)
+	a.refill(now, m.alone(now), m.instances)
+	if a.spendable(now.Sub(m.heardAt), m.alone(now)) <= 0 {
+		return false, a.wait()
+	}
+	a.spend(now, cost)
+	return true, 0
+}
+
+// Refund takes back the charge of a request that did not run.
+func (m *Meter) Refund(now time.Time, org entity.OrgID, cost float64) {
+	if a := m.accounts[org]; a != nil {
+		a.spend(now, -cost)
+	}
+}
+
+// Used returns what is to be reported.
+func (m *Meter) Used() map[entity.OrgID]Usage {
+	out := make(map[entity.OrgID]Usage, len(m.accounts))
+	for org, a := range m.accounts {
+		a.reported = a.total
+		out[org] = Usage{Total: a.total, Counted: a.counted}
+	}
+	return out
+}
+
+// Urgent says that enough was admitted since the last report to tell at once.
+func (m *Meter) Urgent() bool {
+	for _, a := range m.accounts {
+		if a.total-a.reported > urgentPart*a.limit.Burst {
+			return true
+		}
+	}
+	return false
+}
+
+// Level returns what this instance takes the bucket to hold.
+func (m *Meter) Level(now time.Time, org entity.OrgID, l Limit) float64 {
+	a := m.account(now, org, l)
+	a.refill(now, m.alone(now), m.instances)
+	return a.level
+}
+
+// Adopt takes in the coordinator's word.
+func (m *Meter) Adopt(now time.Time, accounts map[entity.OrgID]Account, instances int) {
+	m.heardAt = now
+	m.instances = max(1, instances)
+	for org, told := range accounts {
+		a := m.accounts[org]
+		if a == nil {
+			continue // it is told again once the organisation is seen here
+		}
+		a.told, a.counted, a.at = told, told.Counted, now
+		a.spent = a.total - told.Counted
+		a.level = told.Level - a.spent
+	}
+}
+
+func (m *Meter) alone(now time.Time) bool {
+	return m.heardAt.IsZero() || now.Sub(m.heardAt) > aloneAfter
+}
+
+func (m *Meter) account(now time.Time, org entity.OrgID, l Limit) *meterAccount {
+	a := m.accounts[org]
+	if a == nil {
+		a = &meterAccount{at: now}
+		a.level = l.Burst / float64(m.instances)
+		if m.firstStart {
+			a.level = l.Burst
+		}
+		a.rate.at = now
+		a.told = Account{Rate: l.Rate}
+		m.accounts[org] = a
+	}
+	a.limit = l
+	a.level = min(a.level, l.Burst)
+	return a
+}
+
+// refill adds what came in since the last call. An instance that is alone
+// adds no more than it used to use.
+func (a *meterAccount) refill(now time.Time, alone bool, instances int) {
+	d := now.Sub(a.at).Seconds()
+	if d <= 0 {
+		return
+	}
+	a.at = now
+	in := min(a.told.Rate, a.limit.Rate)
+	if alone {
+		in = min(in, a.rate.value+floorPart*a.limit.Rate/float64(instances))
+	}
+	a.level = min(a.level+in*d, a.limit.Burst)
+}
+
+// share is this instance's part of what all use.
+func (a *meterAccount) share() float64 {
+	if a.told.GroupRate <= 0 {
+		return 1
+	}
+	return min(1, a.rate.value/a.told.GroupRate)
+}
+
+// spendable is what this instance may admit now, above zero for one more
+// request. With an old word it leaves the others their share.
+func (a *meterAccount) spendable(age time.Duration, alone bool) float64 {
+	if alone || age < staleAfter || a.level <= 0 {
+		return a.level
+	}
+	return (a.level+a.spent)*a.share() - a.spent
+}
+
+func (a *meterAccount) spend(now time.Time, cost float64) {
+	a.total += cost
+	a.level -= cost
+	a.spent += cost
+	a.rate.add(now, cost)
+}
+
+// wait is when the bucket holds something again.
+func (a *meterAccount) wait() time.Duration {
+	if a.limit.Rate <= 0 {
+		return maxRetryAfter
+	}
+	d := time.Duration(-a.level / a.limit.Rate * float64(time.Second))
+	return min(max(d, minRetryAfter), maxRetryAfter)
+}
+
+// rate measures use per second, the latest weighing most.
+type rate struct {
+	value float64
+	at    time.Time
+}
+
+func (r *rate) add(now time.Time, amount float64) {
+	r.decay(now)
+	r.value = max(0, r.value+amount/rateWindow.Seconds())
+}
+
+func (r *rate) decay(now time.Time) {
+	if d := now.Sub(r.at); d > 0 {
+		r.value *= math.Exp(-d.Seconds() / rateWindow.Seconds())
+		r.at = now
+	}
+}
--- /dev/null
+++ b/internal/core/zone/core.go
@@ -0,0 +1,302 @@
+package zone
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/catalog"
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/quota"
+)
+
+const (
+	// ReportInterval is the time between two reports of a member.
+	ReportInterval = 200 * time.Millisecond
+	// ExchangeInterval is the time between two exchanges of coordinators.
+	ExchangeInterval = 250 * time.Millisecond
+	// urgentInterval is the least time between two of either while much is used.
+	urgentInterval = 40 * time.Millisecond
+	// ReadAfter is how long a member waits for a bulletin before it reads the
+	// store itself.
+	ReadAfter = time.Second
+	// keepSent bounds the reports whose times are remembered.
+	keepSent = 64
+)
+
+// noProof is the ProofAge of whoever has no proof.
+const noProof = time.Duration(-1)
+
+// Knowledge is what the instance holds to be in force.
+type Knowledge interface {
+	Config() *catalog.Config
+	Endpoints() *catalog.Endpoints
+	// ProvedAt is when the configuration was last proved the newest, on the
+	// clock of Moment.Boot; 0 for never.
+	ProvedAt() time.Duration
+	Cursors() Cursors
+	// Used, Urgent and Adopt speak to the instance's meter.
+	Used() map[entity.OrgID]quota.Usage
+	Urgent() bool
+	Adopt(now time.Time, accounts map[entity.OrgID]quota.Account, instances int)
+	// Level is the meter's copy of an organisation's bucket.
+	Level(now time.Time, org entity.OrgID, l quota.Limit) float64
+}
+
+// Moment is the present on two clocks.
+type Moment struct {
+	Now time.Time
+	// Boot goes on while the machine is suspended.
+	Boot time.Duration
+}
+
+// News is what was learned from other instances.
+type News struct {
+	Config    *catalog.Config
+	Endpoints []catalog.Endpoint
+	// HasEndpoints tells an empty table from none.
+	HasEndpoints bool
+	// Cursors come with each bulletin.
+	Cursors *Cursors
+	// ProvedAt is a proof of the configuration, 0 for none.
+	ProvedAt time.Duration
+	From     entity.InstanceID
+}
+
+// To is a message and the instance it goes to.
+type To struct {
+	Instance entity.InstanceID
+	Message  any
+}
+
+// Core is one instance's part in its zone.
+type Core struct {
+	self  entity.Instance
+	knows Knowledge
+
+	coordinator entity.InstanceID
+	others      map[entity.ZoneID]entity.InstanceID
+	zoneSize    int
+	ledger      *quota.Ledger
+
+	number    uint64
+	sent      map[uint64]time.Duration
+	lastSend  time.Time
+	heardAt   time.Time
+	exchanged map[entity.ZoneID]*otherZone
+
+	messages []To
+	news     []News
+}
+
+// otherZone is what was heard of another zone's coordinator.
+type otherZone struct {
+	from    entity.InstanceID
+	number  uint64
+	version int64
+}
+
+// New returns a Core that knows no coordinator.
+func New(self entity.Instance, k Knowledge) *Core {
+	return &Core{self: self, knows: k, sent: make(map[uint64]time.Duration), exchanged: make(map[entity.ZoneID]*otherZone)}
+}
+
+// Ready returns messages and news since the last call, in order.
+func (c *Core) Ready() ([]To, []News) {
+	m, n := c.messages, c.news
+	c.messages, c.news = nil, nil
+	return m, n
+}
+
+// SetCoordinators names the coordinator of the zone and those of the others,
+// and how many members the zone has.
+func (c *Core) SetCoordinators(own entity.InstanceID, others map[entity.ZoneID]entity.InstanceID, zoneSize int) {
+	c.coordinator, c.others, c.zoneSize = own, others, max(1, zoneSize)
+	if !c.Coordinates() {
+		c.ledger = nil
+	} else if c.ledger == nil {
+		c.ledger = quota.NewLedger(c.knows.Level)
+	}
+}
+
+// Coordinates says whether this instance is the coordinator of its zone.
+func (c *Core) Coordinates() bool { return c.coordinator == c.self.ID }
+
+// Reads says whether this instance is to read the store.
+func (c *Core) Reads(now time.Time) bool {
+	return c.Coordinates() || c.coordinator == "" || now.Sub(c.heardAt) > ReadAfter
+}
+
+// Tick sends what is due.
+func (c *Core) Tick(at Moment) {
+	if !c.due(at.Now) {
+		return
+	}
+	c.lastSend = at.Now
+	if !c.Coordinates() {
+		if c.coordinator != "" {
+			c.send(c.coordinator, c.report(at))
+		}
+		return
+	}
+	c.ledger.SetLimits(c.limits())
+	c.ledger.Member(at.Now, c.party(c.self.ID, c.self.PeerAddress), c.knows.Used())
+	c.adopt(at.Now)
+	for _, z := range slices.Sorted(maps.Keys(c.others)) {
+		c.send(c.others[z], c.exchange(at, z))
+	}
+}
+
+// due says whether it is time to speak: sooner while much is used of a limit.
+func (c *Core) due(now time.Time) bool {
+	interval, urgent := ReportInterval, c.knows.Urgent()
+	if c.Coordinates() {
+		interval, urgent = ExchangeInterval, urgent || c.ledger.Urgent()
+	}
+	if urgent {
+		interval = urgentInterval
+	}
+	return now.Sub(c.lastSend) >= interval
+}
+
+// adopt gives the own meter the coordinator's word.
+func (c *Core) adopt(now time.Time) {
+	c.knows.Adopt(now, c.ledger.Account(now, c.self.PeerAddress), c.ledger.Instances(now))
+}
+
+func (c *Core) party(id entity.InstanceID, address string) quota.Party {
+	return quota.Party{Name: address, Process: id, Instances: 1}
+}
+
+func (c *Core) limits() map[entity.OrgID]quota.Limit {
+	cfg := c.knows.Config()
+	if cfg == nil {
+		return nil
+	}
+	out := make(map[entity.OrgID]quota.Limit)
+	for i := range cfg.Organisations {
+		if o := &cfg.Organisations[i]; o.Limited {
+			out[o.ID] = quota.Limit{Rate: o.Rate, Burst: o.Burst}
+		}
+	}
+	return out
+}
+
+// next numbers a message whose answer will carry a proof.
+func (c *Core) next(at Moment) uint64 {
+	c.number++
+	c.sent[c.number] = at.Boot
+	delete(c.sent, c.number-keepSent)
+	return c.number
+}
+
+func (c *Core) report(at Moment) Report {
+	return Report{
+		Number: c.next(at), Address: c.self.PeerAddress, Used: c.knows.Used(),
+		Config: versionOf(c.knows.Config()), Endpoints: c.knows.Endpoints().Digest(),
+	}
+}
+
+func (c *Core) exchange(at Moment, z entity.ZoneID) Exchange {
+	x := Exchange{
+		Zone: c.self.Zone, Number: c.next(at), ProofAge: c.proofAge(at), Version: versionOf(c.knows.Config()),
+		Used: c.ledger.ZoneTotals(), Instances: c.zoneSize,
+	}
+	if o := c.exchanged[z]; o != nil && o.from == c.others[z] {
+		x.Answers = o.number
+		if o.version < x.Version {
+			x.Config = c.knows.Config()
+		}
+	}
+	return x
+}
+
+// Report answers a member. One that takes this instance for the coordinator
+// before it does so itself is answered all the same, but for the accounts.
+func (c *Core) Report(at Moment, from entity.InstanceID, r Report) {
+	b := Bulletin{Answers: r.Number, ProofAge: c.proofAge(at), Cursors: c.knows.Cursors()}
+	if cfg := c.knows.Config(); versionOf(cfg) > r.Config {
+		b.Config = cfg
+	}
+	if t := c.knows.Endpoints(); t.Len() > 0 && t.Digest() != r.Endpoints {
+		b.Endpoints = &EndpointList{Rows: t.All()}
+	}
+	if c.ledger != nil {
+		c.ledger.SetLimits(c.limits())
+		c.ledger.Member(at.Now, c.party(from, r.Address), r.Used)
+		b.Accounts = c.ledger.Account(at.Now, r.Address)
+		b.Instances = c.ledger.Instances(at.Now)
+	}
+	c.send(from, b)
+}
+
+// Bulletin takes in the coordinator's answer.
+func (c *Core) Bulletin(at Moment, from entity.InstanceID, b Bulletin) {
+	if from != c.coordinator {
+		return
+	}
+	n := News{From: from, Config: indexed(b.Config), ProvedAt: c.provedAt(b.Answers, b.ProofAge), Cursors: &b.Cursors}
+	if b.Endpoints != nil {
+		n.Endpoints, n.HasEndpoints = b.Endpoints.Rows, true
+	}
+	c.heardAt = at.Now
+	c.news = append(c.news, n)
+	if b.Instances > 0 {
+		c.knows.Adopt(at.Now, b.Accounts, b.Instances)
+	}
+}
+
+// Exchange takes in what another zone's coordinator says.
+func (c *Core) Exchange(at Moment, from entity.InstanceID, x Exchange) {
+	if x.Zone == c.self.Zone {
+		return
+	}
+	c.exchanged[x.Zone] = &otherZone{from: from, number: x.Number, version: x.Version}
+	n := News{From: from, Config: indexed(x.Config)}
+	if x.Version >= versionOf(c.knows.Config()) && (x.Config != nil || x.Version == versionOf(c.knows.Config())) {
+		n.ProvedAt = c.provedAt(x.Answers, x.ProofAge)
+	}
+	c.news = append(c.news, n)
+	if c.ledger != nil {
+		c.ledger.SetLimits(c.limits())
+		c.ledger.Zone(at.Now, quota.Party{Name: string(x.Zone), Process: from, Instances: max(1, x.Instances)}, x.Used)
+	}
+}
+
+// proofAge is what others are told of the age of the own proof.
+func (c *Core) proofAge(at Moment) time.Duration {
+	proved := c.knows.ProvedAt()
+	if proved == 0 {
+		return noProof
+	}
+	return at.Boot - proved
+}
+
+// provedAt turns the age of a proof that answers a message into a time: the
+// answer was given after the message was sent.
+func (c *Core) provedAt(answers uint64, age time.Duration) time.Duration {
+	sent, ok := c.sent[answers]
+	if !ok || age < 0 {
+		return 0
+	}
+	return sent - age
+}
+
+// indexed prepares a configuration that came over the wire.
+func indexed(cfg *catalog.Config) *catalog.Config {
+	if cfg != nil {
+		cfg.Index()
+	}
+	return cfg
+}
+
+func versionOf(cfg *catalog.Config) int64 {
+	if cfg == nil {
+		return 0
+	}
+	return cfg.Version
+}
+
+func (c *Core) send(to entity.InstanceID, msg any) {
+	c.messages = append(c.messages, To{Instance: to, Message: msg})
+}
--- /dev/null
+++ b/internal/core/zone/doc.go
@@ -0,0 +1,27 @@
+// Package zone keeps what the instances of an availability zone believe in
+// step, with one of them, the coordinator, reading the store for all.
+//
+// # Problem
+//
+// Calls to the store cost and are limited for the whole deployment, so they
+// must grow with the zones and not with the instances. Yet a configuration
+// must be in force everywhere within seconds, a key that was taken away must
+// stop working also where the store can't be reached, and organisations'
+// limits hold over all instances.
+//
+// # How
+//
+// Each member reports to the coordinator a few times a second and gets a
+// bulletin back: configuration and endpoints where it has older ones, the
+// organisations' accounts, and how old the proof is that the configuration is the
+// newest. Coordinators exchange the same between zones. A bulletin answers a numbered
+// report, so what it says is newer than the report: the age of the proof
+// counts from when the report was sent, and no clocks need to agree.
+//
+// Whoever hears no bulletin for ReadAfter reads the store itself.
+//
+// # Contract
+//
+// A Core has no I/O, clock or goroutine and isn't safe for concurrent use. Two
+// coordinators at a time cost calls, and no promise.
+package zone
--- /dev/null
+++ b/internal/core/zone/fleet_test.go
@@ -0,0 +1,211 @@
+package zone
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/catalog"
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/quota"
+)
+
+const (
+	tick      = 20 * time.Millisecond
+	org       = entity.OrgID("org")
+	limitRate = 64_000.0
+	burst     = 64_000.0
+	request   = 6_000.0
+)
+
+// member is one instance with its meter.
+type member struct {
+	id     entity.Instance
+	meter  *quota.Meter
+	config *catalog.Config
+	core   *Core
+	cut    bool
+	proved time.Duration
+}
+
+func (m *member) Config() *catalog.Config           { return m.config }
+func (m *member) Endpoints() *catalog.Endpoints     { return catalog.NewEndpoints(nil) }
+func (m *member) ProvedAt() time.Duration           { return m.proved }
+func (m *member) Cursors() Cursors                  { return Cursors{} }
+func (m *member) Used() map[entity.OrgID]quota.Usage { return m.meter.Used() }
+func (m *member) Urgent() bool                      { return m.meter.Urgent() }
+func (m *member) Adopt(now time.Time, a map[entity.OrgID]quota.Account, n int) {
+	m.meter.Adopt(now, a, n)
+}
+func (m *member) Level(now time.Time, o entity.OrgID, l quota.Limit) float64 {
+	return m.meter.Level(now, o, l)
+}
+
+// fleet is some zones of members whose messages take one tick.
+type fleet struct {
+	members []*member
+	now     time.Time
+	boot    time.Duration
+	wire    []delivery
+	// admitted is what was admitted, by time.
+	admitted []grant
+}
+
+type delivery struct {
+	from, to entity.InstanceID
+	msg      any
+}
+
+type grant struct {
+	at   time.Duration
+	cost float64
+}
+
+func newFleet(zones, perZone int) *fleet {
+	f := &fleet{now: time.Unix(1_700_000_000, 0), boot: time.Hour}
+	cfg := &catalog.Config{Version: 1, Organisations: []catalog.Organisation{{ID: org, Limited: true, Rate: limitRate, Burst: burst}}}
+	cfg.Index()
+	for z := range zones {
+		for i := range perZone {
+			id := entity.Instance{ID: entity.InstanceID(fmt.Sprintf("z%d-%d", z, i)), Zone: entity.ZoneID(fmt.Sprintf("z%d", z))}
+			id.PeerAddress = string(id.ID) + ":1"
+			m := &member{id: id, meter: quota.NewMeter(true), config: cfg}
+			m.core = New(id, m)
+			f.members = append(f.members, m)
+		}
+	}
+	for _, m := range f.members {
+		others := make(map[entity.ZoneID]entity.InstanceID)
+		for z := range zones {
+			if zone := entity.ZoneID(fmt.Sprintf("z%d", z)); zone != m.id.Zone {
+				others[zone] = entity.InstanceID(fmt.Sprintf("z%d-0", z))
+			}
+		}
+		m.core.SetCoordinators(entity.InstanceID(string(m.id.Zone)+"-0"), others, perZone)
+	}
+	return f
+}
+
+func (f *fleet) member(id entity.InstanceID) *member {
+	for _, m := range f.members {
+		if m.id.ID == id {
+			return m
+		}
+	}
+	return nil
+}
+
+// step lets one tick pass; each member is asked for so many requests a second.
+func (f *fleet) step(perSecond float64) {
+	f.now, f.boot = f.now.Add(tick), f.boot+tick
+	at := Moment{Now: f.now, Boot: f.boot}
+	wire := f.wire
+	f.wire = nil
+	for _, d := range wire {
+		f.deliver(at, d)
+	}
+	n := int(f.boot / tick)
+	every := max(1, int(1/(perSecond*tick.Seconds())))
+	for i, m := range f.members {
+		if (n+i)%every == 0 {
+			if ok, _ := m.meter.Charge(f.now, org, quota.Limit{Rate: limitRate, Burst: burst}, request); ok {
+				f.admitted = append(f.admitted, grant{at: f.boot, cost: request})
+			}
+		}
+		m.core.Tick(at)
+	}
+	for _, m := range f.members {
+		messages, news := m.core.Ready()
+		for _, t := range messages {
+			f.wire = append(f.wire, delivery{from: m.id.ID, to: t.Instance, msg: t.Message})
+		}
+		for _, x := range news {
+			m.proved = max(m.proved, x.ProvedAt)
+			if x.Config != nil && x.Config.Version > m.config.Version {
+				m.config = x.Config
+			}
+		}
+	}
+}
+
+func (f *fleet) deliver(at Moment, d delivery) {
+	from, to := f.member(d.from), f.member(d.to)
+	if from.cut != to.cut {
+		return
+	}
+	switch m := d.msg.(type) {
+	case Report:
+		to.core.Report(at, d.from, m)
+	case Bulletin:
+		to.core.Bulletin(at, d.from, m)
+	case Exchange:
+		to.core.Exchange(at, d.from, m)
+	}
+}
+
+// most returns the most that was admitted in any window.
+func (f *fleet) most(window time.Duration) float64 {
+	best, sum, first := 0.0, 0.0, 0
+	for i, g := range f.admitted {
+		sum += g.cost
+		for f.admitted[first].at <= f.admitted[i].at-window {
+			sum -= f.admitted[first].cost
+			first++
+		}
+		best = max(best, sum)
+	}
+	return best
+}
+
+// allowed is what the users' rule allows in a window of eight seconds, with a
+// slack of about two seconds' rate.
+func allowed() float64 { return (limitRate*8+burst)*1.1 + 140_000 }
+
+// An organisation that sends four times its limit gets no more than that over
+// all instances, and not much less.
+func TestLimitHoldsOverZones(t *testing.T) {
+	f := newFleet(3, 5)
+	for range 1500 {
+		f.step(3)
+	}
+	if got := f.most(8 * time.Second); got > allowed() {
+		t.Errorf("%.0f admitted within 8 s, allowed %.0f", got, allowed())
+	}
+	total := 0.0
+	for _, g := range f.admitted {
+		total += g.cost
+	}
+	if total < 0.9*limitRate*30 {
+		t.Errorf("%.0f admitted in 30 s, the limit is %.0f", total, limitRate*30)
+	}
+}
+
+// The same while one zone is cut off from the others, whose callers go on.
+func TestLimitHoldsThroughACut(t *testing.T) {
+	f := newFleet(3, 5)
+	for i := range 2000 {
+		for _, m := range f.members {
+			m.cut = i >= 500 && i < 1200 && m.id.Zone == "z1"
+		}
+		f.step(3)
+	}
+	if got := f.most(8 * time.Second); got > allowed() {
+		t.Errorf("%.0f admitted within 8 s, allowed %.0f", got, allowed())
+	}
+}
+
+// A member learns the age of the proof through its coordinator, and never takes
+// it for newer than it is.
+func TestProofTravels(t *testing.T) {
+	f := newFleet(2, 3)
+	proved := f.boot
+	f.member("z0-0").proved = proved
+	for range 100 {
+		f.step(0.1)
+	}
+	for _, m := range f.members {
+		if m.proved == 0 || m.proved > proved {
+			t.Errorf("%s takes the proof to be of %v, it is of %v", m.id.ID, m.proved, proved)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/zone/message.go
@@ -0,0 +1,63 @@
+package zone
+
+import (
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/catalog"
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/quota"
+)
+
+// Report is what a member tells the coordinator.
+type Report struct {
+	Number uint64 `json:"n"`
+	// Address is the member's peer address, which outlives its process.
+	Address string                       `json:"a"`
+	Used    map[entity.OrgID]quota.Usage `json:"u,omitempty"`
+	// Config and Endpoints say what the member has.
+	Config    int64  `json:"c,omitempty"`
+	Endpoints uint64 `json:"e,omitempty"`
+}
+
+// Bulletin is the coordinator's answer to a report.
+type Bulletin struct {
+	// Answers is the number of the report.
+	Answers uint64 `json:"n"`
+	// ProofAge is how long ago the configuration was proved the newest,
+	// negative if it never was.
+	ProofAge time.Duration `json:"p"`
+	// Config and Endpoints are set where the member has older ones.
+	Config    *catalog.Config `json:"c,omitempty"`
+	Endpoints *EndpointList   `json:"e,omitempty"`
+	// Cursors are where the coordinator stands in what the store tells.
+	Cursors  Cursors                        `json:"s"`
+	Accounts map[entity.OrgID]quota.Account `json:"u,omitempty"`
+	// Instances is how many instances the deployment has.
+	Instances int `json:"i"`
+}
+
+// EndpointList is a whole table of endpoints.
+type EndpointList struct {
+	Rows []catalog.Endpoint `json:"r"`
+}
+
+// Cursors are positions in what the store tells.
+type Cursors struct {
+	Config    int64 `json:"c"`
+	Endpoints int64 `json:"e"`
+}
+
+// Exchange is what the coordinators of two zones tell each other.
+type Exchange struct {
+	Zone   entity.ZoneID `json:"z"`
+	Number uint64        `json:"n"`
+	// Answers is the number of the last exchange that came from the receiver.
+	Answers  uint64        `json:"a,omitempty"`
+	ProofAge time.Duration `json:"p"`
+	// Version is the sender's configuration; Config is set where the receiver
+	// was last known to have an older one.
+	Version   int64                    `json:"v,omitempty"`
+	Config    *catalog.Config          `json:"c,omitempty"`
+	Used      map[entity.OrgID]float64 `json:"u,omitempty"`
+	Instances int                      `json:"i"`
+}
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -162,12 +162,13 @@
 	if c.org == nil || !c.org.Limited {
 		return nil
 	}
-	c.cost = c.org.Cost(c.meta.PromptTokens+c.meta.MaxTokens, c.meta.HasTokens)
-	ok, after := c.s.opts.Desk.Charge(c.org, c.cost)
+	cost := c.org.Cost(c.meta.PromptTokens+c.meta.MaxTokens, c.meta.HasTokens)
+	ok, after := c.s.opts.Desk.Charge(c.org, cost)
 	if !ok {
 		c.s.buffered.Add(-c.held)
 		return refusal(verdict.ReasonRateLimit, after, "the organisation's limit is used up")
 	}
+	c.cost = cost // only what was charged may be taken back
 	return nil
 }
 
@@ -249,7 +250,7 @@
 func (c *call) logEnd(keysAndValues ...any) {
 	fields := []any{"request", c.meta.ID, "ms", time.Since(c.arrived).Milliseconds(), "tried", c.tried}
 	if c.route != nil {
-		fields = append(fields, "route", c.route.Name, "organisation", c.work.Org, "config", c.config.Version, "rank", c.work.Rank)
+		fields = append(fields, "route", c.route.Name, "organisation", c.work.Org, "config", c.config.Version, "rank", c.work.Rank, "cost", c.cost)
 	}
 	telemetry.Log(c.s.opts.Log, telemetry.EventCallEnded, append(fields, keysAndValues...)...)
 }
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -10,6 +10,7 @@
 	"github.com/medlarhold/medlarhold/internal/core/membership"
 	"github.com/medlarhold/medlarhold/internal/core/ownership"
 	"github.com/medlarhold/medlarhold/internal/core/reserve"
+	"github.com/medlarhold/medlarhold/internal/core/zone"
 	"github.com/medlarhold/medlarhold/internal/telemetry"
 )
 
@@ -35,6 +36,7 @@
 	// elected grants for the zone where this instance is chosen to; local
 	// grants to this instance alone while the chosen one is silent.
 	elected, local *broker.Broker
+	zone           *zone.Core
 	view           membership.View
 	address        map[entity.InstanceID]string
 	brokers        map[entity.PoolID]entity.InstanceID
@@ -100,6 +102,7 @@
 		g: g, self: self, inbox: make(chan any, inboxSize),
 		members: membership.New(membershipSettings(), self, rand.New(rand.NewSource(time.Now().UnixNano()))),
 		entry:   reserve.New(self.ID),
+		zone:    zone.New(self, knowledge{g}),
 		elected: broker.New(broker.DefaultSettings(self.Zone)), local: broker.New(local),
 		address: make(map[entity.InstanceID]string), brokers: make(map[entity.PoolID]entity.InstanceID),
 		waiters: make(map[entity.RequestID]chan<- reserve.Decision),
@@ -156,6 +159,8 @@
 	c.entry.Tick(now)
 	c.elected.Tick(now)
 	c.local.Tick(now)
+	c.zone.Tick(moment(now))
+	c.g.follower.setReading(c.zone.Reads(now))
 	if !now.Before(c.nextState) {
 		c.nextState = now.Add(stateInterval)
 		c.tellZones(now)
@@ -195,6 +200,12 @@
 		c.members.Step(now, from, m)
 	case broker.State:
 		c.elected.Elsewhere(now, from, m)
+	case zone.Report:
+		c.zone.Report(moment(now), from, m)
+	case zone.Bulletin:
+		c.zone.Bulletin(moment(now), from, m)
+	case zone.Exchange:
+		c.zone.Exchange(moment(now), from, m)
 	case reserve.Poll:
 		// The acknowledgement is all that is asked for.
 	default:
@@ -241,6 +252,7 @@
 	for {
 		busy := c.settleMembers(now)
 		busy = c.settleEntry(now) || busy
+		c.settleZone(now)
 		busy = c.settleBroker(now, c.local, reserve.Local) || busy
 		busy = c.settleBroker(now, c.elected, c.self.ID) || busy
 		if !busy {
@@ -278,6 +290,17 @@
 	return len(messages)+len(decisions) > 0
 }
 
+// settleZone sends what the zone's part has to say, and takes in its news.
+func (c *control) settleZone(now time.Time) {
+	messages, news := c.zone.Ready()
+	for _, m := range messages {
+		c.send(m.Instance, c.address[m.Instance], m.Message)
+	}
+	for _, n := range news {
+		c.g.learn(now, n)
+	}
+}
+
 // decide gives a request's goroutine the word that it waits for.
 func (c *control) decide(d reserve.Decision) {
 	reply, ok := c.waiters[d.ID]
@@ -340,11 +363,27 @@
 	}
 	c.logBrokers(brokers)
 	c.brokers = brokers
+	c.setCoordinators()
 	c.elected.SetEndpoints(now, c.pools, t)
 	c.local.SetEndpoints(now, c.pools, t)
 	c.entry.SetBrokers(now, brokers)
 }
 
+// coordinatorRole is the name under which the coordinator of a zone is chosen.
+const coordinatorRole = "coordinator"
+
+// setCoordinators names the coordinators of all zones in reach.
+func (c *control) setCoordinators() {
+	others := make(map[entity.ZoneID]entity.InstanceID)
+	for _, z := range c.view.Zones {
+		if id := c.chosen(z.Zone, coordinatorRole); id != "" && z.Zone != c.self.Zone {
+			others[z.Zone] = id
+		}
+	}
+	own, _ := c.view.Zone(c.self.Zone)
+	c.zone.SetCoordinators(c.chosen(c.self.Zone, coordinatorRole), others, len(own.Members))
+}
+
 func (c *control) logBrokers(brokers map[entity.PoolID]entity.InstanceID) {
 	for p, id := range brokers {
 		if c.brokers[p] != id {
@@ -353,10 +392,15 @@
 	}
 }
 
-// brokerOf returns the member of a zone that grants the zone's engines of a
-// pool: the winner of a rendezvous hash among those that are not suspected.
-func (c *control) brokerOf(zone entity.ZoneID, pool entity.PoolID) entity.InstanceID {
-	z, ok := c.view.Zone(zone)
+// brokerOf returns the member of a zone that grants the zone's engines of a pool.
+func (c *control) brokerOf(in entity.ZoneID, pool entity.PoolID) entity.InstanceID {
+	return c.chosen(in, "broker/"+string(pool))
+}
+
+// chosen returns the member of a zone that has a role: the winner of a
+// rendezvous hash among those that are neither suspected nor leaving.
+func (c *control) chosen(in entity.ZoneID, role string) entity.InstanceID {
+	z, ok := c.view.Zone(in)
 	if !ok || !z.Reachable {
 		return ""
 	}
@@ -366,7 +410,7 @@
 			candidates = append(candidates, m.Instance)
 		}
 	}
-	winner := ownership.Ranked(candidates, "broker/"+string(pool), 1)
+	winner := ownership.Ranked(candidates, role, 1)
 	if len(winner) == 0 {
 		return ""
 	}
--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -7,6 +7,7 @@
 	"github.com/medlarhold/medlarhold/internal/core/broker"
 	"github.com/medlarhold/medlarhold/internal/core/catalog"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/quota"
 	"github.com/medlarhold/medlarhold/internal/core/reserve"
 	"github.com/medlarhold/medlarhold/internal/edge"
 	"github.com/medlarhold/medlarhold/internal/verdict"
@@ -30,16 +31,21 @@
 func (g *Instance) Closed() bool { return g.closed.Load() }
 
 // Charge implements edge.Desk.
-func (g *Instance) Charge(*catalog.Organisation, float64) (bool, time.Duration) { return true, 0 }
+func (g *Instance) Charge(org *catalog.Organisation, cost float64) (ok bool, retryAfter time.Duration) {
+	return g.meter.charge(org.ID, quota.Limit{Rate: org.Rate, Burst: org.Burst}, cost)
+}
 
 // Refund implements edge.Desk.
-func (g *Instance) Refund(*catalog.Organisation, float64) {}
+func (g *Instance) Refund(org *catalog.Organisation, cost float64) { g.meter.refund(org.ID, cost) }
 
 // MayRetry implements edge.Desk.
-func (g *Instance) MayRetry(entity.PoolID) bool { return true }
+func (g *Instance) MayRetry(pool entity.PoolID) bool { return g.retries.take(pool) }
 
 // Acquire implements edge.Desk.
 func (g *Instance) Acquire(ctx context.Context, w edge.Work, avoid []entity.EndpointID) (edge.Slot, *verdict.Error) {
+	if len(avoid) == 0 {
+		g.retries.request(w.Pool)
+	}
 	if w.Kind == entity.KindEngine {
 		return g.reserve(ctx, w, avoid)
 	}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
 
 	"github.com/medlarhold/medlarhold/internal/core/catalog"
+	"github.com/medlarhold/medlarhold/internal/core/zone"
 	"github.com/medlarhold/medlarhold/internal/telemetry"
 )
 
@@ -17,21 +20,61 @@
 	// discoveryInterval is the time between two reads of discovery. Engines write
 	// several records a second, so that waiting for one would save nothing.
 	discoveryInterval = 800 * time.Millisecond
+	// readerPoll is the time between two looks whether this instance is to read.
+	readerPoll = 50 * time.Millisecond
 	// storeRetryInterval is the pause after a read that failed.
 	storeRetryInterval = 150 * time.Millisecond
 )
 
 // follower keeps what the instance believes in step with the store.
 type follower struct {
-	g         *Instance
+	g *Instance
+	// reading is set while this instance reads for itself.
+	reading atomic.Bool
+	// mu guards what follows: the reading goroutines and the control goroutine,
+	// which learns from the coordinator, both change it.
+	mu        sync.Mutex
 	discovery *catalog.Discovery
-	config    Cursor
-	endpoints Cursor
+	cursors   zone.Cursors
 	lost      map[string]bool // dependencies that do not answer
 }
 
 func newFollower(g *Instance) *follower {
-	return &follower{g: g, discovery: catalog.NewDiscovery(), config: FromStart, endpoints: FromStart, lost: make(map[string]bool)}
+	return &follower{
+		g: g, discovery: catalog.NewDiscovery(), lost: make(map[string]bool),
+		cursors: zone.Cursors{Config: int64(FromStart), Endpoints: int64(FromStart)},
+	}
+}
+
+// setReading says whether this instance is to read for itself.
+func (f *follower) setReading(on bool) {
+	if f.reading.Swap(on) != on {
+		telemetry.Log(f.g.log, telemetry.EventReaderChanged, "reads", on, "config", f.g.belief.version(),
+			"proof_age_ms", f.g.belief.proofAge().Milliseconds())
+	}
+}
+
+// position returns where the instance stands in what the store tells.
+func (f *follower) position() zone.Cursors {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cursors
+}
+
+// learn takes in what the coordinator has read.
+func (f *follower) learn(now time.Time, n zone.News) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if n.Cursors != nil && !f.reading.Load() {
+		f.cursors = *n.Cursors
+	}
+	switch {
+	case n.HasEndpoints:
+		f.discovery.Adopt(now, n.Endpoints)
+		f.g.setEndpoints(f.discovery.Table())
+	case n.Cursors != nil:
+		f.discovery.Heard(now)
+	}
 }
 
 // run follows configuration and discovery until ctx ends.
@@ -42,6 +85,10 @@
 
 func (f *follower) followConfig(ctx context.Context) {
 	for ctx.Err() == nil {
+		if !f.reading.Load() {
+			pause(ctx, readerPoll)
+			continue
+		}
 		if !f.readConfig(ctx) {
 			pause(ctx, storeRetryInterval)
 		}
@@ -51,15 +98,17 @@
 // readConfig reads once. The read proves the configuration as of its start.
 func (f *follower) readConfig(ctx context.Context) bool {
 	started := bootTime()
-	wait := configWait
-	if f.config == FromStart {
+	from, wait := Cursor(f.position().Config), configWait
+	if from == FromStart {
 		wait = 0
 	}
-	read, err := f.g.adapter.Store.Config(ctx, f.config, wait)
+	read, err := f.g.adapter.Store.Config(ctx, from, wait)
 	if !f.answered(ctx, "configuration", err) {
 		return false
 	}
-	f.config = read.Next
+	f.mu.Lock()
+	f.cursors.Config = int64(read.Next)
+	f.mu.Unlock()
 	for _, err := range read.Malformed {
 		telemetry.Log(f.g.log, telemetry.EventConfigRejected, "error", trace.UserMessage(err))
 	}
@@ -72,6 +121,10 @@
 
 func (f *follower) followEndpoints(ctx context.Context) {
 	for ctx.Err() == nil {
+		if !f.reading.Load() {
+			pause(ctx, readerPoll)
+			continue
+		}
 		started := time.Now()
 		if f.readEndpoints(ctx) {
 			pause(ctx, discoveryInterval-time.Since(started))
@@ -82,11 +135,13 @@
 }
 
 func (f *follower) readEndpoints(ctx context.Context) bool {
-	read, err := f.g.adapter.Store.Endpoints(ctx, f.endpoints)
+	read, err := f.g.adapter.Store.Endpoints(ctx, Cursor(f.position().Endpoints))
 	if !f.answered(ctx, "discovery", err) {
 		return false
 	}
-	f.endpoints = read.Next
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cursors.Endpoints = int64(read.Next)
 	for _, err := range read.Malformed {
 		telemetry.Log(f.g.log, telemetry.EventEntryMalformed, "error", trace.UserMessage(err))
 	}
@@ -99,6 +154,8 @@
 // answered notes whether a dependency answers, and logs when that changes.
 func (f *follower) answered(ctx context.Context, what string, err error) bool {
 	f.g.metrics.LogCall("read", what)
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if err == nil {
 		if f.lost[what] {
 			f.lost[what] = false
@@ -119,14 +176,28 @@
 	if g.belief.setConfig(c) {
 		g.metrics.ConfigRevision.Update(c.Version)
 		telemetry.Log(g.log, telemetry.EventConfigApplied, "version", c.Version, "from", from, "routes", len(c.Routes))
-		g.control.post(g.ctx, changed{})
+		go g.control.post(g.ctx, changed{}) // the control goroutine itself may be here
+	}
+}
+
+// learn takes in what other instances have told.
+func (g *Instance) learn(now time.Time, n zone.News) {
+	if n.Config != nil {
+		g.putInForce(n.Config, string(n.From))
+	}
+	if n.ProvedAt > 0 {
+		g.belief.prove(n.ProvedAt)
 	}
+	g.follower.learn(now, n)
 }
 
 // setEndpoints puts a table of endpoints into force.
 func (g *Instance) setEndpoints(t *catalog.Endpoints) {
 	before := g.belief.endpoints.Swap(t)
-	g.control.post(g.ctx, changed{})
+	if before.Digest() == t.Digest() {
+		return
+	}
+	go g.control.post(g.ctx, changed{}) // the control goroutine itself may be here
 	if before.Len() != t.Len() {
 		telemetry.Log(g.log, telemetry.EventEndpointsChanged, "endpoints", t.Len(), "before", before.Len())
 	}
--- a/internal/gateway/instance.go
+++ b/internal/gateway/instance.go
@@ -14,6 +14,7 @@
 	"github.com/medlarhold/medlarhold/internal/core/balance"
 	"github.com/medlarhold/medlarhold/internal/core/catalog"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/quota"
 	"github.com/medlarhold/medlarhold/internal/edge"
 	"github.com/medlarhold/medlarhold/internal/peer"
 	"github.com/medlarhold/medlarhold/internal/telemetry"
@@ -57,6 +58,8 @@
 	client    *upstream.Client
 	edge      *edge.Server
 	services  *services
+	meter     *meter
+	retries   *retries
 	self      entity.Instance
 	control   *control
 	transport *peer.Transport
@@ -74,6 +77,8 @@
 	g := &Instance{settings: s, adapter: a, log: log, metrics: m, stop: make(chan struct{})}
 	g.belief.endpoints.Store(catalog.NewEndpoints(nil))
 	g.client = upstream.New(upstream.Options{Dialect: a.Upstream, Dialled: m.Dialled})
+	g.meter = &meter{meter: quota.NewMeter(s.FirstStart)}
+	g.retries = newRetries(s)
 	g.services = &services{table: balance.New(), zone: s.Zone}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.self = newIdentity(s)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -15,6 +15,7 @@
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/core/membership"
 	"github.com/medlarhold/medlarhold/internal/core/reserve"
+	"github.com/medlarhold/medlarhold/internal/core/zone"
 	"github.com/medlarhold/medlarhold/internal/peer"
 )
 
@@ -30,6 +31,9 @@
 	r := peer.NewRegistry()
 	peer.Register[membership.Message](r, "m", peer.ClassControl)
 	peer.Register[broker.State](r, "free", peer.ClassControl)
+	peer.Register[zone.Report](r, "rep", peer.ClassControl)
+	peer.Register[zone.Bulletin](r, "bul", peer.ClassControl)
+	peer.Register[zone.Exchange](r, "xch", peer.ClassControl)
 	peer.Register[broker.Holding](r, "hold", peer.ClassControl)
 	peer.Register[reserve.Poll](r, "poll", peer.ClassRequest)
 	peer.Register[broker.Ask](r, "ask", peer.ClassRequest)
--- /dev/null
+++ b/internal/gateway/retries.go
@@ -0,0 +1,53 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/retry"
+)
+
+// expectedInstances is assumed before the number of instances is known.
+const expectedInstances = 16
+
+// retries guards the budgets of second tries, one for each pool.
+type retries struct {
+	settings  Settings
+	mu        sync.Mutex
+	budgets   map[entity.PoolID]*retry.Shared
+	instances int
+}
+
+func newRetries(s Settings) *retries {
+	return &retries{settings: s, budgets: make(map[entity.PoolID]*retry.Shared), instances: expectedInstances}
+}
+
+func (r *retries) setInstances(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.instances = max(1, n)
+}
+
+// request records a first try.
+func (r *retries) request(pool entity.PoolID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.budget(pool).Request()
+}
+
+// take takes one second try.
+func (r *retries) take(pool entity.PoolID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.budget(pool).Take(time.Now(), r.instances)
+}
+
+func (r *retries) budget(pool entity.PoolID) *retry.Shared {
+	b := r.budgets[pool]
+	if b == nil {
+		b = retry.NewShared(r.settings.RetryRatio, r.settings.RetryAllowed, r.settings.RetryWindow, r.instances)
+		r.budgets[pool] = b
+	}
+	return b
+}
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -36,6 +36,7 @@
 	EventMembersChanged    = Event{3005, "members changed", 0}
 	EventOwnershipChanged  = Event{3006, "endpoints gained or lost", 0}
 	EventBrokerChanged     = Event{3007, "another instance grants the slots of a pool", 0}
+	EventReaderChanged     = Event{3008, "this instance begins or ends reading the store for itself", 0}
 	EventLogUnavailable    = Event{4001, "log service unavailable", 0}
 	EventLogBack           = Event{4002, "log service back", 0}
 	EventListUnavailable   = Event{4003, "instance list unavailable", 0}
@@ -62,7 +63,7 @@
 	return []Event{
 		EventStarting, EventReady, EventDrainBegin, EventDrainEnd, EventDrainTimeout, EventSecondSignal, EventServerFailed, EventLogDropped,
 		EventRequestFinished, EventRequestRetried, EventRequestPanicked, EventCallEnded,
-		EventPeerConnected, EventPeerLost, EventPeerSilent, EventPeerRefused, EventMembersChanged, EventOwnershipChanged, EventBrokerChanged,
+		EventPeerConnected, EventPeerLost, EventPeerSilent, EventPeerRefused, EventMembersChanged, EventOwnershipChanged, EventBrokerChanged, EventReaderChanged,
 		EventLogUnavailable, EventLogBack, EventListUnavailable, EventAppendUnknown,
 		EventConfigApplied, EventConfigRejected, EventConfigCaughtUp, EventConfigSnapshot, EventConfigFromPeer,
 		EventEndpointFailed, EventLeaseWon, EventLeaseLost, EventOrderSent, EventOrderRefused, EventEntryMalformed, EventEndpointsChanged,
