A caller counts as come back only where its time limit is well below others'

Cause: callers of one route name limits that differ by a sixth, so nearly all counted as come back and late at once. Ruled out: the engines' estimate (late though sent early: 9 of 700).

--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -25,8 +25,6 @@
 	memoryRetryAfter = 200 * time.Millisecond
 	// bodyTimeout bounds how long a caller may take to send a body.
 	bodyTimeout = 10 * time.Second
-	// returnedAfter tells a caller that comes back from one whose clock is coarse.
-	returnedAfter = 20 * time.Millisecond
 	// defaultTimeout is the timeout of a route that names none.
 	defaultTimeout = 30 * time.Second
 )
@@ -188,7 +186,7 @@
 	c.work = Work{
 		ID: c.meta.ID, Pool: pool, Route: c.route.Name, Kind: entity.KindService, Rank: c.route.Rank,
 		PromptTokens: c.meta.PromptTokens, AnswerTokens: c.meta.MaxTokens,
-		Target: c.arrived.Add(c.route.Target - spent), Deadline: c.deadline, Returned: spent > returnedAfter,
+		Target: c.arrived.Add(c.route.Target - spent), Deadline: c.deadline, Returned: spent > 0,
 	}
 	if p := c.config.Pools[pool]; p != nil {
 		c.work.Kind = p.Kind
@@ -250,7 +248,8 @@
 func (c *call) logEnd(keysAndValues ...any) {
 	fields := []any{"request", c.meta.ID, "ms", time.Since(c.arrived).Milliseconds(), "tried", c.tried}
 	if c.route != nil {
-		fields = append(fields, "route", c.route.Name, "organisation", c.work.Org, "config", c.config.Version, "rank", c.work.Rank, "cost", c.cost)
+		fields = append(fields, "route", c.route.Name, "organisation", c.work.Org, "config", c.config.Version, "rank", c.work.Rank, "cost", c.cost,
+			"prompt_tokens", c.work.PromptTokens, "answer_tokens", c.work.AnswerTokens, "target_ms", c.work.Target.Sub(c.arrived).Milliseconds(), "returned", c.work.Returned)
 	}
 	telemetry.Log(c.s.opts.Log, telemetry.EventCallEnded, append(fields, keysAndValues...)...)
 }
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -49,15 +49,19 @@
 	c.serve()
 }
 
+// patienceSpread is the share by which callers of one route differ in how long
+// they wait.
+const patienceSpread = 0.17
+
 // longestWaits remembers, by route, the longest time that callers have been
-// seen to wait. A caller that names less has tried before: what is missing is
-// how long ago.
+// seen to wait. A caller that names much less has tried before: what is missing
+// tells how long ago.
 type longestWaits struct {
 	mu      sync.Mutex
 	byRoute map[string]time.Duration
 }
 
-// spent returns how long ago the caller's first attempt was.
+// spent estimates how long ago the caller's first attempt was, 0 for a first one.
 func (l *longestWaits) spent(route *catalog.Route, remaining time.Duration) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -67,5 +71,9 @@
 	if remaining > l.byRoute[route.Name] {
 		l.byRoute[route.Name] = remaining
 	}
-	return l.byRoute[route.Name] - remaining
+	longest := float64(l.byRoute[route.Name])
+	if float64(remaining) >= (1-patienceSpread)*longest {
+		return 0
+	}
+	return time.Duration((1-patienceSpread/2)*longest) - remaining
 }
