--- a/internal/core/catalog/discovery.go
+++ b/internal/core/catalog/discovery.go
@@ -60,16 +60,28 @@
 	return d.apply(kept) || d.expire(now)
 }
 
-// Adopt replaces the table by that of a peer that reads the store.
-func (d *Discovery) Adopt(now time.Time, rows []Endpoint) {
+// Adopt replaces the table by what a peer read from the store at a time.
+func (d *Discovery) Adopt(readAt time.Time, rows []Endpoint) {
 	d.table = NewEndpoints(rows)
 	d.known = true
-	d.lastRead = now
+	d.lastRead = readAt
 	clear(d.missing)
 }
 
-// Heard notes that a peer that reads the store has nothing new.
-func (d *Discovery) Heard(now time.Time) { d.lastRead = now }
+// Heard notes that a peer read the store at a time and found nothing new.
+func (d *Discovery) Heard(readAt time.Time) {
+	if d.known && readAt.After(d.lastRead) {
+		d.lastRead = readAt
+	}
+}
+
+// ReadAge is how long ago the store was read, negative for never.
+func (d *Discovery) ReadAge(now time.Time) time.Duration {
+	if !d.known {
+		return -1
+	}
+	return now.Sub(d.lastRead)
+}
 
 // Tick drops the entries that did not come back in time.
 func (d *Discovery) Tick(now time.Time) bool { return d.expire(now) }
--- a/internal/core/zone/core.go
+++ b/internal/core/zone/core.go
@@ -20,6 +20,10 @@
 	// ReadAfter is how long a member waits for a bulletin before it reads the
 	// store itself.
 	ReadAfter = time.Second
+	// readStale is the age of the coordinator's last read of discovery from
+	// which on members read for themselves: the store may refuse some instances
+	// and serve others.
+	readStale = 1100 * time.Millisecond
 	// keepSent bounds the reports whose times are remembered.
 	keepSent = 64
 )
@@ -34,6 +38,9 @@
 	// ProvedAt is when the configuration was last proved the newest, on the
 	// clock of Moment.Boot; 0 for never.
 	ProvedAt() time.Duration
+	// ReadAge is how long ago discovery was last read, by this instance or by
+	// the one it was learned from; negative for never.
+	ReadAge(now time.Time) time.Duration
 	Cursors() Cursors
 	// Used, Urgent and Adopt speak to the instance's meter.
 	Used() map[entity.OrgID]quota.Usage
@@ -60,7 +67,9 @@
 	Cursors *Cursors
 	// ProvedAt is a proof of the configuration, 0 for none.
 	ProvedAt time.Duration
-	From     entity.InstanceID
+	// ReadAge is the age of the endpoints and cursors.
+	ReadAge time.Duration
+	From    entity.InstanceID
 }
 
 // To is a message and the instance it goes to.
@@ -79,10 +88,12 @@
 	zoneSize    int
 	ledger      *quota.Ledger
 
-	number    uint64
-	sent      map[uint64]time.Duration
-	lastSend  time.Time
-	heardAt   time.Time
+	number   uint64
+	sent     map[uint64]time.Duration
+	lastSend time.Time
+	heardAt  time.Time
+	// stale is set while the coordinator's own reads are out of date.
+	stale     bool
 	exchanged map[entity.ZoneID]*otherZone
 
 	messages []To
@@ -124,7 +135,7 @@
 
 // Reads says whether this instance is to read the store.
 func (c *Core) Reads(now time.Time) bool {
-	return c.Coordinates() || c.coordinator == "" || now.Sub(c.heardAt) > ReadAfter
+	return c.Coordinates() || c.coordinator == "" || c.stale || now.Sub(c.heardAt) > ReadAfter
 }
 
 // Tick sends what is due.
@@ -214,7 +225,7 @@
 // Report answers a member. One that takes this instance for the coordinator
 // before it does so itself is answered all the same, but for the accounts.
 func (c *Core) Report(at Moment, from entity.InstanceID, r Report) {
-	b := Bulletin{Answers: r.Number, ProofAge: c.proofAge(at), Cursors: c.knows.Cursors()}
+	b := Bulletin{Answers: r.Number, ProofAge: c.proofAge(at), ReadAge: c.knows.ReadAge(at.Now), Cursors: c.knows.Cursors()}
 	if cfg := c.knows.Config(); versionOf(cfg) > r.Config {
 		b.Config = cfg
 	}
@@ -235,11 +246,15 @@
 	if from != c.coordinator {
 		return
 	}
-	n := News{From: from, Config: indexed(b.Config), ProvedAt: c.provedAt(b.Answers, b.ProofAge), Cursors: &b.Cursors}
-	if b.Endpoints != nil {
-		n.Endpoints, n.HasEndpoints = b.Endpoints.Rows, true
+	n := News{From: from, Config: indexed(b.Config), ProvedAt: c.provedAt(b.Answers, b.ProofAge)}
+	if own := c.knows.ReadAge(at.Now); b.ReadAge >= 0 && (own < 0 || b.ReadAge <= own) {
+		n.Cursors, n.ReadAge = &b.Cursors, b.ReadAge
+		if b.Endpoints != nil {
+			n.Endpoints, n.HasEndpoints = b.Endpoints.Rows, true
+		}
 	}
 	c.heardAt = at.Now
+	c.stale = b.ReadAge < 0 || b.ReadAge > readStale
 	c.news = append(c.news, n)
 	if b.Instances > 0 {
 		c.knows.Adopt(at.Now, b.Accounts, b.Instances)
--- a/internal/core/zone/fleet_test.go
+++ b/internal/core/zone/fleet_test.go
@@ -28,12 +28,13 @@
 	proved time.Duration
 }
 
-func (m *member) Config() *catalog.Config           { return m.config }
-func (m *member) Endpoints() *catalog.Endpoints     { return catalog.NewEndpoints(nil) }
-func (m *member) ProvedAt() time.Duration           { return m.proved }
-func (m *member) Cursors() Cursors                  { return Cursors{} }
+func (m *member) Config() *catalog.Config            { return m.config }
+func (m *member) Endpoints() *catalog.Endpoints      { return catalog.NewEndpoints(nil) }
+func (m *member) ProvedAt() time.Duration            { return m.proved }
+func (m *member) ReadAge(time.Time) time.Duration    { return 0 }
+func (m *member) Cursors() Cursors                   { return Cursors{} }
 func (m *member) Used() map[entity.OrgID]quota.Usage { return m.meter.Used() }
-func (m *member) Urgent() bool                      { return m.meter.Urgent() }
+func (m *member) Urgent() bool                       { return m.meter.Urgent() }
 func (m *member) Adopt(now time.Time, a map[entity.OrgID]quota.Account, n int) {
 	m.meter.Adopt(now, a, n)
 }
--- a/internal/core/zone/message.go
+++ b/internal/core/zone/message.go
@@ -26,6 +26,9 @@
 	// ProofAge is how long ago the configuration was proved the newest,
 	// negative if it never was.
 	ProofAge time.Duration `json:"p"`
+	// ReadAge is how long ago the coordinator last read discovery, negative if
+	// it never has.
+	ReadAge time.Duration `json:"a"`
 	// Config and Endpoints are set where the member has older ones.
 	Config    *catalog.Config `json:"c,omitempty"`
 	Endpoints *EndpointList   `json:"e,omitempty"`
--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/medlarhold/medlarhold/internal/core/broker"
@@ -56,8 +57,27 @@
 	return slot, nil
 }
 
-// reserve waits for a broker's word.
+// reserve waits for a broker's word. An endpoint that this instance knows to be
+// leaving, and the broker not yet, is given back for another one.
 func (g *Instance) reserve(ctx context.Context, w edge.Work, avoid []entity.EndpointID) (edge.Slot, *verdict.Error) {
+	for {
+		d, v := g.ask(ctx, w, avoid)
+		if v != nil {
+			return edge.Slot{}, v
+		}
+		if d.Endpoint == "" {
+			return edge.Slot{}, denied(w, d)
+		}
+		if e, ok := g.belief.endpoints.Load().Get(d.Endpoint); ok && !e.Leaving {
+			return g.slot(w, e), nil
+		}
+		g.control.post(g.ctx, done{done: broker.Done{ID: w.ID}})
+		avoid = append(slices.Clip(avoid), d.Endpoint)
+	}
+}
+
+// ask asks for a slot and waits for the decision.
+func (g *Instance) ask(ctx context.Context, w edge.Work, avoid []entity.EndpointID) (reserve.Decision, *verdict.Error) {
 	reply := make(chan reserve.Decision, 1)
 	g.control.post(g.ctx, acquire{reply: reply, request: reserve.Request{
 		ID: w.ID, Pool: w.Pool, Rank: w.Rank, PromptTokens: w.PromptTokens, AnswerTokens: w.AnswerTokens,
@@ -65,23 +85,15 @@
 	}})
 	select {
 	case d := <-reply:
-		return g.slot(w, d)
+		return d, nil
 	case <-ctx.Done():
 		g.control.post(g.ctx, abandon{id: w.ID})
-		return edge.Slot{}, &verdict.Error{Verdict: verdict.NotRun, Reason: verdict.ReasonDeadline, Message: "the request's time ran out before a slot was free"}
+		return reserve.Decision{}, &verdict.Error{Verdict: verdict.NotRun, Reason: verdict.ReasonDeadline, Message: "the request's time ran out before a slot was free"}
 	}
 }
 
-// slot turns a broker's word into a slot or a refusal.
-func (g *Instance) slot(w edge.Work, d reserve.Decision) (edge.Slot, *verdict.Error) {
-	if d.Endpoint == "" {
-		return edge.Slot{}, denied(w, d)
-	}
-	e, ok := g.belief.endpoints.Load().Get(d.Endpoint)
-	if !ok || e.Leaving {
-		g.control.post(g.ctx, done{done: broker.Done{ID: w.ID}})
-		return edge.Slot{}, noEndpoint(w)
-	}
+// slot allows one dispatch to an endpoint that a broker has granted.
+func (g *Instance) slot(w edge.Work, e *catalog.Endpoint) edge.Slot {
 	sentAt := time.Now()
 	return edge.Slot{
 		Endpoint: e,
@@ -91,7 +103,7 @@
 				ID: w.ID, Failed: o.Failed, NotRun: o.NotRun, Streaming: streaming(o),
 			}})
 		},
-	}, nil
+	}
 }
 
 // streaming is what an outcome says of the engine's pace, 0 for nothing.
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -23,7 +23,7 @@
 	// readerPoll is the time between two looks whether this instance is to read.
 	readerPoll = 50 * time.Millisecond
 	// storeRetryInterval is the pause after a read that failed.
-	storeRetryInterval = 150 * time.Millisecond
+	storeRetryInterval = 300 * time.Millisecond
 )
 
 // follower keeps what the instance believes in step with the store.
@@ -61,6 +61,13 @@
 	return f.cursors
 }
 
+// readAge is how long ago discovery was read.
+func (f *follower) readAge(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.discovery.ReadAge(now)
+}
+
 // learn takes in what the coordinator has read.
 func (f *follower) learn(now time.Time, n zone.News) {
 	f.mu.Lock()
@@ -70,10 +77,10 @@
 	}
 	switch {
 	case n.HasEndpoints:
-		f.discovery.Adopt(now, n.Endpoints)
+		f.discovery.Adopt(now.Add(-n.ReadAge), n.Endpoints)
 		f.g.setEndpoints(f.discovery.Table())
 	case n.Cursors != nil:
-		f.discovery.Heard(now)
+		f.discovery.Heard(now.Add(-n.ReadAge))
 	}
 }
 
--- a/internal/gateway/knowledge.go
+++ b/internal/gateway/knowledge.go
@@ -16,7 +16,10 @@
 func (k knowledge) Config() *catalog.Config       { return k.g.belief.config.Load() }
 func (k knowledge) Endpoints() *catalog.Endpoints { return k.g.belief.endpoints.Load() }
 func (k knowledge) ProvedAt() time.Duration       { return time.Duration(k.g.belief.provedAt.Load()) }
-func (k knowledge) Cursors() zone.Cursors         { return k.g.follower.position() }
+func (k knowledge) ReadAge(now time.Time) time.Duration {
+	return k.g.follower.readAge(now)
+}
+func (k knowledge) Cursors() zone.Cursors { return k.g.follower.position() }
 
 func (k knowledge) Used() map[entity.OrgID]quota.Usage { return k.g.meter.used() }
 func (k knowledge) Urgent() bool                       { return k.g.meter.urgent() }
