--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	$(GO) build -o $(BIN)/ ./cmd/...
 
 fmt: ## format the code
-	gofmt -w cmd internal test
+	gofmt -w cmd internal platform test
 
 $(LINT):
 	$(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
@@ -30,7 +30,7 @@
 	$(GO) vet ./...
 
 check: ## fail on code that gofmt would change
-	@out=$$(gofmt -l cmd internal test); if [ -n "$$out" ]; then echo "not gofmt-clean:"; echo "$$out"; exit 1; fi
+	@out=$$(gofmt -l cmd internal platform test); if [ -n "$$out" ]; then echo "not gofmt-clean:"; echo "$$out"; exit 1; fi
 
 test: check vet lint ## formatter, vet, linter and all tests
 	bash scripts/test.sh
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -87,7 +87,7 @@
 	return d.retries >= 0
 }
 
-func (d *desk) Acquire(ctx context.Context, _ Work, _ []entity.EndpointID) (Slot, *verdict.Error) {
+func (d *desk) Acquire(_ context.Context, _ Work, _ []entity.EndpointID) (Slot, *verdict.Error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.next >= len(d.endpoints) {
@@ -349,7 +349,7 @@
 
 func TestEventsArePassedOnAsTheyCome(t *testing.T) {
 	more := make(chan struct{})
-	e := engine(t, func(conn net.Conn, req *http.Request, _ string) {
+	e := engine(t, func(conn net.Conn, _ *http.Request, _ string) {
 		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: r1\r\n%sTransfer-Encoding: chunked\r\n\r\n7\r\nid: 1\n\n\r\n", proof)
 		<-more // the second event comes only after the caller has the first
 		fmt.Fprint(conn, "7\r\nid: 2\n\n\r\n0\r\n\r\n")
@@ -391,7 +391,10 @@
 	req.Host, req.Header = "h", http.Header{"Id": {"r1"}, "Key": {"k"}}
 	failed := make(chan error, 1)
 	go func() {
-		_, err := http.DefaultTransport.RoundTrip(req)
+		res, err := http.DefaultTransport.RoundTrip(req)
+		if err == nil {
+			res.Body.Close()
+		}
 		failed <- err
 	}()
 	<-reached
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -133,6 +133,7 @@
 // readAnswer reads headers until one belongs to the request.
 func (c *Client) readAnswer(k *conn, r Request, written *atomic.Bool) (*Answer, error) {
 	for foreign := 0; ; {
+		//nolint:bodyclose // the Answer reads the body and closes the connection
 		resp, err := http.ReadResponse(k.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return nil, err
