--- a/internal/core/broker/broker.go
+++ b/internal/core/broker/broker.go
@@ -16,16 +16,18 @@
 	pools    map[entity.PoolID]*pool
 	jobs     map[entity.RequestID]*job
 	runs     map[entity.RequestID]*run
-	seq      uint64
-	awake    time.Time
-	ready    []To
+	// heard is when each entry has spoken last.
+	heard map[entity.InstanceID]time.Time
+	seq   uint64
+	awake time.Time
+	ready []To
 }
 
 // New returns a Broker without endpoints.
 func New(s Settings) *Broker {
 	return &Broker{
 		settings: s, pools: make(map[entity.PoolID]*pool),
-		jobs: make(map[entity.RequestID]*job), runs: make(map[entity.RequestID]*run),
+		jobs: make(map[entity.RequestID]*job), runs: make(map[entity.RequestID]*run), heard: make(map[entity.InstanceID]time.Time),
 	}
 }
 
@@ -51,6 +53,9 @@
 	}
 }
 
+// Heard notes that an entry has spoken.
+func (b *Broker) Heard(now time.Time, from entity.InstanceID) { b.heard[from] = now }
+
 // Ask takes in a question for a slot.
 func (b *Broker) Ask(now time.Time, a Ask) {
 	b.wake(now)
@@ -140,6 +145,7 @@
 // Drop takes in that an entry instance is gone.
 func (b *Broker) Drop(now time.Time, from entity.InstanceID) {
 	b.wake(now)
+	delete(b.heard, from)
 	for _, id := range slices.Sorted(maps.Keys(b.jobs)) {
 		if j := b.jobs[id]; j.ask.From == from {
 			b.forget(j)
@@ -162,7 +168,7 @@
 	}
 	for _, p := range b.sortedPools() {
 		for _, e := range p.engines {
-			e.silent = e.overdue(now)
+			e.silent = e.overdue(now, b.heard)
 		}
 		b.schedule(now, p)
 		b.spillWaiting(now, p)
--- a/internal/core/broker/engine.go
+++ b/internal/core/broker/engine.go
@@ -128,10 +128,11 @@
 	}
 }
 
-// overdue says that a request should have begun here long ago.
-func (e *engine) overdue(now time.Time) bool {
+// overdue says that a request should have begun here long ago, though its
+// entry is there to tell.
+func (e *engine) overdue(now time.Time, heard map[entity.InstanceID]time.Time) bool {
 	for _, r := range e.runs {
-		if r.started {
+		if r.started || now.Sub(heard[r.from]) > heardLately {
 			continue
 		}
 		allowed := max(minOverdue, overdueFactor*r.expectStart.Sub(r.grantedAt))
--- a/internal/core/broker/message.go
+++ b/internal/core/broker/message.go
@@ -25,8 +25,9 @@
 	Returned bool `json:"b,omitempty"`
 	// Avoid lists endpoints that have failed the request.
 	Avoid []entity.EndpointID `json:"x,omitempty"`
-	// Forwarded says that another zone's broker passed the question on.
-	Forwarded bool `json:"w,omitempty"`
+	// Stay says that the question must not be passed on to another zone: it was
+	// before.
+	Stay bool `json:"w,omitempty"`
 }
 
 // Queued says that a request waits here.
@@ -35,6 +36,13 @@
 	Number uint32           `json:"n"`
 }
 
+// PassedOn says that a question went on to another zone's broker, who answers it.
+type PassedOn struct {
+	ID     entity.RequestID  `json:"i"`
+	Number uint32            `json:"n"`
+	To     entity.InstanceID `json:"t"`
+}
+
 // Grant gives a slot of an endpoint.
 type Grant struct {
 	ID       entity.RequestID  `json:"i"`
@@ -111,10 +119,18 @@
 type State struct {
 	Pool entity.PoolID `json:"p"`
 	Zone entity.ZoneID `json:"z"`
-	// Free is the number of free slots, less what waits for them.
-	Free int `json:"f"`
+	// Free is the number of free slots, less what waits for them; Slots is how
+	// many there are.
+	Free  int `json:"f"`
+	Slots int `json:"s"`
+	// Waits is how long a request of each rank would wait here, the last one
+	// counting for all lower ranks and for late requests.
+	Waits [rankClasses]time.Duration `json:"w"`
 }
 
+// rankClasses is how many ranks are told apart between zones.
+const rankClasses = 4
+
 // To is a message and the instance it goes to.
 type To struct {
 	Instance entity.InstanceID
--- a/internal/core/broker/pool.go
+++ b/internal/core/broker/pool.go
@@ -21,7 +21,7 @@
 // otherZone is another zone's word on its free slots.
 type otherZone struct {
 	broker entity.InstanceID
-	free   int
+	state  State
 	at     time.Time
 }
 
--- a/internal/core/broker/settings.go
+++ b/internal/core/broker/settings.go
@@ -45,6 +45,8 @@
 	// request is taken for silent.
 	overdueFactor = 4
 	minOverdue    = 600 * time.Millisecond
+	// heardLately is how long after its last message an entry counts as there.
+	heardLately = 500 * time.Millisecond
 	// shedPause is how long an engine gets nothing that refused a request.
 	shedPause = 250 * time.Millisecond
 	// failurePause is how long an engine gets nothing that fails too often.
@@ -59,6 +61,9 @@
 	retryShare    = 3
 	// spillReserve is how many free slots are left to the other zone's own requests.
 	spillReserve = 2
+	// spillGain is by how much a request must wait less in another zone to be
+	// passed on while neither has a free slot: the way there costs time and bytes.
+	spillGain = 80 * time.Millisecond
 	// stateFresh is how long another zone's word on its free slots counts.
 	stateFresh = 400 * time.Millisecond
 )
--- a/internal/core/broker/spill.go
+++ b/internal/core/broker/spill.go
@@ -1,7 +1,6 @@
 package broker
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -9,10 +8,10 @@
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 )
 
-// Elsewhere takes in another zone's word on its free slots.
+// Elsewhere takes in another zone's word on its slots.
 func (b *Broker) Elsewhere(now time.Time, from entity.InstanceID, s State) {
 	b.wake(now)
-	b.pool(s.Pool).elsewhere[s.Zone] = &otherZone{broker: from, free: s.Free, at: now}
+	b.pool(s.Pool).elsewhere[s.Zone] = &otherZone{broker: from, state: s, at: now}
 }
 
 // States returns what other zones are to be told, by pool.
@@ -20,38 +19,93 @@
 	var out []State
 	for _, p := range b.sortedPools() {
 		if len(p.engines) > 0 {
-			out = append(out, State{Pool: p.id, Zone: b.settings.Zone, Free: p.free(now, b.settings.Part) - len(p.waiting)})
+			out = append(out, State{
+				Pool: p.id, Zone: b.settings.Zone, Free: p.free(now, b.settings.Part) - len(p.waiting),
+				Slots: p.slots(now, b.settings.Part), Waits: p.waits(now, b.settings.Part),
+			})
 		}
 	}
 	return out
 }
 
-// spill passes a request on to another zone with slots to spare.
+// waits estimates, by rank, how long a new request would wait.
+func (p *pool) waits(now time.Time, part float64) (out [rankClasses]time.Duration) {
+	slots := time.Duration(max(1, p.slots(now, part)))
+	for _, j := range p.waiting {
+		share := p.mean.occupancy(j.ask.PromptTokens, j.ask.AnswerTokens) / slots
+		for class := j.class(); class < rankClasses; class++ {
+			out[class] += share
+		}
+	}
+	return out
+}
+
+// class is the place of a job among the ranks that zones tell apart.
+func (j *job) class() int {
+	if j.late {
+		return rankClasses - 1
+	}
+	return min(max(j.ask.Rank, 0), rankClasses-1)
+}
+
+// spill passes a request on to another zone that has slots to spare, or where
+// it would wait clearly less.
 func (b *Broker) spill(now time.Time, p *pool, j *job) bool {
-	if j.ask.Forwarded || b.settings.Part > 0 {
+	if j.ask.Stay || b.settings.Part > 0 {
 		return false
 	}
 	z := p.roomiest(now)
+	if z == nil {
+		z = b.shorterQueue(now, p, j)
+	}
 	if z == nil {
 		return false
 	}
-	z.free--
+	b.passOn(now, p, j, z)
+	return true
+}
+
+// passOn sends a request to another zone's broker, and counts it there until
+// that one speaks again.
+func (b *Broker) passOn(now time.Time, p *pool, j *job, z *otherZone) {
+	z.state.Free--
+	share := p.mean.occupancy(j.ask.PromptTokens, j.ask.AnswerTokens) / time.Duration(max(1, z.state.Slots))
+	for class := j.class(); class < rankClasses; class++ {
+		z.state.Waits[class] += share
+	}
 	b.forget(j)
 	ask := j.ask
-	ask.Forwarded = true
+	ask.Stay = true
 	ask.TargetIn, ask.DeadlineIn = j.target.Sub(now), j.deadline.Sub(now)
 	b.send(z.broker, ask)
-	return true
+	b.send(ask.From, PassedOn{ID: ask.ID, Number: ask.Number, To: z.broker})
+}
+
+// shorterQueue returns the zone where j would wait least, if that is clearly
+// less than here.
+func (b *Broker) shorterQueue(now time.Time, p *pool, j *job) *otherZone {
+	class := j.class()
+	least := p.waits(now, b.settings.Part)[class] - spillGain
+	var best *otherZone
+	for _, z := range p.fresh(now) {
+		if w := z.state.Waits[class]; z.state.Slots > 0 && w < least {
+			best, least = z, w
+		}
+	}
+	return best
 }
 
 // spillWaiting passes waiting requests on, in their order, while other zones
 // have slots to spare.
 func (b *Broker) spillWaiting(now time.Time, p *pool) {
 	for _, j := range slices.Clone(p.waiting) {
-		if p.roomiest(now) == nil {
+		z := p.roomiest(now)
+		if z == nil {
 			return
 		}
-		b.spill(now, p, j)
+		if !j.ask.Stay && b.settings.Part <= 0 {
+			b.passOn(now, p, j, z)
+		}
 	}
 }
 
@@ -59,14 +113,21 @@
 // any to spare.
 func (p *pool) roomiest(now time.Time) *otherZone {
 	var best *otherZone
-	for _, id := range slices.SortedFunc(maps.Keys(p.elsewhere), cmp.Compare[entity.ZoneID]) {
-		z := p.elsewhere[id]
-		if now.Sub(z.at) > stateFresh || z.free <= spillReserve {
-			continue
-		}
-		if best == nil || z.free > best.free {
+	for _, z := range p.fresh(now) {
+		if z.state.Free > spillReserve && (best == nil || z.state.Free > best.state.Free) {
 			best = z
 		}
 	}
 	return best
 }
+
+// fresh returns the zones that have spoken lately, in the order of their names.
+func (p *pool) fresh(now time.Time) []*otherZone {
+	var out []*otherZone
+	for _, id := range slices.Sorted(maps.Keys(p.elsewhere)) {
+		if z := p.elsewhere[id]; now.Sub(z.at) <= stateFresh {
+			out = append(out, z)
+		}
+	}
+	return out
+}
--- a/internal/core/reserve/entry.go
+++ b/internal/core/reserve/entry.go
@@ -55,6 +55,8 @@
 	number  uint32
 	askedAt time.Time
 	queued  bool // the broker has said that it has the question
+	// stay has the question not passed on to another zone again.
+	stay bool
 }
 
 // running is a granted request.
@@ -112,7 +114,7 @@
 
 // inCharge says that a question waits where it should, or was passed on there.
 func (e *Entry) inCharge(w *waiting) bool {
-	return w.broker == e.brokers[w.request.Pool] || w.queued
+	return w.broker == e.brokers[w.request.Pool] || w.queued || w.stay
 }
 
 // Ask asks for a slot.
@@ -136,7 +138,7 @@
 	r := w.request
 	e.send(b, broker.Ask{
 		ID: r.ID, From: e.self, Number: w.number, Pool: r.Pool, Rank: r.Rank, PromptTokens: r.PromptTokens, AnswerTokens: r.AnswerTokens,
-		TargetIn: r.Target.Sub(now), DeadlineIn: r.Deadline.Sub(now), Returned: r.Returned, Avoid: r.Avoid,
+		TargetIn: r.Target.Sub(now), DeadlineIn: r.Deadline.Sub(now), Returned: r.Returned, Avoid: r.Avoid, Stay: w.stay,
 	})
 }
 
@@ -175,6 +177,14 @@
 	}
 }
 
+// PassedOn takes in that a broker gave the question to another one, whose
+// answer is now waited for.
+func (e *Entry) PassedOn(now time.Time, p broker.PassedOn) {
+	if w := e.waiting[p.ID]; w != nil && w.number == p.Number && !w.stay {
+		w.broker, w.askedAt, w.queued, w.stay = p.To, now, false, true
+	}
+}
+
 // Granted takes in a grant.
 func (e *Entry) Granted(now time.Time, from entity.InstanceID, g broker.Grant) {
 	w := e.waiting[g.ID]
--- a/internal/core/reserve/entry_test.go
+++ b/internal/core/reserve/entry_test.go
@@ -148,3 +148,21 @@
 		t.Error("something is still remembered")
 	}
 }
+
+// A question that was passed on to a zone that is then cut off comes back to
+// the own zone's broker, which is not blamed for it.
+func TestQuestionComesBackFromASilentZone(t *testing.T) {
+	e := newEntry()
+	a := ask(e, start, "r")
+	e.PassedOn(start, broker.PassedOn{ID: "r", Number: a.Number, To: "far"})
+	now := start.Add(AnswerWithin)
+	e.Tick(now)
+	messages, _ := e.Ready()
+	got := to(messages, "broker")
+	if len(got) != 1 || !got[0].(broker.Ask).Stay {
+		t.Fatalf("the own broker got %v, want the question, to be kept there", got)
+	}
+	if e.Silent(now, "broker") || !e.Silent(now, "far") {
+		t.Error("the wrong broker counts as silent")
+	}
+}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -209,7 +209,9 @@
 	case reserve.Poll:
 		// The acknowledgement is all that is asked for.
 	default:
-		if !c.toBroker(now, c.elected, from, msg) {
+		if c.toBroker(now, c.elected, from, msg) {
+			c.elected.Heard(now, from)
+		} else {
 			c.toEntry(now, from, msg)
 		}
 	}
@@ -239,6 +241,8 @@
 	switch m := msg.(type) {
 	case broker.Queued:
 		c.entry.Queued(from, m)
+	case broker.PassedOn:
+		c.entry.PassedOn(now, m)
 	case broker.Grant:
 		c.entry.Granted(now, from, m)
 	case broker.Deny:
@@ -278,8 +282,10 @@
 		switch m.Instance {
 		case reserve.Local:
 			c.toBroker(now, c.local, c.self.ID, m.Message)
+			c.local.Heard(now, c.self.ID)
 		case c.self.ID:
 			c.toBroker(now, c.elected, c.self.ID, m.Message)
+			c.elected.Heard(now, c.self.ID)
 		default:
 			c.send(m.Instance, c.address[m.Instance], m.Message)
 		}
@@ -333,6 +339,9 @@
 	c.address = make(map[entity.InstanceID]string, len(before))
 	members := 0
 	for _, z := range c.view.Zones {
+		if !z.Reachable {
+			continue
+		}
 		for _, m := range z.Members {
 			c.address[m.ID] = m.PeerAddress
 		}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -38,6 +38,7 @@
 	peer.Register[reserve.Poll](r, "poll", peer.ClassRequest)
 	peer.Register[broker.Ask](r, "ask", peer.ClassRequest)
 	peer.Register[broker.Queued](r, "wait", peer.ClassRequest)
+	peer.Register[broker.PassedOn](r, "over", peer.ClassRequest)
 	peer.Register[broker.Grant](r, "ok", peer.ClassRequest)
 	peer.Register[broker.Deny](r, "no", peer.ClassRequest)
 	peer.Register[broker.Withdraw](r, "undo", peer.ClassRequest)
