A small part of the slots' time is kept for the rank that would starve; late requests leave slots to those in time

Callers leave a stream that does not begin within 3.2 s, so nothing is held longer than 0.6 of that.

--- a/internal/core/broker/broker.go
+++ b/internal/core/broker/broker.go
@@ -136,7 +136,7 @@
 			continue
 		}
 		r := &run{id: held.ID, from: from, number: held.Number, pool: p, promptTokens: held.PromptTokens, answerTokens: held.AnswerTokens,
-			grantedAt: now, started: held.Started, expires: now.Add(held.DeadlineIn + expireAfter)}
+			grantedAt: now, started: held.Started, expires: now.Add(held.DeadlineIn + runsFor)}
 		e.take(now, r)
 		b.runs[r.id] = r
 	}
--- a/internal/core/broker/broker_test.go
+++ b/internal/core/broker/broker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -353,3 +354,44 @@
 		}
 	}
 }
+
+// Under a load that the highest rank alone could take whole, the lowest one
+// gets its guaranteed part of the slots' time, and no more.
+func TestLowestRankDoesNotStarve(t *testing.T) {
+	h := newBench(t, 1, 4)
+	running := map[string]time.Time{}
+	served := map[int]time.Duration{}
+	long, short := defaultPace().occupancy(600, 300), defaultPace().occupancy(100, 6)
+	for i := range 3000 {
+		h.now = h.now.Add(TickInterval)
+		for id, end := range running {
+			if !h.now.Before(end) {
+				delete(running, id)
+				h.b.Done(h.now, Done{ID: entity.RequestID(id), Number: 1})
+			}
+		}
+		h.b.Tick(h.now)
+		if i%5 == 0 {
+			h.ask(fmt.Sprint("high", i), func(a *Ask) { a.AnswerTokens = 300; a.Rank = 1 })
+			h.b.Ask(h.now, Ask{ID: entity.RequestID(fmt.Sprint("low", i)), From: "entry", Number: 1, Pool: llm, Rank: 2, PromptTokens: 100,
+				AnswerTokens: 6, TargetIn: 500 * time.Millisecond, DeadlineIn: 3 * time.Second})
+		}
+		for id := range h.b.runs {
+			if _, ok := running[string(id)]; ok {
+				continue
+			}
+			rank, d := 1, long
+			if strings.HasPrefix(string(id), "low") {
+				rank, d = 2, short
+			}
+			running[string(id)] = h.now.Add(d)
+			served[rank] += d
+			h.b.Started(h.now, Started{ID: id, After: 20 * time.Millisecond})
+		}
+		h.b.Ready()
+	}
+	part := served[2].Seconds() / (served[1] + served[2]).Seconds()
+	if part < guaranteedPart/3 || part > 1.5*guaranteedPart {
+		t.Errorf("the lowest rank got %.1f%% of the time, %.0f%% are kept for it", 100*part, 100*guaranteedPart)
+	}
+}
--- a/internal/core/broker/pool.go
+++ b/internal/core/broker/pool.go
@@ -14,6 +14,8 @@
 	engines []*engine // sorted by id
 	waiting []*job
 	mean    pace
+	// guarantee is the slots' time that ranks passed over may take; see guarantee.go.
+	guarantee time.Duration
 	// elsewhere is what the brokers of other zones have said.
 	elsewhere map[entity.ZoneID]*otherZone
 }
--- a/internal/core/broker/refuse.go
+++ b/internal/core/broker/refuse.go
@@ -41,16 +41,16 @@
 
 func (b *Broker) deny(now time.Time, p *pool, j *job, reason DenyReason) {
 	b.forget(j)
-	b.send(j.ask.From, Deny{ID: j.ask.ID, Number: j.ask.Number, Reason: reason, RetryAfter: b.retryAfter(now, p, j)})
+	b.send(j.ask.From, Deny{ID: j.ask.ID, Number: j.ask.Number, Reason: reason, RetryAfter: b.retryAfter(now, p)})
 }
 
-// retryAfter estimates when what waits now will have been served.
-func (b *Broker) retryAfter(now time.Time, p *pool, j *job) time.Duration {
+// retryAfter estimates when a request could be served that comes back: when
+// twice what waits now will have been served, as others arrive meanwhile.
+func (b *Broker) retryAfter(now time.Time, p *pool) time.Duration {
 	slots := max(1, p.slots(now, b.settings.Part))
 	var work time.Duration
 	for _, k := range p.waiting {
 		work += p.mean.occupancy(k.ask.PromptTokens, k.ask.AnswerTokens)
 	}
-	left := max(0, j.deadline.Sub(now))
-	return max(minRetryAfter, min(work/time.Duration(slots), left/retryShare))
+	return min(max(minRetryAfter, 2*work/time.Duration(slots)), maxRetryAfter)
 }
--- a/internal/core/broker/schedule.go
+++ b/internal/core/broker/schedule.go
@@ -7,18 +7,26 @@
 
 // schedule gives out free slots in the order of the queue. A request that
 // would be late where slots are free, but not elsewhere, waits for the other
-// engine; late requests take any.
+// engine; late requests take any, but leave a slot for each request that waits
+// and may still be in time: a slot that is free now is soon one where it is.
 func (b *Broker) schedule(now time.Time, p *pool) {
 	if len(p.waiting) == 0 || p.free(now, b.settings.Part) == 0 {
 		return
 	}
 	p.makeLate(now)
+	b.grantGuaranteed(now, p)
+	wanted := 0 // slots that requests in time still wait for
 	for _, j := range slices.Clone(p.waiting) {
+		if j.late && p.free(now, b.settings.Part) <= wanted {
+			return
+		}
 		e := b.best(now, p, j)
 		if e == nil {
+			wanted++
 			continue
 		}
 		b.grant(now, p, j, e)
+		p.passedOver(j, p.mean.occupancy(j.ask.PromptTokens, j.ask.AnswerTokens))
 		if p.free(now, b.settings.Part) == 0 {
 			return
 		}
@@ -62,7 +70,7 @@
 	b.forget(j)
 	r := &run{
 		id: j.ask.ID, from: j.ask.From, number: j.ask.Number, pool: p, promptTokens: j.ask.PromptTokens, answerTokens: j.ask.AnswerTokens,
-		grantedAt: now, expires: j.deadline.Add(expireAfter),
+		grantedAt: now, expires: j.deadline.Add(runsFor),
 	}
 	e.take(now, r)
 	b.runs[r.id] = r
--- a/internal/core/broker/settings.go
+++ b/internal/core/broker/settings.go
@@ -19,20 +19,22 @@
 	// LateBacklog bounds the late requests that wait, by the time that all
 	// slots together would take to serve them.
 	LateBacklog time.Duration
-	// LateHold is the share of a request's time that it may wait here while late.
+	// LateHold is the share of the time in which its answer must begin that a
+	// request may wait here while late.
 	LateHold float64
 }
 
 // DefaultSettings returns the settings of a zone's broker.
 func DefaultSettings(zone entity.ZoneID) Settings {
-	return Settings{Zone: zone, LateBacklog: 1500 * time.Millisecond, LateHold: 0.3}
+	return Settings{Zone: zone, LateBacklog: 1500 * time.Millisecond, LateHold: 0.6}
 }
 
 const (
 	// awayAfter is the time without a step after which the broker was away.
 	awayAfter = 700 * time.Millisecond
-	// expireAfter is how long past its deadline a run counts whose end was not told.
-	expireAfter = time.Second
+	// runsFor is how long past the time for its first event a run counts whose
+	// end was not told: longer than any answer takes.
+	runsFor = 15 * time.Second
 	// orphanFor is how long the slots of an entry that is gone stay taken: its
 	// connections are reset, and most engines then drop the request.
 	orphanFor = 300 * time.Millisecond
@@ -55,10 +57,9 @@
 	// rate, failureLimit the rate that has it passed over.
 	failureWeight = 0.2
 	failureLimit  = 0.3
-	// minRetryAfter and retryShare bound what refused callers are told: callers
-	// wait no longer than a third of the time that they have left.
-	minRetryAfter = 100 * time.Millisecond
-	retryShare    = 3
+	// minRetryAfter and maxRetryAfter bound what refused callers are told.
+	minRetryAfter = 300 * time.Millisecond
+	maxRetryAfter = 10 * time.Second
 	// spillReserve is how many free slots are left to the other zone's own requests.
 	spillReserve = 2
 	// spillGain is by how much a request must wait less in another zone to be
--- a/internal/core/catalog/config.go
+++ b/internal/core/catalog/config.go
@@ -36,6 +36,9 @@
 	// Target is the latency objective: the time to the first event of a stream,
 	// or to the whole answer.
 	Target time.Duration
+	// FirstEventWithin is how long callers wait for the first event of a stream
+	// before they leave, 0 where they only mind the timeout.
+	FirstEventWithin time.Duration
 	// Rank orders routes: 0 is the highest.
 	Rank int
 	// Pools lists where requests go, with their weights.
--- a/internal/core/reserve/entry.go
+++ b/internal/core/reserve/entry.go
@@ -29,9 +29,11 @@
 	Pool                       entity.PoolID
 	Rank                       int
 	PromptTokens, AnswerTokens int
-	Target, Deadline           time.Time
-	Returned                   bool
-	Avoid                      []entity.EndpointID
+	// Target is when the answer begins to be late, Deadline when it is of no use
+	// to begin it.
+	Target, Deadline time.Time
+	Returned         bool
+	Avoid            []entity.EndpointID
 }
 
 // Decision is the final word on a request: an endpoint, or why not.
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -25,6 +25,9 @@
 	memoryRetryAfter = 200 * time.Millisecond
 	// bodyTimeout bounds how long a caller may take to send a body.
 	bodyTimeout = 10 * time.Second
+	// retryShare is the part of the time left, as its inverse, after which a
+	// caller that was refused should be back at the latest.
+	retryShare = 3
 	// defaultTimeout is the timeout of a route that names none.
 	defaultTimeout = 30 * time.Second
 )
@@ -188,6 +191,10 @@
 		PromptTokens: c.meta.PromptTokens, AnswerTokens: c.meta.MaxTokens,
 		Target: c.arrived.Add(c.route.Target - spent), Deadline: c.deadline, Returned: spent > 0,
 	}
+	c.work.FirstEventBy = c.deadline
+	if d := c.route.FirstEventWithin; d > 0 && d < timeout {
+		c.work.FirstEventBy = c.arrived.Add(d)
+	}
 	if p := c.config.Pools[pool]; p != nil {
 		c.work.Kind = p.Kind
 	}
@@ -231,7 +238,7 @@
 	h := c.w.Header()
 	status := v.Reason.HTTPStatus()
 	if promises(status) {
-		h.Set("Retry-After", strconv.FormatFloat(max(v.RetryAfter, minRetryAfter).Seconds(), 'f', 3, 64))
+		h.Set("Retry-After", strconv.FormatFloat(c.comeBackIn(v).Seconds(), 'f', 3, 64))
 	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	c.w.WriteHeader(status)
@@ -239,6 +246,15 @@
 	_, _ = io.WriteString(c.w, v.Message+"\n")
 }
 
+// comeBackIn is when the caller is told to come back: in time to be served then.
+func (c *call) comeBackIn(v *verdict.Error) time.Duration {
+	after := v.RetryAfter
+	if !c.deadline.IsZero() {
+		after = min(after, time.Until(c.deadline)/retryShare)
+	}
+	return max(after, minRetryAfter)
+}
+
 // promises says that a status tells the caller that nothing ran.
 func promises(status int) bool {
 	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
--- a/internal/edge/types.go
+++ b/internal/edge/types.go
@@ -48,8 +48,9 @@
 	Rank int
 	// PromptTokens and AnswerTokens estimate the work.
 	PromptTokens, AnswerTokens int
-	// Target is when the answer begins to be late, Deadline when it is useless.
-	Target, Deadline time.Time
+	// Target is when the answer begins to be late. At FirstEventBy the caller
+	// leaves if it has not begun, and at Deadline it is useless.
+	Target, FirstEventBy, Deadline time.Time
 	// Returned says that the caller has tried before.
 	Returned bool
 }
