--- a/internal/cli/app.go
+++ b/internal/cli/app.go
@@ -131,6 +131,7 @@
 		a.poolsCommand(),
 		a.requestCommand(),
 		a.drainCommand(),
+		a.explainCommand(),
 		a.keyCommand(),
 		a.versionCommand(),
 	)
--- /dev/null
+++ b/internal/cli/explain.go
@@ -0,0 +1,149 @@
+package cli
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/gravitational/trace"
+	"github.com/spf13/cobra"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/telemetry"
+	"github.com/medlarhold/medlarhold/internal/verdict"
+)
+
+// maxLineBytes bounds one line of a log.
+const maxLineBytes = 1 << 20
+
+// logLine is one line of an instance's log, with what explaining needs.
+type logLine struct {
+	Time       string              `json:"ts"`
+	Event      int                 `json:"event"`
+	Message    string              `json:"msg"`
+	Request    entity.RequestID    `json:"request"`
+	Verdict    verdict.Verdict     `json:"verdict"`
+	Reason     verdict.Reason      `json:"reason"`
+	Why        string              `json:"why"`
+	Status     int                 `json:"status"`
+	Endpoint   entity.EndpointID   `json:"endpoint"`
+	Tried      []entity.EndpointID `json:"tried"`
+	Config     int64               `json:"config"`
+	Millis     int64               `json:"ms"`
+	RetryAfter int64               `json:"retry_after_ms"`
+	raw        string
+}
+
+// explainCommand tells from logs what became of a request.
+func (a *App) explainCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "explain REQUEST-ID [FILE...]",
+		Short: "Tell from log files what became of a request",
+		Long: "Reads the log lines of any number of instances, from files or from standard input, shows those\n" +
+			"on a request in the order of their time, and says in a sentence what happened and what is not known.",
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error { return a.explain(entity.RequestID(args[0]), args[1:]) },
+	}
+}
+
+func (a *App) explain(id entity.RequestID, files []string) error {
+	var lines []logLine
+	if len(files) == 0 {
+		lines = linesOn(id, a.In)
+	}
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return fail(ExitUsage, trace.ConvertSystemError(err), "")
+		}
+		lines = append(lines, linesOn(id, f)...)
+		f.Close()
+	}
+	if len(lines) == 0 {
+		return fail(ExitFailure, trace.NotFound("no line names request %s", id),
+			"Give the logs of all instances: the one that the caller reached writes a line at the end of each request. "+
+				"Without one it was killed, or dropped lines (event 1008).")
+	}
+	slices.SortStableFunc(lines, func(x, y logLine) int { return strings.Compare(x.Time, y.Time) })
+	if a.flags.output == outputJSON {
+		return a.showJSON(struct {
+			Request entity.RequestID `json:"request"`
+			Summary string           `json:"summary"`
+		}{id, summary(lines)})
+	}
+	for _, l := range lines {
+		fmt.Fprintln(a.Out, l.raw)
+	}
+	fmt.Fprintf(a.Out, "\n%s\n", summary(lines))
+	return nil
+}
+
+// linesOn reads the lines on a request. What stands before the JSON object of a
+// line, as collectors put it there, is kept; other lines are passed over.
+func linesOn(id entity.RequestID, r io.Reader) []logLine {
+	var out []logLine
+	in := bufio.NewScanner(r)
+	in.Buffer(nil, maxLineBytes)
+	for in.Scan() {
+		begin := bytes.IndexByte(in.Bytes(), '{')
+		if begin < 0 || !bytes.Contains(in.Bytes(), []byte(id)) {
+			continue
+		}
+		var l logLine
+		if json.Unmarshal(in.Bytes()[begin:], &l) == nil && l.Request == id {
+			l.raw = in.Text()
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+// summary says in a sentence what the lines show.
+func summary(lines []logLine) string {
+	var end *logLine
+	var failed []string
+	for i := range lines {
+		switch l := &lines[i]; l.Event {
+		case telemetry.EventCallEnded.ID:
+			end = l
+		case telemetry.EventEndpointFailed.ID:
+			failed = append(failed, fmt.Sprintf("%s (%s)", l.Endpoint, l.Reason))
+		}
+	}
+	if end == nil {
+		return "It was under way when the logs end: how it ended is not known. The instance was killed, or its last lines are missing."
+	}
+	return fmt.Sprintf("After %d ms, under configuration %d, %s.%s", end.Millis, end.Config, outcome(end), attempts(end, failed))
+}
+
+// outcome says how a request ended.
+func outcome(l *logLine) string {
+	switch {
+	case l.Verdict == verdict.Ran && l.Status < 400:
+		return fmt.Sprintf("endpoint %s answered it with %d", l.Endpoint, l.Status)
+	case l.Verdict == verdict.Ran:
+		return fmt.Sprintf("endpoint %s ran it and answered with the failure %d, which was passed on", l.Endpoint, l.Status)
+	case l.Verdict == verdict.NotRun && l.RetryAfter > 0:
+		return fmt.Sprintf("it was refused (%s: %s), was not run, and its caller was told to come back in %d ms", l.Reason, l.Why, l.RetryAfter)
+	case l.Verdict == verdict.NotRun:
+		return fmt.Sprintf("it was refused (%s: %s) and was not run", l.Reason, l.Why)
+	}
+	return fmt.Sprintf("it failed (%s: %s); whether an endpoint ran it to its end is not known here", l.Reason, l.Why)
+}
+
+// attempts says where it was sent.
+func attempts(l *logLine, failed []string) string {
+	if len(l.Tried) == 0 {
+		return " It was sent to no endpoint."
+	}
+	s := fmt.Sprintf(" It was sent to %d endpoint(s).", len(l.Tried))
+	if len(failed) > 0 {
+		s += " These failed it: " + strings.Join(failed, ", ") + "."
+	}
+	return s
+}
--- /dev/null
+++ b/internal/cli/explain_test.go
@@ -0,0 +1,40 @@
+package cli
+
+import (
+	"strings"
+	"testing"
+)
+
+const explainLog = `   0.06 front-a-1 {"ts":"2026-04-07T04:42:55.2Z","msg":"call on a transparent route ended","event":2004,"request":"r1","ms":28,"tried":["i-e"],"config":2,"verdict":"ran","status":200,"endpoint":"i-e"}
+{"ts":"2026-04-07T04:42:55.1Z","msg":"endpoint failed","event":6001,"request":"r2","endpoint":"i-a","verdict":"may_have_run","reason":"connection_lost"}
+{"ts":"2026-04-07T04:42:55.0Z","msg":"request refused by the broker","event":2005,"request":"r3","reason":"overload","waiting":40}
+not a line of ours
+{"ts":"2026-04-07T04:42:55.3Z","msg":"call on a transparent route ended","event":2004,"request":"r2","ms":40,"tried":["i-a","i-b"],"config":3,"verdict":"may_have_run","reason":"endpoint_failed","why":"the endpoint failed, and there was no other"}
+{"ts":"2026-04-07T04:42:55.4Z","msg":"call on a transparent route ended","event":2004,"request":"r3","ms":900,"tried":null,"config":3,"verdict":"not_run","reason":"overload","why":"more requests wait","retry_after_ms":700}
+{"ts":"2026-04-07T04:42:55.5Z","msg":"endpoint failed","event":6001,"request":"r4","endpoint":"i-a","verdict":"not_run","reason":"endpoint_refused"}
+`
+
+func TestExplain(t *testing.T) {
+	tests := []struct {
+		id   string
+		code ExitCode
+		want []string
+	}{
+		{"r1", ExitOK, []string{"endpoint i-e answered it with 200", "sent to 1 endpoint"}},
+		{"r2", ExitOK, []string{"6001", "it failed (endpoint_failed", "is not known here", "These failed it: i-a (connection_lost)"}},
+		{"r3", ExitOK, []string{"2005", "was not run", "come back in 700 ms", "sent to no endpoint"}},
+		{"r4", ExitOK, []string{"under way when the logs end"}},
+		{"r5", ExitFailure, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.id, func(t *testing.T) {
+			w := newWorld(t)
+			w.must(tt.code, "explain", tt.id, w.file(explainLog))
+			for _, s := range tt.want {
+				if !strings.Contains(w.out.String(), s) {
+					t.Errorf("%q is missing in:\n%s", s, w.out.String())
+				}
+			}
+		})
+	}
+}
--- a/internal/core/reserve/entry.go
+++ b/internal/core/reserve/entry.go
@@ -85,6 +85,7 @@
 	nextPoll  time.Time
 	messages  []broker.To
 	decisions []Decision
+	silenced  []entity.InstanceID
 }
 
 // New returns an Entry that knows no brokers.
@@ -102,6 +103,13 @@
 	return m, d
 }
 
+// Silenced returns the brokers that have been found silent since the last call.
+func (e *Entry) Silenced() []entity.InstanceID {
+	s := e.silenced
+	e.silenced = nil
+	return s
+}
+
 // SetBrokers names the broker of each pool. What waits at another one is asked anew.
 func (e *Entry) SetBrokers(now time.Time, brokers map[entity.PoolID]entity.InstanceID) {
 	e.brokers = brokers
@@ -275,6 +283,9 @@
 	if b == Local {
 		return
 	}
+	if !e.Silent(now, b) {
+		e.silenced = append(e.silenced, b)
+	}
 	e.silentUntil[b] = now.Add(SilentFor)
 	for pool, told := range e.told {
 		if told == b {
--- a/internal/core/zone/core.go
+++ b/internal/core/zone/core.go
@@ -42,6 +42,8 @@
 	// the one it was learned from; negative for never.
 	ReadAge(now time.Time) time.Duration
 	Cursors() Cursors
+	// Limits returns the limits in force.
+	Limits() map[entity.OrgID]quota.Limit
 	// Used, Urgent and Adopt speak to the instance's meter.
 	Used() map[entity.OrgID]quota.Usage
 	Urgent() bool
@@ -150,7 +152,7 @@
 		}
 		return
 	}
-	c.ledger.SetLimits(c.limits())
+	c.ledger.SetLimits(c.knows.Limits())
 	c.ledger.Member(at.Now, c.party(c.self.ID, c.self.PeerAddress), c.knows.Used())
 	c.adopt(at.Now)
 	for _, z := range slices.Sorted(maps.Keys(c.others)) {
@@ -179,20 +181,6 @@
 	return quota.Party{Name: address, Process: id, Instances: 1}
 }
 
-func (c *Core) limits() map[entity.OrgID]quota.Limit {
-	cfg := c.knows.Config()
-	if cfg == nil {
-		return nil
-	}
-	out := make(map[entity.OrgID]quota.Limit)
-	for i := range cfg.Organisations {
-		if o := &cfg.Organisations[i]; o.Limited {
-			out[o.ID] = quota.Limit{Rate: o.Rate, Burst: o.Burst}
-		}
-	}
-	return out
-}
-
 // next numbers a message whose answer will carry a proof.
 func (c *Core) next(at Moment) uint64 {
 	c.number++
@@ -233,7 +221,7 @@
 		b.Endpoints = &EndpointList{Rows: t.All()}
 	}
 	if c.ledger != nil {
-		c.ledger.SetLimits(c.limits())
+		c.ledger.SetLimits(c.knows.Limits())
 		c.ledger.Member(at.Now, c.party(from, r.Address), r.Used)
 		b.Accounts = c.ledger.Account(at.Now, r.Address)
 		b.Instances = c.ledger.Instances(at.Now)
@@ -273,7 +261,7 @@
 	}
 	c.news = append(c.news, n)
 	if c.ledger != nil {
-		c.ledger.SetLimits(c.limits())
+		c.ledger.SetLimits(c.knows.Limits())
 		c.ledger.Zone(at.Now, quota.Party{Name: string(x.Zone), Process: from, Instances: max(1, x.Instances)}, x.Used)
 	}
 }
--- a/internal/core/zone/fleet_test.go
+++ b/internal/core/zone/fleet_test.go
@@ -34,7 +34,10 @@
 func (m *member) ReadAge(time.Time) time.Duration    { return 0 }
 func (m *member) Cursors() Cursors                   { return Cursors{} }
 func (m *member) Used() map[entity.OrgID]quota.Usage { return m.meter.Used() }
-func (m *member) Urgent() bool                       { return m.meter.Urgent() }
+func (m *member) Limits() map[entity.OrgID]quota.Limit {
+	return map[entity.OrgID]quota.Limit{org: {Rate: limitRate, Burst: burst}}
+}
+func (m *member) Urgent() bool { return m.meter.Urgent() }
 func (m *member) Adopt(now time.Time, a map[entity.OrgID]quota.Account, n int) {
 	m.meter.Adopt(now, a, n)
 }
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -293,9 +293,24 @@
 	for _, d := range decisions {
 		c.decide(d)
 	}
+	for _, b := range c.entry.Silenced() {
+		if c.isBroker(b) {
+			telemetry.Log(c.g.log, telemetry.EventBrokerSilent, "broker", b, "view", c.view.Version)
+		}
+	}
 	return len(messages)+len(decisions) > 0
 }
 
+// isBroker says whether an instance grants slots of this zone.
+func (c *control) isBroker(id entity.InstanceID) bool {
+	for _, b := range c.brokers {
+		if b == id {
+			return true
+		}
+	}
+	return false
+}
+
 // settleZone sends what the zone's part has to say, and takes in its news.
 func (c *control) settleZone(now time.Time) {
 	messages, news := c.zone.Ready()
@@ -323,6 +338,10 @@
 func (c *control) settleBroker(now time.Time, b *broker.Broker, name entity.InstanceID) bool {
 	messages := b.Ready()
 	for _, m := range messages {
+		if d, ok := m.Message.(broker.Deny); ok {
+			telemetry.Log(c.g.log, telemetry.EventCallDenied, "request", d.ID, "reason", d.Reason, "retry_after_ms", d.RetryAfter.Milliseconds(),
+				"waiting", b.Waiting(), "running", b.Running(), "entry", m.Instance, "view", c.view.Version)
+		}
 		if name == reserve.Local || m.Instance == c.self.ID {
 			c.toEntry(now, name, m.Message)
 			continue
--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -8,7 +8,6 @@
 	"github.com/medlarhold/medlarhold/internal/core/broker"
 	"github.com/medlarhold/medlarhold/internal/core/catalog"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
-	"github.com/medlarhold/medlarhold/internal/core/quota"
 	"github.com/medlarhold/medlarhold/internal/core/reserve"
 	"github.com/medlarhold/medlarhold/internal/edge"
 	"github.com/medlarhold/medlarhold/internal/verdict"
@@ -33,7 +32,7 @@
 
 // Charge implements edge.Desk.
 func (g *Instance) Charge(org *catalog.Organisation, cost float64) (ok bool, retryAfter time.Duration) {
-	return g.meter.charge(org.ID, quota.Limit{Rate: org.Rate, Burst: org.Burst}, cost)
+	return g.meter.charge(org.ID, g.settings.limit(org), cost)
 }
 
 // Refund implements edge.Desk.
--- a/internal/gateway/knowledge.go
+++ b/internal/gateway/knowledge.go
@@ -21,6 +21,20 @@
 }
 func (k knowledge) Cursors() zone.Cursors { return k.g.follower.position() }
 
+func (k knowledge) Limits() map[entity.OrgID]quota.Limit {
+	cfg := k.Config()
+	if cfg == nil {
+		return nil
+	}
+	out := make(map[entity.OrgID]quota.Limit)
+	for i := range cfg.Organisations {
+		if o := &cfg.Organisations[i]; o.Limited {
+			out[o.ID] = k.g.settings.limit(o)
+		}
+	}
+	return out
+}
+
 func (k knowledge) Used() map[entity.OrgID]quota.Usage { return k.g.meter.used() }
 func (k knowledge) Urgent() bool                       { return k.g.meter.urgent() }
 
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"github.com/medlarhold/medlarhold/internal/core/catalog"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/quota"
 )
 
 // Settings of an instance that serves transparent routes.
@@ -37,4 +39,24 @@
 	RetryRatio   float64
 	RetryWindow  time.Duration
 	RetryAllowed float64
+	// LimitOver and LimitSlack are by how much an organisation's use over all
+	// instances may exceed its limit: a share of it, and an amount.
+	LimitOver, LimitSlack float64
+}
+
+// An organisation is lent a part of the tolerance that operators leave for
+// what instances can't know of each other. The rest covers that.
+const (
+	lentOver  = 0.2
+	lentSlack = 0.25
+	// maxLentBurst bounds what is lent at once, as a share of the burst.
+	maxLentBurst = 0.5
+)
+
+// limit is the limit that instances together keep for an organisation.
+func (s *Settings) limit(o *catalog.Organisation) quota.Limit {
+	return quota.Limit{
+		Rate:  o.Rate * (1 + lentOver*s.LimitOver),
+		Burst: o.Burst + min(lentSlack*s.LimitSlack, maxLentBurst*o.Burst),
+	}
 }
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -29,6 +29,7 @@
 	EventRequestRetried    = Event{2002, "request tried again after verdict not run", 1}
 	EventRequestPanicked   = Event{2003, "request handler failed", 0}
 	EventCallEnded         = Event{2004, "call on a transparent route ended", 0}
+	EventCallDenied        = Event{2005, "broker refused a request", 0}
 	EventPeerConnected     = Event{3001, "peer connected", 1}
 	EventPeerLost          = Event{3002, "peer connection lost", 0}
 	EventPeerSilent        = Event{3003, "peer connection made no progress and was closed", 0}
@@ -37,6 +38,7 @@
 	EventOwnershipChanged  = Event{3006, "endpoints gained or lost", 0}
 	EventBrokerChanged     = Event{3007, "another instance grants the slots of a pool", 0}
 	EventReaderChanged     = Event{3008, "this instance begins or ends reading the store for itself", 0}
+	EventBrokerSilent      = Event{3009, "broker is silent, this instance grants its own part of the slots", 0}
 	EventLogUnavailable    = Event{4001, "log service unavailable", 0}
 	EventLogBack           = Event{4002, "log service back", 0}
 	EventListUnavailable   = Event{4003, "instance list unavailable", 0}
@@ -62,8 +64,8 @@
 func Catalogue() []Event {
 	return []Event{
 		EventStarting, EventReady, EventDrainBegin, EventDrainEnd, EventDrainTimeout, EventSecondSignal, EventServerFailed, EventLogDropped,
-		EventRequestFinished, EventRequestRetried, EventRequestPanicked, EventCallEnded,
-		EventPeerConnected, EventPeerLost, EventPeerSilent, EventPeerRefused, EventMembersChanged, EventOwnershipChanged, EventBrokerChanged, EventReaderChanged,
+		EventRequestFinished, EventRequestRetried, EventRequestPanicked, EventCallEnded, EventCallDenied,
+		EventPeerConnected, EventPeerLost, EventPeerSilent, EventPeerRefused, EventMembersChanged, EventOwnershipChanged, EventBrokerChanged, EventReaderChanged, EventBrokerSilent,
 		EventLogUnavailable, EventLogBack, EventListUnavailable, EventAppendUnknown,
 		EventConfigApplied, EventConfigRejected, EventConfigCaughtUp, EventConfigSnapshot, EventConfigFromPeer,
 		EventEndpointFailed, EventLeaseWon, EventLeaseLost, EventOrderSent, EventOrderRefused, EventEntryMalformed, EventEndpointsChanged,
