--- a/internal/core/quota/ledger.go
+++ b/internal/core/quota/ledger.go
@@ -47,6 +47,9 @@
 type partyUse struct {
 	total float64
 	rate  rate
+	// before is the rate while this side reached most instances: cut off, the
+	// side must not grow by what is used meanwhile.
+	before float64
 }
 
 // bucket is one organisation's.
@@ -91,6 +94,7 @@
 		delta := u.Total - counted
 		use.total = u.Total
 		use.rate.add(now, delta)
+		l.note(now, use)
 		b.level -= delta
 		b.zoneTotal += delta
 		b.zoneRate.add(now, delta)
@@ -117,10 +121,18 @@
 		}
 		use.total = total
 		use.rate.add(now, delta)
+		l.note(now, use)
 		b.level -= delta
 	}
 }
 
+// note remembers a rate while this side reaches most instances.
+func (l *Ledger) note(now time.Time, use *partyUse) {
+	if l.reachesMost(now) {
+		use.before = use.rate.value
+	}
+}
+
 // partyOf returns the row of a party, and whether it is the same process as before.
 func partyOf(parties map[string]*party, now time.Time, p Party, silentAfter time.Duration) (row *party, again bool) {
 	row = parties[p.Name]
@@ -202,27 +214,35 @@
 	limit := l.limits[org]
 	reached, cut := l.count(now)
 	floor := floorPart * limit.Rate / float64(max(1, reached+cut))
-	var groupUse, cutUse float64
+	var groupUse, cutUse, before float64
 	for _, parties := range []map[string]*party{l.members, l.zones} {
 		for _, p := range parties {
 			silent, gone := p.silent(now)
-			use := p.use(org, now, silent) + floor*float64(p.Instances)
+			part := floor * float64(p.Instances)
+			use := p.use(org, now, silent) + part
 			switch {
 			case gone:
 			case silent:
 				cutUse += use
 			default:
 				groupUse += use
+				before += p.before(org) + part
 			}
 		}
 	}
 	if cut == 0 {
 		return limit.Rate, groupUse
 	}
-	if reached > cut {
+	if l.reachesMost(now) {
 		return max(0, limit.Rate-cutUse), groupUse
 	}
-	return min(limit.Rate, groupUse), groupUse
+	return min(limit.Rate, before), groupUse
+}
+
+// reachesMost says that this side reaches more instances than are cut off.
+func (l *Ledger) reachesMost(now time.Time) bool {
+	reached, cut := l.count(now)
+	return reached > cut
 }
 
 // count returns how many instances are in reach and how many are cut off.
@@ -248,6 +268,14 @@
 	return age > p.silentAfter, age > forgetAfter
 }
 
+// before is the party's rate while this side reached most instances.
+func (p *party) before(org entity.OrgID) float64 {
+	if u := p.used[org]; u != nil {
+		return u.before
+	}
+	return 0
+}
+
 // use is the party's rate, as of its last report where it is silent.
 func (p *party) use(org entity.OrgID, now time.Time, silent bool) float64 {
 	u := p.used[org]
--- a/internal/core/quota/meter.go
+++ b/internal/core/quota/meter.go
@@ -71,6 +71,9 @@
 	told    Account
 	rate    rate
 	counted float64
+	// before is this instance's rate when the coordinator spoke last: alone, it
+	// must not grow by what is used meanwhile.
+	before float64
 	// reported is the total that was reported last.
 	reported float64
 	// spent is what was admitted since the coordinator's last word.
@@ -82,19 +85,37 @@
 	return &Meter{accounts: make(map[entity.OrgID]*meterAccount), instances: unknownInstances, firstStart: firstStart}
 }
 
-// Charge admits a request of the given cost, or says when to come back. One
-// request may take the bucket below zero, or those larger than what it holds
-// would never be admitted.
-func (m *Meter) Charge(now time.Time, org entity.OrgID, l Limit, cost float64) (ok bool, retryAfter time.Duration) {
+// Charge admits a request of the given cost, or says when to come back. The
+// bucket must hold more than the reserve that is kept for higher ranks. One
+// request may take it below zero, or those larger than what it holds would
+// never be admitted.
+func (m *Meter) Charge(now time.Time, org entity.OrgID, l Limit, cost, reserve float64) (ok bool, retryAfter time.Duration) {
 	a := m.account(now, org, l)
 	a.refill(now, m.alone(now), m.instances)
-	if a.spendable(now.Sub(m.heardAt), m.alone(now)) <= 0 {
-		return false, a.wait()
+	if a.spendable(now.Sub(m.heardAt), m.alone(now)) <= reserve {
+		return false, a.wait(reserve)
 	}
 	a.spend(now, cost)
 	return true, 0
 }
 
+const (
+	// reservePart is the part of the burst that each rank leaves to the one above.
+	reservePart = 0.1
+	// reservedRanks is how many ranks leave something.
+	reservedRanks = 2
+)
+
+// Reserve is what a request of a rank leaves in the bucket: an organisation
+// over its limit gives up its lowest ranks first. Requests that name no tokens
+// are small and leave nothing.
+func (l Limit) Reserve(rank int, namesTokens bool) float64 {
+	if !namesTokens {
+		return 0
+	}
+	return float64(min(max(rank, 0), reservedRanks)) * reservePart * l.Burst
+}
+
 // Refund takes back the charge of a request that did not run.
 func (m *Meter) Refund(now time.Time, org entity.OrgID, cost float64) {
 	if a := m.accounts[org]; a != nil {
@@ -139,6 +160,8 @@
 			continue // it is told again once the organisation is seen here
 		}
 		a.told, a.counted, a.at = told, told.Counted, now
+		a.rate.decay(now)
+		a.before = a.rate.value
 		a.spent = a.total - told.Counted
 		a.level = told.Level - a.spent
 	}
@@ -175,7 +198,7 @@
 	a.at = now
 	in := min(a.told.Rate, a.limit.Rate)
 	if alone {
-		in = min(in, a.rate.value+floorPart*a.limit.Rate/float64(instances))
+		in = min(in, a.before+floorPart*a.limit.Rate/float64(instances))
 	}
 	a.level = min(a.level+in*d, a.limit.Burst)
 }
@@ -204,12 +227,12 @@
 	a.rate.add(now, cost)
 }
 
-// wait is when the bucket holds something again.
-func (a *meterAccount) wait() time.Duration {
+// wait is when the bucket holds more than the reserve again.
+func (a *meterAccount) wait(reserve float64) time.Duration {
 	if a.limit.Rate <= 0 {
 		return maxRetryAfter
 	}
-	d := time.Duration(-a.level / a.limit.Rate * float64(time.Second))
+	d := time.Duration((reserve - a.level) / a.limit.Rate * float64(time.Second))
 	return min(max(d, minRetryAfter), maxRetryAfter)
 }
 
--- a/internal/core/zone/fleet_test.go
+++ b/internal/core/zone/fleet_test.go
@@ -112,7 +112,7 @@
 	every := max(1, int(1/(perSecond*tick.Seconds())))
 	for i, m := range f.members {
 		if (n+i)%every == 0 {
-			if ok, _ := m.meter.Charge(f.now, org, quota.Limit{Rate: limitRate, Burst: burst}, request); ok {
+			if ok, _ := m.meter.Charge(f.now, org, quota.Limit{Rate: limitRate, Burst: burst}, request, 0); ok {
 				f.admitted = append(f.admitted, grant{at: f.boot, cost: request})
 			}
 		}
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -164,7 +164,7 @@
 		return nil
 	}
 	cost := c.org.Cost(c.meta.PromptTokens+c.meta.MaxTokens, c.meta.HasTokens)
-	ok, after := c.s.opts.Desk.Charge(c.org, cost)
+	ok, after := c.s.opts.Desk.Charge(c.org, Charge{Cost: cost, Rank: c.route.Rank, NamesTokens: c.meta.HasTokens})
 	if !ok {
 		c.s.buffered.Add(-c.held)
 		return refusal(verdict.ReasonRateLimit, after, "the organisation's limit is used up")
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -64,13 +64,13 @@
 func (d *desk) Leaving() bool           { return false }
 func (d *desk) Closed() bool            { return false }
 
-func (d *desk) Charge(_ *catalog.Organisation, cost float64) (bool, time.Duration) {
+func (d *desk) Charge(_ *catalog.Organisation, c Charge) (bool, time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.charged+cost > d.limit {
+	if d.charged+c.Cost > d.limit {
 		return false, time.Second
 	}
-	d.charged += cost
+	d.charged += c.Cost
 	return true, 0
 }
 
--- a/internal/edge/types.go
+++ b/internal/edge/types.go
@@ -80,6 +80,16 @@
 	Events                int
 }
 
+// Charge is what a request asks of its organisation's limit.
+type Charge struct {
+	// Cost is in the unit of the limit.
+	Cost float64
+	// Rank is the request's; the lowest ones are given up first.
+	Rank int
+	// NamesTokens says that the request stated its size.
+	NamesTokens bool
+}
+
 // Desk decides about requests. Its methods are called by many goroutines.
 type Desk interface {
 	// Config returns the configuration in force, nil before the first one.
@@ -88,7 +98,7 @@
 	KeysKnown() bool
 	// Charge counts a request against the organisation's limit. It returns when
 	// to come back if that is used up.
-	Charge(org *catalog.Organisation, cost float64) (ok bool, retryAfter time.Duration)
+	Charge(org *catalog.Organisation, c Charge) (ok bool, retryAfter time.Duration)
 	// Refund takes the charge of a request back that was not run.
 	Refund(org *catalog.Organisation, cost float64)
 	// Acquire waits for a slot on an endpoint, other than those to avoid.
--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -31,8 +31,9 @@
 func (g *Instance) Closed() bool { return g.closed.Load() }
 
 // Charge implements edge.Desk.
-func (g *Instance) Charge(org *catalog.Organisation, cost float64) (ok bool, retryAfter time.Duration) {
-	return g.meter.charge(org.ID, g.settings.limit(org), cost)
+func (g *Instance) Charge(org *catalog.Organisation, c edge.Charge) (ok bool, retryAfter time.Duration) {
+	limit := g.settings.limit(org)
+	return g.meter.charge(org.ID, limit, c.Cost, limit.Reserve(c.Rank, c.NamesTokens))
 }
 
 // Refund implements edge.Desk.
--- a/internal/gateway/knowledge.go
+++ b/internal/gateway/knowledge.go
@@ -56,10 +56,10 @@
 	meter *quota.Meter
 }
 
-func (m *meter) charge(org entity.OrgID, l quota.Limit, cost float64) (ok bool, retryAfter time.Duration) {
+func (m *meter) charge(org entity.OrgID, l quota.Limit, cost, reserve float64) (ok bool, retryAfter time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.meter.Charge(time.Now(), org, l, cost)
+	return m.meter.Charge(time.Now(), org, l, cost, reserve)
 }
 
 func (m *meter) refund(org entity.OrgID, cost float64) {
