--- /dev/null
+++ b/internal/core/catalog/discovery_test.go
@@ -0,0 +1,119 @@
+package catalog
+
+import (
+	"testing"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func row(id string, incarnation, seq int64) Change {
+	return Change{ID: entity.EndpointID(id), Row: &Endpoint{
+		Endpoint: entity.Endpoint{ID: entity.EndpointID(id), Pool: "p", Address: "a:1"}, Incarnation: incarnation, Seq: seq,
+	}}
+}
+
+func removed(id string) Change { return Change{ID: entity.EndpointID(id)} }
+
+func (d *Discovery) has(id string) bool {
+	_, ok := d.table.Get(entity.EndpointID(id))
+	return ok
+}
+
+func TestNewerRowsWin(t *testing.T) {
+	tests := []struct {
+		name  string
+		rows  []Change
+		start int64 // incarnation that stands in the end
+		seq   int64
+	}{
+		{"later sequence", []Change{row("e", 1, 1), row("e", 1, 2)}, 1, 2},
+		{"overtaken sequence", []Change{row("e", 1, 2), row("e", 1, 1)}, 1, 2},
+		{"new incarnation begins anew", []Change{row("e", 1, 9), row("e", 2, 1)}, 2, 1},
+		{"late word of an old incarnation", []Change{row("e", 2, 1), row("e", 1, 9)}, 2, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e, ok := NewEndpoints(nil).Apply(tt.rows).Get("e")
+			if !ok || e.Incarnation != tt.start || e.Seq != tt.seq {
+				t.Errorf("stands %+v", e)
+			}
+		})
+	}
+}
+
+func TestRemovalCountsAtOnce(t *testing.T) {
+	d := NewDiscovery()
+	d.Read(start, []Change{row("e", 1, 1)}, true)
+	d.Read(start.Add(time.Second), []Change{removed("e")}, false)
+	if d.has("e") {
+		t.Error("the entry was removed while the store was well")
+	}
+}
+
+// Entries lapse while the store is away. Those that come back within two
+// seconds of its return were there all the time; the others are gone.
+func TestLapsedEntriesMayComeBack(t *testing.T) {
+	d := NewDiscovery()
+	d.Read(start, []Change{row("back", 1, 1), row("gone", 1, 1)}, true)
+	back := start.Add(10 * time.Second)
+	d.Read(back, []Change{removed("back"), removed("gone")}, false)
+	if !d.has("back") || !d.has("gone") {
+		t.Fatal("entries that lapsed in an outage are dropped at once")
+	}
+	d.Read(back.Add(time.Second), []Change{row("back", 1, 2)}, false)
+	d.Tick(back.Add(returnGrace))
+	if !d.has("back") || d.has("gone") {
+		t.Errorf("back %v, gone %v", d.has("back"), d.has("gone"))
+	}
+}
+
+func TestWholeReadDropsWhatIsMissing(t *testing.T) {
+	d := NewDiscovery()
+	d.Read(start, []Change{row("a", 1, 1), row("b", 1, 1)}, true)
+	d.Read(start.Add(time.Second), []Change{row("b", 1, 1)}, true)
+	if d.has("a") || !d.has("b") {
+		t.Error("a whole read leaves exactly what it names")
+	}
+}
+
+func TestDigestTellsTablesApart(t *testing.T) {
+	a := NewEndpoints(nil).Apply([]Change{row("e", 1, 1)})
+	b := a.Apply([]Change{row("e", 1, 2)})
+	leaving := row("e", 1, 3)
+	leaving.Row.Leaving = true
+	c := b.Apply([]Change{leaving})
+	if a.Digest() != b.Digest() || b.Digest() == c.Digest() {
+		t.Error("sequence numbers alone must not count, leaving must")
+	}
+}
+
+func TestConfigLookups(t *testing.T) {
+	c := &Config{Routes: []Route{
+		{Name: "short", Host: "h", Prefix: "/a/"}, {Name: "long", Host: "h", Prefix: "/a/b/", Pools: []WeightedPool{{"x", 90}, {"y", 10}}},
+	}}
+	c.Index()
+	tests := []struct{ host, path, want string }{
+		{"h", "/a/c", "short"}, {"H:80", "/a/b/c", "long"}, {"h", "/b/", ""}, {"other", "/a/", ""},
+	}
+	for _, tt := range tests {
+		r, ok := c.Match(tt.host, tt.path)
+		if ok != (tt.want != "") || (ok && r.Name != tt.want) {
+			t.Errorf("%s%s: %v, %v", tt.host, tt.path, r, ok)
+		}
+	}
+	count := map[entity.PoolID]int{}
+	long, _ := c.Match("h", "/a/b/")
+	for i := range 1000 {
+		id := entity.RequestID(time.Duration(i).String())
+		count[long.PoolFor(id)]++
+		if long.PoolFor(id) != long.PoolFor(id) {
+			t.Fatal("one request goes to two pools")
+		}
+	}
+	if count["y"] < 50 || count["y"] > 150 {
+		t.Errorf("split %v, want 9 to 1", count)
+	}
+}
