--- a/internal/core/catalog/discovery_test.go
+++ b/internal/core/catalog/discovery_test.go
@@ -108,10 +108,11 @@
 	long, _ := c.Match("h", "/a/b/")
 	for i := range 1000 {
 		id := entity.RequestID(time.Duration(i).String())
-		count[long.PoolFor(id)]++
-		if long.PoolFor(id) != long.PoolFor(id) {
+		first, again := long.PoolFor(id), long.PoolFor(id)
+		if first != again {
 			t.Fatal("one request goes to two pools")
 		}
+		count[first]++
 	}
 	if count["y"] < 50 || count["y"] > 150 {
 		t.Errorf("split %v, want 9 to 1", count)
--- a/internal/core/reserve/entry.go
+++ b/internal/core/reserve/entry.go
@@ -61,16 +61,6 @@
 	stay bool
 }
 
-// running is a granted request.
-type running struct {
-	request Request
-	number  uint32
-	// holders are the brokers that count it.
-	holders  []entity.InstanceID
-	endpoint entity.EndpointID
-	started  bool
-}
-
 // Entry keeps the requests of one instance.
 type Entry struct {
 	self    entity.InstanceID
@@ -152,33 +142,6 @@
 	})
 }
 
-// tell tells a broker, when it is asked for the first time, what runs here.
-func (e *Entry) tell(now time.Time, pool entity.PoolID, b entity.InstanceID) {
-	if e.told[pool] == b {
-		return
-	}
-	e.told[pool] = b
-	h := broker.Holding{Pool: pool}
-	for _, id := range slices.Sorted(maps.Keys(e.running)) {
-		r := e.running[id]
-		if r.request.Pool != pool || slices.Contains(r.holders, b) {
-			continue
-		}
-		r.holders = append(r.holders, b)
-		h.Held = append(h.Held, r.held(now))
-	}
-	if len(h.Held) > 0 {
-		e.send(b, h)
-	}
-}
-
-func (r *running) held(now time.Time) broker.Held {
-	return broker.Held{
-		ID: r.request.ID, Number: r.number, Endpoint: r.endpoint, PromptTokens: r.request.PromptTokens,
-		AnswerTokens: r.request.AnswerTokens, DeadlineIn: r.request.Deadline.Sub(now), Started: r.started,
-	}
-}
-
 // Queued takes in that a broker has a question. One of another zone may say so
 // that it was passed on to.
 func (e *Entry) Queued(from entity.InstanceID, q broker.Queued) {
@@ -211,16 +174,6 @@
 	}
 }
 
-// tellOne tells the broker in charge of a request that runs without its grant.
-func (e *Entry) tellOne(now time.Time, r *running) {
-	b, ok := e.brokers[r.request.Pool]
-	if !ok || now.Before(e.silentUntil[b]) {
-		return // it hears of all when it is asked again
-	}
-	r.holders = append(r.holders, b)
-	e.send(b, broker.Holding{Pool: r.request.Pool, Held: []broker.Held{r.held(now)}})
-}
-
 // Denied takes in a refusal.
 func (e *Entry) Denied(from entity.InstanceID, d broker.Deny) {
 	w := e.waiting[d.ID]
@@ -250,31 +203,6 @@
 	e.send(w.broker, broker.Withdraw{ID: w.request.ID, Number: w.number})
 }
 
-// Started tells the brokers that an answer has begun.
-func (e *Entry) Started(id entity.RequestID, after time.Duration) {
-	r := e.running[id]
-	if r == nil {
-		return
-	}
-	r.started = true
-	for _, b := range r.holders {
-		e.send(b, broker.Started{ID: id, After: after})
-	}
-}
-
-// Done tells the brokers that a dispatch is over.
-func (e *Entry) Done(d broker.Done) {
-	r := e.running[d.ID]
-	if r == nil {
-		return
-	}
-	delete(e.running, d.ID)
-	d.Number = r.number
-	for _, b := range r.holders {
-		e.send(b, d)
-	}
-}
-
 // PeerFailed takes in that a message did not reach an instance.
 func (e *Entry) PeerFailed(now time.Time, id entity.InstanceID) { e.silence(now, id) }
 
--- /dev/null
+++ b/internal/gateway/roles.go
@@ -0,0 +1,129 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/ownership"
+	"github.com/medlarhold/medlarhold/internal/telemetry"
+)
+
+// coordinatorRole is the name under which the coordinator of a zone is chosen.
+const coordinatorRole = "coordinator"
+
+// membersChanged takes in who is live.
+func (c *control) membersChanged(now time.Time) {
+	before := c.address
+	c.view = c.members.View()
+	c.address = make(map[entity.InstanceID]string, len(before))
+	members := 0
+	for _, z := range c.view.Zones {
+		if !z.Reachable {
+			continue
+		}
+		for _, m := range z.Members {
+			c.address[m.ID] = m.PeerAddress
+		}
+		members += len(z.Members)
+	}
+	for id := range before {
+		if _, ok := c.address[id]; !ok {
+			c.elected.Drop(now, id)
+			c.g.transport.Forget(id)
+		}
+	}
+	own, _ := c.view.Zone(c.self.Zone)
+	c.local.SetPart(localPart / float64(max(1, len(own.Members))))
+	c.g.metrics.Members.Update(int64(len(own.Members)))
+	telemetry.Log(c.g.log, telemetry.EventMembersChanged, "zone_members", len(own.Members), "members", members, "version", c.view.Version)
+	c.refresh(now)
+}
+
+// refresh chooses the brokers anew, and gives them the endpoints in force.
+func (c *control) refresh(now time.Time) {
+	c.pools = c.g.enginePools()
+	t := c.g.belief.endpoints.Load()
+	brokers := make(map[entity.PoolID]entity.InstanceID, len(c.pools))
+	for _, p := range c.pools {
+		if id := c.brokerOf(c.self.Zone, p); id != "" {
+			brokers[p] = id
+		}
+	}
+	c.logBrokers(brokers)
+	c.brokers = brokers
+	c.setCoordinators()
+	c.elected.SetEndpoints(now, c.pools, t)
+	c.local.SetEndpoints(now, c.pools, t)
+	c.entry.SetBrokers(now, brokers)
+}
+
+// setCoordinators names the coordinators of all zones in reach.
+func (c *control) setCoordinators() {
+	others := make(map[entity.ZoneID]entity.InstanceID)
+	for _, z := range c.view.Zones {
+		if id := c.chosen(z.Zone, coordinatorRole); id != "" && z.Zone != c.self.Zone {
+			others[z.Zone] = id
+		}
+	}
+	own, _ := c.view.Zone(c.self.Zone)
+	c.zone.SetCoordinators(c.chosen(c.self.Zone, coordinatorRole), others, len(own.Members))
+}
+
+func (c *control) logBrokers(brokers map[entity.PoolID]entity.InstanceID) {
+	for p, id := range brokers {
+		if c.brokers[p] != id {
+			telemetry.Log(c.g.log, telemetry.EventBrokerChanged, "pool", p, "broker", id, "before", c.brokers[p], "view", c.view.Version)
+		}
+	}
+}
+
+// brokerOf returns the member of a zone that grants the zone's engines of a pool.
+func (c *control) brokerOf(in entity.ZoneID, pool entity.PoolID) entity.InstanceID {
+	return c.chosen(in, "broker/"+string(pool))
+}
+
+// chosen returns the member of a zone that has a role: the winner of a
+// rendezvous hash among those that are neither suspected nor leaving.
+func (c *control) chosen(in entity.ZoneID, role string) entity.InstanceID {
+	z, ok := c.view.Zone(in)
+	if !ok || !z.Reachable {
+		return ""
+	}
+	var candidates []entity.Instance
+	for _, m := range z.Members {
+		if !m.Suspect && !m.Leaving {
+			candidates = append(candidates, m.Instance)
+		}
+	}
+	winner := ownership.Ranked(candidates, role, 1)
+	if len(winner) == 0 {
+		return ""
+	}
+	return winner[0]
+}
+
+// tellZones tells the brokers of other zones how many slots are free here.
+func (c *control) tellZones(now time.Time) {
+	for _, s := range c.elected.States(now) {
+		if c.brokers[s.Pool] != c.self.ID {
+			continue
+		}
+		for _, z := range c.view.Zones {
+			if z.Zone == c.self.Zone {
+				continue
+			}
+			if to := c.brokerOf(z.Zone, s.Pool); to != "" {
+				c.send(to, c.address[to], s)
+			}
+		}
+	}
+}
+
+// enginePools returns the pools whose slots are granted.
+func (g *Instance) enginePools() []entity.PoolID {
+	cfg := g.belief.config.Load()
+	if cfg == nil {
+		return nil
+	}
+	return cfg.PoolsOf(entity.KindEngine)
+}
