An endpoint that was removed stays removed, whatever a peer that was cut off still has

Back, it took an entry that had been removed meanwhile for one that had lapsed in an outage, kept it for two seconds, and handed it to members that had seen the removal. Ruled out: a draining row overtaken by an older one (rows carry sequence numbers); the reading interval. Change: the last row of a removed entry is remembered, adopted rows do not undo newer ones, and what may come back is dropped on time.

--- a/internal/core/catalog/discovery.go
+++ b/internal/core/catalog/discovery.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"maps"
 	"time"
 
 	"github.com/medlarhold/medlarhold/internal/core/entity"
@@ -12,6 +13,8 @@
 	outageAfter = 1500 * time.Millisecond
 	// returnGrace is how long after an outage a lapsed entry may take to come back.
 	returnGrace = 2 * time.Second
+	// tombstoneFor is how long the last row of a removed entry is remembered.
+	tombstoneFor = time.Minute
 )
 
 // Discovery follows the records about endpoints. It bridges outages of the
@@ -25,11 +28,22 @@
 	returned time.Time
 	// missing holds the entries that lapsed in an outage, and when they count as gone.
 	missing map[entity.EndpointID]time.Time
+	// removed holds the last row of each entry that was removed: an older word on
+	// it may still come, which must not bring it back.
+	removed map[entity.EndpointID]tombstone
+}
+
+// tombstone is the last row of an entry that was removed.
+type tombstone struct {
+	row *Endpoint
+	at  time.Time
 }
 
 // NewDiscovery returns a Discovery that knows nothing yet.
 func NewDiscovery() *Discovery {
-	return &Discovery{table: NewEndpoints(nil), missing: make(map[entity.EndpointID]time.Time)}
+	return &Discovery{
+		table: NewEndpoints(nil), missing: make(map[entity.EndpointID]time.Time), removed: make(map[entity.EndpointID]tombstone),
+	}
 }
 
 // Table returns the endpoints as they stand.
@@ -50,19 +64,59 @@
 		changes = d.withRemovals(changes)
 	}
 	kept := changes[:0:0]
+	rows := make(map[entity.EndpointID]*Endpoint) // of this read
 	for _, c := range changes {
-		if c.Row == nil && d.mayReturn(now, c.ID) {
+		if c.Row == nil && d.mayReturn(now, c.ID) || d.outdated(c.Row) {
 			continue
 		}
 		delete(d.missing, c.ID)
+		d.bury(now, c, rows[c.ID])
+		rows[c.ID] = c.Row
 		kept = append(kept, c)
 	}
-	return d.apply(kept) || d.expire(now)
+	changed := d.apply(kept)
+	return d.expire(now) || changed
+}
+
+// outdated says that a row is no newer than one of an entry that was removed since.
+func (d *Discovery) outdated(row *Endpoint) bool {
+	if row == nil {
+		return false
+	}
+	last, ok := d.removed[row.ID]
+	return ok && !row.after(last.row)
+}
+
+// bury remembers the last row of an entry that is removed: the one that stands,
+// or a newer one that was read just before.
+func (d *Discovery) bury(now time.Time, c Change, justRead *Endpoint) {
+	if c.Row != nil {
+		return
+	}
+	last := justRead
+	if old, ok := d.table.Get(c.ID); ok && (last == nil || old.after(last)) {
+		last = old
+	}
+	if last != nil {
+		d.removed[c.ID] = tombstone{row: last, at: now}
+	}
 }
 
-// Adopt replaces the table by what a peer read from the store at a time.
+// Adopt takes over what a peer read from the store at a time. Rows that it does
+// not have are gone; of the others the newer one stands, since a peer that has
+// just begun may only have met an old word on an entry.
 func (d *Discovery) Adopt(readAt time.Time, rows []Endpoint) {
-	d.table = NewEndpoints(rows)
+	changes := make([]Change, 0, len(rows))
+	for i := range rows {
+		if !d.outdated(&rows[i]) {
+			changes = append(changes, Change{ID: rows[i].ID, Row: &rows[i]})
+		}
+	}
+	changes = d.withRemovals(changes)
+	for _, c := range changes {
+		d.bury(readAt, c, nil)
+	}
+	d.apply(changes)
 	d.known = true
 	d.lastRead = readAt
 	clear(d.missing)
@@ -113,6 +167,7 @@
 }
 
 func (d *Discovery) expire(now time.Time) bool {
+	maps.DeleteFunc(d.removed, func(_ entity.EndpointID, t tombstone) bool { return now.Sub(t.at) > tombstoneFor })
 	var gone []Change
 	for id, until := range d.missing {
 		if !now.Before(until) {
--- a/internal/core/catalog/discovery_test.go
+++ b/internal/core/catalog/discovery_test.go
@@ -70,6 +70,48 @@
 	}
 }
 
+// A peer that has just begun may have met only an old word on an entry that is
+// leaving by now. Who has read more keeps what it knows.
+func TestAdoptedRowsDoNotUndoNewerOnes(t *testing.T) {
+	d := NewDiscovery()
+	leaving := row("e", 1, 7)
+	leaving.Row.Leaving = true
+	d.Read(start, []Change{row("e", 1, 5), leaving, row("other", 1, 1)}, true)
+	d.Adopt(start.Add(time.Second), []Endpoint{*row("e", 1, 5).Row})
+	e, ok := d.table.Get("e")
+	if !ok || !e.Leaving {
+		t.Errorf("stands %+v, want the row that says that it is leaving", e)
+	}
+	if d.has("other") {
+		t.Error("an entry that the peer does not have is gone")
+	}
+}
+
+// A peer that was cut off takes an entry that was removed meanwhile for one that
+// may have lapsed, and keeps it for a while. Who saw it removed is not misled.
+func TestAdoptedRowsDoNotBringARemovedEntryBack(t *testing.T) {
+	d := NewDiscovery()
+	d.Read(start, []Change{row("e", 1, 7)}, true)
+	d.Read(start.Add(time.Second), []Change{removed("e")}, false)
+	d.Adopt(start.Add(2*time.Second), []Endpoint{*row("e", 1, 7).Row})
+	if d.has("e") {
+		t.Error("the entry is back though it was removed")
+	}
+}
+
+func TestOldWordDoesNotBringARemovedEntryBack(t *testing.T) {
+	d := NewDiscovery()
+	d.Read(start, []Change{row("e", 1, 7)}, true)
+	d.Read(start.Add(time.Second), []Change{removed("e"), row("e", 1, 6)}, false)
+	if d.has("e") {
+		t.Error("an old word brought the entry back")
+	}
+	d.Read(start.Add(2*time.Second), []Change{row("e", 1, 8)}, false)
+	if !d.has("e") {
+		t.Error("a newer word must bring it back")
+	}
+}
+
 func TestWholeReadDropsWhatIsMissing(t *testing.T) {
 	d := NewDiscovery()
 	d.Read(start, []Change{row("a", 1, 1), row("b", 1, 1)}, true)
--- a/internal/core/catalog/endpoints.go
+++ b/internal/core/catalog/endpoints.go
@@ -21,12 +21,17 @@
 	Seq int64
 }
 
-// newerThan says that the row may replace another one of the same id.
-func (e *Endpoint) newerThan(old *Endpoint) bool {
+// after says that the row is of a later incarnation or a later change.
+func (e *Endpoint) after(old *Endpoint) bool {
 	if e.Incarnation != old.Incarnation {
 		return e.Incarnation > old.Incarnation
 	}
-	return e.Seq >= old.Seq
+	return e.Seq > old.Seq
+}
+
+// newerThan says that the row may replace another one of the same id.
+func (e *Endpoint) newerThan(old *Endpoint) bool {
+	return e.after(old) || (e.Incarnation == old.Incarnation && e.Seq == old.Seq)
 }
 
 // Endpoints is the table of live endpoints. It never changes.
@@ -63,6 +68,17 @@
 // Pool returns the endpoints of a pool, sorted by id.
 func (t *Endpoints) Pool(id entity.PoolID) []*Endpoint { return t.byPool[id] }
 
+// Leaving returns how many endpoints are leaving.
+func (t *Endpoints) Leaving() int {
+	n := 0
+	for _, e := range t.byID {
+		if e.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
 // Len returns the number of endpoints.
 func (t *Endpoints) Len() int { return len(t.byID) }
 
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -161,6 +161,7 @@
 	c.g.follower.setReading(c.zone.Reads(now))
 	if !now.Before(c.nextState) {
 		c.nextState = now.Add(stateInterval)
+		c.g.follower.tick(now)
 		c.tellZones(now)
 	}
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -61,6 +61,15 @@
 	return f.cursors
 }
 
+// tick drops entries whose time to come back has passed.
+func (f *follower) tick(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.discovery.Tick(now) {
+		f.g.setEndpoints(f.discovery.Table())
+	}
+}
+
 // readAge is how long ago discovery was read.
 func (f *follower) readAge(now time.Time) time.Duration {
 	f.mu.Lock()
@@ -205,9 +214,7 @@
 		return
 	}
 	go g.control.post(g.ctx, changed{}) // the control goroutine itself may be here
-	if before.Len() != t.Len() {
-		telemetry.Log(g.log, telemetry.EventEndpointsChanged, "endpoints", t.Len(), "before", before.Len())
-	}
+	telemetry.Log(g.log, telemetry.EventEndpointsChanged, "endpoints", t.Len(), "before", before.Len(), "leaving", t.Leaving())
 }
 
 // pause waits unless ctx ends first.
