Roles in a zone go to instances that have much processor time

Change: instances tell their capacity, and a role goes to one with at least half of the zone's largest.

--- a/internal/core/entity/entity.go
+++ b/internal/core/entity/entity.go
@@ -94,6 +94,9 @@
 	// AdminAddress is where operators reach it, host:port. Only the platform's
 	// list carries it.
 	AdminAddress string
+	// Capacity is the processor time that the instance has, in thousandths of a
+	// core; 0 if not stated. Roles in a zone go to instances that have much.
+	Capacity int `json:",omitempty"`
 	// Leaving is set when the instance has said that it is stopping.
 	Leaving bool
 }
--- a/internal/core/membership/core.go
+++ b/internal/core/membership/core.go
@@ -44,7 +44,7 @@
 func New(s Settings, self entity.Instance, rng *rand.Rand) *Core {
 	c := &Core{settings: s, rng: rng, self: self.ID, zone: self.Zone, table: newTable()}
 	c.table.insert(Update{
-		ID: self.ID, Zone: self.Zone, Region: self.Region, PeerAddress: self.PeerAddress, Leaving: self.Leaving,
+		ID: self.ID, Zone: self.Zone, Region: self.Region, PeerAddress: self.PeerAddress, Leaving: self.Leaving, Capacity: self.Capacity,
 	}, time.Time{})
 	c.gossip.add(self.ID)
 	c.change()
--- a/internal/core/membership/message.go
+++ b/internal/core/membership/message.go
@@ -76,6 +76,8 @@
 	Incarnation uint64            `json:"i,omitempty"`
 	State       State             `json:"s,omitempty"`
 	Leaving     bool              `json:"l,omitempty"`
+	// Capacity is as in entity.Instance.
+	Capacity int `json:"c,omitempty"`
 	// Unreachable lists the zones that the instance can't reach as a link.
 	Unreachable []entity.ZoneID `json:"x,omitempty"`
 }
--- a/internal/core/membership/view.go
+++ b/internal/core/membership/view.go
@@ -120,7 +120,7 @@
 func memberOf(r *row) Member {
 	return Member{
 		Instance: entity.Instance{
-			ID: r.ID, Zone: r.Zone, Region: r.Region, PeerAddress: r.PeerAddress, Leaving: r.Leaving,
+			ID: r.ID, Zone: r.Zone, Region: r.Region, PeerAddress: r.PeerAddress, Leaving: r.Leaving, Capacity: r.Capacity,
 		},
 		Incarnation: r.Incarnation,
 		Suspect:     r.State == Suspect,
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -23,6 +23,9 @@
 // within a region, and short beside what callers can wait.
 const exchangeTimeout = 200 * time.Millisecond
 
+// milliCores are the units of a core in which capacity is told.
+const milliCores = 1000
+
 // registerPause is the time between two tries to register.
 const registerPause = 500 * time.Millisecond
 
@@ -74,6 +77,7 @@
 	rand.Read(b) // never fails
 	return entity.Instance{
 		ID: entity.InstanceID(s.Name + "-" + hex.EncodeToString(b)), Zone: s.Zone, Region: s.Region, PeerAddress: s.Peers,
+		Capacity: int(s.Cores * milliCores),
 	}
 }
 
--- a/internal/gateway/roles.go
+++ b/internal/gateway/roles.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/medlarhold/medlarhold/internal/core/entity"
@@ -82,8 +83,21 @@
 	return c.chosen(in, "broker/"+string(pool))
 }
 
+// ableShare is the share of the largest capacity in a zone from which on an
+// instance may have a role: a role's work comes on top of its own callers'.
+const ableShare = 0.5
+
+// able returns the instances that may have roles.
+func able(candidates []entity.Instance) []entity.Instance {
+	most := 0
+	for _, in := range candidates {
+		most = max(most, in.Capacity)
+	}
+	return slices.DeleteFunc(candidates, func(in entity.Instance) bool { return float64(in.Capacity) < ableShare*float64(most) })
+}
+
 // chosen returns the member of a zone that has a role: the winner of a
-// rendezvous hash among those that are neither suspected nor leaving.
+// rendezvous hash among those that are able, and neither suspected nor leaving.
 func (c *control) chosen(in entity.ZoneID, role string) entity.InstanceID {
 	z, ok := c.view.Zone(in)
 	if !ok || !z.Reachable {
@@ -95,7 +109,7 @@
 			candidates = append(candidates, m.Instance)
 		}
 	}
-	winner := ownership.Ranked(candidates, role, 1)
+	winner := ownership.Ranked(able(candidates), role, 1)
 	if len(winner) == 0 {
 		return ""
 	}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -25,6 +25,8 @@
 	// MaxMemory in bytes and MaxFiles are what the process may use.
 	MaxMemory int64
 	MaxFiles  int
+	// Cores is the processor time that the process may use, in cores.
+	Cores float64
 	// GracePeriod is how long a process lives on after it was told to stop.
 	GracePeriod time.Duration
 	// RevokeWithin is how long after its removal a key may still be accepted,
--- a/internal/platform/httplist.go
+++ b/internal/platform/httplist.go
@@ -28,6 +28,7 @@
 	Region       entity.RegionID   `json:"region,omitempty"`
 	PeerAddress  string            `json:"peer_address"`
 	AdminAddress string            `json:"admin_address,omitempty"`
+	Capacity     int               `json:"capacity,omitempty"`
 	Leaving      bool              `json:"leaving,omitempty"`
 }
 
