--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 FROM          ?= 0
 MINUTES       ?= 0
 
-.PHONY: histories help build fmt lint vet check test race demo capacity measure bench clean
+.PHONY: soak histories help build fmt lint vet check test race demo capacity measure bench clean
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
 
@@ -44,6 +44,9 @@
 capacity: ## measure the cost of control and rewrite the tables of docs/CAPACITY.md
 	$(GO) run ./cmd/medlarhold-capacity
 
+soak: ## play random faults on real processes before stand-ins of the users' platform; SEEDS, FROM
+	$(GO) test ./platform/soak -count=1 -v -parallel 4 -timeout 60m -soak.seeds $(SEEDS) -soak.from $(FROM)
+
 histories: ## play histories of fresh seeds under faults; SEEDS, FROM, MINUTES
 	$(GO) run ./internal/fleet/histories --seeds $(SEEDS) --from $(FROM) --minutes $(MINUTES)
 
