Others' word tells a cut from an outage of the store

Ruled out: reading and bulletin intervals (1.0 s together). Change: reports and exchanges carry for how long their sender has read the store without an outage; whoever hears that the store was there drops what is missing at once. Tests: red first by construction, TestOthersTellACutFromAnOutage has no such way before; the opposite mistake is TestOutageForAllIsNoCut, TestOutageThatWasOnlyHeardOf.

--- a/internal/core/catalog/discovery.go
+++ b/internal/core/catalog/discovery.go
@@ -10,7 +10,7 @@
 const (
 	// outageAfter is how long reads must have failed to count as an outage,
 	// during which entries may have lapsed though their endpoints live.
-	outageAfter = 1500 * time.Millisecond
+	outageAfter = 2 * time.Second
 	// returnGrace is how long after an outage a lapsed entry may take to come back.
 	returnGrace = 2 * time.Second
 	// tombstoneFor is how long the last row of a removed entry is remembered.
@@ -24,6 +24,8 @@
 	table    *Endpoints
 	known    bool
 	lastRead time.Time
+	// since is when the reading began that has gone on without an outage.
+	since time.Time
 	// returned is when the first read after an outage succeeded.
 	returned time.Time
 	// missing holds the entries that lapsed in an outage, and when they count as gone.
@@ -58,8 +60,7 @@
 	if d.known && now.Sub(d.lastRead) > outageAfter {
 		d.returned = now
 	}
-	d.lastRead = now
-	d.known = true
+	d.noteRead(now)
 	if whole {
 		changes = d.withRemovals(changes)
 	}
@@ -117,15 +118,26 @@
 		d.bury(readAt, c, nil)
 	}
 	d.apply(changes)
-	d.known = true
-	d.lastRead = readAt
+	d.noteRead(readAt)
 	clear(d.missing)
 }
 
 // Heard notes that a peer read the store at a time and found nothing new.
 func (d *Discovery) Heard(readAt time.Time) {
-	if d.known && readAt.After(d.lastRead) {
-		d.lastRead = readAt
+	if d.known {
+		d.noteRead(readAt)
+	}
+}
+
+// noteRead remembers that the store was read at a time, and whether that ended
+// an outage.
+func (d *Discovery) noteRead(at time.Time) {
+	if !d.known || at.Sub(d.lastRead) > outageAfter {
+		d.since = at
+	}
+	d.known = true
+	if at.After(d.lastRead) {
+		d.lastRead = at
 	}
 }
 
@@ -137,6 +149,29 @@
 	return now.Sub(d.lastRead)
 }
 
+// Steady is how long the store has been read without an outage.
+func (d *Discovery) Steady(now time.Time) time.Duration {
+	if !d.known || now.Sub(d.lastRead) > outageAfter {
+		return 0
+	}
+	return now.Sub(d.since)
+}
+
+// Witness takes in that another instance has read the store for so long without
+// an outage. If that was so while this one could not, the store was there:
+// entries that are missing were removed and did not lapse. It returns whether
+// the table has changed.
+func (d *Discovery) Witness(now time.Time, steady time.Duration) bool {
+	if d.returned.IsZero() || steady < now.Sub(d.returned)+outageAfter {
+		return false
+	}
+	d.returned = time.Time{}
+	for id := range d.missing {
+		d.missing[id] = now
+	}
+	return d.expire(now)
+}
+
 // Tick drops the entries that did not come back in time.
 func (d *Discovery) Tick(now time.Time) bool { return d.expire(now) }
 
--- a/internal/core/catalog/discovery_test.go
+++ b/internal/core/catalog/discovery_test.go
@@ -112,6 +112,53 @@
 	}
 }
 
+// An instance that was cut off from a store that served others must not take
+// removals for lapses: the others' word settles it.
+func TestOthersTellACutFromAnOutage(t *testing.T) {
+	cut, steady := NewDiscovery(), NewDiscovery()
+	both := []Change{row("e", 1, 1), row("other", 1, 1)}
+	cut.Read(start, both, true)
+	for i := range 20 {
+		steady.Read(start.Add(time.Duration(i)*time.Second/2), both, true)
+	}
+	back := start.Add(9500 * time.Millisecond)
+	cut.Read(back, []Change{removed("e")}, false)
+	if !cut.has("e") {
+		t.Fatal("alone it can't know that the store was there")
+	}
+	now := back.Add(100 * time.Millisecond)
+	if !cut.Witness(now, steady.Steady(now)) || cut.has("e") {
+		t.Error("the entry stands though another instance has read the store all the time")
+	}
+	cut.Read(now.Add(time.Second), []Change{removed("other")}, false)
+	if cut.has("other") {
+		t.Error("a removal after that is put off")
+	}
+}
+
+func TestOutageForAllIsNoCut(t *testing.T) {
+	a, b := NewDiscovery(), NewDiscovery()
+	for _, d := range []*Discovery{a, b} {
+		d.Read(start, []Change{row("e", 1, 1)}, true)
+		d.Read(start.Add(8*time.Second), []Change{removed("e")}, false)
+	}
+	now := start.Add(9 * time.Second)
+	if a.Witness(now, b.Steady(now)) || !a.has("e") {
+		t.Error("both were without the store: the entry may have lapsed")
+	}
+}
+
+// Who only hears of reads has an outage too when it hears of none.
+func TestOutageThatWasOnlyHeardOf(t *testing.T) {
+	d := NewDiscovery()
+	d.Adopt(start, []Endpoint{*row("e", 1, 1).Row})
+	d.Heard(start.Add(time.Second))
+	d.Heard(start.Add(9 * time.Second))
+	if s := d.Steady(start.Add(10 * time.Second)); s != time.Second {
+		t.Errorf("steady for %v, want the second since the store's return", s)
+	}
+}
+
 func TestWholeReadDropsWhatIsMissing(t *testing.T) {
 	d := NewDiscovery()
 	d.Read(start, []Change{row("a", 1, 1), row("b", 1, 1)}, true)
--- a/internal/core/zone/core.go
+++ b/internal/core/zone/core.go
@@ -42,6 +42,10 @@
 	// the one it was learned from; negative for never.
 	ReadAge(now time.Time) time.Duration
 	Cursors() Cursors
+	// Steady is how long the store has been read without an outage; Witness
+	// takes in how long another instance has.
+	Steady(now time.Time) time.Duration
+	Witness(now time.Time, steady time.Duration)
 	// Limits returns the limits in force.
 	Limits() map[entity.OrgID]quota.Limit
 	// Used, Urgent and Adopt speak to the instance's meter.
@@ -193,13 +197,14 @@
 	return Report{
 		Number: c.next(at), Address: c.self.PeerAddress, Used: c.knows.Used(),
 		Config: versionOf(c.knows.Config()), Endpoints: c.knows.Endpoints().Digest(),
+		Steady: c.knows.Steady(at.Now),
 	}
 }
 
 func (c *Core) exchange(at Moment, z entity.ZoneID) Exchange {
 	x := Exchange{
 		Zone: c.self.Zone, Number: c.next(at), ProofAge: c.proofAge(at), Version: versionOf(c.knows.Config()),
-		Used: c.ledger.ZoneTotals(), Instances: c.zoneSize,
+		Used: c.ledger.ZoneTotals(), Instances: c.zoneSize, Steady: c.knows.Steady(at.Now),
 	}
 	if o := c.exchanged[z]; o != nil && o.from == c.others[z] {
 		x.Answers = o.number
@@ -213,6 +218,7 @@
 // Report answers a member. One that takes this instance for the coordinator
 // before it does so itself is answered all the same, but for the accounts.
 func (c *Core) Report(at Moment, from entity.InstanceID, r Report) {
+	c.knows.Witness(at.Now, r.Steady)
 	b := Bulletin{Answers: r.Number, ProofAge: c.proofAge(at), ReadAge: c.knows.ReadAge(at.Now), Cursors: c.knows.Cursors()}
 	if cfg := c.knows.Config(); versionOf(cfg) > r.Config {
 		b.Config = cfg
@@ -254,6 +260,7 @@
 	if x.Zone == c.self.Zone {
 		return
 	}
+	c.knows.Witness(at.Now, x.Steady)
 	c.exchanged[x.Zone] = &otherZone{from: from, number: x.Number, version: x.Version}
 	n := News{From: from, Config: indexed(x.Config)}
 	if x.Version >= versionOf(c.knows.Config()) && (x.Config != nil || x.Version == versionOf(c.knows.Config())) {
--- a/internal/core/zone/fleet_test.go
+++ b/internal/core/zone/fleet_test.go
@@ -32,6 +32,8 @@
 func (m *member) Endpoints() *catalog.Endpoints      { return catalog.NewEndpoints(nil) }
 func (m *member) ProvedAt() time.Duration            { return m.proved }
 func (m *member) ReadAge(time.Time) time.Duration    { return 0 }
+func (m *member) Steady(time.Time) time.Duration     { return 0 }
+func (m *member) Witness(time.Time, time.Duration)   {}
 func (m *member) Cursors() Cursors                   { return Cursors{} }
 func (m *member) Used() map[entity.OrgID]quota.Usage { return m.meter.Used() }
 func (m *member) Limits() map[entity.OrgID]quota.Limit {
--- a/internal/core/zone/message.go
+++ b/internal/core/zone/message.go
@@ -17,6 +17,8 @@
 	// Config and Endpoints say what the member has.
 	Config    int64  `json:"c,omitempty"`
 	Endpoints uint64 `json:"e,omitempty"`
+	// Steady is how long the sender has read the store without an outage.
+	Steady time.Duration `json:"s,omitempty"`
 }
 
 // Bulletin is the coordinator's answer to a report.
@@ -63,4 +65,6 @@
 	Config    *catalog.Config          `json:"c,omitempty"`
 	Used      map[entity.OrgID]float64 `json:"u,omitempty"`
 	Instances int                      `json:"i"`
+	// Steady is how long the sender has read the store without an outage.
+	Steady time.Duration `json:"s,omitempty"`
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -70,6 +70,22 @@
 	}
 }
 
+// steady is how long the store has been read without an outage.
+func (f *follower) steady(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.discovery.Steady(now)
+}
+
+// witness takes in how long another instance has.
+func (f *follower) witness(now time.Time, steady time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.discovery.Witness(now, steady) {
+		f.g.setEndpoints(f.discovery.Table())
+	}
+}
+
 // readAge is how long ago discovery was read.
 func (f *follower) readAge(now time.Time) time.Duration {
 	f.mu.Lock()
