--- a/internal/core/quota/ledger.go
+++ b/internal/core/quota/ledger.go
@@ -59,8 +59,7 @@
 	// zoneTotal is what the zone's members have used since the ledger was opened.
 	zoneTotal float64
 	// told is the total that other zones were told last.
-	told     float64
-	zoneRate rate
+	told float64
 }
 
 // NewLedger returns a ledger without entries.
@@ -97,7 +96,6 @@
 		l.note(now, use)
 		b.level -= delta
 		b.zoneTotal += delta
-		b.zoneRate.add(now, delta)
 	}
 }
 
@@ -197,7 +195,7 @@
 	}
 	b := l.buckets[org]
 	if b == nil {
-		b = &bucket{level: l.seed(now, org, limit), at: now, zoneRate: rate{at: now}}
+		b = &bucket{level: l.seed(now, org, limit), at: now}
 		l.buckets[org] = b
 	}
 	if d := now.Sub(b.at).Seconds(); d > 0 {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -38,7 +38,6 @@
 	view           membership.View
 	address        map[entity.InstanceID]string
 	brokers        map[entity.PoolID]entity.InstanceID
-	pools          []entity.PoolID
 	waiters        map[entity.RequestID]chan<- reserve.Decision
 	nextState      time.Time
 	send           func(to entity.InstanceID, address string, msg any)
--- a/internal/gateway/roles.go
+++ b/internal/gateway/roles.go
@@ -42,10 +42,10 @@
 
 // refresh chooses the brokers anew, and gives them the endpoints in force.
 func (c *control) refresh(now time.Time) {
-	c.pools = c.g.enginePools()
+	pools := c.g.enginePools()
 	t := c.g.belief.endpoints.Load()
-	brokers := make(map[entity.PoolID]entity.InstanceID, len(c.pools))
-	for _, p := range c.pools {
+	brokers := make(map[entity.PoolID]entity.InstanceID, len(pools))
+	for _, p := range pools {
 		if id := c.brokerOf(c.self.Zone, p); id != "" {
 			brokers[p] = id
 		}
@@ -53,8 +53,8 @@
 	c.logBrokers(brokers)
 	c.brokers = brokers
 	c.setCoordinators()
-	c.elected.SetEndpoints(now, c.pools, t)
-	c.local.SetEndpoints(now, c.pools, t)
+	c.elected.SetEndpoints(now, pools, t)
+	c.local.SetEndpoints(now, pools, t)
 	c.entry.SetBrokers(now, brokers)
 }
 
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -22,9 +22,8 @@
 	SeedAddresses []string
 	// FirstStart is true when the whole deployment starts for the first time.
 	FirstStart bool
-	// MaxMemory in bytes and MaxFiles are what the process may use.
+	// MaxMemory is what the process may use, in bytes.
 	MaxMemory int64
-	MaxFiles  int
 	// Cores is the processor time that the process may use, in cores.
 	Cores float64
 	// GracePeriod is how long a process lives on after it was told to stop.
@@ -33,8 +32,6 @@
 	// binding where StrictKeys is set.
 	RevokeWithin time.Duration
 	StrictKeys   bool
-	// DrainWithin is how long an endpoint that is leaving may still get requests.
-	DrainWithin time.Duration
 	// RetryRatio is the share of requests, over RetryWindow, that may be sent
 	// to an endpoint once more; RetryAllowed is added to it. Both are for the
 	// whole deployment.
