Edge: a stream that ends inside an event is broken off, however it is framed

What callers saw: an answer framed as complete whose last event was cut.

Cause: whether a stream had ended inside an event was only asked if nothing else delimited it, and a stated length was passed on, so that the last byte made the answer look complete before its end was known.

Change: every event stream is checked at its end; its length is not passed on. A resumable one goes on at another endpoint whatever its framing. A body of another stated type is not a sequence of events and passes as before.

The endpoint of TestFailures that succeeds now sends an event, as its routes promise; what is checked is unchanged.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -332,7 +332,7 @@
 	cutShort := func(conn net.Conn, req *http.Request, _ string) {
 		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\n%sContent-Length: 100\r\n\r\nshort", req.Header.Get("Id"), proof)
 	}
-	succeeds := respond(200, proof, "fine")
+	succeeds := respond(200, proof, "data: fine\n\n")
 	tests := []struct {
 		name, path    string
 		firstEndpoint func(net.Conn, *http.Request, string)
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -7,11 +7,13 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/medlarhold/medlarhold/internal/core/catalog"
 	"github.com/medlarhold/medlarhold/internal/sse"
+	"github.com/medlarhold/medlarhold/internal/upstream"
 	"github.com/medlarhold/medlarhold/internal/verdict"
 )
 
@@ -38,7 +40,7 @@
 // connection is closed, so that the response can't look complete.
 func (c *call) forwardStream(ctx context.Context, a *attempt) {
 	var events *sse.Splitter
-	if c.route.Resumable && a.response.Length < 0 {
+	if c.route.Resumable && c.isEventStream(a.response) {
 		events = sse.NewSplitter(maxEventBytes)
 	}
 	for {
@@ -67,6 +69,15 @@
 	}
 }
 
+// isEventStream reports whether the body of a response is a sequence of events.
+func (c *call) isEventStream(response *upstream.Response) bool {
+	if c.route.Kind != catalog.KindStream || response.Status != http.StatusOK || c.r.Method == http.MethodHead {
+		return false
+	}
+	contentType := response.Header.Get("Content-Type")
+	return contentType == "" || strings.HasPrefix(contentType, sse.ContentType)
+}
+
 // resume dispatches the request to another endpoint to continue the stream after the
 // last event that was sent to the caller. It returns nil if the stream can't be resumed.
 func (c *call) resume(ctx context.Context, events *sse.Splitter, v *verdict.Error) *attempt {
@@ -163,21 +174,28 @@
 // finishStream checks that a stream did not end within an event, and sends the header if
 // the body was empty.
 func (c *call) finishStream(out *http.ResponseController, a *attempt, events *sse.Splitter, partial bool) error {
-	if events != nil && events.HasPartial() {
-		return errPartial
-	}
-	// A response that ends with its connection may have been cut off.
-	if c.route.Kind == catalog.KindStream && a.response.Status == http.StatusOK && a.response.EndsWithConnection && partial {
+	if c.isEventStream(a.response) && (partial || events != nil && events.HasPartial()) {
 		return errPartial
 	}
 	if !c.headerSent {
-		c.writeHeader(a.response, a.response.Length)
+		c.writeStreamHeader(a.response)
 	}
 	// The end mark is written after this call, maybe long after the last event.
 	c.setWriteDeadline(out)
 	return nil
 }
 
+// writeStreamHeader forwards the header of a response whose body is forwarded as it
+// arrives. The length of an event stream is left out: with it, the last byte would make a
+// stream that ends within an event look complete.
+func (c *call) writeStreamHeader(response *upstream.Response) {
+	if c.isEventStream(response) {
+		c.writeHeader(response, -1)
+		return
+	}
+	c.writeHeader(response, response.Length)
+}
+
 // setWriteDeadline bounds the time of the next writes to the caller.
 func (c *call) setWriteDeadline(out *http.ResponseController) {
 	// The error is ignored: only response writers in tests don't support deadlines.
@@ -198,7 +216,7 @@
 		p = complete
 	}
 	if !c.headerSent {
-		c.writeHeader(a.response, a.response.Length)
+		c.writeStreamHeader(a.response)
 	}
 	c.setWriteDeadline(out)
 	if _, err := c.w.Write(p); err != nil {
