Edge: a stream whose connection ends before its first event is broken off

What callers saw: status 200 and an empty answer with a proper end, where an endpoint had died between its header and its first event and its connection was closed without a reset.

Cause: the check at the end of a stream asked for a cut event only; nothing at all counts as no cut event.

Change: without an event, the end of the connection is no end. The caller gets 502 (it may have run), a resumable stream goes to another endpoint. A stream that the caller resumes may have no events left, and one that says its end by chunks is believed.

Evidence: TestStreamWithoutAnEventIsNotComplete failed in 4 of 6 cases before ('got body "" and error <nil>').

--- a/internal/edge/ends_test.go
+++ b/internal/edge/ends_test.go
@@ -41,6 +41,10 @@
 	}
 }
 
+func withChunksOnly(conn net.Conn, _ string, _ bool) {
+	fmt.Fprintf(conn, "%sTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", endHead)
+}
+
 func withConnection(conn net.Conn, body string, broken bool) {
 	fmt.Fprintf(conn, "%sConnection: close\r\n\r\n%s", endHead, body)
 	if broken {
@@ -72,6 +76,20 @@
 	}
 }
 
+func TestStreamWithoutAnEventIsNotComplete(t *testing.T) {
+	for framed, tt := range map[string]struct {
+		write    framing
+		complete bool
+	}{"chunks": {withChunksOnly, true}, "connection": {withConnection, false}, "HTTP/1.0": {withOldConnection, false}} {
+		for _, path := range []string{"/stream/", "/resumable/"} {
+			t.Run(framed+path, func(t *testing.T) {
+				e := startEndpoint(t, func(conn net.Conn, _ *http.Request, _ string) { tt.write(conn, "", false) })
+				checkBothCallers(t, e, path, "", tt.complete)
+			})
+		}
+	}
+}
+
 // checkBothCallers sends a request as a caller of HTTP/1.1 and of HTTP/1.0, and checks
 // whether the response looks complete.
 func checkBothCallers(t *testing.T, e *catalog.Endpoint, path, body string, complete bool) {
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -26,8 +26,11 @@
 
 var streamBuffers = sync.Pool{New: func() any { return new([streamBufferBytes]byte) }}
 
-// errPartial is returned for a stream that ended within an event.
-var errPartial = errors.New("the stream ended within an event")
+// Errors of a stream whose framing is complete and whose events aren't.
+var (
+	errPartial  = errors.New("the stream ended within an event")
+	errNoEvents = errors.New("the connection ended before the first event")
+)
 
 // callerError is returned when a response can't be written to the caller.
 type callerError struct{ error }
@@ -171,11 +174,16 @@
 	}
 }
 
-// finishStream checks that a stream did not end within an event, and sends the header if
-// the body was empty.
+// finishStream checks that a stream did not break off, and sends the header if the body
+// was empty.
 func (c *call) finishStream(out *http.ResponseController, a *attempt, events *sse.Splitter, partial bool) error {
-	if c.isEventStream(a.response) && (partial || events != nil && events.HasPartial()) {
-		return errPartial
+	if c.isEventStream(a.response) {
+		if partial || events != nil && events.HasPartial() {
+			return errPartial
+		}
+		if !c.headerSent && a.response.EndsWithConnection && c.meta.LastEventID == "" {
+			return errNoEvents
+		}
 	}
 	if !c.headerSent {
 		c.writeStreamHeader(a.response)
