Edge: an instance that ends resets unfinished answers of HTTP/1.0 callers

What callers saw: a caller of HTTP/1.0, to whom only the end of the connection marks that of an answer, took a stream for complete that the end of an instance (or a write that took too long) had cut off.

Cause: the connection was reset only where a broken answer of an endpoint was noticed; every other way to end closed it like a complete answer.

Change: from the header of such an answer until its end is written, any close of the connection resets it, also the kernel's when the process dies. This replaces the reset at one place.

Evidence: TestStoppedInstanceResetsUnfinishedAnswersOfOldCallers failed before ('got answer "id: 1" and error <nil>'). Answers that are held until their end is known were gone over too: 4 framings, whole and broken, 16 cases, none failed before or after (TestBufferedAnswerThatBreaksOffIsNotDelivered).

--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -52,6 +52,8 @@
 	possibleRuns int
 	// headerSent reports whether the header of an endpoint's response was sent to the caller.
 	headerSent bool
+	// sentLength is the length of the body according to that header, -1 if not stated.
+	sentLength int64
 	// bodyUnread is set if the caller may still be sending a body that is not wanted.
 	bodyUnread bool
 }
--- a/internal/edge/dispatch.go
+++ b/internal/edge/dispatch.go
@@ -278,7 +278,10 @@
 	if length >= 0 && c.r.Method != http.MethodHead {
 		setLength(h, length)
 	}
-	c.headerSent = true
+	if undelimited(c.r, length) {
+		c.setLinger(lingerReset) // until the response is complete
+	}
+	c.headerSent, c.sentLength = true, length
 	c.w.WriteHeader(response.Status)
 }
 
--- a/internal/edge/ends_test.go
+++ b/internal/edge/ends_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/medlarhold/medlarhold/internal/core/catalog"
@@ -90,6 +92,20 @@
 	}
 }
 
+// An answer that is held until its end is known is delivered whole or not at all.
+func TestBufferedAnswerThatBreaksOffIsNotDelivered(t *testing.T) {
+	for framed, write := range map[string]framing{"length": withLength, "chunks": withChunks, "connection": withConnection, "HTTP/1.0": withOldConnection} {
+		for _, broken := range []bool{false, true} {
+			for _, path := range []string{"/safe/", "/unsafe/"} {
+				t.Run(fmt.Sprint(framed, " broken=", broken, path), func(t *testing.T) {
+					e := startEndpoint(t, func(conn net.Conn, _ *http.Request, _ string) { write(conn, "answer", broken) })
+					checkBothCallers(t, e, path, "answer", !broken)
+				})
+			}
+		}
+	}
+}
+
 // checkBothCallers sends a request as a caller of HTTP/1.1 and of HTTP/1.0, and checks
 // whether the response looks complete.
 func checkBothCallers(t *testing.T, e *catalog.Endpoint, path, body string, complete bool) {
@@ -133,3 +149,27 @@
 	web.Start()
 	return web
 }
+
+// The end of an instance must not look like the end of its answer to a caller of HTTP/1.0.
+func TestStoppedInstanceResetsUnfinishedAnswersOfOldCallers(t *testing.T) {
+	started, stopped := make(chan struct{}), make(chan struct{})
+	e := startEndpoint(t, func(conn net.Conn, _ *http.Request, _ string) {
+		fmt.Fprintf(conn, "%sTransfer-Encoding: chunked\r\n\r\n7\r\nid: 1\n\n\r\n", endHead)
+		close(started)
+		<-stopped
+	})
+	defer close(stopped)
+	web := startWeb(newServer(newFakeScheduler(e)))
+	conn, responses := dial(t, web.Listener.Addr().String())
+	fmt.Fprint(conn, "POST /stream/ HTTP/1.0\r\nHost: h\r\nId: r1\r\nKey: k\r\n\r\n")
+	res, err := http.ReadResponse(responses, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	<-started
+	web.Config.Close()
+	if data, err := io.ReadAll(res.Body); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("got answer %q and error %v, want the connection reset", data, err)
+	}
+}
--- a/internal/edge/listener.go
+++ b/internal/edge/listener.go
@@ -39,9 +39,10 @@
 }
 
 // WrapListener returns a listener that enforces the header timeout on connections
-// accepted from l. It sets h.ConnState; h must serve from the returned listener.
+// accepted from l. It sets h.ConnState and h.ConnContext; h must serve from the returned listener.
 func (s *Server) WrapListener(l net.Listener, h *http.Server) net.Listener {
 	h.ConnState = connState
+	h.ConnContext = connContext
 	return &listener{Listener: l, server: s}
 }
 
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -125,29 +124,9 @@
 	}
 	c.server.opts.Metrics.Refused(reason, v.Verdict)
 	c.logEnd("verdict", v.Verdict, "reason", reason, "why", v.Message)
-	c.resetUndelimited()
 	panic(http.ErrAbortHandler)
 }
 
-// resetUndelimited resets the connection of a caller to whom only its end marks the end
-// of the response (HTTP/1.0): the response would look complete if it were closed.
-func (c *call) resetUndelimited() {
-	if c.r.ProtoAtLeast(1, 1) {
-		return
-	}
-	conn, _, err := http.NewResponseController(c.w).Hijack()
-	if err != nil {
-		return // only response writers in tests can't be hijacked
-	}
-	if wrapped, ok := conn.(*callerConn); ok {
-		conn = wrapped.Conn
-	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0) // without it the connection is closed all the same
-	}
-	conn.Close()
-}
-
 // copyStream copies a response to the caller until it ends. If events is set, only
 // complete events are forwarded.
 func (c *call) copyStream(a *attempt, events *sse.Splitter) error {
@@ -188,6 +167,9 @@
 	if !c.headerSent {
 		c.writeStreamHeader(a.response)
 	}
+	if undelimited(c.r, c.sentLength) {
+		c.setLinger(lingerDefault)
+	}
 	// The end mark is written after this call, maybe long after the last event.
 	c.setWriteDeadline(out)
 	return nil
