Quarantine: which part of a prompt crashes engines, found from the runs that were lost

Cause: one part of a prompt may crash each engine that begins an answer to it; on 25 engines ended one after the other in 22 s. Nothing in the system related the losses to one another.

Change: a package of the core, pure, on a virtual clock. The runs that an engine was not answering when it ended are suspects; of their parts, those that were found sound are acquitted; the part that explains several crashes at different moments is quarantined and explains them for the parts beside it. An answer releases a part, so does time; one instance tries it now and then. Not wired yet.

--- a/internal/core/entity/entity.go
+++ b/internal/core/entity/entity.go
@@ -46,6 +46,9 @@
 // before it, so that equal hashes mean equal prefixes.
 type BlockHash uint64
 
+// PartID identifies a part of a prompt. Prompts with equal parts share their text.
+type PartID string
+
 // EndpointKind is the kind of an endpoint.
 type EndpointKind string
 
--- /dev/null
+++ b/internal/core/quarantine/crash.go
@@ -0,0 +1,99 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
+
+const (
+	// SoundAfter is how long an answer must have been arriving for its prompt to be sound:
+	// much longer than an engine survives the beginning of an answer that kills it.
+	SoundAfter = 250 * time.Millisecond
+	// crashSpread is the time within which the losses of one engine belong to one crash.
+	crashSpread = time.Second
+	// maxCrashes, maxRuns and maxParts bound the records: the number of crashes, the runs of
+	// each and the parts of each run.
+	maxCrashes = 64
+	maxRuns    = 16
+	maxParts   = 8
+)
+
+// Loss is a run that ended because its engine closed the connection before the answer was
+// complete.
+type Loss struct {
+	Request     entity.RequestID
+	Endpoint    entity.EndpointID
+	Incarnation int64
+	// Parts are the parts of the request's prompt in order, empty if they are not known.
+	Parts []entity.PartID
+	// Answering is how long the answer had been arriving.
+	Answering time.Duration
+}
+
+// crashKey identifies a crash: an incarnation of an engine ends once.
+type crashKey struct {
+	endpoint    entity.EndpointID
+	incarnation int64
+}
+
+// run is a lost run of a crash.
+type run struct {
+	// own is the part that no other request shares.
+	own entity.PartID
+	// shared are the other parts of the prompt if the run is a suspect, in order.
+	shared []entity.PartID
+}
+
+// crash is what is known of a crash.
+type crash struct {
+	key crashKey
+	// at is when the first loss was noticed.
+	at   time.Time
+	runs []run
+	// version is the version of the table at the last change of this record.
+	version uint64
+}
+
+// runOf returns the record of a loss.
+func runOf(l Loss) run {
+	if len(l.Parts) == 0 {
+		return run{own: entity.PartID(l.Request)}
+	}
+	last := len(l.Parts) - 1
+	r := run{own: l.Parts[last]}
+	if l.Answering < SoundAfter {
+		r.shared = slices.Clone(l.Parts[:min(last, maxParts)])
+	}
+	return r
+}
+
+// add adds a run. It reports whether the record has changed.
+func (c *crash) add(r run) bool {
+	if i := slices.IndexFunc(c.runs, func(k run) bool { return k.own == r.own }); i >= 0 {
+		if len(c.runs[i].shared) > 0 || len(r.shared) == 0 {
+			return false
+		}
+		c.runs[i] = r
+		return true
+	}
+	if len(c.runs) < maxRuns {
+		c.runs = append(c.runs, r)
+		return true
+	}
+	if len(r.shared) == 0 {
+		return false
+	}
+	i := slices.IndexFunc(c.runs, func(k run) bool { return len(k.shared) == 0 })
+	if i < 0 {
+		return false
+	}
+	c.runs[i] = r // a suspect is worth more than a run that is none
+	return true
+}
+
+// has reports whether a part is in the prompt of a suspect.
+func (c *crash) has(part entity.PartID) bool {
+	return slices.ContainsFunc(c.runs, func(r run) bool { return slices.Contains(r.shared, part) })
+}
--- /dev/null
+++ b/internal/core/quarantine/table.go
@@ -0,0 +1,229 @@
+package quarantine
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
+
+// EvidenceFor is how long a crash is remembered.
+const EvidenceFor = 10 * time.Minute
+
+// Quarantined is a part that must not be sent to engines.
+type Quarantined struct {
+	Part entity.PartID
+	// Crashes is the number of crashes that it explains, LastCrash the time of the latest.
+	Crashes   int
+	LastCrash time.Time
+}
+
+// Change is a part that was quarantined, or released if Released is set.
+type Change struct {
+	Quarantined
+	Released bool
+}
+
+// Table holds what an instance knows of crashes and of sound parts, and the quarantine that
+// follows from it.
+type Table struct {
+	crashes map[crashKey]*crash
+	// newest holds the time of the newest crash with each part among its suspects' prompts.
+	newest map[entity.PartID]time.Time
+	// sound holds when a part in the records was last found sound, by any instance.
+	sound map[entity.PartID]soundPart
+	// served holds what this instance itself has found sound.
+	served      served
+	quarantined map[entity.PartID]Quarantined
+	trials      trials
+	// version counts the changes of the records. stale is set while quarantined, newest and
+	// sound don't follow from them.
+	version uint64
+	stale   bool
+	changes []Change
+}
+
+// soundPart is when a part was found sound.
+type soundPart struct {
+	at      time.Time
+	version uint64
+}
+
+// New returns an empty Table.
+func New() *Table {
+	return &Table{
+		crashes: make(map[crashKey]*crash), newest: make(map[entity.PartID]time.Time),
+		sound: make(map[entity.PartID]soundPart), quarantined: make(map[entity.PartID]Quarantined),
+	}
+}
+
+// RecordLoss records that a run of this instance was lost with its engine.
+func (t *Table) RecordLoss(now time.Time, l Loss) {
+	if l.Answering >= SoundAfter {
+		t.RecordAnswer(now, l.Parts)
+	}
+	t.addRun(crashKey{l.Endpoint, l.Incarnation}, now, runOf(l))
+}
+
+// RecordAnswer records that an answer to a prompt with these parts has been arriving for
+// SoundAfter, or is complete.
+func (t *Table) RecordAnswer(now time.Time, parts []entity.PartID) {
+	for _, part := range parts[:max(0, len(parts)-1)] {
+		t.served.record(now, part)
+		t.setSound(part, now)
+	}
+}
+
+// Expire forgets crashes that are older than EvidenceFor.
+func (t *Table) Expire(now time.Time) {
+	before := len(t.crashes)
+	maps.DeleteFunc(t.crashes, func(_ crashKey, c *crash) bool { return now.Sub(c.at) >= EvidenceFor })
+	t.stale = t.stale || len(t.crashes) != before
+}
+
+// Quarantined returns the quarantined parts, ordered by id.
+func (t *Table) Quarantined() []Quarantined {
+	t.update()
+	out := make([]Quarantined, 0, len(t.quarantined))
+	for _, part := range slices.Sorted(maps.Keys(t.quarantined)) {
+		out = append(out, t.quarantined[part])
+	}
+	return out
+}
+
+// Changes returns and clears the changes of the quarantine, in order.
+func (t *Table) Changes() []Change {
+	t.update()
+	out := t.changes
+	t.changes = nil
+	return out
+}
+
+// addRun adds a run to a crash. A loss long after the first one shows that the engine lived
+// on until then.
+func (t *Table) addRun(key crashKey, at time.Time, r run) {
+	c := t.crashes[key]
+	if c == nil || at.Sub(c.at) > crashSpread {
+		c = &crash{key: key, at: at}
+		t.crashes[key] = c
+	}
+	if c.at.Sub(at) > crashSpread || !c.add(r) {
+		return
+	}
+	if at.Before(c.at) {
+		c.at = at
+	}
+	t.version++
+	c.version, t.stale = t.version, true
+	for _, part := range r.shared {
+		if c.at.After(t.newest[part]) {
+			t.newest[part] = c.at
+		}
+		if at, ok := t.served.at(part); ok {
+			t.setSound(part, at)
+		}
+	}
+	if len(t.crashes) > maxCrashes {
+		delete(t.crashes, t.leastUseful().key)
+		t.stale = true
+	}
+}
+
+// leastUseful returns the crash to forget if there are too many: the oldest one that says
+// nothing about a quarantined part, or else the oldest one of the part that has most.
+func (t *Table) leastUseful() *crash {
+	t.update()
+	var least *crash
+	most := 0
+	for _, c := range t.sortedCrashes() {
+		explained := 0
+		for part, q := range t.quarantined {
+			if c.has(part) {
+				explained = max(explained, q.Crashes)
+			}
+		}
+		if explained == 0 {
+			return c
+		}
+		if explained > most {
+			least, most = c, explained
+		}
+	}
+	return least
+}
+
+// setSound records when a part in the records was found sound. It returns false if that
+// says nothing new about any crash.
+func (t *Table) setSound(part entity.PartID, at time.Time) bool {
+	if t.newest[part].IsZero() {
+		return false
+	}
+	before := t.sound[part]
+	if !at.After(before.at) {
+		return false
+	}
+	news := t.acquits(part, before.at, at)
+	version := before.version
+	if news {
+		t.version++
+		version = t.version
+		t.stale = true
+	}
+	t.sound[part] = soundPart{at: at, version: version}
+	return news
+}
+
+// acquits reports whether it says something about a crash that a part in the records was
+// sound at a time, and not only before.
+func (t *Table) acquits(part entity.PartID, before, at time.Time) bool {
+	if before.IsZero() {
+		return true
+	}
+	if !before.Before(t.newest[part]) {
+		return false
+	}
+	for _, c := range t.crashes {
+		if before.Before(c.at) && !at.Before(c.at) && c.has(part) {
+			return true
+		}
+	}
+	return false
+}
+
+// update computes the quarantine again if the records have changed.
+func (t *Table) update() {
+	if !t.stale {
+		return
+	}
+	t.stale = false
+	t.index()
+	found := t.blame()
+	for _, part := range slices.Sorted(maps.Keys(t.quarantined)) {
+		if _, ok := found[part]; !ok {
+			t.changes = append(t.changes, Change{Quarantined: t.quarantined[part], Released: true})
+		}
+	}
+	for _, part := range slices.Sorted(maps.Keys(found)) {
+		if _, ok := t.quarantined[part]; !ok {
+			t.changes = append(t.changes, Change{Quarantined: found[part]})
+		}
+	}
+	t.quarantined = found
+	t.trials.keep(found)
+}
+
+// index computes newest again, and forgets what was found about parts that are in no record.
+func (t *Table) index() {
+	clear(t.newest)
+	for _, c := range t.crashes {
+		for _, r := range c.runs {
+			for _, part := range r.shared {
+				if c.at.After(t.newest[part]) {
+					t.newest[part] = c.at
+				}
+			}
+		}
+	}
+	maps.DeleteFunc(t.sound, func(part entity.PartID, _ soundPart) bool { return t.newest[part].IsZero() })
+}
--- /dev/null
+++ b/internal/core/quarantine/trial.go
@@ -0,0 +1,86 @@
+package quarantine
+
+import (
+	"maps"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
+
+const (
+	// trialAfter is the time from the last crash of a quarantined part until it is tried
+	// with one request. It doubles with each trial, up to maxTrialAfter.
+	trialAfter    = time.Minute
+	maxTrialAfter = 8 * time.Minute
+)
+
+// Decision says whether a request may be sent to an engine.
+type Decision struct {
+	// Refused is the part that forbids it; nil if it may be sent.
+	Refused *Quarantined
+	// Trial is set if a request with a quarantined part may be sent all the same.
+	Trial bool
+}
+
+// trials holds the trials of quarantined parts.
+type trials struct {
+	// allowed is set at the one instance of the deployment that makes trials.
+	allowed bool
+	byPart  map[entity.PartID]trial
+}
+
+// trial is the number of trials of a part and the time of the last one.
+type trial struct {
+	count int
+	at    time.Time
+}
+
+// SetTrials sets whether this instance is the one that makes trials.
+func (t *Table) SetTrials(allowed bool) { t.trials.allowed = allowed }
+
+// Decide decides whether a request may be sent to an engine now. If it allows a trial, the
+// request must be sent.
+func (t *Table) Decide(now time.Time, parts []entity.PartID) Decision {
+	t.update()
+	if len(t.quarantined) == 0 {
+		return Decision{}
+	}
+	var d Decision
+	for _, part := range parts {
+		q, ok := t.quarantined[part]
+		if !ok {
+			continue
+		}
+		if d.Refused != nil || !t.trials.due(now, q) {
+			return Decision{Refused: &q}
+		}
+		d = Decision{Refused: &q}
+	}
+	if d.Refused == nil {
+		return Decision{}
+	}
+	t.trials.begin(now, d.Refused.Part)
+	return Decision{Trial: true}
+}
+
+// due reports whether a part may be tried now.
+func (t *trials) due(now time.Time, q Quarantined) bool {
+	last := t.byPart[q.Part]
+	wait := min(trialAfter<<min(last.count, 8), maxTrialAfter)
+	return t.allowed && now.Sub(q.LastCrash) >= wait && now.Sub(last.at) >= wait
+}
+
+func (t *trials) begin(now time.Time, part entity.PartID) {
+	if t.byPart == nil {
+		t.byPart = make(map[entity.PartID]trial)
+	}
+	t.byPart[part] = trial{count: t.byPart[part].count + 1, at: now}
+}
+
+// keep forgets the trials of parts that are not quarantined any more.
+func (t *trials) keep(quarantined map[entity.PartID]Quarantined) {
+	maps.DeleteFunc(t.byPart, func(part entity.PartID, _ trial) bool {
+		_, ok := quarantined[part]
+		return !ok
+	})
+}
