Requests with a part that crashes engines are kept away from them

Cause: a crash was a failure of one engine, and each request was new. Nothing learned that requests of one kind went before the crashes.

Change: the adapter reads the parts of prompts; entries report how each run ended to the quarantine of the core; members and coordinators exchange its records with the messages that they send anyway.

--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -153,25 +153,18 @@
 	return least
 }
 
-// setSound records when a part in the records was found sound. It returns false if that
-// says nothing new about any crash.
-func (t *Table) setSound(part entity.PartID, at time.Time) bool {
-	if t.newest[part].IsZero() {
-		return false
-	}
+// setSound records when a part in the records was found sound.
+func (t *Table) setSound(part entity.PartID, at time.Time) {
 	before := t.sound[part]
-	if !at.After(before.at) {
-		return false
+	if t.newest[part].IsZero() || !at.After(before.at) {
+		return
 	}
-	news := t.acquits(part, before.at, at)
 	version := before.version
-	if news {
+	if t.acquits(part, before.at, at) {
 		t.version++
-		version = t.version
-		t.stale = true
+		version, t.stale = t.version, true
 	}
 	t.sound[part] = soundPart{at: at, version: version}
-	return news
 }
 
 // acquits reports whether it says something about a crash that a part in the records was
--- a/internal/core/zone/config.go
+++ b/internal/core/zone/config.go
@@ -91,6 +91,7 @@
 func (c *Core) SendFailed(to entity.InstanceID) {
 	c.sentConfigs.markFailed(to)
 	c.sentTables.markFailed(to)
+	delete(c.quarantineKnown, to)
 }
 
 // markFailed records that the item last sent to a receiver may not have arrived.
--- a/internal/core/zone/core.go
+++ b/internal/core/zone/core.go
@@ -7,6 +7,7 @@
 
 	"github.com/medlarhold/medlarhold/internal/core/catalog"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/quarantine"
 	"github.com/medlarhold/medlarhold/internal/core/quota"
 )
 
@@ -46,6 +47,11 @@
 	// RecordDepartures processes those of another instance.
 	RecentDepartures(now time.Time) []catalog.Departure
 	RecordDepartures(now time.Time, d []catalog.Departure)
+	// QuarantineVersion, QuarantineSince and MergeQuarantine are forwarded to the instance's
+	// quarantine.Table.
+	QuarantineVersion() uint64
+	QuarantineSince(now time.Time, version uint64) *quarantine.State
+	MergeQuarantine(now time.Time, s *quarantine.State)
 	// Limits returns the limits in force.
 	Limits() map[entity.OrgID]quota.Limit
 	// ExpectedInstances, Used, LedgerChanged, Urgent and ApplyAccounts are forwarded to the
@@ -134,6 +140,8 @@
 	packedConfig            configEncoding
 	tableHistory            tableHistory
 	sentConfigs, sentTables sentItems
+	// quarantineKnown holds the version of the quarantine's records that each receiver has.
+	quarantineKnown map[entity.InstanceID]uint64
 
 	messages []entity.Outgoing
 	updates  []Update
@@ -144,6 +152,7 @@
 	return &Core{
 		self: self, state: state, sentAt: make(map[uint64]time.Duration), remoteZones: make(map[entity.ZoneID]*remoteZone),
 		sentConfigs: make(sentItems), sentTables: make(sentItems), readDelay: readDelayOf(self.ID),
+		quarantineKnown: make(map[entity.InstanceID]uint64),
 	}
 }
 
@@ -242,6 +251,7 @@
 		Seq: c.nextSeq(at), Address: c.self.PeerAddress, Used: c.state.Used(),
 		ConfigVersion: versionOf(c.state.Config()), TableDigest: c.state.Endpoints().Digest(),
 		StoreUptime: c.state.StoreUptime(at.Now), StoreAnswerAge: c.state.StoreAnswerAge(at.Now), Departures: c.state.RecentDepartures(at.Now),
+		Quarantine: c.quarantineFor(at.Now, c.coordinator),
 	}
 }
 
@@ -252,11 +262,13 @@
 	c.state.RecordPeerStoreUptime(at.Now, r.StoreUptime)
 	c.recordStoreAnswer(at.Now, r.StoreAnswerAge, true)
 	c.state.RecordDepartures(at.Now, r.Departures)
+	c.mergeQuarantine(at.Now, from, r.Quarantine)
 	b := Bulletin{ReportSeq: r.Seq, ProofAge: c.proofAge(at), ConfigVersion: versionOf(c.state.Config()), ReadAge: c.state.ReadAge(at.Now), Cursors: c.state.Cursors()}
 	b.StoreAnswersOthers = c.IsCoordinator() && c.answersOthers(at.Now)
 	if cfg := c.state.Config(); versionOf(cfg) > r.ConfigVersion && c.sentConfigs.shouldSend(at.Now, from, uint64(cfg.Version)) {
 		b.Config = c.packedConfig.bytes(cfg)
 	}
+	b.Quarantine = c.quarantineFor(at.Now, from)
 	b.TableDigest = c.state.Endpoints().Digest()
 	b.Endpoints, b.Changes = c.tableUpdateFor(at.Now, from, r.TableDigest)
 	if c.ledger != nil {
@@ -268,9 +280,10 @@
 	c.send(from, b)
 }
 
-// HandleBulletin processes the coordinator's answer to a report. Bulletins from
-// other instances are ignored.
+// HandleBulletin processes the coordinator's answer to a report. Of a bulletin from another
+// instance, only the quarantine's records are used: its sender won't send them again.
 func (c *Core) HandleBulletin(at Moment, from entity.InstanceID, b Bulletin) {
+	c.mergeQuarantine(at.Now, from, b.Quarantine)
 	if from != c.coordinator {
 		return
 	}
--- a/internal/core/zone/exchange.go
+++ b/internal/core/zone/exchange.go
@@ -23,7 +23,7 @@
 	x := Exchange{
 		Zone: c.self.Zone, LedgerSeq: c.ledgersOpened, Seq: c.nextSeq(at), ProofAge: c.proofAge(at), ConfigVersion: versionOf(c.state.Config()),
 		Used: c.ledger.ZoneTotals(), Instances: min(c.zoneSize, c.ledger.Members(at.Now)), StoreUptime: c.state.StoreUptime(at.Now), StoreAnswerAge: c.state.StoreAnswerAge(at.Now),
-		Departures: c.state.RecentDepartures(at.Now),
+		Departures: c.state.RecentDepartures(at.Now), Quarantine: c.quarantineFor(at.Now, c.remoteCoordinators[z]),
 	}
 	if r := c.remoteZones[z]; r != nil && r.coordinator == c.remoteCoordinators[z] {
 		x.AckSeq = r.seq
@@ -48,6 +48,7 @@
 
 // HandleExchange processes the message of another zone's coordinator.
 func (c *Core) HandleExchange(at Moment, from entity.InstanceID, x Exchange) {
+	c.mergeQuarantine(at.Now, from, x.Quarantine)
 	if x.Zone == c.self.Zone {
 		return
 	}
--- a/internal/core/zone/fleet_test.go
+++ b/internal/core/zone/fleet_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/medlarhold/medlarhold/internal/core/catalog"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/quarantine"
 	"github.com/medlarhold/medlarhold/internal/core/quota"
 )
 
@@ -24,6 +25,7 @@
 type member struct {
 	id          entity.Instance
 	meter       *quota.Meter
+	quarantine  *quarantine.Table
 	config      *catalog.Config
 	core        *Core
 	partitioned bool
@@ -50,8 +52,13 @@
 func (m *member) RecordPeerStoreUptime(time.Time, time.Duration)  {}
 func (m *member) RecentDepartures(time.Time) []catalog.Departure  { return nil }
 func (m *member) RecordDepartures(time.Time, []catalog.Departure) {}
-func (m *member) Cursors() Cursors                                { return Cursors{} }
-func (m *member) Used() map[entity.OrgID]quota.Usage              { return m.meter.Used() }
+func (m *member) QuarantineVersion() uint64                       { return m.quarantine.Version() }
+func (m *member) QuarantineSince(now time.Time, version uint64) *quarantine.State {
+	return m.quarantine.StateSince(now, version)
+}
+func (m *member) MergeQuarantine(now time.Time, s *quarantine.State) { m.quarantine.Merge(now, s) }
+func (m *member) Cursors() Cursors                                   { return Cursors{} }
+func (m *member) Used() map[entity.OrgID]quota.Usage                 { return m.meter.Used() }
 func (m *member) Limits() map[entity.OrgID]quota.Limit {
 	return map[entity.OrgID]quota.Limit{org: {Rate: limitRate, Burst: burst}}
 }
@@ -98,7 +105,7 @@
 		for i := range perZone {
 			id := entity.Instance{ID: entity.InstanceID(fmt.Sprintf("z%d-%d", z, i)), Zone: entity.ZoneID(fmt.Sprintf("z%d", z))}
 			id.PeerAddress = string(id.ID) + ":1"
-			m := &member{id: id, meter: quota.NewMeter(f.now, true), config: cfg}
+			m := &member{id: id, meter: quota.NewMeter(f.now, true), quarantine: quarantine.New(), config: cfg}
 			m.core = New(id, m)
 			f.members = append(f.members, m)
 		}
@@ -135,7 +142,7 @@
 func (f *fleet) restart(zones, perZone int) {
 	f.inFlight = nil
 	for _, m := range f.members {
-		m.meter = quota.NewMeter(f.now, false)
+		m.meter, m.quarantine = quota.NewMeter(f.now, false), quarantine.New()
 		m.meter.SetListedInstances(len(f.members))
 		m.core = New(m.id, m)
 	}
@@ -181,8 +188,8 @@
 	arrived := f.inFlight
 	f.inFlight = nil
 	for _, d := range arrived {
-		if f.random.Float64() >= f.loss {
-			f.deliver(at, d)
+		if f.random.Float64() < f.loss || !f.deliver(at, d) {
+			f.member(d.from).core.SendFailed(d.to)
 		}
 	}
 	for i, m := range f.members {
@@ -212,10 +219,11 @@
 	}
 }
 
-func (f *fleet) deliver(at Moment, d delivery) {
+// deliver reports whether the message has arrived.
+func (f *fleet) deliver(at Moment, d delivery) bool {
 	from, to := f.member(d.from), f.member(d.to)
 	if from.partitioned != to.partitioned || from.isolated || to.isolated {
-		return
+		return false
 	}
 	switch m := d.msg.(type) {
 	case Report:
@@ -225,6 +233,7 @@
 	case Exchange:
 		to.core.HandleExchange(at, d.from, m)
 	}
+	return true
 }
 
 // maxAdmitted returns the largest cost that was admitted in any window of the
--- a/internal/core/zone/message.go
+++ b/internal/core/zone/message.go
@@ -5,6 +5,7 @@
 
 	"github.com/medlarhold/medlarhold/internal/core/catalog"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/quarantine"
 	"github.com/medlarhold/medlarhold/internal/core/quota"
 	"github.com/medlarhold/medlarhold/internal/core/storeera"
 )
@@ -26,6 +27,8 @@
 	StoreAnswerAge time.Duration `json:"r"`
 	// Departures lists endpoints that have recently said that they are going to stop.
 	Departures []catalog.Departure `json:"d,omitempty"`
+	// Quarantine holds the records that have changed since the last report.
+	Quarantine *quarantine.State `json:"q,omitempty"`
 }
 
 // Bulletin is the coordinator's answer to a report.
@@ -57,6 +60,8 @@
 	LedgerSeq int `json:"l,omitempty"`
 	// Instances is the number of instances of the deployment.
 	Instances int `json:"i"`
+	// Quarantine holds the records that have changed since the last bulletin to the member.
+	Quarantine *quarantine.State `json:"q,omitempty"`
 }
 
 // Cursors are the positions up to which the configuration and the endpoints have
@@ -107,4 +112,6 @@
 	StoreAnswerAge time.Duration `json:"r"`
 	// Departures lists endpoints that have recently said that they are going to stop.
 	Departures []catalog.Departure `json:"d,omitempty"`
+	// Quarantine holds the records that have changed since the last exchange.
+	Quarantine *quarantine.State `json:"q,omitempty"`
 }
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -161,7 +161,7 @@
 	pool := c.route.PoolFor(c.meta.ID)
 	c.slotRequest = SlotRequest{
 		ID: c.meta.ID, Pool: pool, Route: c.route.Name, Kind: entity.KindService, Rank: c.rank(),
-		PromptTokens: c.meta.PromptTokens, AnswerTokens: c.meta.MaxTokens,
+		PromptTokens: c.meta.PromptTokens, AnswerTokens: c.meta.MaxTokens, PromptParts: c.meta.PromptParts,
 		Target: c.arrivedAt.Add(c.route.Target - elapsed), Deadline: c.deadline, IsRetry: elapsed > 0,
 	}
 	c.slotRequest.FirstEventBy = c.deadline
--- a/internal/edge/dispatch.go
+++ b/internal/edge/dispatch.go
@@ -101,6 +101,7 @@
 		a.outcome.Failed = !a.outcome.Cancelled
 		a.outcome.NotRun = v.Verdict == verdict.NotRun
 		a.outcome.Unreachable = a.outcome.NotRun // nothing was sent only if there was no connection
+		a.outcome.Lost = a.outcome.Failed && upstream.ClosedByEndpoint(err)
 	} else {
 		a.response = response
 		a.outcome.Load = response.Meta
@@ -131,14 +132,13 @@
 // checkResponse returns nil if the response is to be forwarded to the caller.
 func (c *call) checkResponse(a *attempt) *verdict.Error {
 	response := a.response
-	success := response.Status >= http.StatusOK && response.Status < http.StatusMultipleChoices
 	switch {
 	case response.Meta.NotRun:
 		drain(response)
 		a.outcome.NotRun = true
 		a.outcome.Failed = response.Status != http.StatusMisdirectedRequest
 		return refusal(verdict.ReasonEndpointRefused, minRetryAfter, "the endpoint did not run the request")
-	case success && (!response.Meta.HasProof || response.Header.Get("Content-Encoding") != ""):
+	case isSuccess(response) && (!response.Meta.HasProof || response.Header.Get("Content-Encoding") != ""):
 		a.outcome.Failed = true
 		return mayHaveRunError(verdict.ReasonAnswerIncomplete, "the endpoint's answer can't be trusted")
 	case response.Status >= http.StatusInternalServerError && c.mayRunAgain():
@@ -149,6 +149,11 @@
 	return nil
 }
 
+// isSuccess reports whether the status of a response is a success.
+func isSuccess(response *upstream.Response) bool {
+	return response.Status >= http.StatusOK && response.Status < http.StatusMultipleChoices
+}
+
 // drain reads a small response to its end, so that the connection can be reused.
 func drain(r *upstream.Response) {
 	if r.Length >= 0 && r.Length <= maxDrainBytes {
@@ -231,6 +236,7 @@
 		a.response.Body = io.MultiReader(bytes.NewReader(body), a.response.Body)
 		c.forwardStream(ctx, a)
 	default:
+		a.outcome.Served = isSuccess(a.response)
 		a.finish()
 		c.writeHeader(a.response, int64(len(body)))
 		// The error is ignored: a disconnected caller cancels the request's context.
@@ -243,6 +249,7 @@
 func (c *call) retryBrokenOff(ctx context.Context, a *attempt, err error) {
 	a.outcome.Failed = ctx.Err() == nil
 	a.outcome.Cancelled = ctx.Err() != nil
+	a.outcome.Lost = a.outcome.Failed && upstream.ClosedByEndpoint(err)
 	a.finish()
 	v := brokenOffError("the endpoint's answer broke off", err)
 	c.logFailedAttempt(a, v)
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -48,6 +48,7 @@
 	for {
 		err := c.copyStream(a, events)
 		if err == nil {
+			a.outcome.Served = isSuccess(a.response)
 			a.finish()
 			c.logResponse(a)
 			return
@@ -56,6 +57,7 @@
 		callerGone := errors.As(err, &caller)
 		a.outcome.Cancelled = callerGone || ctx.Err() != nil
 		a.outcome.Failed = !a.outcome.Cancelled
+		a.outcome.Lost = a.outcome.Failed && (upstream.ClosedByEndpoint(err) || errors.Is(err, errPartial) || errors.Is(err, errNoEvents))
 		a.finish()
 		v := brokenOffError("the stream broke off", err)
 		if callerGone {
--- a/internal/edge/types.go
+++ b/internal/edge/types.go
@@ -34,6 +34,8 @@
 	HasTokens               bool
 	// ExpectedTokens is the caller's estimate of the answer's tokens, 0 if it gave none.
 	ExpectedTokens int
+	// PromptParts are the parts of the prompt in order, empty if not stated.
+	PromptParts []entity.PartID
 	// LastEventID is the id of the last event that the caller received of the stream
 	// it resumes, empty for a new stream.
 	LastEventID string
@@ -51,6 +53,8 @@
 	Rank int
 	// PromptTokens and AnswerTokens are the estimated size of the prompt and the answer.
 	PromptTokens, AnswerTokens int
+	// PromptParts are the parts of the prompt in order, empty if not known.
+	PromptParts []entity.PartID
 	// Target is the time after which the beginning of the response counts as late.
 	// The caller gives up if the response has not begun by FirstEventBy; after
 	// Deadline the response is of no use.
@@ -76,6 +80,11 @@
 	NotRun bool
 	// Unreachable reports, if NotRun is set, whether no connection could be opened.
 	Unreachable bool
+	// Lost reports whether the endpoint closed the connection before the response was
+	// complete.
+	Lost bool
+	// Served reports whether a complete success was received.
+	Served bool
 	// Cancelled reports whether the dispatch ended because the request's context did:
 	// the caller disconnected or the deadline passed.
 	Cancelled bool
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -186,6 +186,7 @@
 // endpoints and reports free slots to other zones.
 func (c *control) tick(now time.Time) {
 	c.checkEligibility(now)
+	c.g.logQuarantine(now)
 	c.members.Tick(now)
 	c.entry.Tick(now)
 	c.elected.Tick(now)
--- a/internal/gateway/instance.go
+++ b/internal/gateway/instance.go
@@ -15,6 +15,7 @@
 	"github.com/medlarhold/medlarhold/internal/core/catalog"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/core/holdoff"
+	"github.com/medlarhold/medlarhold/internal/core/quarantine"
 	"github.com/medlarhold/medlarhold/internal/core/quota"
 	"github.com/medlarhold/medlarhold/internal/edge"
 	"github.com/medlarhold/medlarhold/internal/peer"
@@ -57,22 +58,23 @@
 // Instance is one instance of the scheduler. Its methods are safe for concurrent
 // use; Run must be called once only.
 type Instance struct {
-	settings  Settings
-	adapter   Adapter
-	log       logr.Logger
-	metrics   *telemetry.Metrics
-	state     localState
-	follower  *follower
-	client    *upstream.Client
-	edge      *edge.Server
-	services  *services
-	meter     *meter
-	retries   *retries
-	holds     *holds
-	start     *startGate
-	self      entity.Instance
-	control   *control
-	transport *peer.Transport
+	settings   Settings
+	adapter    Adapter
+	log        logr.Logger
+	metrics    *telemetry.Metrics
+	state      localState
+	follower   *follower
+	client     *upstream.Client
+	edge       *edge.Server
+	services   *services
+	meter      *meter
+	retries    *retries
+	holds      *holds
+	quarantine *quarantineTable
+	start      *startGate
+	self       entity.Instance
+	control    *control
+	transport  *peer.Transport
 	// ctx ends when the instance stops.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -95,6 +97,7 @@
 	g.meter = &meter{meter: quota.NewMeter(time.Now(), s.FirstStart)}
 	g.retries = newRetries(s)
 	g.holds = &holds{table: holdoff.New()}
+	g.quarantine = &quarantineTable{table: quarantine.New()}
 	g.start = newStartGate()
 	g.services = &services{table: balance.New(), zone: s.Zone}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
@@ -221,6 +224,7 @@
 		case now := <-tick.C:
 			g.client.CloseExpired(now)
 			g.holds.expire(now)
+			g.quarantine.expire(now)
 			g.services.expireBefore(now.Add(-endpointRetention))
 		}
 	}
--- a/internal/gateway/roles.go
+++ b/internal/gateway/roles.go
@@ -94,11 +94,24 @@
 			remote[z.Zone] = id
 		}
 	}
+	c.g.quarantine.setTrials(c.coordinatesFirstZone(remote))
 	localZone, _ := c.view.Zone(c.self.Zone)
 	c.zone.SetCoordinators(c.roleHolder(c.self.Zone, coordinatorRole), remote, len(localZone.Members))
 	c.zone.SetReadRank(slices.IndexFunc(localZone.Members, func(m membership.Member) bool { return m.ID == c.self.ID }))
 }
 
+// coordinatesFirstZone reports whether this instance is the coordinator of the first zone
+// by name, given the coordinators of the others. At most one instance is, unless instances
+// disagree about the members.
+func (c *control) coordinatesFirstZone(remote map[entity.ZoneID]entity.InstanceID) bool {
+	for z := range remote {
+		if z < c.self.Zone {
+			return false
+		}
+	}
+	return c.roleHolder(c.self.Zone, coordinatorRole) == c.self.ID
+}
+
 func (c *control) logBrokers(brokers map[entity.PoolID]entity.InstanceID) {
 	for p, id := range brokers {
 		if c.brokers[p] != id {
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -61,8 +61,13 @@
 
 // reserveSlot requests slots until a broker grants one that can be used, or
 // refuses. A slot is released, and another one requested, where this instance has
-// learned since that its endpoint must not get the request.
+// learned since that its endpoint must not get the request. A request whose prompt
+// was quarantined while it waited is refused.
 func (g *Instance) reserveSlot(ctx context.Context, r edge.SlotRequest, avoid []entity.EndpointID) (edge.Slot, *verdict.Error) {
+	trial, v := g.checkPrompt(r)
+	if v != nil {
+		return edge.Slot{}, v
+	}
 	avoid = slices.Concat(avoid, g.holds.avoided(time.Now(), g.state.endpoints.Load().Pool(r.Pool)))
 	for {
 		d, v := g.requestSlot(ctx, r, avoid)
@@ -72,6 +77,12 @@
 		if d.Endpoint == "" {
 			return edge.Slot{}, g.denialError(r, d)
 		}
+		if !trial {
+			if trial, v = g.checkPrompt(r); v != nil {
+				g.control.post(g.ctx, abandon{id: r.ID})
+				return edge.Slot{}, v
+			}
+		}
 		if e, ok := g.state.endpoints.Load().Get(d.Endpoint); ok && !e.Leaving && !g.holds.holdsOff(time.Now(), e) {
 			return g.newSlot(r, e), nil
 		}
@@ -105,6 +116,7 @@
 		Endpoint:    e,
 		OnFirstByte: func() { g.control.post(g.ctx, dispatchStarted{id: r.ID, after: time.Since(sentAt)}) },
 		Release: func(o edge.Outcome) {
+			g.recordRun(r, e, o)
 			g.control.post(g.ctx, dispatchDone{done: broker.Done{
 				ID: r.ID, Failed: o.Failed, NotRun: o.NotRun, Unreachable: o.Unreachable, Streaming: streamingTime(o), Tokens: o.Events * g.tokensPerEvent(r.Pool),
 			}})
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -48,6 +48,16 @@
 	Brokers      map[entity.PoolID]entity.InstanceID `json:"brokers"`
 	ElectedLoads []broker.Load                       `json:"granted"`
 	LocalLoads   []broker.Load                       `json:"alone"`
+	// Quarantined holds the parts of prompts that are kept away from engines.
+	Quarantined []QuarantinedPart `json:"quarantined"`
+}
+
+// QuarantinedPart is a part of prompts that crashes engines. LastCrashMs is the age of the
+// last of the crashes in milliseconds.
+type QuarantinedPart struct {
+	Part        entity.PartID `json:"part"`
+	Crashes     int           `json:"crashes"`
+	LastCrashMs int64         `json:"last_crash_age_ms"`
 }
 
 // Grants reports whether the instance grants the slots of a pool in its zone.
@@ -105,6 +115,9 @@
 		ReadsStore: g.follower.reading.Load(), Coordinator: c.roleHolder(c.self.Zone, coordinatorRole), Ineligible: c.ineligible,
 		Brokers: c.brokers, ElectedLoads: c.elected.Loads(now), LocalLoads: c.local.Loads(now),
 	}
+	for _, q := range g.quarantine.quarantined() {
+		s.Quarantined = append(s.Quarantined, QuarantinedPart{Part: q.Part, Crashes: q.Crashes, LastCrashMs: now.Sub(q.LastCrash).Milliseconds()})
+	}
 	for _, z := range c.view.Zones {
 		zone := ZoneMembers{Zone: z.Zone, Reachable: z.Reachable, Members: len(z.Members)}
 		for _, m := range z.Members {
--- a/internal/gateway/zonecorestate.go
+++ b/internal/gateway/zonecorestate.go
@@ -6,6 +6,7 @@
 
 	"github.com/medlarhold/medlarhold/internal/core/catalog"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/quarantine"
 	"github.com/medlarhold/medlarhold/internal/core/quota"
 	"github.com/medlarhold/medlarhold/internal/core/zone"
 )
@@ -35,6 +36,13 @@
 		z.g.follower.recordDepartures(now, d)
 	}
 }
+func (z zoneCoreState) QuarantineVersion() uint64 { return z.g.quarantine.version() }
+func (z zoneCoreState) QuarantineSince(now time.Time, version uint64) *quarantine.State {
+	return z.g.quarantine.since(now, version)
+}
+func (z zoneCoreState) MergeQuarantine(now time.Time, s *quarantine.State) {
+	z.g.quarantine.merge(now, s)
+}
 func (z zoneCoreState) Cursors() zone.Cursors { return z.g.follower.position() }
 
 func (z zoneCoreState) Limits() map[entity.OrgID]quota.Limit {
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -58,6 +58,10 @@
 	EventEndpointsChanged     = Event{6007, "endpoints appeared or left", 0}
 	EventEndpointDeparting    = Event{6008, "endpoint said in a response that it is going to stop", 0}
 	EventEndpointHeldOff      = Event{6009, "endpoint wants no requests from this instance for a while", 0}
+	EventRunLost              = Event{6010, "run lost with its engine, the parts of its prompt are suspected", 0}
+	EventPartQuarantined      = Event{6011, "part of prompts crashes engines, requests with it are refused", 0}
+	EventPartReleased         = Event{6012, "part of prompts released from quarantine", 0}
+	EventPartTried            = Event{6013, "quarantined part is tried with one request", 0}
 	EventLeaseAcquired        = Event{6002, "lease held", 0}
 	EventLeaseLost            = Event{6003, "lease given up or lapsed", 0}
 	EventOrderSent            = Event{6004, "order sent to endpoint", 0}
@@ -77,6 +81,7 @@
 		EventLogUnavailable, EventLogRestored, EventListUnavailable, EventAppendUnknown, EventStoreReplaced, EventStoreSettled,
 		EventConfigApplied, EventConfigRejected, EventConfigCaughtUp, EventConfigSnapshot, EventConfigFromPeer,
 		EventEndpointFailed, EventLeaseAcquired, EventLeaseLost, EventOrderSent, EventOrderRefused, EventEntryMalformed, EventEndpointsChanged, EventEndpointDeparting, EventEndpointHeldOff,
+		EventRunLost, EventPartQuarantined, EventPartReleased, EventPartTried,
 		EventBadInput, EventSettingsReloaded, EventSettingsReloadFailed, EventSettingsChecked,
 	}
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -281,5 +281,28 @@
 	if _, ok := ExceededLimit(err); ok {
 		reason = verdict.ReasonAnswerTooLarge
 	}
-	return verdict.New(verdict.MayHaveRun, reason, 0, "no answer from endpoint %s at %s: %v", to.ID, to.Address, err)
+	return failedExchange{
+		error: verdict.New(verdict.MayHaveRun, reason, 0, "no answer from endpoint %s at %s: %v", to.ID, to.Address, err),
+		cause: err,
+	}
+}
+
+// failedExchange is an error with a verdict that also wraps its cause.
+type failedExchange struct {
+	error
+	cause error
+}
+
+// Unwrap returns the error with the verdict and the cause.
+func (e failedExchange) Unwrap() []error { return []error{e.error, e.cause} }
+
+// ClosedByEndpoint reports whether an exchange failed because the endpoint closed or reset
+// the connection, as when its process ends.
+func ClosedByEndpoint(err error) bool {
+	for _, closed := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, closed) {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -61,6 +61,7 @@
 	ReasonConnectionLost   Reason = "connection_lost"
 	ReasonAnswerIncomplete Reason = "answer_incomplete"
 	ReasonAnswerTooLarge   Reason = "answer_too_large"
+	ReasonQuarantined      Reason = "quarantined"
 	ReasonCallerGone       Reason = "caller_gone"
 	ReasonPreempted        Reason = "preempted"
 	ReasonRetryBudget      Reason = "retry_budget"
@@ -96,6 +97,7 @@
 	ReasonConnectionLost:   http.StatusBadGateway,
 	ReasonAnswerIncomplete: http.StatusBadGateway,
 	ReasonAnswerTooLarge:   http.StatusBadGateway,
+	ReasonQuarantined:      http.StatusServiceUnavailable,
 	ReasonCallerGone:       499,
 	ReasonPreempted:        http.StatusServiceUnavailable,
 	ReasonRetryBudget:      http.StatusServiceUnavailable,
