Quarantine: one request alone, or parts that were sound before, need more evidence

Change: at least two different requests; a part that was sound before counts once a crash, also as the only candidate.

--- a/internal/core/quarantine/blame.go
+++ b/internal/core/quarantine/blame.go
@@ -11,13 +11,15 @@
 
 const (
 	// pointsSole and pointsShared are what a crash counts for a part that is its only
-	// candidate, and for one of several.
+	// candidate, and for any other.
 	pointsSole   = 2
 	pointsShared = 1
-	// minPoints and minCrashes are needed for a quarantine. Two crashes of engines that
-	// die for another reason may hit requests of the same rare caller.
-	minPoints  = 4
-	minCrashes = 3
+	// minPoints, minCrashes and minRequests are needed for a quarantine. Two crashes of
+	// engines that die for another reason may hit requests of the same rare caller, and
+	// more of them one request that is resumed each time.
+	minPoints   = 4
+	minCrashes  = 3
+	minRequests = 2
 	// minSpacing is the time between two crashes that both count for a part. Engines that
 	// end together are ended by something else.
 	minSpacing = 100 * time.Millisecond
@@ -36,10 +38,10 @@
 	// last is the time of the last crash that was counted.
 	last time.Time
 	// owns are the requests that were counted.
-	owns []entity.PartID
+	owns map[entity.PartID]struct{}
 }
 
-// count adds a crash to the tally.
+// count adds a crash to the tally. sole is set if the part is its only candidate.
 func (t *tally) count(c *crash, k candidate, sole bool) {
 	if t.crashes > 0 && c.at.Sub(t.last) < minSpacing {
 		return
@@ -47,9 +49,9 @@
 	t.crashes++
 	t.last = c.at
 	t.depth = k.depth
-	repeated := slices.Contains(t.owns, k.own)
-	t.owns = append(t.owns, k.own)
-	if sole && !repeated && len(c.runs) >= minCorroboration {
+	_, repeated := t.owns[k.own]
+	t.owns[k.own] = struct{}{}
+	if sole && !k.wasSound && !repeated && len(c.runs) >= minCorroboration {
 		t.points += pointsSole
 		return
 	}
@@ -57,7 +59,9 @@
 }
 
 // enough reports whether the part is to be quarantined.
-func (t *tally) enough() bool { return t.points >= minPoints && t.crashes >= minCrashes }
+func (t *tally) enough() bool {
+	return t.points >= minPoints && t.crashes >= minCrashes && len(t.owns) >= minRequests
+}
 
 // compare orders tallies by how well their parts explain the crashes.
 func (t *tally) compare(o *tally) int {
@@ -94,7 +98,7 @@
 		for part, k := range a.candidates {
 			y := tallies[part]
 			if y == nil {
-				y = &tally{part: part}
+				y = &tally{part: part, owns: make(map[entity.PartID]struct{})}
 				tallies[part] = y
 			}
 			y.count(a.crash, k, len(a.candidates) == 1)
@@ -120,6 +124,8 @@
 	// own is the part that no other request shares.
 	own   entity.PartID
 	depth int
+	// wasSound is set if the part was sound before.
+	wasSound bool
 }
 
 // accusations returns the crashes by time.
@@ -143,6 +149,7 @@
 			case sound.IsZero():
 				never[part] = k
 			case sound.Before(c.at):
+				k.wasSound = true
 				before[part] = k
 			}
 		}
--- a/internal/core/quarantine/doc.go
+++ b/internal/core/quarantine/doc.go
@@ -24,9 +24,10 @@
 //
 // The candidates of a crash are the parts of its suspects that were never sound; if it has
 // none, those that were not sound since. A crash counts for each of its candidates, and
-// twice for a sole one. The part that counts most is quarantined once it has enough crashes,
-// at different times, and explains all crashes that it is a candidate of: the other parts of
-// the same requests are not blamed for them. Of two parts that always come together, the
+// twice for a sole one that was never sound. The part that counts most is quarantined once
+// it has enough crashes, at different times and with different requests, and explains all
+// crashes that it is a candidate of: the other parts of the same requests are not blamed
+// for them. Of two parts that always come together, the
 // deeper one is blamed: the shorter a prefix, the more sound requests share it.
 //
 // # How it spreads, and what ends it
