Quarantine: kept in the store, for a restart of all instances

What callers would see: after a restart of all, a part that was known to crash engines is found again at the cost of three to four more engines each time (more than may be, if such requests come rarely).

Cause: the records were in the memory of the instances alone.

Change: the one instance that makes trials saves the records from which the quarantine follows, in one record of a keyed topic, when it changes; a process that starts when others have run before reads it once.

Evidence: TestQuarantineOutlastsARestartOfAllInstances failed before ('does not keep the part away 3s after it was ready').

--- a/internal/core/quarantine/state.go
+++ b/internal/core/quarantine/state.go
@@ -62,6 +62,54 @@
 	return s
 }
 
+// Evidence returns the records from which the present quarantine follows.
+func (t *Table) Evidence(now time.Time) *State {
+	t.update()
+	s := &State{}
+	parts := make(map[entity.PartID]struct{})
+	for _, c := range t.sortedCrashes() {
+		if !t.explained(c) {
+			continue
+		}
+		s.Crashes = append(s.Crashes, c.message(now))
+		for _, r := range c.runs {
+			for _, part := range r.shared {
+				parts[part] = struct{}{}
+			}
+		}
+	}
+	for _, part := range slices.Sorted(maps.Keys(parts)) {
+		if p, ok := t.sound[part]; ok {
+			s.Sound = append(s.Sound, Sound{Part: part, Age: now.Sub(p.at)})
+		}
+	}
+	return s
+}
+
+// explained reports whether a quarantined part is in the prompt of a crash's suspect.
+func (t *Table) explained(c *crash) bool {
+	for part := range t.quarantined {
+		if c.has(part) {
+			return true
+		}
+	}
+	return false
+}
+
+// Older returns the records as they are after another d.
+func (s *State) Older(d time.Duration) *State {
+	out := &State{}
+	for _, c := range s.Crashes {
+		c.Age += d
+		out.Crashes = append(out.Crashes, c)
+	}
+	for _, p := range s.Sound {
+		p.Age += d
+		out.Sound = append(out.Sound, p)
+	}
+	return out
+}
+
 // message returns the message form of a crash.
 func (c *crash) message(now time.Time) Crash {
 	m := Crash{Endpoint: c.key.endpoint, Incarnation: c.key.incarnation, Age: now.Sub(c.at)}
--- a/internal/core/quarantine/trial.go
+++ b/internal/core/quarantine/trial.go
@@ -38,6 +38,9 @@
 // SetTrials sets whether this instance is the one that makes trials.
 func (t *Table) SetTrials(allowed bool) { t.trials.allowed = allowed }
 
+// MakesTrials reports whether this instance is the one that makes trials.
+func (t *Table) MakesTrials() bool { return t.trials.allowed }
+
 // Decide decides whether a request may be sent to an engine now. If it allows a trial, the
 // request must be sent.
 func (t *Table) Decide(now time.Time, parts []entity.PartID) Decision {
--- a/internal/gateway/instance.go
+++ b/internal/gateway/instance.go
@@ -80,15 +80,17 @@
 	cancel context.CancelFunc
 	// storeReplaced has an element while the instance is to register again.
 	storeReplaced chan struct{}
-	leaving       atomic.Bool
-	closed        atomic.Bool
-	stop          chan struct{}
-	stopOnce      sync.Once
+	// quarantineChanged has an element while the quarantine is to be saved.
+	quarantineChanged chan struct{}
+	leaving           atomic.Bool
+	closed            atomic.Bool
+	stop              chan struct{}
+	stopOnce          sync.Once
 }
 
 // New returns an instance. It starts no goroutine and opens no socket; Run does.
 func New(s Settings, a Adapter, log logr.Logger, m *telemetry.Metrics) *Instance {
-	g := &Instance{settings: s, adapter: a, log: log, metrics: m, stop: make(chan struct{}), storeReplaced: make(chan struct{}, 1)}
+	g := &Instance{settings: s, adapter: a, log: log, metrics: m, stop: make(chan struct{}), storeReplaced: make(chan struct{}, 1), quarantineChanged: make(chan struct{}, 1)}
 	g.state.endpoints.Store(catalog.NewEndpoints(nil))
 	g.client = upstream.New(upstream.Options{
 		HeaderCodec: a.Upstream, OnDial: m.Dialled,
@@ -136,7 +138,7 @@
 	}
 	time.AfterFunc(startTimeout, g.start.open)
 	var background sync.WaitGroup
-	for _, f := range []func(context.Context){g.control.run, g.register, g.follower.run, g.housekeep} {
+	for _, f := range []func(context.Context){g.control.run, g.register, g.keepQuarantine, g.follower.run, g.housekeep} {
 		background.Go(func() { f(ctx) })
 	}
 	select {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -102,6 +102,9 @@
 		case <-ctx.Done():
 			return
 		case <-g.storeReplaced:
+			if len(g.quarantine.quarantined()) > 0 {
+				g.saveQuarantine() // the copy may lack it
+			}
 			pause(ctx, rand.N(maxRegisterDelay)) // all instances register again
 		}
 	}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -65,6 +65,18 @@
 	q.table.SetTrials(allowed)
 }
 
+func (q *quarantineTable) makesTrials() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.table.MakesTrials()
+}
+
+func (q *quarantineTable) evidence(now time.Time) *quarantine.State {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.table.Evidence(now)
+}
+
 func (q *quarantineTable) expire(now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -114,9 +126,11 @@
 	}
 }
 
-// logQuarantine logs the parts that were quarantined or released since the last call.
+// logQuarantine logs the parts that were quarantined or released since the last call, and
+// has the change saved.
 func (g *Instance) logQuarantine(now time.Time) {
 	for _, c := range g.quarantine.changes() {
+		g.saveQuarantine()
 		event := telemetry.EventPartQuarantined
 		if c.Released {
 			event = telemetry.EventPartReleased
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -6,6 +6,7 @@
 
 	"github.com/medlarhold/medlarhold/internal/core/catalog"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/quarantine"
 	"github.com/medlarhold/medlarhold/internal/core/storeera"
 )
 
@@ -22,6 +23,11 @@
 	// Instances returns all instances that have registered, including some that no
 	// longer run.
 	Instances(ctx context.Context) ([]entity.Instance, error)
+	// SaveQuarantine stores records of the quarantine for instances that start later.
+	SaveQuarantine(ctx context.Context, s *quarantine.State) error
+	// LoadQuarantine returns the records that were saved last, with their ages of now; nil
+	// if there are none.
+	LoadQuarantine(ctx context.Context) (*quarantine.State, error)
 }
 
 // ConfigRead is the result of Store.Config.
