--- a/internal/cli/beliefs.go
+++ b/internal/cli/beliefs.go
@@ -73,6 +73,9 @@
 	for _, z := range b.Zones {
 		t.row("zone "+string(z.Zone), fmt.Sprintf("%d live, %d suspect, %d leaving, reachable: %s", z.Members, z.Suspect, z.Leaving, cell(z.Reachable)), "")
 	}
+	for _, q := range b.Quarantined {
+		t.row("quarantined part "+string(q.Part), fmt.Sprintf("crashed %d engines", q.Crashes), stateAge(q.LastCrashMs))
+	}
 	for _, l := range b.ElectedLoads {
 		t.row("broker of "+string(l.Pool), b.Brokers[l.Pool], "")
 		if b.Grants(l.Pool) {
--- a/internal/cli/compare.go
+++ b/internal/cli/compare.go
@@ -86,6 +86,9 @@
 			opinion{"members of " + string(z.Zone), fmt.Sprint(z.Members), 0},
 			opinion{"reaches " + string(z.Zone), cell(z.Reachable), 0})
 	}
+	for _, q := range s.Quarantined {
+		out = append(out, opinion{"quarantined part " + string(q.Part), cell(true), 0})
+	}
 	for pool, broker := range s.Brokers {
 		out = append(out, opinion{fmt.Sprintf("broker of %s in %s", pool, s.Zone), string(broker), 0})
 	}
--- a/internal/cli/explain_test.go
+++ b/internal/cli/explain_test.go
@@ -16,6 +16,7 @@
 {"ts":"2026-04-07T04:42:55.3Z","msg":"call on a transparent route ended","event":2004,"request":"r2","ms":40,"tried":["i-a","i-b"],"config":3,"verdict":"may_have_run","reason":"endpoint_failed","why":"the endpoint failed, and there was no other"}
 {"ts":"2026-04-07T04:42:55.4Z","msg":"call on a transparent route ended","event":2004,"request":"r3","ms":900,"tried":null,"config":3,"verdict":"not_run","reason":"overload","why":"more requests wait","retry_after_ms":700}
 {"ts":"2026-04-07T04:42:55.5Z","msg":"endpoint failed","event":6001,"request":"r4","endpoint":"i-a","verdict":"not_run","reason":"endpoint_refused"}
+{"ts":"2026-04-07T04:42:55.6Z","msg":"call on a transparent route ended","event":2004,"request":"r6","ms":0,"tried":null,"config":3,"verdict":"not_run","reason":"quarantined","why":"part 12ca of the prompt has crashed 4 engines","retry_after_ms":5000}
 `
 
 func TestExplain(t *testing.T) {
@@ -29,6 +30,7 @@
 		{"r3", ExitOK, []string{"2005", "was not run", "retry after 700 ms", "not sent to any endpoint"}},
 		{"r4", ExitOK, []string{"still in progress at the end of the logs"}},
 		{"r5", ExitFailure, nil},
+		{"r6", ExitOK, []string{"part 12ca of the prompt has crashed 4 engines", "was not run", "retry after 5000 ms", "events 6010"}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.id, func(t *testing.T) {
