Quarantine: late losses and many losses no longer displace the evidence

Cause, by reading and two tests that failed first: an instance that was suspended notices its losses seconds after the others, and its record took the place of the crash with its suspects; beside engines that reset connections all the time, the oldest records were forgotten first, so the crashes of a part that comes every ten seconds never came together.

Change: losses of one engine at different times are records of their own; of too many, those without candidates are forgotten first.

Result: TestLateLossKeepsTheCrash and TestRareDeadlyPartIsFoundBesideManyLosses failed before and pass; the other tests as before.

--- a/internal/core/quarantine/blame.go
+++ b/internal/core/quarantine/blame.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -162,9 +161,7 @@
 
 // sortedCrashes returns the crashes by time.
 func (t *Table) sortedCrashes() []*crash {
-	out := slices.Collect(maps.Values(t.crashes))
-	slices.SortFunc(out, func(a, b *crash) int {
-		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.key.endpoint, b.key.endpoint), cmp.Compare(a.key.incarnation, b.key.incarnation))
+	return slices.SortedFunc(slices.Values(t.crashes), func(a, b *crash) int {
+		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.engine.endpoint, b.engine.endpoint), cmp.Compare(a.engine.incarnation, b.engine.incarnation))
 	})
-	return out
 }
--- a/internal/core/quarantine/crash.go
+++ b/internal/core/quarantine/crash.go
@@ -32,8 +32,8 @@
 	Answering time.Duration
 }
 
-// crashKey identifies a crash: an incarnation of an engine ends once.
-type crashKey struct {
+// engine identifies an engine from its start to its end.
+type engine struct {
 	endpoint    entity.EndpointID
 	incarnation int64
 }
@@ -48,7 +48,7 @@
 
 // crash is what is known of a crash.
 type crash struct {
-	key crashKey
+	engine engine
 	// at is when the first loss was noticed.
 	at   time.Time
 	runs []run
--- a/internal/core/quarantine/state.go
+++ b/internal/core/quarantine/state.go
@@ -68,7 +68,7 @@
 	s := &State{}
 	parts := make(map[entity.PartID]struct{})
 	for _, c := range t.sortedCrashes() {
-		if !t.explained(c) {
+		if t.explains(c) == 0 {
 			continue
 		}
 		s.Crashes = append(s.Crashes, c.message(now))
@@ -86,16 +86,6 @@
 	return s
 }
 
-// explained reports whether a quarantined part is in the prompt of a crash's suspect.
-func (t *Table) explained(c *crash) bool {
-	for part := range t.quarantined {
-		if c.has(part) {
-			return true
-		}
-	}
-	return false
-}
-
 // Older returns the records as they are after another d.
 func (s *State) Older(d time.Duration) *State {
 	out := &State{}
@@ -112,7 +102,7 @@
 
 // message returns the message form of a crash.
 func (c *crash) message(now time.Time) Crash {
-	m := Crash{Endpoint: c.key.endpoint, Incarnation: c.key.incarnation, Age: now.Sub(c.at)}
+	m := Crash{Endpoint: c.engine.endpoint, Incarnation: c.engine.incarnation, Age: now.Sub(c.at)}
 	for _, r := range c.runs {
 		m.Runs = append(m.Runs, Run{Own: r.own, Shared: r.shared})
 	}
@@ -134,6 +124,6 @@
 func (t *Table) mergeCrash(now time.Time, m Crash) {
 	at := now.Add(-max(0, m.Age))
 	for _, r := range m.Runs[:min(len(m.Runs), maxRuns)] {
-		t.addRun(crashKey{m.Endpoint, m.Incarnation}, at, run{own: r.Own, shared: r.Shared[:min(len(r.Shared), maxParts)]})
+		t.addRun(engine{m.Endpoint, m.Incarnation}, at, run{own: r.Own, shared: r.Shared[:min(len(r.Shared), maxParts)]})
 	}
 }
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -28,7 +28,7 @@
 // Table holds what an instance knows of crashes and of sound parts, and the quarantine that
 // follows from it.
 type Table struct {
-	crashes map[crashKey]*crash
+	crashes []*crash
 	// newest holds the time of the newest crash with each part among its suspects' prompts.
 	newest map[entity.PartID]time.Time
 	// sound holds when a part in the records was last found sound, by any instance.
@@ -53,8 +53,8 @@
 // New returns an empty Table.
 func New() *Table {
 	return &Table{
-		crashes: make(map[crashKey]*crash), newest: make(map[entity.PartID]time.Time),
-		sound: make(map[entity.PartID]soundPart), quarantined: make(map[entity.PartID]Quarantined),
+		newest: make(map[entity.PartID]time.Time), sound: make(map[entity.PartID]soundPart),
+		quarantined: make(map[entity.PartID]Quarantined),
 	}
 }
 
@@ -63,7 +63,7 @@
 	if l.Answering >= SoundAfter {
 		t.RecordAnswer(now, l.Parts)
 	}
-	t.addRun(crashKey{l.Endpoint, l.Incarnation}, now, runOf(l))
+	t.addRun(engine{l.Endpoint, l.Incarnation}, now, runOf(l))
 }
 
 // RecordAnswer records that an answer to a prompt with these parts has been arriving for
@@ -78,7 +78,7 @@
 // Expire forgets crashes that are older than EvidenceFor.
 func (t *Table) Expire(now time.Time) {
 	before := len(t.crashes)
-	maps.DeleteFunc(t.crashes, func(_ crashKey, c *crash) bool { return now.Sub(c.at) >= EvidenceFor })
+	t.crashes = slices.DeleteFunc(t.crashes, func(c *crash) bool { return now.Sub(c.at) >= EvidenceFor })
 	t.stale = t.stale || len(t.crashes) != before
 }
 
@@ -100,15 +100,14 @@
 	return out
 }
 
-// addRun adds a run to a crash. A loss long after the first one shows that the engine lived
-// on until then.
-func (t *Table) addRun(key crashKey, at time.Time, r run) {
-	c := t.crashes[key]
-	if c == nil || at.Sub(c.at) > crashSpread {
-		c = &crash{key: key, at: at}
-		t.crashes[key] = c
+// addRun adds a run to the crash of its engine.
+func (t *Table) addRun(e engine, at time.Time, r run) {
+	c := t.crashOf(e, at)
+	if c == nil {
+		c = &crash{engine: e, at: at}
+		t.crashes = append(t.crashes, c)
 	}
-	if c.at.Sub(at) > crashSpread || !c.add(r) {
+	if !c.add(r) {
 		return
 	}
 	if at.Before(c.at) {
@@ -125,34 +124,61 @@
 		}
 	}
 	if len(t.crashes) > maxCrashes {
-		delete(t.crashes, t.leastUseful().key)
+		least := t.leastUseful()
+		t.crashes = slices.DeleteFunc(t.crashes, func(c *crash) bool { return c == least })
 		t.stale = true
 	}
 }
 
-// leastUseful returns the crash to forget if there are too many: the oldest one that says
-// nothing about a quarantined part, or else the oldest one of the part that has most.
+// crashOf returns the crash of an engine at a time, nil if there is none. An engine that has
+// lost runs at different times may have lost only connections before, or an instance may
+// have noticed its losses late.
+func (t *Table) crashOf(e engine, at time.Time) *crash {
+	for _, c := range t.crashes {
+		if c.engine == e && c.at.Sub(at).Abs() <= crashSpread {
+			return c
+		}
+	}
+	return nil
+}
+
+// leastUseful returns the crash to forget if there are too many: the oldest one without
+// candidates, or else the oldest one that says nothing about a quarantined part, or else the
+// oldest one of the part that has most.
 func (t *Table) leastUseful() *crash {
 	t.update()
+	open := t.accusations()
+	for _, a := range open {
+		if len(a.candidates) == 0 {
+			return a.crash
+		}
+	}
 	var least *crash
 	most := 0
-	for _, c := range t.sortedCrashes() {
-		explained := 0
-		for part, q := range t.quarantined {
-			if c.has(part) {
-				explained = max(explained, q.Crashes)
-			}
-		}
+	for _, a := range open {
+		explained := t.explains(a.crash)
 		if explained == 0 {
-			return c
+			return a.crash
 		}
 		if explained > most {
-			least, most = c, explained
+			least, most = a.crash, explained
 		}
 	}
 	return least
 }
 
+// explains returns the number of crashes of the quarantined part that is in the prompt of a
+// crash's suspect, the largest if there are several, 0 if there is none.
+func (t *Table) explains(c *crash) int {
+	most := 0
+	for part, q := range t.quarantined {
+		if c.has(part) {
+			most = max(most, q.Crashes)
+		}
+	}
+	return most
+}
+
 // setSound records when a part in the records was found sound.
 func (t *Table) setSound(part entity.PartID, at time.Time) {
 	before := t.sound[part]
--- a/internal/core/quarantine/table_test.go
+++ b/internal/core/quarantine/table_test.go
@@ -272,3 +272,40 @@
 		}
 	})
 }
+
+// An instance that was suspended notices the loss of its runs seconds after the others. It
+// must not take their suspects' place.
+func TestLateLossKeepsTheCrash(t *testing.T) {
+	table := New()
+	for n := range 3 {
+		now := time.Duration(n+1) * time.Second
+		crashOf(table, now, n, deadly)
+	}
+	for n := range 3 {
+		e := entity.EndpointID(fmt.Sprint("e", n))
+		table.RecordLoss(at(10*time.Second), Loss{Endpoint: e, Incarnation: 1, Parts: []entity.PartID{"rare", "late"}})
+	}
+	expectQuarantined(t, table, deadly)
+}
+
+// A part that comes rarely is found beside engines that reset many connections all the time.
+func TestRareDeadlyPartIsFoundBesideManyLosses(t *testing.T) {
+	table := New()
+	crashes := 0
+	for now := time.Duration(0); now < time.Minute; now += 40 * time.Millisecond {
+		n := int(now / (40 * time.Millisecond))
+		part := entity.PartID(fmt.Sprint("pool", n%50))
+		own := entity.PartID(fmt.Sprint("grey", n))
+		table.RecordLoss(at(now), Loss{Endpoint: entity.EndpointID(fmt.Sprint("g", n%5)), Parts: []entity.PartID{part, own}})
+		table.RecordAnswer(at(now+10*time.Millisecond), []entity.PartID{entity.PartID(fmt.Sprint("pool", (n*7)%50)), own + "x"})
+		if now%(10*time.Second) == 0 {
+			crashOf(table, now, n, shared, deadly)
+			crashes++
+		}
+		table.Quarantined()
+	}
+	expectQuarantined(t, table, deadly)
+	if crashes > 6 {
+		t.Errorf("played %d crashes, want at most 6", crashes)
+	}
+}
