Quarantine: a part without enough evidence no longer hides one that has it

Cause, by reading: the part with most points ended the search, also if all its crashes were of one request that was resumed.

Change: the best of those with enough evidence is taken.

--- a/internal/core/quarantine/blame.go
+++ b/internal/core/quarantine/blame.go
@@ -73,7 +73,7 @@
 	open := t.accusations()
 	for {
 		best := mostBlamed(open)
-		if best == nil || !best.enough() {
+		if best == nil {
 			return found
 		}
 		q := Quarantined{Part: best.part}
@@ -89,8 +89,8 @@
 	}
 }
 
-// mostBlamed returns the tally of the part that explains the crashes best, nil if there are
-// no candidates.
+// mostBlamed returns the tally of the part that explains the crashes best among those to be
+// quarantined, nil if there are none.
 func mostBlamed(open []accusation) *tally {
 	tallies := make(map[entity.PartID]*tally)
 	for _, a := range open {
@@ -105,7 +105,7 @@
 	}
 	var best *tally
 	for _, y := range tallies {
-		if best == nil || y.compare(best) > 0 {
+		if y.enough() && (best == nil || y.compare(best) > 0) {
 			best = y
 		}
 	}
--- a/internal/core/quarantine/table_test.go
+++ b/internal/core/quarantine/table_test.go
@@ -309,3 +309,16 @@
 		t.Errorf("played %d crashes, want at most 6", crashes)
 	}
 }
+
+// A part with many crashes of one request must not hide one with enough evidence.
+func TestResumedRequestHidesNoDeadlyPart(t *testing.T) {
+	table := New()
+	for n := range 10 {
+		e := entity.EndpointID(fmt.Sprint("r", n))
+		table.RecordLoss(at(time.Duration(n)*time.Second), Loss{Endpoint: e, Parts: []entity.PartID{shared, "own"}})
+	}
+	for n := range 3 {
+		crashOf(table, 20*time.Second+time.Duration(n)*time.Second, n, deadly)
+	}
+	expectQuarantined(t, table, deadly)
+}
--- a/internal/core/quarantine/trial.go
+++ b/internal/core/quarantine/trial.go
@@ -9,9 +9,9 @@
 
 const (
 	// trialAfter is the time from the last crash of a quarantined part until it is tried
-	// with one request. It doubles with each trial, up to maxTrialAfter.
-	trialAfter    = time.Minute
-	maxTrialAfter = 8 * time.Minute
+	// with one request. It doubles with each trial, maxDoublings times.
+	trialAfter   = time.Minute
+	maxDoublings = 3
 )
 
 // Decision says whether a request may be sent to an engine.
@@ -69,7 +69,7 @@
 // due reports whether a part may be tried now.
 func (t *trials) due(now time.Time, q Quarantined) bool {
 	last := t.byPart[q.Part]
-	wait := min(trialAfter<<min(last.count, 8), maxTrialAfter)
+	wait := trialAfter << min(last.count, maxDoublings)
 	return t.allowed && now.Sub(q.LastCrash) >= wait && now.Sub(last.at) >= wait
 }
 
