--- a/internal/edge/broken_test.go
+++ b/internal/edge/broken_test.go
@@ -69,10 +69,7 @@
 // A caller of HTTP/1.0 recognises the end of a response only by that of the connection.
 func TestBrokenStreamIsResetForOldCallers(t *testing.T) {
 	sched := newFakeScheduler(startEndpoint(t, respondChunked(false, "id: 1\n\n")))
-	server := newServer(sched)
-	web := httptest.NewUnstartedServer(server)
-	web.Listener = server.WrapListener(web.Listener, web.Config)
-	web.Start()
+	web := startWeb(newServer(sched))
 	defer web.Close()
 	conn, responses := dial(t, web.Listener.Addr().String())
 	fmt.Fprint(conn, "POST /stream/ HTTP/1.0\r\nHost: h\r\nId: r1\r\nKey: k\r\n\r\n")
--- a/internal/edge/ends_test.go
+++ b/internal/edge/ends_test.go
@@ -111,16 +111,16 @@
 func checkBothCallers(t *testing.T, e *catalog.Endpoint, path, body string, complete bool) {
 	t.Helper()
 	for _, version := range []string{"1.1", "1.0"} {
-		got, err := sendOld(t, newServer(newFakeScheduler(e)), path, version)
+		got, err := sendVersion(t, newServer(newFakeScheduler(e)), path, version)
 		if (err == nil) != complete || (complete && got != body) {
 			t.Errorf("HTTP/%s: got body %q and error %v, want complete: %v", version, got, err, complete)
 		}
 	}
 }
 
-// sendOld sends a request in the given version of HTTP over a connection of its own, and
+// sendVersion sends a request in the given version of HTTP over a connection of its own, and
 // reads the response to its end. A status other than 200 is an error.
-func sendOld(t *testing.T, server *Server, path, version string) (string, error) {
+func sendVersion(t *testing.T, server *Server, path, version string) (string, error) {
 	t.Helper()
 	web := startWeb(server)
 	defer web.Close()
--- a/internal/edge/listener_test.go
+++ b/internal/edge/listener_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -17,10 +16,7 @@
 // listen starts a server whose listener is wrapped by WrapListener, and returns its address.
 func listen(t *testing.T, sched *fakeScheduler) string {
 	t.Helper()
-	s := newServer(sched)
-	web := httptest.NewUnstartedServer(s)
-	web.Listener = s.WrapListener(web.Listener, web.Config)
-	web.Start()
+	web := startWeb(newServer(sched))
 	t.Cleanup(web.Close)
 	return web.Listener.Addr().String()
 }
