Endpoint limits: a limit that an endpoint states is kept by all instances together

Callers saw nothing; engines and plain endpoints that had stated a limit of 1 to 5 requests a second got 68 to 130 in 4 s (11 to 35 allowed), because no code read the statement.

core/endpointlimit holds the statements, ordered by age, and paces requests. Members and coordinators exchange what has changed, as with the quarantine. The broker of a zone grants one request an interval to a limited endpoint, for engines and, as soon as one of their endpoints states a limit, for plain services. A broker that reaches a minority of its zone, or that has just started, uses a part of the limit; so do instances without a broker. Where all endpoints of a pool are limited, requests that can't be on time are refused at once with the reason endpoint_limit. While others of a pool have no limit, a zone asks about once a second, so that the end of a limit is noticed.

--- a/internal/core/broker/broker.go
+++ b/internal/core/broker/broker.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/medlarhold/medlarhold/internal/core/catalog"
+	"github.com/medlarhold/medlarhold/internal/core/endpointlimit"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 )
 
@@ -25,6 +26,9 @@
 	// loaded is set once the broker knows any endpoint. A broker in a process that has just
 	// started does not.
 	loaded bool
+	// limits holds the limits that endpoints have stated, limitShare the share that may be used.
+	limits     map[entity.EndpointID]endpointlimit.Limit
+	limitShare float64
 	// lastAudit is when entries were last asked which slots they still use.
 	lastAudit time.Time
 	ready     []entity.Outgoing
@@ -59,6 +63,7 @@
 			delete(b.runs, r.id)
 		}
 		p.setRounding(b.settings.Self)
+		p.setLimits(now, b.limits, b.limitShare)
 		p.updateMinPerPromptToken()
 		b.schedule(now, p)
 	}
--- a/internal/core/broker/engine.go
+++ b/internal/core/broker/engine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/medlarhold/medlarhold/internal/core/catalog"
+	"github.com/medlarhold/medlarhold/internal/core/endpointlimit"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 )
 
@@ -45,6 +46,10 @@
 	// slotshare.go. highestRounding marks the engine of the pool with the highest value.
 	rounding        float64
 	highestRounding bool
+	// staggered is set if other instances have pacers of their own for the engine.
+	staggered bool
+	// pacer keeps the limit that the engine has stated, nil if it has none.
+	pacer *endpointlimit.Pacer
 }
 
 func newEngine(row *catalog.Endpoint, mean tokenTimes) *engine {
@@ -54,12 +59,20 @@
 
 // free returns the number of slots that may be granted now.
 func (e *engine) free(now time.Time, slotShare float64) int {
-	if e.endpoint.Leaving || e.unresponsive || e.paused(now) > 0 {
+	if e.unusable(now) || e.limitWait(now) > 0 {
 		return 0
 	}
+	if e.pacer != nil {
+		return min(1, e.unoccupied(slotShare))
+	}
 	return e.unoccupied(slotShare)
 }
 
+// unusable reports whether the engine gets no requests, whatever its slots.
+func (e *engine) unusable(now time.Time) bool {
+	return e.endpoint.Leaving || e.unresponsive || e.paused(now) > 0
+}
+
 // unoccupied returns the number of slots without a run, whether or not they may be granted.
 func (e *engine) unoccupied(slotShare float64) int { return max(0, e.limit(slotShare)-len(e.runs)) }
 
--- a/internal/core/broker/message.go
+++ b/internal/core/broker/message.go
@@ -69,6 +69,9 @@
 	DenyDeadline DenyReason = "deadline"
 	// DenyNoEndpoint: the broker knows no engine of the pool, or all of them are leaving.
 	DenyNoEndpoint DenyReason = "no_endpoint"
+	// DenyLimit: the limits that the engines of the pool have stated don't allow the request to
+	// begin on time.
+	DenyLimit DenyReason = "endpoint_limit"
 )
 
 // Deny answers a slot request that gets no slot, with the time after which the caller may retry.
--- a/internal/core/broker/need.go
+++ b/internal/core/broker/need.go
@@ -21,7 +21,7 @@
 // freeInNeed returns the number of slots of an engine that is paused because of failures,
 // and may be used by requests that would be late otherwise.
 func (e *engine) freeInNeed(now time.Time, slotShare float64) int {
-	if !now.Before(e.pausedUntil) || now.Before(e.refusals.all.until) || e.endpoint.Leaving || e.unresponsive {
+	if !now.Before(e.pausedUntil) || now.Before(e.refusals.all.until) || e.limitWait(now) > 0 || e.endpoint.Leaving || e.unresponsive {
 		return 0
 	}
 	if e.failureEstimate > maxFailureInNeed {
--- a/internal/core/broker/pool.go
+++ b/internal/core/broker/pool.go
@@ -85,17 +85,6 @@
 	return nil
 }
 
-// slots returns the number of slots of the engines with a free slot or a run.
-func (p *pool) slots(now time.Time, slotShare float64) int {
-	n := 0
-	for _, e := range p.engines {
-		if e.free(now, slotShare) > 0 || len(e.runs) > 0 {
-			n += e.limit(slotShare)
-		}
-	}
-	return n
-}
-
 // freeExceeds reports whether more than n slots are free.
 func (p *pool) freeExceeds(now time.Time, slotShare float64, n int) bool {
 	for _, e := range p.engines {
--- a/internal/core/broker/refuse.go
+++ b/internal/core/broker/refuse.go
@@ -27,6 +27,7 @@
 	for _, j := range unservable {
 		b.deny(now, p, j, DenyDeadline)
 	}
+	b.refuseBeyondLimits(now, p)
 	b.refuseBacklog(now, p)
 }
 
@@ -42,17 +43,21 @@
 
 // refuseBacklog refuses late requests that the slots can't serve within LateBacklog.
 func (b *Broker) refuseBacklog(now time.Time, p *pool) {
-	allowed := b.settings.LateBacklog * time.Duration(p.slots(now, b.settings.SlotShare))
-	var work time.Duration
+	c := p.capacity(now, b.settings.SlotShare)
+	var wait time.Duration
 	var excess []*job
 	for _, j := range p.waiting {
-		work += p.occupancy(j)
-		if j.late && work > allowed {
+		wait += c.serveTime(p.occupancy(j))
+		if j.late && wait > b.settings.LateBacklog {
 			excess = append(excess, j)
 		}
 	}
+	reason := DenyOverload
+	if c.allLimited {
+		reason = DenyLimit
+	}
 	for _, j := range excess {
-		b.deny(now, p, j, DenyOverload)
+		b.deny(now, p, j, reason)
 	}
 }
 
@@ -64,10 +69,10 @@
 // retryAfter estimates when a retry could be served: after twice the time needed for the requests
 // that wait now, because others arrive meanwhile.
 func (b *Broker) retryAfter(now time.Time, p *pool) time.Duration {
-	slots := max(1, p.slots(now, b.settings.SlotShare))
-	var work time.Duration
+	c := p.capacity(now, b.settings.SlotShare)
+	var wait time.Duration
 	for _, j := range p.waiting {
-		work += p.occupancy(j)
+		wait += c.serveTime(p.occupancy(j))
 	}
-	return min(max(minRetryAfter, 2*work/time.Duration(slots)), maxRetryAfter)
+	return min(max(minRetryAfter, 2*wait), maxRetryAfter)
 }
--- a/internal/core/broker/schedule.go
+++ b/internal/core/broker/schedule.go
@@ -92,7 +92,7 @@
 	var best *engine
 	var soonest time.Duration
 	for _, e := range p.engines {
-		if e.endpoint.Leaving || e.unresponsive || e.avoids(now, &j.request) {
+		if e.endpoint.Leaving || e.unresponsive || e.limitWait(now) > 0 || e.avoids(now, &j.request) {
 			continue
 		}
 		d := e.answerIn(now, &j.request)
@@ -113,7 +113,7 @@
 // time if one of its slots were free now.
 func (b *Broker) fasterBusy(now time.Time, p *pool, j *job, than time.Duration) bool {
 	for _, e := range p.engines {
-		if e.endpoint.Leaving || e.unresponsive || e.free(now, b.settings.SlotShare) > 0 {
+		if e.endpoint.Leaving || e.unresponsive || e.limitWait(now) > 0 || e.free(now, b.settings.SlotShare) > 0 {
 			continue
 		}
 		if d := e.firstEventIn(now, j.request.PromptTokens); d < than && j.onTime(now, d) {
@@ -131,6 +131,9 @@
 		grantedAt: now, lastConfirmed: now, expires: j.deadline.Add(runExpiry),
 	}
 	e.addRun(now, r)
+	if e.pacer != nil {
+		e.pacer.Take(now)
+	}
 	b.runs[r.id] = r
 	b.send(r.from, Grant{ID: r.id, Seq: r.seq, Endpoint: e.endpoint.ID, Zone: e.endpoint.Zone})
 }
--- a/internal/core/broker/slotshare.go
+++ b/internal/core/broker/slotshare.go
@@ -22,7 +22,7 @@
 func (p *pool) setRounding(self entity.InstanceID) {
 	var highest *engine
 	for _, e := range p.engines {
-		e.rounding, e.highestRounding = roundingOf(self, e.endpoint.ID), false
+		e.rounding, e.highestRounding, e.staggered = roundingOf(self, e.endpoint.ID), false, self != ""
 		if highest == nil || e.rounding > highest.rounding {
 			highest = e
 		}
--- a/internal/core/broker/spill.go
+++ b/internal/core/broker/spill.go
@@ -26,7 +26,7 @@
 		if len(p.engines) > 0 {
 			out = append(out, ZoneState{
 				Pool: p.id, Zone: b.settings.Zone, Free: p.free(now, b.settings.SlotShare) - len(p.waiting),
-				Slots: p.slots(now, b.settings.SlotShare), WaitsMs: inMilliseconds(p.waits(now, b.settings.SlotShare)),
+				Slots: p.capacity(now, b.settings.SlotShare).size(), WaitsMs: inMilliseconds(p.waits(now, b.settings.SlotShare)),
 			})
 		}
 	}
@@ -35,9 +35,9 @@
 
 // waits estimates, by rank class, how long a new request would wait.
 func (p *pool) waits(now time.Time, slotShare float64) (out [rankClasses]time.Duration) {
-	slots := time.Duration(max(1, p.slots(now, slotShare)))
+	c := p.capacity(now, slotShare)
 	for _, j := range p.waiting {
-		share := p.occupancy(j) / slots
+		share := c.serveTime(p.occupancy(j))
 		for class := j.rankClass(); class < rankClasses; class++ {
 			out[class] += share
 		}
--- a/internal/core/membership/view.go
+++ b/internal/core/membership/view.go
@@ -81,14 +81,29 @@
 func (c *Core) FleetSize(now time.Time) int {
 	n := 0
 	for _, z := range c.table.zones {
-		n += z.live
-		for _, r := range z.rows {
-			if r.live() || r.Leaving {
-				continue
-			}
-			if now.Sub(r.since) < c.settings.ConfirmDeathAfter || c.inPlatformList(r.ID) {
-				n++
-			}
+		n += c.zoneSize(now, z)
+	}
+	return n
+}
+
+// ZoneSize returns how many instances of a zone may be serving callers, see FleetSize.
+func (c *Core) ZoneSize(now time.Time, zone entity.ZoneID) int {
+	for _, z := range c.table.zones {
+		if z.zone == zone {
+			return c.zoneSize(now, z)
+		}
+	}
+	return 0
+}
+
+func (c *Core) zoneSize(now time.Time, z *zoneTable) int {
+	n := z.live
+	for _, r := range z.rows {
+		if r.live() || r.Leaving {
+			continue
+		}
+		if now.Sub(r.since) < c.settings.ConfirmDeathAfter || c.inPlatformList(r.ID) {
+			n++
 		}
 	}
 	return n
--- a/internal/core/zone/config.go
+++ b/internal/core/zone/config.go
@@ -92,6 +92,7 @@
 	c.sentConfigs.markFailed(to)
 	c.sentTables.markFailed(to)
 	delete(c.quarantineKnown, to)
+	delete(c.limitsKnown, to)
 }
 
 // markFailed records that the item last sent to a receiver may not have arrived.
--- a/internal/core/zone/config_test.go
+++ b/internal/core/zone/config_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/medlarhold/medlarhold/internal/core/catalog"
+	"github.com/medlarhold/medlarhold/internal/core/endpointlimit"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/core/quarantine"
 	"github.com/medlarhold/medlarhold/internal/core/quota"
@@ -15,7 +16,7 @@
 // given version.
 func newCoordinator(version int64, others map[entity.ZoneID]entity.InstanceID) (*Core, *member) {
 	id := entity.Instance{ID: "z0-0", Zone: "z0", PeerAddress: "z0-0:1"}
-	m := &member{id: id, meter: quota.NewMeter(time.Now(), true), quarantine: quarantine.New(), config: &catalog.Config{Version: version}}
+	m := &member{id: id, meter: quota.NewMeter(time.Now(), true), quarantine: quarantine.New(), limits: endpointlimit.New(), config: &catalog.Config{Version: version}}
 	m.core = New(id, m)
 	m.core.SetCoordinators("z0-0", others, 3)
 	return m.core, m
@@ -24,7 +25,7 @@
 // newMemberOf returns the i-th ordinary member of zone z0.
 func newMemberOf(i int) (*Core, *member) {
 	id := entity.Instance{ID: entity.InstanceID(fmt.Sprintf("z0-%d", i+1)), Zone: "z0", PeerAddress: fmt.Sprintf("z0-%d:1", i+1)}
-	m := &member{id: id, meter: quota.NewMeter(time.Now(), true), quarantine: quarantine.New(), config: &catalog.Config{Version: 1}}
+	m := &member{id: id, meter: quota.NewMeter(time.Now(), true), quarantine: quarantine.New(), limits: endpointlimit.New(), config: &catalog.Config{Version: 1}}
 	m.core = New(id, m)
 	m.core.SetCoordinators("z0-0", nil, 3)
 	return m.core, m
--- a/internal/core/zone/core.go
+++ b/internal/core/zone/core.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/medlarhold/medlarhold/internal/core/catalog"
+	"github.com/medlarhold/medlarhold/internal/core/endpointlimit"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/core/quarantine"
 	"github.com/medlarhold/medlarhold/internal/core/quota"
@@ -52,6 +53,11 @@
 	QuarantineVersion() uint64
 	QuarantineSince(now time.Time, version uint64) *quarantine.State
 	MergeQuarantine(now time.Time, s *quarantine.State)
+	// EndpointLimitsVersion, EndpointLimitsSince and MergeEndpointLimits are forwarded to the
+	// instance's endpointlimit.Table.
+	EndpointLimitsVersion() uint64
+	EndpointLimitsSince(boot time.Duration, version uint64) []endpointlimit.Statement
+	MergeEndpointLimits(boot time.Duration, statements []endpointlimit.Statement)
 	// Limits returns the limits in force.
 	Limits() map[entity.OrgID]quota.Limit
 	// ExpectedInstances, Used, LedgerChanged, Urgent and ApplyAccounts are forwarded to the
@@ -140,8 +146,13 @@
 	packedConfig            configEncoding
 	tableHistory            tableHistory
 	sentConfigs, sentTables sentItems
-	// quarantineKnown holds the version of the quarantine's records that each receiver has.
-	quarantineKnown map[entity.InstanceID]uint64
+	// quarantineKnown and limitsKnown hold the versions of the quarantine's records and of the
+	// statements about limits that each receiver has.
+	quarantineKnown, limitsKnown knownVersions
+	// limitsVersion is the version of the statements at the last step, limitsChangedAt the
+	// time at which it changed.
+	limitsVersion   uint64
+	limitsChangedAt time.Time
 
 	messages []entity.Outgoing
 	updates  []Update
@@ -152,7 +163,7 @@
 	return &Core{
 		self: self, state: state, sentAt: make(map[uint64]time.Duration), remoteZones: make(map[entity.ZoneID]*remoteZone),
 		sentConfigs: make(sentItems), sentTables: make(sentItems), readDelay: readDelayOf(self.ID),
-		quarantineKnown: make(map[entity.InstanceID]uint64),
+		quarantineKnown: make(knownVersions), limitsKnown: make(knownVersions),
 	}
 }
 
@@ -207,7 +218,7 @@
 // due reports whether it is time to send, which is sooner while much of a limit
 // is being used.
 func (c *Core) due(now time.Time) bool {
-	interval, urgent := ReportInterval, c.state.Urgent() || c.hasTried(now)
+	interval, urgent := ReportInterval, c.state.Urgent() || c.hasTried(now) || c.hasNewLimits(now)
 	if c.IsCoordinator() {
 		interval, urgent = ExchangeInterval, urgent || c.ledger.Urgent()
 	}
@@ -251,7 +262,7 @@
 		Seq: c.nextSeq(at), Address: c.self.PeerAddress, Used: c.state.Used(),
 		ConfigVersion: versionOf(c.state.Config()), TableDigest: c.state.Endpoints().Digest(),
 		StoreUptime: c.state.StoreUptime(at.Now), StoreAnswerAge: c.state.StoreAnswerAge(at.Now), Departures: c.state.RecentDepartures(at.Now),
-		Quarantine: c.quarantineFor(at.Now, c.coordinator),
+		Quarantine: c.quarantineFor(at.Now, c.coordinator), EndpointLimits: c.limitsFor(at, c.coordinator),
 	}
 }
 
@@ -263,12 +274,13 @@
 	c.recordStoreAnswer(at.Now, r.StoreAnswerAge, true)
 	c.state.RecordDepartures(at.Now, r.Departures)
 	c.mergeQuarantine(at.Now, from, r.Quarantine)
+	c.mergeLimits(at, from, r.EndpointLimits)
 	b := Bulletin{ReportSeq: r.Seq, ProofAge: c.proofAge(at), ConfigVersion: versionOf(c.state.Config()), ReadAge: c.state.ReadAge(at.Now), Cursors: c.state.Cursors()}
 	b.StoreAnswersOthers = c.IsCoordinator() && c.answersOthers(at.Now)
 	if cfg := c.state.Config(); versionOf(cfg) > r.ConfigVersion && c.sentConfigs.shouldSend(at.Now, from, uint64(cfg.Version)) {
 		b.Config = c.packedConfig.bytes(cfg)
 	}
-	b.Quarantine = c.quarantineFor(at.Now, from)
+	b.Quarantine, b.EndpointLimits = c.quarantineFor(at.Now, from), c.limitsFor(at, from)
 	b.TableDigest = c.state.Endpoints().Digest()
 	b.Endpoints, b.Changes = c.tableUpdateFor(at.Now, from, r.TableDigest)
 	if c.ledger != nil {
@@ -281,9 +293,11 @@
 }
 
 // HandleBulletin processes the coordinator's answer to a report. Of a bulletin from another
-// instance, only the quarantine's records are used: its sender won't send them again.
+// instance, only the quarantine's records and the statements about limits are used: its sender
+// won't send them again.
 func (c *Core) HandleBulletin(at Moment, from entity.InstanceID, b Bulletin) {
 	c.mergeQuarantine(at.Now, from, b.Quarantine)
+	c.mergeLimits(at, from, b.EndpointLimits)
 	if from != c.coordinator {
 		return
 	}
--- a/internal/core/zone/fleet_test.go
+++ b/internal/core/zone/fleet_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/medlarhold/medlarhold/internal/core/catalog"
+	"github.com/medlarhold/medlarhold/internal/core/endpointlimit"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/core/quarantine"
 	"github.com/medlarhold/medlarhold/internal/core/quota"
@@ -26,6 +27,7 @@
 	id          entity.Instance
 	meter       *quota.Meter
 	quarantine  *quarantine.Table
+	limits      *endpointlimit.Table
 	config      *catalog.Config
 	core        *Core
 	partitioned bool
@@ -57,8 +59,15 @@
 	return m.quarantine.StateSince(now, version)
 }
 func (m *member) MergeQuarantine(now time.Time, s *quarantine.State) { m.quarantine.Merge(now, s) }
-func (m *member) Cursors() Cursors                                   { return Cursors{} }
-func (m *member) Used() map[entity.OrgID]quota.Usage                 { return m.meter.Used() }
+func (m *member) EndpointLimitsVersion() uint64                      { return m.limits.Version() }
+func (m *member) EndpointLimitsSince(boot time.Duration, version uint64) []endpointlimit.Statement {
+	return m.limits.Since(boot, version)
+}
+func (m *member) MergeEndpointLimits(boot time.Duration, s []endpointlimit.Statement) {
+	m.limits.Merge(boot, s)
+}
+func (m *member) Cursors() Cursors                   { return Cursors{} }
+func (m *member) Used() map[entity.OrgID]quota.Usage { return m.meter.Used() }
 func (m *member) Limits() map[entity.OrgID]quota.Limit {
 	return map[entity.OrgID]quota.Limit{org: {Rate: limitRate, Burst: burst}}
 }
@@ -105,7 +114,7 @@
 		for i := range perZone {
 			id := entity.Instance{ID: entity.InstanceID(fmt.Sprintf("z%d-%d", z, i)), Zone: entity.ZoneID(fmt.Sprintf("z%d", z))}
 			id.PeerAddress = string(id.ID) + ":1"
-			m := &member{id: id, meter: quota.NewMeter(f.now, true), quarantine: quarantine.New(), config: cfg}
+			m := &member{id: id, meter: quota.NewMeter(f.now, true), quarantine: quarantine.New(), limits: endpointlimit.New(), config: cfg}
 			m.core = New(id, m)
 			f.members = append(f.members, m)
 		}
--- a/internal/core/zone/message.go
+++ b/internal/core/zone/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/medlarhold/medlarhold/internal/core/catalog"
+	"github.com/medlarhold/medlarhold/internal/core/endpointlimit"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/core/quarantine"
 	"github.com/medlarhold/medlarhold/internal/core/quota"
@@ -27,6 +28,9 @@
 	StoreAnswerAge time.Duration `json:"r"`
 	// Departures lists endpoints that have recently said that they are going to stop.
 	Departures []catalog.Departure `json:"d,omitempty"`
+	// EndpointLimits holds the statements of endpoints about their limits that have changed
+	// since the last report.
+	EndpointLimits []endpointlimit.Statement `json:"m,omitempty"`
 	// Quarantine holds the records that have changed since the last report.
 	Quarantine *quarantine.State `json:"q,omitempty"`
 }
@@ -60,6 +64,9 @@
 	LedgerSeq int `json:"l,omitempty"`
 	// Instances is the number of instances of the deployment.
 	Instances int `json:"i"`
+	// EndpointLimits holds the statements of endpoints about their limits that have changed
+	// since the last bulletin to the member.
+	EndpointLimits []endpointlimit.Statement `json:"m,omitempty"`
 	// Quarantine holds the records that have changed since the last bulletin to the member.
 	Quarantine *quarantine.State `json:"q,omitempty"`
 }
@@ -112,6 +119,9 @@
 	StoreAnswerAge time.Duration `json:"r"`
 	// Departures lists endpoints that have recently said that they are going to stop.
 	Departures []catalog.Departure `json:"d,omitempty"`
+	// EndpointLimits holds the statements of endpoints about their limits that have changed
+	// since the last exchange.
+	EndpointLimits []endpointlimit.Statement `json:"m,omitempty"`
 	// Quarantine holds the records that have changed since the last exchange.
 	Quarantine *quarantine.State `json:"q,omitempty"`
 }
--- a/internal/core/zone/quarantine.go
+++ b/internal/core/zone/quarantine.go
@@ -7,23 +7,12 @@
 	"github.com/medlarhold/medlarhold/internal/core/quarantine"
 )
 
-// Members and coordinators send each other the records of the quarantine that have changed
-// since their last message. A message that may not have arrived is followed by all records.
-
-// minKnownReceivers is the number of receivers up to which all are remembered; beyond twice
-// the zone's size most have left.
-const minKnownReceivers = 64
-
 // quarantineFor returns the records that a receiver lacks, nil if none.
 func (c *Core) quarantineFor(now time.Time, to entity.InstanceID) *quarantine.State {
-	version, known := c.state.QuarantineVersion(), c.quarantineKnown[to]
-	if version == known {
+	known, lacks := c.quarantineKnown.update(to, c.state.QuarantineVersion(), c.zoneSize)
+	if !lacks {
 		return nil
 	}
-	if len(c.quarantineKnown) > max(minKnownReceivers, 2*c.zoneSize) {
-		clear(c.quarantineKnown)
-	}
-	c.quarantineKnown[to] = version
 	return c.state.QuarantineSince(now, known)
 }
 
@@ -34,7 +23,5 @@
 	}
 	before := c.state.QuarantineVersion()
 	c.state.MergeQuarantine(now, s)
-	if c.quarantineKnown[from] == before {
-		c.quarantineKnown[from] = c.state.QuarantineVersion()
-	}
+	c.quarantineKnown.advance(from, before, c.state.QuarantineVersion())
 }
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -61,6 +61,11 @@
 	waiters           map[entity.RequestID]chan<- reserve.Decision
 	nextFreeSlots     time.Time // when free slots are reported to other zones again
 	stalls            stallDetector
+	// listedInZone is the number of instances of the zone that are registered in the store.
+	listedInZone int
+	// limitsVersion and the shares are those of the limits that the brokers keep.
+	limitsVersion               uint64
+	limitShare, localLimitShare float64
 	// ineligible is set while the instance must not hold roles: it is too slow, or
 	// the store refuses it while answering others.
 	ineligible bool
@@ -188,6 +193,7 @@
 	c.checkEligibility(now)
 	c.g.logQuarantine(now)
 	c.members.Tick(now)
+	c.applyLimits(now)
 	c.entry.Tick(now)
 	c.elected.Tick(now)
 	c.local.Tick(now)
@@ -244,6 +250,7 @@
 		c.zone.SendFailed(m.to)
 	case instancesListed:
 		c.members.SetPlatformList(now, m.instances)
+		c.listedInZone = countZone(m.instances, c.self.Zone)
 	case stateChanged:
 		c.refresh(now)
 	case leave:
@@ -253,6 +260,17 @@
 	}
 }
 
+// countZone returns the number of instances in a zone.
+func countZone(instances []entity.Instance, zone entity.ZoneID) int {
+	n := 0
+	for _, in := range instances {
+		if in.Zone == zone {
+			n++
+		}
+	}
+	return n
+}
+
 // fromPeer passes a message from another instance to the core that handles it.
 func (c *control) fromPeer(now time.Time, from entity.InstanceID, msg any) {
 	switch m := msg.(type) {
--- a/internal/gateway/instance.go
+++ b/internal/gateway/instance.go
@@ -70,6 +70,7 @@
 	meter      *meter
 	retries    *retries
 	holds      *holds
+	limits     *endpointLimits
 	quarantine *quarantineTable
 	start      *startGate
 	self       entity.Instance
@@ -99,6 +100,7 @@
 	g.meter = &meter{meter: quota.NewMeter(time.Now(), s.FirstStart)}
 	g.retries = newRetries(s)
 	g.holds = &holds{table: holdoff.New()}
+	g.limits = newEndpointLimits()
 	g.quarantine = &quarantineTable{table: quarantine.New()}
 	g.start = newStartGate()
 	g.services = &services{table: balance.New(), zone: s.Zone}
@@ -226,6 +228,7 @@
 		case now := <-tick.C:
 			g.client.CloseExpired(now)
 			g.holds.expire(now)
+			g.limits.expire()
 			g.quarantine.expire(now)
 			g.services.expireBefore(now.Add(-endpointRetention))
 		}
--- a/internal/gateway/responses.go
+++ b/internal/gateway/responses.go
@@ -13,9 +13,11 @@
 
 // EndpointResponded implements edge.Scheduler. An endpoint that states that it is going
 // to stop gets no further request from this instance, and soon none from any other. One
-// that wants no requests for a while gets none from this instance.
+// that wants no requests for a while gets none from this instance. A limit that it states is
+// kept by all instances.
 func (g *Instance) EndpointResponded(e *catalog.Endpoint, m upstream.Meta) {
 	now := time.Now()
+	g.recordLimit(e, m)
 	if m.Leaving && g.follower.recordDepartures(now, []catalog.Departure{{ID: e.ID, Incarnation: e.Incarnation}}) {
 		g.metrics.EndpointDeparted()
 		telemetry.Log(g.log, telemetry.EventEndpointDeparting, "endpoint", e.ID, "incarnation", e.Incarnation, "request", m.RequestID)
--- a/internal/gateway/roles.go
+++ b/internal/gateway/roles.go
@@ -45,7 +45,7 @@
 
 // refresh applies the pools and endpoints in force.
 func (c *control) refresh(now time.Time) {
-	pools := c.g.enginePools()
+	pools := c.g.brokerPools()
 	t := c.g.state.endpoints.Load()
 	c.elected.SetEndpoints(now, pools, t)
 	c.local.SetEndpoints(now, pools, t)
@@ -55,7 +55,7 @@
 // chooseRoles elects the brokers and coordinators from the membership view and the
 // pools in force.
 func (c *control) chooseRoles(now time.Time) {
-	pools := c.g.enginePools()
+	pools := c.g.brokerPools()
 	brokers := make(map[entity.PoolID]entity.InstanceID, len(pools))
 	byZonePool := make(map[reserve.ZonePool]entity.InstanceID)
 	for _, p := range pools {
@@ -77,11 +77,14 @@
 }
 
 // handOver forwards the requests that are queued here to the new broker, for each
-// pool of which this instance is no longer the broker.
+// pool of which this instance is no longer the broker, and takes over the others.
 func (c *control) handOver(now time.Time, before map[entity.PoolID]entity.InstanceID) {
 	for p, id := range c.brokers {
-		if before[p] == c.self.ID && id != c.self.ID {
+		switch {
+		case before[p] == c.self.ID && id != c.self.ID:
 			c.elected.HandOver(now, p, id)
+		case before[p] != c.self.ID && id == c.self.ID:
+			c.elected.TakeOver(now, p)
 		}
 	}
 }
@@ -180,11 +183,19 @@
 	}
 }
 
-// enginePools returns the pools of engines, whose slots are granted by brokers.
-func (g *Instance) enginePools() []entity.PoolID {
+// brokerPools returns the pools with brokers: those of engines, and those of plain services
+// of which an endpoint has stated a limit.
+func (g *Instance) brokerPools() []entity.PoolID {
 	cfg := g.state.config.Load()
 	if cfg == nil {
 		return nil
 	}
-	return cfg.PoolsOf(entity.KindEngine)
+	pools := cfg.PoolsOf(entity.KindEngine)
+	endpoints := g.state.endpoints.Load()
+	for _, p := range cfg.PoolsOf(entity.KindService) {
+		if _, limited := g.limits.split(endpoints.Pool(p)); len(limited) > 0 {
+			pools = append(pools, p)
+		}
+	}
+	return pools
 }
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -51,12 +51,7 @@
 	if r.Kind == entity.KindEngine {
 		return g.reserveSlot(ctx, r, avoid)
 	}
-	endpoints := g.state.endpoints.Load().Pool(r.Pool)
-	slot, ok := g.services.acquire(g.holds.usable(time.Now(), endpoints), r, avoid)
-	if !ok {
-		return edge.Slot{}, g.noEndpointError(r)
-	}
-	return slot, nil
+	return g.acquireService(ctx, r, avoid)
 }
 
 // reserveSlot requests slots until a broker grants one that can be used, or
@@ -151,6 +146,9 @@
 		return g.noEndpointError(r)
 	case broker.DenyDeadline:
 		v.Message = "no engine could answer in the time that is left"
+	case broker.DenyLimit:
+		v.Reason = verdict.ReasonEndpointLimit
+		v.Message = "more requests wait than the endpoints say that they take"
 	default:
 		v.Message = "more requests wait than the engines can serve in time"
 	}
--- a/internal/gateway/zonecorestate.go
+++ b/internal/gateway/zonecorestate.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/medlarhold/medlarhold/internal/core/catalog"
+	"github.com/medlarhold/medlarhold/internal/core/endpointlimit"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/core/quarantine"
 	"github.com/medlarhold/medlarhold/internal/core/quota"
@@ -43,6 +44,13 @@
 func (z zoneCoreState) MergeQuarantine(now time.Time, s *quarantine.State) {
 	z.g.quarantine.merge(now, s)
 }
+func (z zoneCoreState) EndpointLimitsVersion() uint64 { return z.g.limits.version() }
+func (z zoneCoreState) EndpointLimitsSince(boot time.Duration, version uint64) []endpointlimit.Statement {
+	return z.g.limits.since(boot, version)
+}
+func (z zoneCoreState) MergeEndpointLimits(boot time.Duration, s []endpointlimit.Statement) {
+	z.g.limits.merge(boot, s)
+}
 func (z zoneCoreState) Cursors() zone.Cursors { return z.g.follower.position() }
 
 func (z zoneCoreState) Limits() map[entity.OrgID]quota.Limit {
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -62,6 +62,8 @@
 	EventPartQuarantined      = Event{6011, "part of prompts crashes engines, requests with it are refused", 0}
 	EventPartReleased         = Event{6012, "part of prompts released from quarantine", 0}
 	EventPartTried            = Event{6013, "quarantined part is tried with one request", 0}
+	EventEndpointLimited      = Event{6014, "endpoint states how many requests a second it takes from all instances", 0}
+	EventEndpointUnlimited    = Event{6015, "endpoint states no limit any more", 0}
 	EventLeaseAcquired        = Event{6002, "lease held", 0}
 	EventLeaseLost            = Event{6003, "lease given up or lapsed", 0}
 	EventOrderSent            = Event{6004, "order sent to endpoint", 0}
@@ -81,7 +83,7 @@
 		EventLogUnavailable, EventLogRestored, EventListUnavailable, EventAppendUnknown, EventStoreReplaced, EventStoreSettled,
 		EventConfigApplied, EventConfigRejected, EventConfigCaughtUp, EventConfigSnapshot, EventConfigFromPeer,
 		EventEndpointFailed, EventLeaseAcquired, EventLeaseLost, EventOrderSent, EventOrderRefused, EventEntryMalformed, EventEndpointsChanged, EventEndpointDeparting, EventEndpointHeldOff,
-		EventRunLost, EventPartQuarantined, EventPartReleased, EventPartTried,
+		EventRunLost, EventPartQuarantined, EventPartReleased, EventPartTried, EventEndpointLimited, EventEndpointUnlimited,
 		EventBadInput, EventSettingsReloaded, EventSettingsReloadFailed, EventSettingsChecked,
 	}
 }
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -151,6 +151,12 @@
 // while.
 func (m *Metrics) EndpointHeldOff() { m.counter("medlarhold_endpoint_holdoffs_total").Inc(1) }
 
+// EndpointLimitStated counts one response that states a limit; readable is false if it is not
+// a number.
+func (m *Metrics) EndpointLimitStated(readable bool) {
+	m.counter(fmt.Sprintf(`medlarhold_endpoint_limits_stated_total{readable="%t"}`, readable)).Inc(1)
+}
+
 // FirstToken records how long a caller waited for its first token.
 func (m *Metrics) FirstToken(d time.Duration) { m.FirstTokenMillis.Update(d.Milliseconds()) }
 
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/medlarhold/medlarhold/internal/core/endpointlimit"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 )
 
@@ -37,6 +38,8 @@
 	// RetryAfter is how long the endpoint, which declined the request, wants no further
 	// requests from this instance; 0 if not stated.
 	RetryAfter time.Duration
+	// Limit is what the response says about the rate that the endpoint takes.
+	Limit endpointlimit.Reading
 }
 
 // Options of a Client.
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -62,6 +62,7 @@
 	ReasonAnswerIncomplete Reason = "answer_incomplete"
 	ReasonAnswerTooLarge   Reason = "answer_too_large"
 	ReasonQuarantined      Reason = "quarantined"
+	ReasonEndpointLimit    Reason = "endpoint_limit"
 	ReasonCallerGone       Reason = "caller_gone"
 	ReasonPreempted        Reason = "preempted"
 	ReasonRetryBudget      Reason = "retry_budget"
@@ -98,6 +99,7 @@
 	ReasonAnswerIncomplete: http.StatusBadGateway,
 	ReasonAnswerTooLarge:   http.StatusBadGateway,
 	ReasonQuarantined:      http.StatusServiceUnavailable,
+	ReasonEndpointLimit:    http.StatusServiceUnavailable,
 	ReasonCallerGone:       499,
 	ReasonPreempted:        http.StatusServiceUnavailable,
 	ReasonRetryBudget:      http.StatusServiceUnavailable,
