--- a/internal/cli/beliefs.go
+++ b/internal/cli/beliefs.go
@@ -73,6 +73,9 @@
 	for _, z := range b.Zones {
 		t.row("zone "+string(z.Zone), fmt.Sprintf("%d live, %d suspect, %d leaving, reachable: %s", z.Members, z.Suspect, z.Leaving, cell(z.Reachable)), "")
 	}
+	for _, l := range b.LimitedEndpoints {
+		t.row("limited endpoint "+string(l.Endpoint), fmt.Sprintf("takes %g requests a second", l.PerSecond), "")
+	}
 	for _, q := range b.Quarantined {
 		t.row("quarantined part "+string(q.Part), fmt.Sprintf("crashed %d engines", q.Crashes), stateAge(q.LastCrashMs))
 	}
--- a/internal/cli/beliefs_test.go
+++ b/internal/cli/beliefs_test.go
@@ -12,7 +12,7 @@
 // stateSnapshotJSON is the response of an instance that is a broker.
 const stateSnapshotJSON = `{"instance":"front-a-1-0c","zone":"a","ready":true,"config_version":16,"config_age_ms":420,"endpoints":3,
 "endpoints_age_ms":-1,"reads_store":true,"coordinator":"front-a-1-0c","zones":[{"zone":"a","reachable":true,"members":4,"leaving":1},
-{"zone":"b","members":3,"suspect":3}],"quarantined":[{"part":"12ca9047f126","crashes":4,"last_crash_age_ms":2500}],"brokers":{"llm":"front-a-1-0c"},"granted":[{"pool":"llm","waiting":7,"engines":[
+{"zone":"b","members":3,"suspect":3}],"limited_endpoints":[{"endpoint":"i-2","per_second":2.5}],"quarantined":[{"part":"12ca9047f126","crashes":4,"last_crash_age_ms":2500}],"brokers":{"llm":"front-a-1-0c"},"granted":[{"pool":"llm","waiting":7,"engines":[
 {"endpoint":"i-1","running":9,"slots":9},{"endpoint":"i-2","running":2,"slots":9,"silent":true},{"endpoint":"i-3","slots":9,"leaving":true}]}]}`
 
 func TestBeliefs(t *testing.T) {
@@ -38,7 +38,7 @@
 	serve := func(host, snapshot string) {
 		e.net.hosts[host] = http.HandlerFunc(func(out http.ResponseWriter, _ *http.Request) { _, _ = out.Write([]byte(snapshot)) })
 	}
-	serve("a:1", `{"instance":"front-a","zone":"a","ready":true,"config_version":8,"config_age_ms":300,"coordinator":"front-a","quarantined":[{"part":"12ca9047f126","crashes":4}],"brokers":{"llm":"front-b"}}`)
+	serve("a:1", `{"instance":"front-a","zone":"a","ready":true,"config_version":8,"config_age_ms":300,"coordinator":"front-a","quarantined":[{"part":"12ca9047f126","crashes":4}],"limited_endpoints":[{"endpoint":"i-2","per_second":2.5}],"brokers":{"llm":"front-b"}}`)
 	serve("b:1", `{"instance":"front-b","zone":"a","ready":true,"config_version":8,"config_age_ms":700,"coordinator":"front-a","brokers":{"llm":"front-b"}}`)
 	serve("c:1", `{"instance":"front-c","zone":"a","config_version":7,"config_age_ms":4200,"coordinator":"front-c","brokers":{"llm":"front-c"}}`)
 	e.must(ExitOK, "beliefs", "a:1", "b:1", "c:1", "nobody:1")
--- a/internal/cli/compare.go
+++ b/internal/cli/compare.go
@@ -86,6 +86,9 @@
 			opinion{"members of " + string(z.Zone), fmt.Sprint(z.Members), 0},
 			opinion{"reaches " + string(z.Zone), cell(z.Reachable), 0})
 	}
+	for _, l := range s.LimitedEndpoints {
+		out = append(out, opinion{"limit of endpoint " + string(l.Endpoint), fmt.Sprint(l.PerSecond), 0})
+	}
 	for _, q := range s.Quarantined {
 		out = append(out, opinion{"quarantined part " + string(q.Part), cell(true), 0})
 	}
--- a/internal/gateway/gauges.go
+++ b/internal/gateway/gauges.go
@@ -14,6 +14,7 @@
 	descEndpointsAge = prometheus.NewDesc("medlarhold_endpoints_age_milliseconds", "age of the endpoint table, -1 if it was never read", nil, nil)
 	descEndpoints    = prometheus.NewDesc("medlarhold_endpoints", "number of known endpoints", nil, nil)
 	descQuarantined  = prometheus.NewDesc("medlarhold_quarantined_parts", "parts of prompts that are kept away from engines because they crash them", nil, nil)
+	descLimited      = prometheus.NewDesc("medlarhold_limited_endpoints", "endpoints that have stated how many requests a second they take", nil, nil)
 	descWaiting      = prometheus.NewDesc("medlarhold_pool_waiting", "requests waiting for a slot at this broker", []string{"pool"}, nil)
 	descRunning      = prometheus.NewDesc("medlarhold_endpoint_running", "slots in use, as counted by the broker", []string{"pool", "endpoint"}, nil)
 	descSlots        = prometheus.NewDesc("medlarhold_endpoint_slots", "total number of slots", []string{"pool", "endpoint"}, nil)
@@ -39,6 +40,7 @@
 	send(descEndpointsAge, float64(s.EndpointsAgeMs))
 	send(descEndpoints, float64(s.Endpoints))
 	send(descQuarantined, float64(len(s.Quarantined)))
+	send(descLimited, float64(len(s.LimitedEndpoints)))
 	for _, load := range s.ElectedLoads {
 		if !s.Grants(load.Pool) {
 			continue
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/medlarhold/medlarhold/internal/core/broker"
@@ -48,10 +50,19 @@
 	Brokers      map[entity.PoolID]entity.InstanceID `json:"brokers"`
 	ElectedLoads []broker.Load                       `json:"granted"`
 	LocalLoads   []broker.Load                       `json:"alone"`
+	// LimitedEndpoints holds the endpoints that have stated a limit.
+	LimitedEndpoints []LimitedEndpoint `json:"limited_endpoints"`
 	// Quarantined holds the parts of prompts that are kept away from engines.
 	Quarantined []QuarantinedPart `json:"quarantined"`
 }
 
+// LimitedEndpoint is an endpoint that takes only PerSecond requests a second from all
+// instances together.
+type LimitedEndpoint struct {
+	Endpoint  entity.EndpointID `json:"endpoint"`
+	PerSecond float64           `json:"per_second"`
+}
+
 // QuarantinedPart is a part of prompts that crashes engines. LastCrashMs is the age of the
 // last of the crashes in milliseconds.
 type QuarantinedPart struct {
@@ -115,6 +126,10 @@
 		ReadsStore: g.follower.reading.Load(), Coordinator: c.roleHolder(c.self.Zone, coordinatorRole), Ineligible: c.ineligible,
 		Brokers: c.brokers, ElectedLoads: c.elected.Loads(now), LocalLoads: c.local.Loads(now),
 	}
+	limits := g.limits.limits()
+	for _, id := range slices.Sorted(maps.Keys(limits)) {
+		s.LimitedEndpoints = append(s.LimitedEndpoints, LimitedEndpoint{Endpoint: id, PerSecond: limits[id].PerSecond})
+	}
 	for _, q := range g.quarantine.quarantined() {
 		s.Quarantined = append(s.Quarantined, QuarantinedPart{Part: q.Part, Crashes: q.Crashes, LastCrashMs: now.Sub(q.LastCrash).Milliseconds()})
 	}
