Broker: requests wait until a new pool's other zones are heard of

A pool of plain endpoints gets a broker when one of them states a limit. In a zone without endpoints of the pool it refused what came before the first report of another zone's broker. The test failed before.

--- a/internal/core/broker/broker.go
+++ b/internal/core/broker/broker.go
@@ -96,7 +96,7 @@
 	p := b.pool(req.Pool)
 	b.jobs[req.ID] = j
 	fastest, ok := p.fastestFirstEvent(req.PromptTokens)
-	if !ok && !b.spill(now, p, j) && b.loaded {
+	if !ok && !b.spill(now, p, j) && b.loaded && !p.isNew(now) {
 		b.deny(now, p, j, DenyNoEndpoint)
 		return
 	}
@@ -219,6 +219,7 @@
 		}
 		b.schedule(now, p)
 		b.spillWaiting(now, p)
+		b.spillFromNew(now, p)
 		b.refuseUnservable(now, p)
 	}
 }
--- a/internal/core/broker/pool.go
+++ b/internal/core/broker/pool.go
@@ -22,6 +22,8 @@
 	searchStart int
 	// guaranteeCredit is the slot time that starving ranks may use, see guarantee.go.
 	guaranteeCredit time.Duration
+	// takenOverAt is when this broker began to grant the pool's slots, zero if it is not known.
+	takenOverAt time.Time
 	// remoteZones holds the last state received from the brokers of other zones.
 	remoteZones map[entity.ZoneID]*remoteZone
 }
--- a/internal/core/broker/ratelimit.go
+++ b/internal/core/broker/ratelimit.go
@@ -26,6 +26,7 @@
 // what the limits of the pool's endpoints allow now, so the next requests wait for one interval.
 func (b *Broker) TakeOver(now time.Time, id entity.PoolID) {
 	p := b.pool(id)
+	p.takenOverAt = now
 	for _, e := range p.engines {
 		e.pacer = nil
 	}
--- a/internal/core/broker/ratelimit_test.go
+++ b/internal/core/broker/ratelimit_test.go
@@ -251,3 +251,23 @@
 		}
 	}
 }
+
+// A pool of plain endpoints gets a broker when one of them states a limit. Where all are in other
+// zones, requests wait until their brokers are heard of.
+func TestRequestsWaitForTheOtherZonesOfANewPool(t *testing.T) {
+	h := newHarness(t, 0, 0)
+	h.b.SetEndpoints(h.now, []entity.PoolID{"other"}, catalog.NewEndpoints([]catalog.Endpoint{engineRow(0, 1)}))
+	h.b.TakeOver(h.now, llm)
+	h.requestSlot("early", nil)
+	h.advance(100 * time.Millisecond)
+	h.b.HandleZoneState(h.now, "there", ZoneState{Pool: llm, Zone: "b", Slots: 1})
+	h.advance(TickInterval)
+	messages := h.b.Ready()
+	if len(denials(messages)) > 0 || !slices.ContainsFunc(messages, func(m entity.Outgoing) bool { return m.Instance == "there" }) {
+		t.Errorf("got %v, want the request forwarded", messages)
+	}
+	h.advance(time.Second)
+	if got := denials(h.requestSlot("late", nil)); len(got) != 1 || got[0].Reason != DenyNoEndpoint {
+		t.Errorf("got the refusals %v without any engine, want one", got)
+	}
+}
--- a/internal/core/broker/refuse.go
+++ b/internal/core/broker/refuse.go
@@ -18,6 +18,7 @@
 	for _, j := range p.waiting {
 		fastest, ok := p.fastestFirstEvent(j.request.PromptTokens)
 		switch {
+		case !ok && p.isNew(now):
 		case !ok || now.Add(fastest).After(j.deadline):
 			unservable = append(unservable, j)
 		case j.late && now.Sub(j.arrived) > time.Duration(b.settings.LateWaitFraction*float64(j.deadline.Sub(j.arrived))):
--- a/internal/core/broker/spill.go
+++ b/internal/core/broker/spill.go
@@ -140,6 +140,21 @@
 	}
 }
 
+// isNew reports whether the broker has just begun to grant the pool's slots, and may not have heard
+// of the other zones yet.
+func (p *pool) isNew(now time.Time) bool { return now.Sub(p.takenOverAt) < loadTimeout }
+
+// spillFromNew forwards the requests that wait at a new broker without engines of its own, once it
+// has heard of a zone with some.
+func (b *Broker) spillFromNew(now time.Time, p *pool) {
+	if p.hasEngines() || !p.isNew(now) {
+		return
+	}
+	for _, j := range slices.Clone(p.waiting) {
+		b.spill(now, p, j)
+	}
+}
+
 // zoneWithMostFree returns the remote zone with the most free slots, nil if none has more than
 // spillReserve.
 func (p *pool) zoneWithMostFree(now time.Time) *remoteZone {
