Quarantine: a whole request that crashes endpoints, at engines and plain services

The quarantine judged parts of prompts only, and losses at plain services were not recorded at all.

It is quarantined once it is in three crashes, five while another request is in all of the same, or if it was sound before. Records, exchange, store and trials are those of the parts; any instance may try a request, a minute or more after its last crash. A request that was lost with two endpoints is not sent to a third at once.

--- a/internal/core/quarantine/blame.go
+++ b/internal/core/quarantine/blame.go
@@ -74,6 +74,7 @@
 	for {
 		best := mostBlamed(open)
 		if best == nil {
+			t.blameRequests(found)
 			return found
 		}
 		q := Quarantined{Part: best.part}
--- a/internal/core/quarantine/crash.go
+++ b/internal/core/quarantine/crash.go
@@ -28,6 +28,8 @@
 	Incarnation int64
 	// Parts are the parts of the request's prompt in order, empty if they are not known.
 	Parts []entity.PartID
+	// Key is the key of the request as a whole, see RequestKey; empty if it is not known.
+	Key entity.PartID
 	// Answering is how long the answer had been arriving.
 	Answering time.Duration
 }
@@ -44,6 +46,19 @@
 	own entity.PartID
 	// shared are the other parts of the prompt if the run is a suspect, in order.
 	shared []entity.PartID
+	// request is the key of the request as a whole if the run is a suspect, empty if it is not.
+	request entity.PartID
+}
+
+// isSuspect reports whether the run may have caused the crash.
+func (r *run) isSuspect() bool { return len(r.shared) > 0 || r.request != "" }
+
+// keys returns the keys that may be blamed for the crash.
+func (r *run) keys() []entity.PartID {
+	if r.request == "" {
+		return r.shared
+	}
+	return append(slices.Clone(r.shared), r.request)
 }
 
 // crash is what is known of a crash.
@@ -58,11 +73,15 @@
 
 // runOf returns the record of a loss.
 func runOf(l Loss) run {
+	r := run{own: entity.PartID(l.Request)}
+	if l.Answering < SoundAfter {
+		r.request = l.Key
+	}
 	if len(l.Parts) == 0 {
-		return run{own: entity.PartID(l.Request)}
+		return r
 	}
 	last := len(l.Parts) - 1
-	r := run{own: l.Parts[last]}
+	r.own = l.Parts[last]
 	if l.Answering < SoundAfter {
 		r.shared = slices.Clone(l.Parts[:min(last, maxParts)])
 	}
@@ -72,7 +91,7 @@
 // add adds a run. It reports whether the record has changed.
 func (c *crash) add(r run) bool {
 	if i := slices.IndexFunc(c.runs, func(k run) bool { return k.own == r.own }); i >= 0 {
-		if len(c.runs[i].shared) > 0 || len(r.shared) == 0 {
+		if c.runs[i].isSuspect() || !r.isSuspect() {
 			return false
 		}
 		c.runs[i] = r
@@ -82,10 +101,10 @@
 		c.runs = append(c.runs, r)
 		return true
 	}
-	if len(r.shared) == 0 {
+	if !r.isSuspect() {
 		return false
 	}
-	i := slices.IndexFunc(c.runs, func(k run) bool { return len(k.shared) == 0 })
+	i := slices.IndexFunc(c.runs, func(k run) bool { return !k.isSuspect() })
 	if i < 0 {
 		return false
 	}
@@ -93,7 +112,12 @@
 	return true
 }
 
-// has reports whether a part is in the prompt of a suspect.
+// hasRequest reports whether a request is a suspect.
+func (c *crash) hasRequest(key entity.PartID) bool {
+	return slices.ContainsFunc(c.runs, func(r run) bool { return r.request == key })
+}
+
+// has reports whether a key may be blamed for the crash.
 func (c *crash) has(part entity.PartID) bool {
-	return slices.ContainsFunc(c.runs, func(r run) bool { return slices.Contains(r.shared, part) })
+	return slices.ContainsFunc(c.runs, func(r run) bool { return r.request == part || slices.Contains(r.shared, part) })
 }
--- a/internal/core/quarantine/fleet_test.go
+++ b/internal/core/quarantine/fleet_test.go
@@ -305,7 +305,7 @@
 		if w.now < r.endsAt {
 			return false
 		}
-		w.instances[r.instance].table.RecordAnswer(w.time(), r.parts)
+		w.instances[r.instance].table.RecordAnswer(w.time(), r.parts, "")
 		return true
 	})
 }
--- a/internal/core/quarantine/state.go
+++ b/internal/core/quarantine/state.go
@@ -28,6 +28,8 @@
 type Run struct {
 	Own    entity.PartID   `json:"o"`
 	Shared []entity.PartID `json:"p,omitempty"`
+	// Request is the key of the request as a whole if the run is a suspect.
+	Request entity.PartID `json:"q,omitempty"`
 }
 
 // Sound says how long ago a part was last found sound.
@@ -73,7 +75,7 @@
 		}
 		s.Crashes = append(s.Crashes, c.message(now))
 		for _, r := range c.runs {
-			for _, part := range r.shared {
+			for _, part := range r.keys() {
 				parts[part] = struct{}{}
 			}
 		}
@@ -104,7 +106,7 @@
 func (c *crash) message(now time.Time) Crash {
 	m := Crash{Endpoint: c.engine.endpoint, Incarnation: c.engine.incarnation, Age: now.Sub(c.at)}
 	for _, r := range c.runs {
-		m.Runs = append(m.Runs, Run{Own: r.own, Shared: r.shared})
+		m.Runs = append(m.Runs, Run{Own: r.own, Shared: r.shared, Request: r.request})
 	}
 	return m
 }
@@ -124,6 +126,6 @@
 func (t *Table) mergeCrash(now time.Time, m Crash) {
 	at := now.Add(-max(0, m.Age))
 	for _, r := range m.Runs[:min(len(m.Runs), maxRuns)] {
-		t.addRun(engine{m.Endpoint, m.Incarnation}, at, run{own: r.Own, shared: r.Shared[:min(len(r.Shared), maxParts)]})
+		t.addRun(engine{m.Endpoint, m.Incarnation}, at, run{own: r.Own, shared: r.Shared[:min(len(r.Shared), maxParts)], request: r.Request})
 	}
 }
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -29,14 +29,16 @@
 // follows from it.
 type Table struct {
 	crashes []*crash
-	// newest holds the time of the newest crash with each part among its suspects' prompts.
+	// newest holds the time of the newest crash that each key may be blamed for.
 	newest map[entity.PartID]time.Time
 	// sound holds when a part in the records was last found sound, by any instance.
 	sound map[entity.PartID]soundPart
 	// served holds what this instance itself has found sound.
-	served      served
-	quarantined map[entity.PartID]Quarantined
-	trials      trials
+	served served
+	// servedRequests holds which requests this instance itself has served.
+	servedRequests served
+	quarantined    map[entity.PartID]Quarantined
+	trials         trials
 	// version counts the changes of the records. stale is set while quarantined, newest and
 	// sound don't follow from them.
 	version uint64
@@ -61,14 +63,18 @@
 // RecordLoss records that a run of this instance was lost with its engine.
 func (t *Table) RecordLoss(now time.Time, l Loss) {
 	if l.Answering >= SoundAfter {
-		t.RecordAnswer(now, l.Parts)
+		t.RecordAnswer(now, l.Parts, l.Key)
 	}
 	t.addRun(engine{l.Endpoint, l.Incarnation}, now, runOf(l))
 }
 
-// RecordAnswer records that an answer to a prompt with these parts has been arriving for
-// SoundAfter, or is complete.
-func (t *Table) RecordAnswer(now time.Time, parts []entity.PartID) {
+// RecordAnswer records that an answer to a prompt with these parts, and to the request with this
+// key unless it is empty, has been arriving for SoundAfter, or is complete.
+func (t *Table) RecordAnswer(now time.Time, parts []entity.PartID, request entity.PartID) {
+	if request != "" {
+		t.servedRequests.record(now, request)
+		t.setSound(request, now)
+	}
 	for _, part := range parts[:max(0, len(parts)-1)] {
 		t.served.record(now, part)
 		t.setSound(part, now)
@@ -115,12 +121,12 @@
 	}
 	t.version++
 	c.version, t.stale = t.version, true
-	for _, part := range r.shared {
-		if c.at.After(t.newest[part]) {
-			t.newest[part] = c.at
+	for _, key := range r.keys() {
+		if c.at.After(t.newest[key]) {
+			t.newest[key] = c.at
 		}
-		if at, ok := t.served.at(part); ok {
-			t.setSound(part, at)
+		if at, ok := t.servedAt(key); ok {
+			t.setSound(key, at)
 		}
 	}
 	if len(t.crashes) > maxCrashes {
@@ -130,6 +136,14 @@
 	}
 }
 
+// servedAt returns when this instance last found a key sound.
+func (t *Table) servedAt(key entity.PartID) (time.Time, bool) {
+	if IsRequest(key) {
+		return t.servedRequests.at(key)
+	}
+	return t.served.at(key)
+}
+
 // crashOf returns the crash of an engine at a time, nil if there is none. An engine that has
 // lost runs at different times may have lost only connections before, or an instance may
 // have noticed its losses late.
@@ -149,7 +163,7 @@
 	t.update()
 	open := t.accusations()
 	for _, a := range open {
-		if len(a.candidates) == 0 {
+		if len(a.candidates) == 0 && len(t.requestCandidates(a.crash)) == 0 {
 			return a.crash
 		}
 	}
@@ -237,7 +251,7 @@
 	clear(t.newest)
 	for _, c := range t.crashes {
 		for _, r := range c.runs {
-			for _, part := range r.shared {
+			for _, part := range r.keys() {
 				if c.at.After(t.newest[part]) {
 					t.newest[part] = c.at
 				}
--- a/internal/core/quarantine/table_test.go
+++ b/internal/core/quarantine/table_test.go
@@ -45,7 +45,7 @@
 
 func TestPartOfThreeCrashesIsQuarantined(t *testing.T) {
 	table := New()
-	table.RecordAnswer(at(0), []entity.PartID{shared, "other"})
+	table.RecordAnswer(at(0), []entity.PartID{shared, "other"}, "")
 	for n := range 3 {
 		expectQuarantined(t, table)
 		crashOf(table, time.Duration(n+1)*time.Second, n, shared, deadly)
@@ -91,7 +91,7 @@
 // part is that was never sound.
 func TestPartThatWasSoundBeforeIsQuarantined(t *testing.T) {
 	table := New()
-	table.RecordAnswer(at(0), []entity.PartID{shared, "own"})
+	table.RecordAnswer(at(0), []entity.PartID{shared, "own"}, "")
 	for n := range 4 {
 		expectQuarantined(t, table)
 		crashOf(table, time.Duration(n+1)*time.Second, n, shared)
@@ -116,7 +116,7 @@
 		crashOf(table, time.Duration(n+1)*time.Second, n, deadly)
 	}
 	changes := table.Changes()
-	table.RecordAnswer(at(5*time.Second), []entity.PartID{deadly, "own"})
+	table.RecordAnswer(at(5*time.Second), []entity.PartID{deadly, "own"}, "")
 	expectQuarantined(t, table)
 	changes = append(changes, table.Changes()...)
 	if len(changes) != 2 || changes[0].Released || !changes[1].Released {
@@ -184,7 +184,7 @@
 				part := entity.PartID(fmt.Sprint("p", rng.IntN(3)))
 				crashOf(source, now, 10*n+rng.IntN(3), shared, part)
 				if rng.IntN(4) == 0 {
-					source.RecordAnswer(at(time.Duration(rng.IntN(12))*time.Second+time.Millisecond), []entity.PartID{shared, part, "own"})
+					source.RecordAnswer(at(time.Duration(rng.IntN(12))*time.Second+time.Millisecond), []entity.PartID{shared, part, "own"}, "")
 				}
 			}
 			states = append(states, source.StateSince(at(20*time.Second), 0))
@@ -231,7 +231,7 @@
 		}
 		now := at(time.Duration(n) * time.Millisecond)
 		table.RecordLoss(now, Loss{Endpoint: entity.EndpointID(fmt.Sprint("i-", n/40)), Parts: parts})
-		table.RecordAnswer(now, parts[10:])
+		table.RecordAnswer(now, parts[10:], "")
 	}
 	if len(table.crashes) > maxCrashes || len(table.sound) > maxCrashes*maxRuns*maxParts || len(table.served.current)+len(table.served.previous) > 2*maxServed+20 {
 		t.Errorf("got %d crashes, %d sound parts, %d served", len(table.crashes), len(table.sound), len(table.served.current)+len(table.served.previous))
@@ -297,7 +297,7 @@
 		part := entity.PartID(fmt.Sprint("pool", n%50))
 		own := entity.PartID(fmt.Sprint("grey", n))
 		table.RecordLoss(at(now), Loss{Endpoint: entity.EndpointID(fmt.Sprint("g", n%5)), Parts: []entity.PartID{part, own}})
-		table.RecordAnswer(at(now+10*time.Millisecond), []entity.PartID{entity.PartID(fmt.Sprint("pool", (n*7)%50)), own + "x"})
+		table.RecordAnswer(at(now+10*time.Millisecond), []entity.PartID{entity.PartID(fmt.Sprint("pool", (n*7)%50)), own + "x"}, "")
 		if now%(10*time.Second) == 0 {
 			crashOf(table, now, n, shared, deadly)
 			crashes++
--- a/internal/core/quarantine/trial.go
+++ b/internal/core/quarantine/trial.go
@@ -24,9 +24,11 @@
 
 // trials holds the trials of quarantined parts.
 type trials struct {
-	// allowed is set at the one instance of the deployment that makes trials.
+	// allowed is set at the one instance of the deployment that tries parts of prompts.
 	allowed bool
-	byPart  map[entity.PartID]trial
+	// delay is how much longer than others this instance waits before it tries a request.
+	delay  time.Duration
+	byPart map[entity.PartID]trial
 }
 
 // trial is the number of trials of a part and the time of the last one.
@@ -38,6 +40,10 @@
 // SetTrials sets whether this instance is the one that makes trials.
 func (t *Table) SetTrials(allowed bool) { t.trials.allowed = allowed }
 
+// SetTrialDelay sets how much longer than others this instance waits before it tries a request.
+// The same request may come at any instance, and one of them is to try it.
+func (t *Table) SetTrialDelay(d time.Duration) { t.trials.delay = d }
+
 // MakesTrials reports whether this instance is the one that makes trials.
 func (t *Table) MakesTrials() bool { return t.trials.allowed }
 
@@ -68,11 +74,21 @@
 
 // due reports whether a part may be tried now.
 func (t *trials) due(now time.Time, q Quarantined) bool {
+	if IsRequest(q.Part) {
+		return t.requestDue(now, q)
+	}
 	last := t.byPart[q.Part]
 	wait := trialAfter << min(last.count, maxDoublings)
 	return t.allowed && now.Sub(q.LastCrash) >= wait && now.Sub(last.at) >= wait
 }
 
+// requestDue reports whether a request may be tried now. Each failed trial is a crash, which all
+// instances learn of, so they count the trials by the crashes.
+func (t *trials) requestDue(now time.Time, q Quarantined) bool {
+	wait := trialAfter<<min(max(0, q.Crashes-minRequestCrashes), maxDoublings) + t.delay
+	return now.Sub(q.LastCrash) >= wait && now.Sub(t.byPart[q.Part].at) >= trialAfter
+}
+
 func (t *trials) begin(now time.Time, part entity.PartID) {
 	if t.byPart == nil {
 		t.byPart = make(map[entity.PartID]trial)
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -175,6 +175,7 @@
 		c.slotRequest.AnswerTokens = min(c.meta.ExpectedTokens, max(1, c.meta.MaxTokens))
 	}
 	c.slotRequest.Org = c.orgID()
+	c.slotRequest.Key = requestKey(c.r, c.slotRequest.Org, c.body)
 	c.header = c.r.Header.Clone()
 	hopbyhop.Drop(c.header)
 	c.header.Del("Content-Length")
--- a/internal/edge/dispatch.go
+++ b/internal/edge/dispatch.go
@@ -182,6 +182,9 @@
 	if v.Verdict != verdict.NotRun && (!c.route.Idempotent() || c.possibleRuns >= c.route.MaxAttempts) {
 		return false
 	}
+	if v.Verdict != verdict.NotRun && !c.server.opts.Scheduler.MayRetryLost(c.slotRequest) {
+		return false
+	}
 	if !c.server.opts.Scheduler.TakeRetry(c.slotRequest.Pool) {
 		return false
 	}
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -49,14 +49,16 @@
 
 // fakeScheduler grants each endpoint once, in order, and records the calls.
 type fakeScheduler struct {
-	mu           sync.Mutex
-	config       *catalog.Config
-	keysStale    bool
-	endpoints    []*catalog.Endpoint
-	next         int
-	charged      float64
-	limit        float64
-	retries      int
+	mu        sync.Mutex
+	config    *catalog.Config
+	keysStale bool
+	endpoints []*catalog.Endpoint
+	next      int
+	charged   float64
+	limit     float64
+	retries   int
+	// retriesRisky is set if a request that was lost with its endpoint may not be sent again.
+	retriesRisky bool
 	outcomes     []Outcome
 	slotRequests []SlotRequest
 	charges      []Charge
@@ -93,6 +95,8 @@
 	s.responses = append(s.responses, m)
 }
 
+func (s *fakeScheduler) MayRetryLost(SlotRequest) bool { return !s.retriesRisky }
+
 func (s *fakeScheduler) TakeRetry(entity.PoolID) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/edge/types.go
+++ b/internal/edge/types.go
@@ -55,6 +55,9 @@
 	PromptTokens, AnswerTokens int
 	// PromptParts are the parts of the prompt in order, empty if not known.
 	PromptParts []entity.PartID
+	// Key identifies the request among all that the caller sends, whatever its ID: it is the same
+	// if the caller sends it again.
+	Key entity.PartID
 	// Target is the time after which the beginning of the response counts as late.
 	// The caller gives up if the response has not begun by FirstEventBy; after
 	// Deadline the response is of no use.
@@ -132,6 +135,9 @@
 	// TakeRetry takes one retry from the pool's retry budget. It returns false if the
 	// budget is used up.
 	TakeRetry(pool entity.PoolID) bool
+	// MayRetryLost reports whether a request that was lost with its endpoint may be sent to
+	// another one.
+	MayRetryLost(r SlotRequest) bool
 	// Leaving reports whether the instance is stopping: it still serves requests, but
 	// asks callers to close their connections.
 	Leaving() bool
--- a/internal/gateway/instance.go
+++ b/internal/gateway/instance.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -106,6 +107,7 @@
 	g.services = &services{table: balance.New(), zone: s.Zone}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.self = newIdentity(s)
+	g.quarantine.setTrialDelay(rand.N(maxTrialDelay))
 	g.transport = g.newTransport(g.self)
 	g.control = newControl(g, g.self)
 	g.control.send = g.transport.Send
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -147,27 +147,36 @@
 // as this instance's share of the limit allows: a limit that no request meets would never be
 // known to have ended.
 func (g *Instance) acquireService(ctx context.Context, r edge.SlotRequest, avoid []entity.EndpointID) (edge.Slot, *verdict.Error) {
+	trial, v := g.checkQuarantine(r)
+	if v != nil {
+		return edge.Slot{}, v
+	}
 	now := time.Now()
 	endpoints := g.state.endpoints.Load().Pool(r.Pool)
 	unlimited, limited := g.limits.split(g.holds.usable(now, endpoints))
 	if len(unlimited) > 0 {
 		if e := g.limits.takeShare(now, limited, g.settings.Zone); e != nil {
-			if slot, ok := g.acquireShare(ctx, r, e, endpoints); ok {
+			if slot, ok := g.acquireShare(ctx, r, e, endpoints, trial); ok {
 				return slot, nil
 			}
 		}
 	}
 	if slot, ok := g.services.acquire(unlimited, r, avoid); ok {
+		release := slot.Release
+		slot.Release = func(o edge.Outcome) {
+			g.recordRun(r, slot.Endpoint, o)
+			release(o)
+		}
 		return slot, nil
 	}
 	if len(limited) > 0 {
-		return g.reserveSlot(ctx, r, avoid)
+		return g.reserveChecked(ctx, r, avoid, trial)
 	}
 	return edge.Slot{}, g.noEndpointError(r)
 }
 
 // acquireShare asks for a grant of one endpoint, without waiting for long.
-func (g *Instance) acquireShare(ctx context.Context, r edge.SlotRequest, e *catalog.Endpoint, all []*catalog.Endpoint) (edge.Slot, bool) {
+func (g *Instance) acquireShare(ctx context.Context, r edge.SlotRequest, e *catalog.Endpoint, all []*catalog.Endpoint, trial bool) (edge.Slot, bool) {
 	var others []entity.EndpointID
 	for _, other := range all {
 		if other.ID != e.ID {
@@ -176,7 +185,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, shareWait)
 	defer cancel()
-	slot, v := g.reserveSlot(ctx, r, others)
+	slot, v := g.reserveChecked(ctx, r, others, trial)
 	return slot, v == nil
 }
 
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,6 +18,10 @@
 // part, which is rarely released sooner.
 const quarantineRetryAfter = time.Minute
 
+// maxTrialDelay bounds how much longer than others an instance waits before it tries a quarantined
+// request. Within it, one of the instances that get the request tries it first.
+const maxTrialDelay = time.Minute
+
 // quarantineTable is a quarantine.Table that is safe for concurrent use.
 type quarantineTable struct {
 	mu    sync.Mutex
@@ -35,10 +40,22 @@
 	q.table.RecordLoss(now, l)
 }
 
-func (q *quarantineTable) recordAnswer(now time.Time, parts []entity.PartID) {
+func (q *quarantineTable) recordAnswer(now time.Time, parts []entity.PartID, request entity.PartID) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.table.RecordAnswer(now, parts)
+	q.table.RecordAnswer(now, parts, request)
+}
+
+func (q *quarantineTable) mayRetry(request entity.PartID) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.table.MayRetry(request)
+}
+
+func (q *quarantineTable) setTrialDelay(d time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.table.SetTrialDelay(d)
 }
 
 func (q *quarantineTable) version() uint64 {
@@ -95,34 +112,45 @@
 	return q.table.Quarantined()
 }
 
-// checkPrompt returns an error if a part of the request's prompt is quarantined. If trial is
-// set, the part is being tried with this request, which must not be checked again.
-func (g *Instance) checkPrompt(r edge.SlotRequest) (trial bool, v *verdict.Error) {
-	d := g.quarantine.decide(time.Now(), r.PromptParts)
+// checkQuarantine returns an error if the request or a part of its prompt is quarantined. If
+// trial is set, it is being tried with this request, which must not be checked again.
+func (g *Instance) checkQuarantine(r edge.SlotRequest) (trial bool, v *verdict.Error) {
+	keys := append(slices.Clone(r.PromptParts), r.Key)
+	d := g.quarantine.decide(time.Now(), keys)
 	if d.Trial {
-		telemetry.Log(g.log, telemetry.EventPartTried, "request", r.ID, "parts", r.PromptParts)
+		telemetry.Log(g.log, telemetry.EventPartTried, "request", r.ID, "parts", keys)
 	}
 	if d.Refused == nil {
 		return d.Trial, nil
 	}
 	return false, &verdict.Error{
 		Verdict: verdict.NotRun, Reason: verdict.ReasonQuarantined, RetryAfter: quarantineRetryAfter,
-		Message: fmt.Sprintf("part %s of the prompt has crashed %d engines", d.Refused.Part, d.Refused.Crashes),
+		Message: refusedMessage(d.Refused),
+	}
+}
+
+func refusedMessage(q *quarantine.Quarantined) string {
+	if quarantine.IsRequest(q.Part) {
+		return fmt.Sprintf("this request has crashed %d endpoints", q.Crashes)
 	}
+	return fmt.Sprintf("part %s of the prompt has crashed %d engines", q.Part, q.Crashes)
 }
 
-// recordRun records what the end of a dispatch says about the parts of its prompt.
+// MayRetryLost implements edge.Scheduler.
+func (g *Instance) MayRetryLost(r edge.SlotRequest) bool { return g.quarantine.mayRetry(r.Key) }
+
+// recordRun records what the end of a dispatch says about the request and the parts of its prompt.
 func (g *Instance) recordRun(r edge.SlotRequest, e *catalog.Endpoint, o edge.Outcome) {
 	now := time.Now()
 	switch {
 	case o.Lost:
-		g.quarantine.recordLoss(now, quarantine.Loss{Request: r.ID, Endpoint: e.ID, Incarnation: e.Incarnation, Parts: r.PromptParts, Answering: o.StreamDuration})
-		if o.StreamDuration < quarantine.SoundAfter && len(r.PromptParts) > 0 {
-			telemetry.Log(g.log, telemetry.EventRunLost, "request", r.ID, "endpoint", e.ID, "incarnation", e.Incarnation, "parts", r.PromptParts,
+		g.quarantine.recordLoss(now, quarantine.Loss{Request: r.ID, Endpoint: e.ID, Incarnation: e.Incarnation, Parts: r.PromptParts, Key: r.Key, Answering: o.StreamDuration})
+		if o.StreamDuration < quarantine.SoundAfter {
+			telemetry.Log(g.log, telemetry.EventRunLost, "request", r.ID, "endpoint", e.ID, "incarnation", e.Incarnation, "parts", r.PromptParts, "key", r.Key,
 				"answering_ms", o.StreamDuration.Milliseconds())
 		}
 	case o.Served || o.StreamDuration >= quarantine.SoundAfter:
-		g.quarantine.recordAnswer(now, r.PromptParts)
+		g.quarantine.recordAnswer(now, r.PromptParts, r.Key)
 	}
 }
 
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -56,13 +56,18 @@
 
 // reserveSlot requests slots until a broker grants one that can be used, or
 // refuses. A slot is released, and another one requested, where this instance has
-// learned since that its endpoint must not get the request. A request whose prompt
+// learned since that its endpoint must not get the request. A request that
 // was quarantined while it waited is refused.
 func (g *Instance) reserveSlot(ctx context.Context, r edge.SlotRequest, avoid []entity.EndpointID) (edge.Slot, *verdict.Error) {
-	trial, v := g.checkPrompt(r)
+	trial, v := g.checkQuarantine(r)
 	if v != nil {
 		return edge.Slot{}, v
 	}
+	return g.reserveChecked(ctx, r, avoid, trial)
+}
+
+// reserveChecked is reserveSlot for a request that is not quarantined, or tried.
+func (g *Instance) reserveChecked(ctx context.Context, r edge.SlotRequest, avoid []entity.EndpointID, trial bool) (edge.Slot, *verdict.Error) {
 	avoid = slices.Concat(avoid, g.holds.avoided(time.Now(), g.state.endpoints.Load().Pool(r.Pool)))
 	for {
 		d, v := g.requestSlot(ctx, r, avoid)
@@ -73,7 +78,7 @@
 			return edge.Slot{}, g.denialError(r, d)
 		}
 		if !trial {
-			if trial, v = g.checkPrompt(r); v != nil {
+			if trial, v = g.checkQuarantine(r); v != nil {
 				g.control.post(g.ctx, abandon{id: r.ID})
 				return edge.Slot{}, v
 			}
