--- a/internal/core/endpointlimit/table.go
+++ b/internal/core/endpointlimit/table.go
@@ -74,6 +74,9 @@
 // Version grows with each change that other instances are to learn of.
 func (t *Table) Version() uint64 { return t.version }
 
+// Len returns the number of endpoints that have stated a limit, or taken one back not long ago.
+func (t *Table) Len() int { return len(t.rows) }
+
 // Record processes a response that this instance has received from an endpoint.
 func (t *Table) Record(now time.Duration, id entity.EndpointID, incarnation int64, r Reading) {
 	if r.Unreadable {
@@ -179,11 +182,15 @@
 
 // Expire removes the statements that are not made any more.
 func (t *Table) Expire(now time.Duration) {
-	maps.DeleteFunc(t.rows, func(_ entity.EndpointID, r *row) bool {
-		keep := unlimitedRetention
-		if r.limited {
-			keep = retention
+	maps.DeleteFunc(t.rows, func(id entity.EndpointID, r *row) bool {
+		if !r.limited {
+			return now-r.statedAt > unlimitedRetention
+		}
+		if now-r.statedAt <= retention {
+			return false
 		}
-		return now-r.statedAt > keep
+		t.version++
+		t.changes = append(t.changes, Statement{Endpoint: id, Incarnation: r.incarnation})
+		return true
 	})
 }
--- a/internal/core/endpointlimit/table_test.go
+++ b/internal/core/endpointlimit/table_test.go
@@ -127,8 +127,9 @@
 	if _, ok := table.Limit("a", 1); !ok {
 		t.Errorf("the limit ended after %v", retention)
 	}
+	version := table.Version()
 	table.Expire(retention + 1)
-	if len(table.rows) != 0 {
+	if len(table.rows) != 0 || table.Version() == version {
 		t.Errorf("the limit holds longer than %v", retention)
 	}
 }
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -96,6 +96,9 @@
 func (l *endpointLimits) split(endpoints []*catalog.Endpoint) (unlimited, limited []*catalog.Endpoint) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.table.Len() == 0 {
+		return endpoints, nil
+	}
 	for _, e := range endpoints {
 		if _, ok := l.table.Limit(e.ID, e.Incarnation); ok {
 			limited = append(limited, e)
@@ -192,8 +195,11 @@
 // applyLimits passes changed limits to the brokers and logs them, and updates which pools
 // have brokers.
 func (c *control) applyLimits(now time.Time) {
-	share, localShare := c.limitShares(now)
 	version := c.g.limits.version()
+	if version == 0 {
+		return // no endpoint has ever stated a limit
+	}
+	share, localShare := c.limitShares(now)
 	if version == c.limitsVersion && share == c.limitShare && localShare == c.localLimitShare {
 		return
 	}
