Endpoint limits: a limit of any size is taken

An endpoint that stated more than some 1e9 requests a second led to an interval of 0 and a division by it, which ended the process. TestPacerTakesAnyLimit panicked before.

--- a/internal/core/endpointlimit/pacer.go
+++ b/internal/core/endpointlimit/pacer.go
@@ -6,6 +6,8 @@
 	// MaxInterval is the longest time between two requests to an endpoint. One with a limit
 	// of 0 gets a request that often: only a response says that the limit has ended.
 	MaxInterval = 5 * time.Second
+	// minInterval is the shortest time between two requests, whatever the limit.
+	minInterval = time.Microsecond
 	// maxCredit is how much of an unused interval is kept. It covers the time between two
 	// steps of a broker.
 	maxCredit = 20 * time.Millisecond
@@ -45,7 +47,7 @@
 func intervalOf(perSecond, share float64) time.Duration {
 	interval := MaxInterval
 	if perSecond*MaxInterval.Seconds() > 1 {
-		interval = time.Duration(float64(time.Second) / perSecond)
+		interval = max(minInterval, time.Duration(float64(time.Second)/perSecond))
 	}
 	return time.Duration(float64(interval) / share)
 }
--- a/internal/core/endpointlimit/pacer_test.go
+++ b/internal/core/endpointlimit/pacer_test.go
@@ -78,6 +78,23 @@
 	}
 }
 
+// A limit of any size neither stops a Pacer nor lets it loop.
+func TestPacerTakesAnyLimit(t *testing.T) {
+	for _, perSecond := range []float64{0, 1e-300, 0.2, 1e9, 1e12, 1e300} {
+		for _, share := range []float64{1, 0.25 / 300} {
+			for _, p := range []Pacer{NewPacer(start, perSecond, share), NewStaggeredPacer(start, perSecond, share, 0.999)} {
+				now := start.Add(time.Hour)
+				p.SetLimit(now, perSecond/2, share)
+				wait := p.Wait(now)
+				p.Take(now.Add(wait))
+				if most := time.Duration(float64(MaxInterval) / share); wait < 0 || wait > most {
+					t.Errorf("%v a second, share %v: got a wait of %v, want 0 to %v", perSecond, share, wait, most)
+				}
+			}
+		}
+	}
+}
+
 // However a zone is cut into parts, their brokers and the instances without one together use
 // no more than one and a quarter times the limit.
 func TestSharesOfPartsOfAZone(t *testing.T) {
