--- a/internal/core/broker/ratelimit_test.go
+++ b/internal/core/broker/ratelimit_test.go
@@ -277,3 +277,18 @@
 		t.Errorf("got the refusals %v without any engine, want one", got)
 	}
 }
+
+// While no engine can serve, late requests don't wait for one.
+func TestLateRequestIsRefusedWhileAllEnginesArePaused(t *testing.T) {
+	h := newHarness(t, 1, 4)
+	for _, from := range []entity.InstanceID{"entry", "other"} { // for all only after two entries
+		h.requestSlot(string(from), func(r *SlotRequest) { r.From = from })
+	}
+	for _, from := range []entity.InstanceID{"entry", "other"} {
+		h.b.HandleDone(h.now, Done{ID: entity.RequestID(from), Seq: 1, NotRun: true, Failed: true})
+	}
+	got := denials(h.requestSlot("late", func(r *SlotRequest) { r.TargetIn = -time.Second }))
+	if len(got) != 1 || got[0].Reason != DenyOverload {
+		t.Errorf("got the refusals %+v, want one for overload", got)
+	}
+}
--- a/internal/core/broker/refuse.go
+++ b/internal/core/broker/refuse.go
@@ -42,14 +42,15 @@
 	}
 }
 
-// refuseBacklog refuses late requests that the slots can't serve within LateBacklog.
+// refuseBacklog refuses late requests that the engines can't serve within LateBacklog, all of them if
+// no engine can serve now.
 func (b *Broker) refuseBacklog(now time.Time, p *pool) {
 	c := p.capacity(now, b.settings.SlotShare)
 	var wait time.Duration
 	var excess []*job
 	for _, j := range p.waiting {
 		wait += c.serveTime(p.occupancy(j))
-		if j.late && wait > b.settings.LateBacklog {
+		if j.late && (wait > b.settings.LateBacklog || c.size() == 0) {
 			excess = append(excess, j)
 		}
 	}
