--- a/internal/core/quarantine/doc.go
+++ b/internal/core/quarantine/doc.go
@@ -1,5 +1,5 @@
-// Package quarantine finds the parts of prompts that crash engines, and says which
-// requests must therefore not be sent to any engine.
+// Package quarantine finds the parts of prompts that crash engines, and the requests that crash
+// endpoints of any kind, and says which requests must therefore not be sent to any.
 //
 // # Problem
 //
@@ -9,6 +9,9 @@
 // When an engine dies, a dozen requests are lost with it, and nothing says which of them was
 // the cause. Engines die for other reasons as well.
 //
+// Or one request does it, at engines or plain services, and its caller sends it again and
+// again. What was lost with it is sent again as well.
+//
 // # Terms
 //
 //   - A crash is the end of one incarnation of an engine, known by the runs that were lost
@@ -17,8 +20,9 @@
 //     been answering for a while was not killed by that prompt.
 //   - A part is sound if an answer to a prompt with it has been arriving for a while. The
 //     last part of a prompt is the request's own and never suspected.
-//   - A part is quarantined if it explains several crashes. Requests that contain it are
-//     refused.
+//   - The key of a request is the digest of all that is the same when a caller repeats it.
+//   - A part, or a request, is quarantined if it explains several crashes. Requests that
+//     contain it, or are it, are refused.
 //
 // # How a part is found
 //
@@ -30,6 +34,9 @@
 // for them. Of two parts that always come together, the
 // deeper one is blamed: the shorter a prefix, the more sound requests share it.
 //
+// A request is judged by itself, see request.go: it is in every crash that it causes, so three are
+// enough, while another request that is in all of them too makes two more necessary.
+//
 // # How it spreads, and what ends it
 //
 // Each instance records the losses of its own runs and which parts it found sound, and
@@ -37,7 +44,8 @@
 // instances with the same records agree, in whatever order they received them. A part is
 // released when it is found sound after its crashes, or when these are forgotten, after
 // EvidenceFor. One instance of the deployment tries a quarantined part now and then with a
-// single request, ever more rarely the more trials fail.
+// single request, ever more rarely the more trials fail. A quarantined request may be tried
+// by any instance, each after a delay of its own.
 //
 // # Contract
 //
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -11,8 +11,9 @@
 // EvidenceFor is how long a crash is remembered.
 const EvidenceFor = 10 * time.Minute
 
-// Quarantined is a part that must not be sent to engines.
+// Quarantined is a part of prompts, or a request, that must not be sent to endpoints.
 type Quarantined struct {
+	// Part is the part or the key of the request, see IsRequest.
 	Part entity.PartID
 	// Crashes is the number of crashes that it explains, LastCrash the time of the latest.
 	Crashes   int
--- a/internal/core/quarantine/trial.go
+++ b/internal/core/quarantine/trial.go
@@ -16,9 +16,10 @@
 
 // Decision says whether a request may be sent to an engine.
 type Decision struct {
-	// Refused is the part that forbids it; nil if it may be sent.
+	// Refused is the part or the request that forbids it; nil if it may be sent.
 	Refused *Quarantined
-	// Trial is set if a request with a quarantined part may be sent all the same.
+	// Trial is set if a quarantined request, or one with a quarantined part, may be sent all the
+	// same.
 	Trial bool
 }
 
@@ -47,16 +48,16 @@
 // MakesTrials reports whether this instance is the one that makes trials.
 func (t *Table) MakesTrials() bool { return t.trials.allowed }
 
-// Decide decides whether a request may be sent to an engine now. If it allows a trial, the
-// request must be sent.
-func (t *Table) Decide(now time.Time, parts []entity.PartID) Decision {
+// Decide decides whether a request may be sent to an endpoint now, given the parts of its prompt and
+// its key. If it allows a trial, the request must be sent.
+func (t *Table) Decide(now time.Time, keys []entity.PartID) Decision {
 	t.update()
 	if len(t.quarantined) == 0 {
 		return Decision{}
 	}
 	var d Decision
-	for _, part := range parts {
-		q, ok := t.quarantined[part]
+	for _, key := range keys {
+		q, ok := t.quarantined[key]
 		if !ok {
 			continue
 		}
