Streams go on only at the software version that began them

The version that began a stream is recorded in the store before its first event is sent to the caller, unless it is the pool's base: the one version of which streams have no record. So nothing is written while a pool has one version, and a read of the log to its end tells the version of any stream, also after all instances were killed. The zones' coordinators write and read for their members, many records in one call; the dispatch begins the write, so that it mostly ends before the first event. What is not known is refused (origin_unknown, version_gone), and was not run. Slot requests name the version, brokers grant no other and serve streams in flight before new ones; zones say which versions they have. A stream whose endpoint is found to have restarted before its first event begins elsewhere.

--- a/internal/core/broker/broker.go
+++ b/internal/core/broker/broker.go
@@ -93,6 +93,9 @@
 	if req.EndIn > 0 {
 		j.end = now.Add(req.EndIn)
 	}
+	if req.pinned() {
+		j.target = j.deadline // the caller has events already
+	}
 	p := b.pool(req.Pool)
 	b.jobs[req.ID] = j
 	fastest, ok := p.fastestFirstEvent(req.PromptTokens)
@@ -100,10 +103,14 @@
 		b.deny(now, p, j, DenyNoEndpoint)
 		return
 	}
+	if ok && !p.serves(req.Version) && !b.spill(now, p, j) {
+		b.deny(now, p, j, DenyVersion)
+		return
+	}
 	if b.jobs[req.ID] != j {
 		return
 	}
-	j.late = ok && now.Add(fastest).After(j.target)
+	j.late = ok && !req.pinned() && now.Add(fastest).After(j.target)
 	p.enqueue(j)
 	b.schedule(now, p)
 	if b.jobs[req.ID] == j && !b.spill(now, p, j) {
--- a/internal/core/broker/engine.go
+++ b/internal/core/broker/engine.go
@@ -136,6 +136,9 @@
 
 // avoids reports whether a request must not go to the engine, although others may.
 func (e *engine) avoids(now time.Time, req *SlotRequest) bool {
+	if req.pinned() && req.Version != e.endpoint.Version {
+		return true
+	}
 	return slices.Contains(req.Avoid, e.endpoint.ID) || e.refusals.blocks(now, req.From)
 }
 
--- a/internal/core/broker/job.go
+++ b/internal/core/broker/job.go
@@ -33,10 +33,12 @@
 	return j.end.IsZero() || !now.Add(time.Duration(endFactor*float64(d))).After(j.end)
 }
 
-// compare orders waiting requests: on-time before late ones, then by rank, then on-time ones by
+// compare orders waiting requests: those that go on with a stream first, on-time before late ones, then by rank, then on-time ones by
 // target and late ones by IsRetry, then by arrival.
 func (j *job) compare(k *job) int {
 	switch {
+	case j.request.pinned() != k.request.pinned():
+		return trueFirst(j.request.pinned(), k.request.pinned())
 	case j.late != k.late:
 		return trueFirst(k.late, j.late)
 	case j.request.Rank != k.request.Rank:
@@ -92,6 +94,9 @@
 		if j.late {
 			break // late requests are last
 		}
+		if j.request.pinned() {
+			continue
+		}
 		if d, ok := p.fastestFirstEvent(j.request.PromptTokens); ok && now.Add(d).After(j.target) {
 			late = append(late, j)
 		}
--- a/internal/core/broker/message.go
+++ b/internal/core/broker/message.go
@@ -32,8 +32,14 @@
 	// NoForward is set if the slot request must not be forwarded to another zone, because it has
 	// been forwarded already.
 	NoForward bool `json:"w,omitempty"`
+	// Version is the only software version of engines that may get the request, which goes on with
+	// a stream; empty if any may.
+	Version string `json:"v,omitempty"`
 }
 
+// pinned reports whether only engines of one software version may get the request.
+func (r *SlotRequest) pinned() bool { return r.Version != "" }
+
 // Queued acknowledges a slot request that waits at the sending broker.
 type Queued struct {
 	ID  entity.RequestID `json:"i"`
@@ -72,6 +78,8 @@
 	// DenyLimit: the limits that the engines of the pool have stated don't allow the request to
 	// begin on time.
 	DenyLimit DenyReason = "endpoint_limit"
+	// DenyVersion: the broker knows no engine of the software version that the request needs.
+	DenyVersion DenyReason = "version_gone"
 )
 
 // Deny answers a slot request that gets no slot, with the time after which the caller may retry.
@@ -142,6 +150,8 @@
 	// WaitsMs is the expected wait in milliseconds by rank. The last element applies to all lower
 	// ranks and to late requests.
 	WaitsMs [rankClasses]int64 `json:"w"`
+	// Versions lists the software versions of the engines that are not leaving.
+	Versions []string `json:"v,omitempty"`
 }
 
 // rankClasses is the number of rank classes in a ZoneState.
--- a/internal/core/broker/pool.go
+++ b/internal/core/broker/pool.go
@@ -119,6 +119,24 @@
 // hasEngines reports whether the pool has an engine that is not leaving.
 func (p *pool) hasEngines() bool { return p.minPerPromptToken > 0 }
 
+// serves reports whether the pool has an engine of a software version that is not leaving; any
+// engine counts if the version is empty.
+func (p *pool) serves(version string) bool {
+	return version == "" || slices.ContainsFunc(p.engines, func(e *engine) bool { return !e.endpoint.Leaving && e.endpoint.Version == version })
+}
+
+// versions returns the software versions of the engines that are not leaving, sorted.
+func (p *pool) versions() []string {
+	var out []string
+	for _, e := range p.engines {
+		if !e.endpoint.Leaving && e.endpoint.Version != "" {
+			out = append(out, e.endpoint.Version)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 // updateMinPerPromptToken recomputes minPerPromptToken.
 func (p *pool) updateMinPerPromptToken() {
 	p.minPerPromptToken, p.timesChanged = 0, false
--- a/internal/core/broker/refuse.go
+++ b/internal/core/broker/refuse.go
@@ -14,11 +14,13 @@
 		b.refuseUnloaded(now, p)
 		return
 	}
-	var unservable []*job
+	var unservable, gone []*job
 	for _, j := range p.waiting {
 		fastest, ok := p.fastestFirstEvent(j.request.PromptTokens)
 		switch {
 		case !ok && p.isNew(now):
+		case ok && !p.serves(j.request.Version):
+			gone = append(gone, j)
 		case !ok || now.Add(fastest).After(j.deadline):
 			unservable = append(unservable, j)
 		case j.late && now.Sub(j.arrived) > time.Duration(b.settings.LateWaitFraction*float64(j.deadline.Sub(j.arrived))):
@@ -28,6 +30,11 @@
 	for _, j := range unservable {
 		b.deny(now, p, j, DenyDeadline)
 	}
+	for _, j := range gone {
+		if !b.spill(now, p, j) {
+			b.deny(now, p, j, DenyVersion)
+		}
+	}
 	b.refuseBeyondLimits(now, p)
 	b.refuseBacklog(now, p)
 }
--- a/internal/core/broker/schedule.go
+++ b/internal/core/broker/schedule.go
@@ -81,7 +81,7 @@
 // and would begin it on time once it has processed the prompts that it has now.
 func (b *Broker) freeSlotFits(now time.Time, p *pool, j *job) bool {
 	return slices.ContainsFunc(p.engines, func(e *engine) bool {
-		return e.free(now, b.settings.SlotShare) > 0 && e.fits(now, j) && j.onTime(now, e.times.prefill(j.request.PromptTokens)+dispatchOverhead)
+		return e.free(now, b.settings.SlotShare) > 0 && !e.avoids(now, &j.request) && e.fits(now, j) && j.onTime(now, e.times.prefill(j.request.PromptTokens)+dispatchOverhead)
 	})
 }
 
@@ -113,7 +113,7 @@
 // time if one of its slots were free now.
 func (b *Broker) fasterBusy(now time.Time, p *pool, j *job, than time.Duration) bool {
 	for _, e := range p.engines {
-		if e.endpoint.Leaving || e.unresponsive || e.limitWait(now) > 0 || e.free(now, b.settings.SlotShare) > 0 {
+		if e.endpoint.Leaving || e.unresponsive || e.limitWait(now) > 0 || e.free(now, b.settings.SlotShare) > 0 || e.avoids(now, &j.request) {
 			continue
 		}
 		if d := e.firstEventIn(now, j.request.PromptTokens); d < than && j.onTime(now, d) {
--- a/internal/core/broker/spill.go
+++ b/internal/core/broker/spill.go
@@ -27,6 +27,7 @@
 			out = append(out, ZoneState{
 				Pool: p.id, Zone: b.settings.Zone, Free: p.free(now, b.settings.SlotShare) - len(p.waiting),
 				Slots: p.capacity(now, b.settings.SlotShare).size(), WaitsMs: inMilliseconds(p.waits(now, b.settings.SlotShare)),
+				Versions: p.versions(),
 			})
 		}
 	}
@@ -66,7 +67,7 @@
 	if j.request.NoForward || b.settings.SlotShare > 0 {
 		return false
 	}
-	z := p.zoneWithMostFree(now)
+	z := p.zoneWithMostFree(now, j)
 	if z == nil {
 		z = b.shorterQueue(now, p, j)
 	}
@@ -111,15 +112,15 @@
 }
 
 // shorterQueue returns the remote zone where j would wait least, nil if no wait is shorter than the
-// local one by more than minSpillGain. Without a local engine, any wait is shorter.
+// local one by more than minSpillGain. Without a local engine for it, any wait is shorter.
 func (b *Broker) shorterQueue(now time.Time, p *pool, j *job) *remoteZone {
 	class := j.rankClass()
 	shortest := p.waits(now, b.settings.SlotShare)[class] - minSpillGain
-	if !p.hasEngines() {
+	if !p.hasEngines() || !p.serves(j.request.Version) {
 		shortest = math.MaxInt64
 	}
 	var best *remoteZone
-	for _, z := range p.freshZones(now) {
+	for _, z := range p.freshZones(now, j) {
 		if w := z.waits[class]; z.state.Slots > 0 && w < shortest {
 			best, shortest = z, w
 		}
@@ -130,11 +131,11 @@
 // spillWaiting forwards waiting requests, in queue order, while remote zones have slots to spare.
 func (b *Broker) spillWaiting(now time.Time, p *pool) {
 	for _, j := range slices.Clone(p.waiting) {
-		z := p.zoneWithMostFree(now)
-		if z == nil {
+		z := p.zoneWithMostFree(now, j)
+		if z == nil && !j.request.pinned() {
 			return
 		}
-		if !j.request.NoForward && b.settings.SlotShare <= 0 {
+		if z != nil && !j.request.NoForward && b.settings.SlotShare <= 0 {
 			b.spillTo(now, p, j, z)
 		}
 	}
@@ -155,11 +156,11 @@
 	}
 }
 
-// zoneWithMostFree returns the remote zone with the most free slots, nil if none has more than
+// zoneWithMostFree returns the remote zone with the most free slots for j, nil if none has more than
 // spillReserve.
-func (p *pool) zoneWithMostFree(now time.Time) *remoteZone {
+func (p *pool) zoneWithMostFree(now time.Time, j *job) *remoteZone {
 	var best *remoteZone
-	for _, z := range p.freshZones(now) {
+	for _, z := range p.freshZones(now, j) {
 		if z.state.Free > spillReserve && (best == nil || z.state.Free > best.state.Free) {
 			best = z
 		}
@@ -167,11 +168,16 @@
 	return best
 }
 
-// freshZones returns the remote zones whose state is no older than zoneStateExpiry, sorted by id.
-func (p *pool) freshZones(now time.Time) []*remoteZone {
+// freshZones returns the remote zones that have engines for j and whose state is no older than
+// zoneStateExpiry, sorted by id.
+func (p *pool) freshZones(now time.Time, j *job) []*remoteZone {
 	var out []*remoteZone
 	for _, id := range slices.Sorted(maps.Keys(p.remoteZones)) {
-		if z := p.remoteZones[id]; now.Sub(z.receivedAt) <= zoneStateExpiry {
+		z := p.remoteZones[id]
+		if j.request.pinned() && !slices.Contains(z.state.Versions, j.request.Version) {
+			continue
+		}
+		if now.Sub(z.receivedAt) <= zoneStateExpiry {
 			out = append(out, z)
 		}
 	}
--- a/internal/core/catalog/config.go
+++ b/internal/core/catalog/config.go
@@ -63,6 +63,22 @@
 	return r.Kind == KindSafe || (r.Kind == KindStream && r.Resumable)
 }
 
+// ResumablePools returns the pools of the resumable streams, sorted.
+func (c *Config) ResumablePools() []entity.PoolID {
+	var out []entity.PoolID
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		if r.Kind != KindStream || !r.Resumable {
+			continue
+		}
+		for _, p := range r.Pools {
+			out = append(out, p.Pool)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 // PoolFor returns the destination of a request, chosen by a hash of its id: the
 // same id always goes to the same pool.
 func (r *Route) PoolFor(id entity.RequestID) entity.PoolID {
--- a/internal/core/catalog/endpoints.go
+++ b/internal/core/catalog/endpoints.go
@@ -20,6 +20,8 @@
 	Incarnation int64
 	// Seq counts the row's changes within one incarnation.
 	Seq int64
+	// Version is the version of the endpoint's software, empty if it can't be read.
+	Version string
 	// Departing is set if the endpoint itself has said, in a response, that it is going
 	// to stop. Leaving is set too then.
 	Departing bool
@@ -110,7 +112,7 @@
 	var d xxhash.Digest
 	d.Reset()
 	var buffer [64]byte
-	for _, s := range [...]string{string(e.ID), string(e.Pool), string(e.Zone), e.Address} {
+	for _, s := range [...]string{string(e.ID), string(e.Pool), string(e.Zone), e.Address, e.Version} {
 		// Writes to a Digest never fail.
 		_, _ = d.WriteString(s)
 		_, _ = d.Write(buffer[:1])
--- /dev/null
+++ b/internal/core/origin/doc.go
@@ -0,0 +1,28 @@
+// Package origin remembers which software version of a pool's endpoints began a stream.
+//
+// # Problem
+//
+// Endpoints of several software versions may serve one pool side by side. What two versions write
+// doesn't fit together, and endpoints don't check it: a stream that broke off may go on only at the
+// version that began it. Its caller takes it up again at any instance, also after all instances were
+// killed, and can name the request that began it, but not the version.
+//
+// # Terms
+//
+//   - The origin of a stream is the version of the endpoint that sent its first event.
+//   - A record states the origin of one stream. Records are kept in a log that outlasts the instances.
+//   - The base of a pool is the version that began all streams without a record. Streams of the base
+//     need no record, so nothing is written while a pool has one version.
+//
+// # Contract
+//
+//   - A record is in the log before the first event of its stream is sent to the caller. So after a
+//     read of the log to its end, a stream without a record began at the base.
+//   - The base moves only after no stream of the old one can be taken up any more: no endpoint of it
+//     has been seen for Retention, and the pool then has no base for closedFor, in which all streams
+//     are recorded. An instance that still goes by the old base meanwhile writes a record too many.
+//   - Of two statements about a pool's base, the one with the higher revision holds.
+//   - What is not known is not guessed: Find and Base say so.
+//
+// The package has no I/O, clock or goroutine. Its types aren't safe for concurrent use.
+package origin
--- a/internal/core/reserve/entry.go
+++ b/internal/core/reserve/entry.go
@@ -38,6 +38,8 @@
 	// IsRetry and Avoid have the meaning that they have in broker.SlotRequest.
 	IsRetry bool
 	Avoid   []entity.EndpointID
+	// Version has the meaning that it has in broker.SlotRequest.
+	Version string
 }
 
 // Decision is the outcome of a request for a slot: an endpoint or a refusal.
@@ -166,7 +168,7 @@
 	req := broker.SlotRequest{
 		ID: r.ID, From: e.self, Seq: w.seq, Pool: r.Pool, Rank: r.Rank, PromptTokens: r.PromptTokens, AnswerTokens: r.AnswerTokens,
 		TargetIn: r.Target.Sub(now), DeadlineIn: r.Deadline.Sub(now), IsRetry: r.IsRetry,
-		Avoid: r.Avoid, NoForward: w.noForward,
+		Avoid: r.Avoid, NoForward: w.noForward, Version: r.Version,
 	}
 	if !r.End.IsZero() {
 		req.EndIn = r.End.Sub(now)
--- a/internal/core/zone/table.go
+++ b/internal/core/zone/table.go
@@ -57,16 +57,17 @@
 	Departing   bool              `json:"d,omitempty"`
 	Incarnation int64             `json:"b"`
 	Seq         int64             `json:"q"`
+	Version     string            `json:"v,omitempty"`
 }
 
 func rowOf(e *catalog.Endpoint) TableRow {
-	return TableRow{ID: e.ID, Pool: e.Pool, Zone: e.Zone, Address: e.Address, Slots: e.Slots, Leaving: e.Leaving, Departing: e.Departing, Incarnation: e.Incarnation, Seq: e.Seq}
+	return TableRow{ID: e.ID, Pool: e.Pool, Zone: e.Zone, Address: e.Address, Slots: e.Slots, Leaving: e.Leaving, Departing: e.Departing, Incarnation: e.Incarnation, Seq: e.Seq, Version: e.Version}
 }
 
 func (r *TableRow) endpoint() catalog.Endpoint {
 	return catalog.Endpoint{
 		Endpoint:    entity.Endpoint{ID: r.ID, Pool: r.Pool, Zone: r.Zone, Address: r.Address, Slots: r.Slots, Leaving: r.Leaving},
-		Incarnation: r.Incarnation, Seq: r.Seq, Departing: r.Departing,
+		Incarnation: r.Incarnation, Seq: r.Seq, Departing: r.Departing, Version: r.Version,
 	}
 }
 
@@ -202,6 +203,9 @@
 	Slots        []int           `json:"s"`
 	Incarnations []int64         `json:"b"`
 	Seqs         []int64         `json:"q"`
+	// Versions lists the distinct software versions, VersionOf each row's index in them.
+	Versions  []string `json:"v"`
+	VersionOf []int    `json:"w"`
 	// Leaving and Departing list the indexes of the rows with these marks.
 	Leaving   []int `json:"l,omitempty"`
 	Departing []int `json:"d,omitempty"`
@@ -214,6 +218,7 @@
 		c.IDs, c.Addresses = append(c.IDs, e.ID), append(c.Addresses, e.Address)
 		c.PoolOf = append(c.PoolOf, indexOrAppend(&c.Pools, e.Pool))
 		c.ZoneOf = append(c.ZoneOf, indexOrAppend(&c.Zones, e.Zone))
+		c.VersionOf = append(c.VersionOf, indexOrAppend(&c.Versions, e.Version))
 		c.Slots = append(c.Slots, e.Slots)
 		c.Incarnations, c.Seqs = append(c.Incarnations, e.Incarnation), append(c.Seqs, e.Seq)
 		if e.Leaving {
@@ -251,21 +256,21 @@
 
 func (c *columns) rows() ([]catalog.Endpoint, error) {
 	n := len(c.IDs)
-	for _, length := range []int{len(c.Addresses), len(c.PoolOf), len(c.ZoneOf), len(c.Slots), len(c.Incarnations), len(c.Seqs)} {
+	for _, length := range []int{len(c.Addresses), len(c.PoolOf), len(c.ZoneOf), len(c.Slots), len(c.Incarnations), len(c.Seqs), len(c.VersionOf)} {
 		if length != n {
 			return nil, trace.BadParameter("a peer's table of endpoints has columns of %d and %d rows", n, length)
 		}
 	}
 	rows := make([]catalog.Endpoint, n)
 	for i := range rows {
-		if !inRange(c.PoolOf[i], len(c.Pools)) || !inRange(c.ZoneOf[i], len(c.Zones)) {
-			return nil, trace.BadParameter("row %d of a peer's table of endpoints names no pool or zone", i)
+		if !inRange(c.PoolOf[i], len(c.Pools)) || !inRange(c.ZoneOf[i], len(c.Zones)) || !inRange(c.VersionOf[i], len(c.Versions)) {
+			return nil, trace.BadParameter("row %d of a peer's table of endpoints names no pool, zone or version", i)
 		}
 		rows[i] = catalog.Endpoint{
 			Endpoint: entity.Endpoint{
 				ID: c.IDs[i], Pool: c.Pools[c.PoolOf[i]], Zone: c.Zones[c.ZoneOf[i]], Address: c.Addresses[i], Slots: c.Slots[i],
 			},
-			Incarnation: c.Incarnations[i], Seq: c.Seqs[i],
+			Incarnation: c.Incarnations[i], Seq: c.Seqs[i], Version: c.Versions[c.VersionOf[i]],
 		}
 	}
 	if err := mark(rows, c.Leaving, func(e *catalog.Endpoint) { e.Leaving = true }); err != nil {
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -54,6 +54,9 @@
 	headerSent bool
 	// sentLength is the length of the body according to that header, -1 if not stated.
 	sentLength int64
+	// originUnreadable is set if a stream has begun whose software version can't be read, so that
+	// it can't go on anywhere else.
+	originUnreadable bool
 	// bodyUnread is set if the caller may still be sending a body that is not wanted.
 	bodyUnread bool
 }
@@ -66,6 +69,10 @@
 	}
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
+	if v := c.findOrigin(ctx); v != nil {
+		c.refuse(v)
+		return
+	}
 	c.run(ctx)
 }
 
@@ -158,7 +165,7 @@
 		timeout = min(timeout, c.meta.Remaining)
 	}
 	c.deadline = c.arrivedAt.Add(timeout)
-	pool := c.route.PoolFor(c.meta.ID)
+	pool := c.route.PoolFor(c.streamID())
 	c.slotRequest = SlotRequest{
 		ID: c.meta.ID, Pool: pool, Route: c.route.Name, Kind: entity.KindService, Rank: c.rank(),
 		PromptTokens: c.meta.PromptTokens, AnswerTokens: c.meta.MaxTokens, PromptParts: c.meta.PromptParts,
--- a/internal/edge/dispatch.go
+++ b/internal/edge/dispatch.go
@@ -33,8 +33,11 @@
 
 // attempt is one dispatch and its result.
 type attempt struct {
-	slot     Slot
-	sentAt   time.Time
+	slot   Slot
+	sentAt time.Time
+	// recorded is closed once the first event of the stream may be sent to the caller; nil if it
+	// may be sent at once.
+	recorded <-chan struct{}
 	response *upstream.Response
 	outcome  Outcome
 	finished bool
@@ -91,6 +94,9 @@
 	}
 	a := &attempt{slot: slot, sentAt: time.Now()}
 	c.tried = append(c.tried, slot.Endpoint.ID)
+	if c.beginsStream() {
+		a.recorded = c.server.opts.Scheduler.RecordOrigin(c.slotRequest, slot.Endpoint, len(c.tried))
+	}
 	response, err := c.server.opts.Client.Do(ctx, upstream.Request{
 		ID: c.meta.ID, To: slot.Endpoint, Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: c.header.Clone(),
 		Body: c.body, Remaining: time.Until(c.deadline), LastEventID: lastEventID, MaxBodyBytes: c.maxResponseBytes(),
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -9,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -28,7 +30,7 @@
 type testCodec struct{}
 
 func (testCodec) ReadRequest(h http.Header) Meta {
-	return Meta{ID: entity.RequestID(h.Get("Id")), Key: h.Get("Key"), PromptTokens: 10, HasTokens: true, LastEventID: h.Get("Last")}
+	return Meta{ID: entity.RequestID(h.Get("Id")), Key: h.Get("Key"), PromptTokens: 10, HasTokens: true, LastEventID: h.Get("Last"), Resumes: entity.RequestID(h.Get("Resumes"))}
 }
 
 func (testCodec) RewriteForEndpoint(h http.Header, org entity.OrgID) {
@@ -63,6 +65,29 @@
 	slotRequests []SlotRequest
 	charges      []Charge
 	responses    []upstream.Meta
+	// recorded is returned by RecordOrigin, origins holds the versions that began streams.
+	recorded chan struct{}
+	origins  map[entity.RequestID]string
+	// restarted lists the endpoints that have restarted since they were chosen.
+	restarted []entity.EndpointID
+}
+
+// fixtureVersion is the software version of all endpoints.
+const fixtureVersion = "v1"
+
+func (s *fakeScheduler) RecordOrigin(SlotRequest, *catalog.Endpoint, int) <-chan struct{} {
+	return s.recorded
+}
+
+func (s *fakeScheduler) OriginOf(_ context.Context, _ entity.PoolID, stream entity.RequestID) (string, *verdict.Error) {
+	if version, ok := s.origins[stream]; ok || s.origins == nil {
+		return cmp.Or(version, fixtureVersion), nil
+	}
+	return "", refusal(verdict.ReasonOriginUnknown, 0, "unknown")
+}
+
+func (s *fakeScheduler) IsCurrent(e *catalog.Endpoint) bool {
+	return !slices.Contains(s.restarted, e.ID)
 }
 
 func (s *fakeScheduler) AwaitStart(context.Context) {}
@@ -131,7 +156,7 @@
 		body, _ := io.ReadAll(req.Body)
 		script(conn, req, string(body))
 	})
-	return &catalog.Endpoint{Endpoint: entity.Endpoint{ID: entity.EndpointID(address), Address: address, Pool: "p"}}
+	return &catalog.Endpoint{Endpoint: entity.Endpoint{ID: entity.EndpointID(address), Address: address, Pool: "p"}, Version: fixtureVersion}
 }
 
 // respond returns a script that sends a response with a Content-Length.
--- /dev/null
+++ b/internal/edge/origin.go
@@ -0,0 +1,73 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/verdict"
+)
+
+// A resumable stream goes on only at the software version of endpoints that began it: what two
+// versions write doesn't fit together, and endpoints don't check it.
+
+// maxRecordWait is how long the first event of a stream is held back until its origin is recorded.
+// It is longer than a slow store takes, and shorter than callers wait for the first event.
+const maxRecordWait = time.Second
+
+// errRestarted is returned if a stream began at an endpoint that has restarted since.
+var errRestarted = errors.New("the endpoint has restarted, its version is not certain")
+
+// streamID returns the request that began the stream that the call is about.
+func (c *call) streamID() entity.RequestID {
+	if c.takesUp() && c.meta.Resumes != "" {
+		return c.meta.Resumes
+	}
+	return c.meta.ID
+}
+
+// takesUp reports whether the caller goes on with a stream that an earlier request began.
+func (c *call) takesUp() bool { return c.route.Resumable && c.meta.LastEventID != "" }
+
+// beginsStream reports whether the next dispatch may begin a stream that can be taken up.
+func (c *call) beginsStream() bool { return c.route.Resumable && c.slotRequest.Version == "" }
+
+// findOrigin finds the software version at which the stream goes on that the caller takes up.
+func (c *call) findOrigin(ctx context.Context) *verdict.Error {
+	if !c.takesUp() {
+		return nil
+	}
+	version, v := c.server.opts.Scheduler.OriginOf(ctx, c.slotRequest.Pool, c.meta.Resumes)
+	c.slotRequest.Version = version
+	return v
+}
+
+// beginStream prepares the sending of the first bytes of a response. From here on a resumable
+// stream goes on only at the version that began it.
+func (c *call) beginStream(a *attempt, resumable bool) error {
+	if !resumable || c.slotRequest.Version != "" {
+		return nil
+	}
+	if !c.server.opts.Scheduler.IsCurrent(a.slot.Endpoint) {
+		return errRestarted
+	}
+	c.awaitRecord(a)
+	c.slotRequest.Version = a.slot.Endpoint.Version
+	c.originUnreadable = c.slotRequest.Version == ""
+	return nil
+}
+
+// awaitRecord waits until the origin of a stream is recorded, but not for long.
+func (c *call) awaitRecord(a *attempt) {
+	if a.recorded == nil {
+		return
+	}
+	timeout := time.NewTimer(maxRecordWait)
+	defer timeout.Stop()
+	select {
+	case <-a.recorded:
+	case <-timeout.C:
+	case <-c.r.Context().Done():
+	}
+}
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -66,6 +66,9 @@
 			return
 		}
 		c.logFailedAttempt(a, v)
+		if events != nil && !c.headerSent {
+			events = sse.NewSplitter(maxEventBytes) // what it has taken was not sent
+		}
 		if a = c.resume(ctx, events, v); a == nil {
 			c.abortStream(ctx, v)
 			return
@@ -85,7 +88,7 @@
 // resume dispatches the request to another endpoint to continue the stream after the
 // last event that was sent to the caller. It returns nil if the stream can't be resumed.
 func (c *call) resume(ctx context.Context, events *sse.Splitter, v *verdict.Error) *attempt {
-	if events == nil {
+	if events == nil || c.originUnreadable {
 		return nil
 	}
 	events.DiscardPartial()
@@ -208,6 +211,9 @@
 		p = complete
 	}
 	if !c.headerSent {
+		if err := c.beginStream(a, events != nil); err != nil {
+			return err
+		}
 		c.writeStreamHeader(a.response)
 	}
 	c.setWriteDeadline(out)
--- a/internal/edge/types.go
+++ b/internal/edge/types.go
@@ -39,6 +39,8 @@
 	// LastEventID is the id of the last event that the caller received of the stream
 	// it resumes, empty for a new stream.
 	LastEventID string
+	// Resumes is the request that brought the first event of that stream, empty if not stated.
+	Resumes entity.RequestID
 }
 
 // SlotRequest describes a request that needs a slot on an endpoint.
@@ -64,6 +66,9 @@
 	Target, FirstEventBy, Deadline time.Time
 	// IsRetry reports whether the caller has probably sent this request before.
 	IsRetry bool
+	// Version is the only software version of endpoints that may get the request, empty if any
+	// may. It is set once the stream that the request begins or goes on with has an event.
+	Version string
 }
 
 // Slot is the permission for one dispatch to an endpoint.
@@ -135,6 +140,13 @@
 	// TakeRetry takes one retry from the pool's retry budget. It returns false if the
 	// budget is used up.
 	TakeRetry(pool entity.PoolID) bool
+	// RecordOrigin records which endpoint is about to begin the stream of a request. The stream's
+	// first event may be sent to the caller once the returned channel is closed; nil means at once.
+	RecordOrigin(r SlotRequest, e *catalog.Endpoint, dispatch int) <-chan struct{}
+	// OriginOf returns the software version that began the stream of another request of a pool.
+	OriginOf(ctx context.Context, pool entity.PoolID, stream entity.RequestID) (version string, v *verdict.Error)
+	// IsCurrent reports whether an endpoint's incarnation is the newest one that is known.
+	IsCurrent(e *catalog.Endpoint) bool
 	// MayRetryLost reports whether a request that was lost with its endpoint may be sent to
 	// another one.
 	MayRetryLost(r SlotRequest) bool
--- a/internal/gateway/instance.go
+++ b/internal/gateway/instance.go
@@ -73,6 +73,7 @@
 	holds      *holds
 	limits     *endpointLimits
 	quarantine *quarantineTable
+	origins    *origins
 	start      *startGate
 	self       entity.Instance
 	control    *control
@@ -107,6 +108,7 @@
 	g.services = &services{table: balance.New(), zone: s.Zone}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.self = newIdentity(s)
+	g.origins = newOrigins(g)
 	g.quarantine.setTrialDelay(rand.N(maxTrialDelay))
 	g.transport = g.newTransport(g.self)
 	g.control = newControl(g, g.self)
@@ -142,7 +144,7 @@
 	}
 	time.AfterFunc(startTimeout, g.start.open)
 	var background sync.WaitGroup
-	for _, f := range []func(context.Context){g.control.run, g.register, g.keepQuarantine, g.follower.run, g.housekeep} {
+	for _, f := range []func(context.Context){g.control.run, g.register, g.keepQuarantine, g.origins.run, g.follower.run, g.housekeep} {
 		background.Go(func() { f(ctx) })
 	}
 	select {
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -155,7 +155,10 @@
 		return edge.Slot{}, v
 	}
 	now := time.Now()
-	endpoints := g.state.endpoints.Load().Pool(r.Pool)
+	endpoints := ofVersion(g.state.endpoints.Load().Pool(r.Pool), r.Version)
+	if len(endpoints) == 0 && r.Version != "" {
+		return edge.Slot{}, versionGone(r)
+	}
 	unlimited, limited := g.limits.split(g.holds.usable(now, endpoints))
 	if len(unlimited) > 0 {
 		if e := g.limits.takeShare(now, limited, g.settings.Zone); e != nil {
--- /dev/null
+++ b/internal/gateway/originbases.go
@@ -0,0 +1,99 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/origin"
+	"github.com/medlarhold/medlarhold/internal/telemetry"
+)
+
+// run keeps the bases known to this instance, and chooses them if it is the one that does, until
+// ctx ends.
+func (o *origins) run(ctx context.Context) {
+	chooser := origin.NewChooser(time.Now(), o.g.settings.FirstStart)
+	var nextRead time.Time
+	for ctx.Err() == nil {
+		now := time.Now()
+		o.expire(now)
+		_, chooses := o.present()
+		pools := o.resumablePools()
+		switch {
+		case len(pools) == 0:
+		case chooses:
+			o.choose(ctx, chooser, pools)
+		case !now.Before(nextRead):
+			o.refreshBases(ctx)
+			nextRead = now.Add(basesInterval/2 + rand.N(basesInterval/2))
+		}
+		pause(ctx, chooseInterval)
+	}
+}
+
+func (o *origins) expire(now time.Time) {
+	o.log.expire(now)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.table.Expire(now)
+}
+
+// resumablePools returns the pools that serve resumable streams.
+func (o *origins) resumablePools() []entity.PoolID {
+	cfg := o.g.state.config.Load()
+	if cfg == nil {
+		return nil
+	}
+	return cfg.ResumablePools()
+}
+
+// refreshBases asks the zone's keeper for the bases.
+func (o *origins) refreshBases(ctx context.Context) {
+	keepers, _ := o.present()
+	for _, k := range keepers[:min(1, len(keepers))] {
+		// After an error the bases known before are used: a record too many is written.
+		if found, err := o.findAt(ctx, k, findOrigins{}); err == nil {
+			o.addBases(found.Bases)
+		}
+	}
+}
+
+// choose reads the log now and then, and writes the bases that are to change. It also removes
+// records that are no longer needed.
+func (o *origins) choose(ctx context.Context, chooser *origin.Chooser, pools []entity.PoolID) {
+	if !o.log.readWithin(basesInterval) {
+		if o.log.read(ctx) != nil {
+			return
+		}
+	}
+	_, bases := o.log.find(nil)
+	o.addBases(bases)
+	changed := o.nextBases(chooser, pools)
+	if (len(changed) > 0 || o.log.lacksBases()) && o.log.read(ctx) == nil && o.log.setBases(ctx, changed) == nil {
+		o.addBases(changed)
+		telemetry.Log(o.g.log, telemetry.EventBaseChosen, "bases", changed)
+	}
+	if expired := o.log.expiredKeys(time.Now()); len(expired) > 0 {
+		o.g.metrics.LogCall("append", "origins")
+		// After an error the next call removes them.
+		_ = o.g.adapter.Store.AppendOrigins(ctx, nil, expired)
+	}
+}
+
+// nextBases returns the bases that are to change.
+func (o *origins) nextBases(chooser *origin.Chooser, pools []entity.PoolID) []origin.Base {
+	var changed []origin.Base
+	endpoints := o.g.state.endpoints.Load()
+	for _, p := range pools {
+		versions := make(map[string]int)
+		for _, e := range endpoints.Pool(p) {
+			versions[e.Version]++
+		}
+		current, stated := o.log.base(p)
+		if next, ok := chooser.Next(time.Now(), p, versions, current, stated); ok {
+			changed = append(changed, next)
+		}
+	}
+	return changed
+}
--- /dev/null
+++ b/internal/gateway/originlog.go
@@ -0,0 +1,218 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/origin"
+	"github.com/medlarhold/medlarhold/internal/core/storeera"
+)
+
+const (
+	// originAppendInterval is the minimum time between two appends of one instance. It is short
+	// compared with the time to the first event, during which a record is written.
+	originAppendInterval = 50 * time.Millisecond
+	// basesKey is the key of the record that holds the bases.
+	basesKey = "bases"
+)
+
+// originLog reads and writes the origins of streams in the store. It is safe for concurrent use.
+type originLog struct {
+	g       *Instance
+	appends batcher[origin.Record]
+	reads   batcher[struct{}]
+
+	mu    sync.Mutex
+	table *origin.Table
+	// at is the position up to which the log has been read, readAt when the last read began that
+	// succeeded.
+	at     storeera.Position
+	readAt time.Time
+	// keys holds when each key of the log was first seen.
+	keys map[string]time.Time
+	// own holds the records that this instance has appended, to be appended again after a
+	// replacement of the store.
+	own *origin.Table
+	// appended numbers the appends.
+	appended uint64
+	// replaced is set while the bases may be missing in a store that came back from an older copy.
+	replaced bool
+}
+
+func newOriginLog(g *Instance) *originLog {
+	l := &originLog{g: g, table: origin.NewTable(), own: origin.NewTable(), at: storeera.Start(0), keys: make(map[string]time.Time)}
+	l.appends = batcher[origin.Record]{ctx: g.ctx, interval: originAppendInterval, run: l.appendBatch}
+	l.reads = batcher[struct{}]{ctx: g.ctx, run: func(ctx context.Context, _ []struct{}) error { return l.readToEnd(ctx) }}
+	return l
+}
+
+// record adds records, and returns once they are in the store. They can be found from the
+// beginning of the call on.
+func (l *originLog) record(ctx context.Context, records []origin.Record) error {
+	l.mu.Lock()
+	l.table.Add(time.Now(), records)
+	l.mu.Unlock()
+	return l.appends.submit(records...).wait(ctx)
+}
+
+// appendBatch appends records to the log.
+func (l *originLog) appendBatch(ctx context.Context, records []origin.Record) error {
+	l.mu.Lock()
+	l.appended++
+	key := fmt.Sprintf("%s/%d", l.g.self.ID, l.appended)
+	l.own.Add(time.Now(), records)
+	l.mu.Unlock()
+	l.g.metrics.LogCall("append", "origins")
+	return l.g.adapter.Store.AppendOrigins(ctx, nil, []OriginRecord{{Key: key, Batch: &origin.Batch{Records: records}}})
+}
+
+// read reads the log to its end, and returns once a read that began after the call has ended.
+func (l *originLog) read(ctx context.Context) error { return l.reads.submit(struct{}{}).wait(ctx) }
+
+// readToEnd reads what was appended to the log since the last read, or all of it if the store was
+// replaced since.
+func (l *originLog) readToEnd(ctx context.Context) error {
+	for {
+		started := time.Now()
+		l.mu.Lock()
+		from := l.at
+		l.mu.Unlock()
+		l.g.metrics.LogCall("read", "origins")
+		read, err := l.g.adapter.Store.Origins(ctx, from)
+		if err != nil {
+			return err
+		}
+		if storeera.Judge(from.Era, from, read.Next.Era) == storeera.Use {
+			l.apply(started, &read)
+			return nil
+		}
+		l.restart(read.Next.Era)
+	}
+}
+
+// apply adds what was read.
+func (l *originLog) apply(started time.Time, read *OriginsRead) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if read.Complete {
+		clear(l.keys)
+	}
+	for _, r := range read.Records {
+		if r.Batch == nil {
+			delete(l.keys, r.Key)
+			continue
+		}
+		if _, ok := l.keys[r.Key]; !ok {
+			l.keys[r.Key] = started
+		}
+		l.table.Add(started, r.Batch.Records)
+		l.table.SetBases(r.Batch.Bases)
+	}
+	l.at, l.readAt = read.Next, started
+}
+
+// restart makes the next read begin at the start: the store came back from an older copy, which may
+// lack what was appended since.
+func (l *originLog) restart(era int64) {
+	l.mu.Lock()
+	l.at, l.replaced = storeera.Start(era), true
+	clear(l.keys)
+	lost := l.own.Records()
+	l.mu.Unlock()
+	if len(lost) > 0 {
+		l.appends.submit(lost...)
+	}
+}
+
+// find returns the records of streams that are known, and the bases.
+func (l *originLog) find(streams []origin.Stream) (found []origin.Record, bases []origin.Base) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range streams {
+		if r, ok := l.table.Find(s); ok {
+			found = append(found, r)
+		}
+	}
+	return found, l.table.Bases()
+}
+
+// onlyBase returns the pools of which no stream has a record of another version than the base.
+func (l *originLog) onlyBase() []entity.PoolID {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []entity.PoolID
+	for _, b := range l.table.Bases() {
+		if l.table.OnlyBase(b.Pool) {
+			out = append(out, b.Pool)
+		}
+	}
+	return out
+}
+
+// base returns the newest statement about a pool's base.
+func (l *originLog) base(pool entity.PoolID) (origin.Base, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.table.Base(pool)
+}
+
+// lacksBases reports whether the bases may be missing in the store.
+func (l *originLog) lacksBases() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.replaced && len(l.table.Bases()) > 0
+}
+
+// readWithin reports whether the log has been read to its end not longer ago than d.
+func (l *originLog) readWithin(d time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.readAt.IsZero() && time.Since(l.readAt) <= d
+}
+
+// expire forgets records that are no longer needed.
+func (l *originLog) expire(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.table.Expire(now)
+	l.own.Expire(now)
+}
+
+// maxRemovals is the number of keys that are removed from the store in one call.
+const maxRemovals = 500
+
+// expiredKeys returns keys of the log whose records are no longer needed.
+func (l *originLog) expiredKeys(now time.Time) []OriginRecord {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []OriginRecord
+	for key, seen := range l.keys {
+		if key != basesKey && now.Sub(seen) > origin.Retention && len(out) < maxRemovals {
+			out = append(out, OriginRecord{Key: key})
+		}
+	}
+	return out
+}
+
+// setBases writes the bases, unless the log has changed since it was read.
+func (l *originLog) setBases(ctx context.Context, changed []origin.Base) error {
+	l.mu.Lock()
+	at := l.at
+	next := origin.NewTable()
+	next.SetBases(l.table.Bases())
+	next.SetBases(changed)
+	l.mu.Unlock()
+	l.g.metrics.LogCall("append", "origins")
+	err := l.g.adapter.Store.AppendOrigins(ctx, &at, []OriginRecord{{Key: basesKey, Batch: &origin.Batch{Bases: next.Bases()}}})
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.table.SetBases(changed)
+	l.replaced = false
+	return nil
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -56,6 +56,8 @@
 	peer.Register[broker.Withdraw](r, "undo", peer.CauseRequest)
 	peer.Register[broker.Started](r, "begun", peer.CauseRequest)
 	peer.Register[broker.Done](r, "done", peer.CauseRequest)
+	r.RegisterQuery(queryRecordOrigins, peer.CauseRequest)
+	r.RegisterQuery(queryFindOrigins, peer.CauseRequest)
 	return r
 }
 
@@ -67,13 +69,31 @@
 		HandleMessage: func(from entity.Instance, msg any) { g.control.post(g.ctx, fromPeer{from: from.ID, msg: msg}) },
 		OnSendFailed:  func(to entity.InstanceID, msg any) { go g.control.post(g.ctx, peerFailed{to: to, msg: msg}) },
 		OnDisconnect:  func(to entity.InstanceID) { go g.control.post(g.ctx, peerFailed{to: to}) },
-		HandleQuery: func(context.Context, entity.Instance, string, json.RawMessage) (any, error) {
-			return nil, trace.NotImplemented("no questions are answered")
-		},
-		Clock: time.Now, Log: g.log, Metrics: g.metrics,
+		HandleQuery:   g.handleQuery,
+		Clock:         time.Now, Log: g.log, Metrics: g.metrics,
 	})
 }
 
+// handleQuery answers a query of another instance.
+func (g *Instance) handleQuery(ctx context.Context, _ entity.Instance, method string, params json.RawMessage) (any, error) {
+	switch method {
+	case queryRecordOrigins:
+		return answerQuery(ctx, params, g.origins.answerRecord)
+	case queryFindOrigins:
+		return answerQuery(ctx, params, g.origins.answerFind)
+	}
+	return nil, trace.NotImplemented("unknown query %q", method)
+}
+
+// answerQuery decodes the parameters of a query and answers it.
+func answerQuery[P, R any](ctx context.Context, params json.RawMessage, answer func(context.Context, P) (R, error)) (any, error) {
+	var p P
+	if err := json.Unmarshal(params, &p); err != nil {
+		return nil, trace.BadParameter("parameters can't be read: %v", err)
+	}
+	return answer(ctx, p)
+}
+
 // peerKeys returns the key by which instances authenticate each other. The platform
 // provides no secret, so the key is derived from the store's address and only keeps
 // separate deployments apart.
--- a/internal/gateway/roles.go
+++ b/internal/gateway/roles.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -98,11 +99,25 @@
 		}
 	}
 	c.g.quarantine.setTrials(c.coordinatesFirstZone(remote))
+	c.setOriginKeepers(remote)
 	localZone, _ := c.view.Zone(c.self.Zone)
 	c.zone.SetCoordinators(c.roleHolder(c.self.Zone, coordinatorRole), remote, len(localZone.Members))
 	c.zone.SetReadRank(slices.IndexFunc(localZone.Members, func(m membership.Member) bool { return m.ID == c.self.ID }))
 }
 
+// setOriginKeepers tells which instances keep the origins of streams: the coordinators, that of the
+// local zone first.
+func (c *control) setOriginKeepers(remote map[entity.ZoneID]entity.InstanceID) {
+	var keepers []originKeeper
+	if id := c.roleHolder(c.self.Zone, coordinatorRole); id != "" {
+		keepers = append(keepers, originKeeper{id: id, address: c.addresses[id]})
+	}
+	for _, z := range slices.Sorted(maps.Keys(remote)) {
+		keepers = append(keepers, originKeeper{id: remote[z], address: c.addresses[remote[z]]})
+	}
+	c.g.origins.setKeepers(keepers, c.coordinatesFirstZone(remote))
+}
+
 // coordinatesFirstZone reports whether this instance is the coordinator of the first zone
 // by name, given the coordinators of the others. At most one instance is, unless instances
 // disagree about the members.
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -83,7 +83,7 @@
 				return edge.Slot{}, v
 			}
 		}
-		if e, ok := g.state.endpoints.Load().Get(d.Endpoint); ok && !e.Leaving && !g.holds.holdsOff(time.Now(), e) {
+		if e, ok := g.state.endpoints.Load().Get(d.Endpoint); ok && !e.Leaving && servesVersion(e, r.Version) && !g.holds.holdsOff(time.Now(), e) {
 			return g.newSlot(r, e), nil
 		}
 		g.control.post(g.ctx, abandon{id: r.ID})
@@ -97,7 +97,7 @@
 	reply := make(chan reserve.Decision, 1)
 	g.control.post(g.ctx, acquire{reply: reply, request: reserve.Request{
 		ID: r.ID, Pool: r.Pool, Rank: r.Rank, PromptTokens: r.PromptTokens, AnswerTokens: r.AnswerTokens,
-		Target: r.Target, Deadline: r.FirstEventBy, End: r.Deadline, IsRetry: r.IsRetry, Avoid: avoid,
+		Target: r.Target, Deadline: r.FirstEventBy, End: r.Deadline, IsRetry: r.IsRetry, Avoid: avoid, Version: r.Version,
 	}})
 	select {
 	case d := <-reply:
@@ -151,6 +151,8 @@
 		return g.noEndpointError(r)
 	case broker.DenyDeadline:
 		v.Message = "no engine could answer in the time that is left"
+	case broker.DenyVersion:
+		return versionGone(r)
 	case broker.DenyLimit:
 		v.Reason = verdict.ReasonEndpointLimit
 		v.Message = "more requests wait than the endpoints say that they take"
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -6,6 +6,7 @@
 
 	"github.com/medlarhold/medlarhold/internal/core/catalog"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/origin"
 	"github.com/medlarhold/medlarhold/internal/core/quarantine"
 	"github.com/medlarhold/medlarhold/internal/core/storeera"
 )
@@ -28,6 +29,28 @@
 	// LoadQuarantine returns the records that were saved last, with their ages of now; nil
 	// if there are none.
 	LoadQuarantine(ctx context.Context) (*quarantine.State, error)
+	// AppendOrigins appends records of the origins of streams, in one step. If at is not nil, it
+	// fails unless the log ends there.
+	AppendOrigins(ctx context.Context, at *storeera.Position, records []OriginRecord) error
+	// Origins returns the records of origins that were appended after a position.
+	Origins(ctx context.Context, after storeera.Position) (OriginsRead, error)
+}
+
+// OriginRecord is one record of the log of origins. The newest record of each key is kept.
+type OriginRecord struct {
+	Key string
+	// Batch is nil if the record removes the key.
+	Batch *origin.Batch
+}
+
+// OriginsRead is the result of Store.Origins.
+type OriginsRead struct {
+	Records []OriginRecord
+	// Complete is set if the records are the newest of each key, and not what was appended after
+	// a position.
+	Complete bool
+	// Next is the position for the next read. It has the era of the response.
+	Next storeera.Position
 }
 
 // ConfigRead is the result of Store.Config.
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -64,6 +64,8 @@
 	EventPartTried            = Event{6013, "quarantined part is tried with one request", 0}
 	EventEndpointLimited      = Event{6014, "endpoint states how many requests a second it takes from all instances", 0}
 	EventEndpointUnlimited    = Event{6015, "endpoint states no limit any more", 0}
+	EventOriginsNotRecorded   = Event{6016, "origins of streams could not be recorded, tried again", 0}
+	EventBaseChosen           = Event{6017, "version that began all streams without a record has changed", 0}
 	EventLeaseAcquired        = Event{6002, "lease held", 0}
 	EventLeaseLost            = Event{6003, "lease given up or lapsed", 0}
 	EventOrderSent            = Event{6004, "order sent to endpoint", 0}
@@ -83,7 +85,7 @@
 		EventLogUnavailable, EventLogRestored, EventListUnavailable, EventAppendUnknown, EventStoreReplaced, EventStoreSettled,
 		EventConfigApplied, EventConfigRejected, EventConfigCaughtUp, EventConfigSnapshot, EventConfigFromPeer,
 		EventEndpointFailed, EventLeaseAcquired, EventLeaseLost, EventOrderSent, EventOrderRefused, EventEntryMalformed, EventEndpointsChanged, EventEndpointDeparting, EventEndpointHeldOff,
-		EventRunLost, EventPartQuarantined, EventPartReleased, EventPartTried, EventEndpointLimited, EventEndpointUnlimited,
+		EventRunLost, EventPartQuarantined, EventPartReleased, EventPartTried, EventEndpointLimited, EventEndpointUnlimited, EventOriginsNotRecorded, EventBaseChosen,
 		EventBadInput, EventSettingsReloaded, EventSettingsReloadFailed, EventSettingsChecked,
 	}
 }
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -63,6 +63,8 @@
 	ReasonAnswerTooLarge   Reason = "answer_too_large"
 	ReasonQuarantined      Reason = "quarantined"
 	ReasonEndpointLimit    Reason = "endpoint_limit"
+	ReasonOriginUnknown    Reason = "origin_unknown"
+	ReasonVersionGone      Reason = "version_gone"
 	ReasonCallerGone       Reason = "caller_gone"
 	ReasonPreempted        Reason = "preempted"
 	ReasonRetryBudget      Reason = "retry_budget"
@@ -100,6 +102,8 @@
 	ReasonAnswerTooLarge:   http.StatusBadGateway,
 	ReasonQuarantined:      http.StatusServiceUnavailable,
 	ReasonEndpointLimit:    http.StatusServiceUnavailable,
+	ReasonOriginUnknown:    http.StatusServiceUnavailable,
+	ReasonVersionGone:      http.StatusServiceUnavailable,
 	ReasonCallerGone:       499,
 	ReasonPreempted:        http.StatusServiceUnavailable,
 	ReasonRetryBudget:      http.StatusServiceUnavailable,
