Origins of streams: those begun while the store is away are told to two zones

Now each message carries all records that are not in the store yet; the keepers of two zones hold them in memory until they are, and the first event waits for that without a limit of its own. A search goes on for up to 1.5 s while the store does not answer, and then is refused. Calls that began while the store was away are given up after a second.

--- a/internal/edge/origin.go
+++ b/internal/edge/origin.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/verdict"
@@ -12,10 +11,6 @@
 // A resumable stream goes on only at the software version of endpoints that began it: what two
 // versions write doesn't fit together, and endpoints don't check it.
 
-// maxRecordWait is how long the first event of a stream is held back until its origin is recorded.
-// It is longer than a slow store takes, and shorter than callers wait for the first event.
-const maxRecordWait = time.Second
-
 // errRestarted is returned if a stream began at an endpoint that has restarted since.
 var errRestarted = errors.New("the endpoint has restarted, its version is not certain")
 
@@ -52,22 +47,26 @@
 	if !c.server.opts.Scheduler.IsCurrent(a.slot.Endpoint) {
 		return errRestarted
 	}
-	c.awaitRecord(a)
+	if err := c.awaitRecord(a); err != nil {
+		return err
+	}
 	c.slotRequest.Version = a.slot.Endpoint.Version
 	c.originUnreadable = c.slotRequest.Version == ""
 	return nil
 }
 
-// awaitRecord waits until the origin of a stream is recorded, but not for long.
-func (c *call) awaitRecord(a *attempt) {
+// awaitRecord waits until the origin of a stream is recorded. It gives up when the request's time
+// has run out or its caller has gone.
+func (c *call) awaitRecord(a *attempt) error {
 	if a.recorded == nil {
-		return
+		return nil
 	}
-	timeout := time.NewTimer(maxRecordWait)
-	defer timeout.Stop()
+	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
+	defer cancel()
 	select {
 	case <-a.recorded:
-	case <-timeout.C:
-	case <-c.r.Context().Done():
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
 	}
 }
--- a/internal/gateway/originlog.go
+++ b/internal/gateway/originlog.go
@@ -15,6 +15,9 @@
 	// originAppendInterval is the minimum time between two appends of one instance. It is short
 	// compared with the time to the first event, during which a record is written.
 	originAppendInterval = 50 * time.Millisecond
+	// originCallTimeout bounds one call of the store: one that began while it was away may never be
+	// answered.
+	originCallTimeout = time.Second
 	// basesKey is the key of the record that holds the bases.
 	basesKey = "bases"
 )
@@ -50,23 +53,43 @@
 }
 
 // record adds records, and returns once they are in the store. They can be found from the
-// beginning of the call on.
+// beginning of the call on. Records that were added before are not appended again.
 func (l *originLog) record(ctx context.Context, records []origin.Record) error {
 	l.mu.Lock()
+	var missing []origin.Record
+	for _, r := range records {
+		if known, ok := l.own.Find(r.Stream); !ok || known != r {
+			missing = append(missing, r)
+		}
+	}
 	l.table.Add(time.Now(), records)
 	l.mu.Unlock()
-	return l.appends.submit(records...).wait(ctx)
+	if len(missing) == 0 {
+		return nil
+	}
+	return l.appends.submit(missing...).wait(ctx)
 }
 
 // appendBatch appends records to the log.
 func (l *originLog) appendBatch(ctx context.Context, records []origin.Record) error {
+	ctx, cancel := context.WithTimeout(ctx, originCallTimeout)
+	defer cancel()
+	once := origin.NewTable() // instances that wait have sent some more than once
+	once.Add(time.Now(), records)
+	records = once.Records()
 	l.mu.Lock()
 	l.appended++
 	key := fmt.Sprintf("%s/%d", l.g.self.ID, l.appended)
-	l.own.Add(time.Now(), records)
 	l.mu.Unlock()
 	l.g.metrics.LogCall("append", "origins")
-	return l.g.adapter.Store.AppendOrigins(ctx, nil, []OriginRecord{{Key: key, Batch: &origin.Batch{Records: records}}})
+	err := l.g.adapter.Store.AppendOrigins(ctx, nil, []OriginRecord{{Key: key, Batch: &origin.Batch{Records: records}}})
+	if err != nil {
+		return err // the instances send them again
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.own.Add(time.Now(), records)
+	return nil
 }
 
 // read reads the log to its end, and returns once a read that began after the call has ended.
@@ -75,6 +98,8 @@
 // readToEnd reads what was appended to the log since the last read, or all of it if the store was
 // replaced since.
 func (l *originLog) readToEnd(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, originCallTimeout)
+	defer cancel()
 	for {
 		started := time.Now()
 		l.mu.Lock()
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -20,38 +20,49 @@
 
 // Queries between instances.
 const (
-	// queryRecordOrigins has []origin.Record as parameter and []origin.Base as result.
+	// queryRecordOrigins has []origin.Record as parameter and an originsRecorded as result.
 	queryRecordOrigins = "origin-record"
 	// queryFindOrigins has a findOrigins as parameter and an originsFound as result.
 	queryFindOrigins = "origin-find"
 )
 
 const (
+	// keeperWait is how long a keeper waits for the store before it answers a query. It is less
+	// than exchangeTimeout.
+	keeperWait = 120 * time.Millisecond
 	// basesInterval is the time between two reads of the bases.
 	basesInterval = 10 * time.Second
 	// chooseInterval is the time between two checks whether a base is to change.
 	chooseInterval = time.Second
-	// originTimeout bounds one attempt to record or find origins at one instance.
-	originTimeout = 400 * time.Millisecond
-	// recordRetryInterval is the time after which records are tried again that no instance could
-	// append.
-	recordRetryInterval = 200 * time.Millisecond
+	// originRetryInterval is the time after which a query is sent again that had no result.
+	originRetryInterval = 100 * time.Millisecond
+	// maxOriginSearch is how long the origin of a stream is looked for: less than callers wait.
+	maxOriginSearch = 1500 * time.Millisecond
 	// originRetryAfter is the retry time sent to callers whose stream can't go on now.
 	originRetryAfter = 500 * time.Millisecond
 )
 
+// originsRecorded answers a query to record origins. The answering instance can find the records.
+type originsRecorded struct {
+	// Durable is set if the records are in the store.
+	Durable bool          `json:"d,omitempty"`
+	Bases   []origin.Base `json:"b,omitempty"`
+}
+
 // findOrigins asks for the records of streams.
 type findOrigins struct {
 	Streams []origin.Stream `json:"s,omitempty"`
 	// KnownOnly is set if the store is not to be read.
 	KnownOnly bool `json:"k,omitempty"`
+	// Age is how long ago the search began. The store is to be read since.
+	Age time.Duration `json:"a,omitempty"`
 }
 
 // originsFound answers a findOrigins.
 type originsFound struct {
 	Records []origin.Record `json:"r,omitempty"`
 	Bases   []origin.Base   `json:"b,omitempty"`
-	// Read is set if the store has been read since the query arrived.
+	// Read is set if the store has been read to its end since the search began.
 	Read bool `json:"c,omitempty"`
 	// OnlyBase lists the pools of which no stream has a record of another version than the base.
 	OnlyBase []entity.PoolID `json:"o,omitempty"`
@@ -67,7 +78,7 @@
 type origins struct {
 	g       *Instance
 	log     *originLog
-	records batcher[origin.Record]
+	sends   batcher[*unsent]
 	lookups batcher[*lookup]
 
 	mu sync.Mutex
@@ -79,18 +90,31 @@
 	table *origin.Table
 }
 
+// unsent is a record that is not in the store yet.
+type unsent struct {
+	origin.Record
+	since time.Time
+	// released is closed once the stream's first event may be sent to the caller.
+	released chan struct{}
+	once     sync.Once
+}
+
+func (u *unsent) release() { u.once.Do(func() { close(u.released) }) }
+
 // lookup is a search for the origin of one stream.
 type lookup struct {
 	stream origin.Stream
-	// version is the origin if known is set.
+	since  time.Time
+	// version is the origin if known is set. Both are valid once done is closed.
 	version string
 	known   bool
+	done    chan struct{}
 }
 
 func newOrigins(g *Instance) *origins {
 	o := &origins{g: g, log: newOriginLog(g), table: origin.NewTable()}
-	o.records = batcher[origin.Record]{ctx: g.ctx, run: o.recordBatch}
-	o.lookups = batcher[*lookup]{ctx: g.ctx, run: o.findBatch}
+	o.sends = batcher[*unsent]{ctx: g.ctx, run: o.send}
+	o.lookups = batcher[*lookup]{ctx: g.ctx, run: o.find}
 	return o
 }
 
@@ -116,97 +140,162 @@
 // RecordOrigin implements edge.Scheduler.
 func (g *Instance) RecordOrigin(r edge.SlotRequest, e *catalog.Endpoint, dispatch int) <-chan struct{} {
 	record := origin.Record{Stream: origin.Stream{Pool: r.Pool, Request: r.ID}, Version: e.Version, Dispatch: dispatch}
+	now := time.Now()
 	o := g.origins
 	o.mu.Lock()
 	before, dispatched := o.table.Find(record.Stream)
 	needed := o.table.NeedsRecord(r.Pool, e.Version) || dispatched && before.Version != e.Version
-	o.table.Add(time.Now(), []origin.Record{record})
+	o.table.Add(now, []origin.Record{record})
 	o.mu.Unlock()
 	if !needed {
 		return nil
 	}
-	return o.records.submit(record).done
+	u := &unsent{Record: record, since: now, released: make(chan struct{})}
+	o.sends.submit(u)
+	return u.released
 }
 
-// recordBatch has records appended, by the first keeper that can or by this instance. It does not
-// give up before they are of no use.
-func (o *origins) recordBatch(ctx context.Context, records []origin.Record) error {
-	for end := time.Now().Add(origin.Retention); ctx.Err() == nil && time.Now().Before(end); pause(ctx, recordRetryInterval) {
-		keepers, _ := o.present()
-		for _, k := range slices.Concat(keepers, []originKeeper{{id: o.g.self.ID}}) {
-			bases, err := o.recordAt(ctx, k, records)
-			if err == nil {
-				o.addBases(bases)
-				return nil
-			}
+// send has records appended to the store. Those that the store does not take at once are told to the
+// keepers of two zones, which find them until they are in the store, and sent again.
+func (o *origins) send(ctx context.Context, items []*unsent) error {
+	records := make([]origin.Record, 0, len(items))
+	for _, u := range items {
+		records = append(records, u.Record)
+	}
+	if durable, told := o.record(ctx, records); durable || told {
+		for _, u := range items {
+			u.release()
+		}
+		if durable {
+			return nil
+		}
+	}
+	telemetry.Log(o.g.log, telemetry.EventOriginsNotRecorded, "records", len(records), "oldest_ms", time.Since(items[0].since).Milliseconds())
+	for _, u := range items {
+		if time.Since(u.since) < origin.Retention {
+			o.sends.submit(u)
 		}
-		telemetry.Log(o.g.log, telemetry.EventOriginsNotRecorded, "records", len(records))
 	}
-	return ctx.Err()
+	pause(ctx, originRetryInterval)
+	return nil
 }
 
-// recordAt has records appended by one instance, and returns the bases that it knows.
-func (o *origins) recordAt(ctx context.Context, k originKeeper, records []origin.Record) (bases []origin.Base, err error) {
-	ctx, cancel := context.WithTimeout(ctx, originTimeout)
-	defer cancel()
+// toldKeepers is the number of keepers that are told of records that are not in the store.
+const toldKeepers = 2
+
+// record has records appended by a keeper, or by this instance if it reaches none. It reports
+// whether they are in the store, and whether enough keepers were told.
+func (o *origins) record(ctx context.Context, records []origin.Record) (durable, told bool) {
+	keepers, _ := o.present()
+	answers := 0
+	for _, k := range keepers {
+		answer, err := o.recordAt(ctx, k, records)
+		if err != nil {
+			continue
+		}
+		o.addBases(answer.Bases)
+		if answer.Durable {
+			return true, true
+		}
+		if answers++; answers == toldKeepers {
+			return false, true
+		}
+	}
+	if answers == 0 {
+		answer, err := o.answerRecord(ctx, records)
+		return err == nil && answer.Durable, false
+	}
+	return false, answers >= min(toldKeepers, len(keepers))
+}
+
+// recordAt has records appended by one keeper.
+func (o *origins) recordAt(ctx context.Context, k originKeeper, records []origin.Record) (answer originsRecorded, err error) {
 	if k.id == o.g.self.ID {
 		return o.answerRecord(ctx, records)
 	}
-	err = o.g.transport.Call(ctx, k.id, k.address, queryRecordOrigins, records, &bases)
-	return bases, err
+	err = o.g.transport.Call(ctx, k.id, k.address, queryRecordOrigins, records, &answer)
+	return answer, err
 }
 
 // answerRecord appends records for another instance.
-func (o *origins) answerRecord(ctx context.Context, records []origin.Record) ([]origin.Base, error) {
-	if err := o.log.record(ctx, records); err != nil {
-		return nil, err
-	}
+func (o *origins) answerRecord(ctx context.Context, records []origin.Record) (originsRecorded, error) {
+	ctx, cancel := context.WithTimeout(ctx, keeperWait)
+	defer cancel()
+	err := o.log.record(ctx, records)
 	_, bases := o.log.find(nil)
-	return bases, nil
+	return originsRecorded{Durable: err == nil, Bases: bases}, nil
 }
 
 // OriginOf implements edge.Scheduler.
 func (g *Instance) OriginOf(ctx context.Context, pool entity.PoolID, stream entity.RequestID) (string, *verdict.Error) {
 	o := g.origins
-	l := &lookup{stream: origin.Stream{Pool: pool, Request: stream}}
+	l := &lookup{stream: origin.Stream{Pool: pool, Request: stream}, since: time.Now(), done: make(chan struct{})}
 	o.mu.Lock()
 	own, known := o.table.Find(l.stream)
 	o.mu.Unlock()
 	if known {
-		l.version, l.known = own.Version, true
-	} else {
-		// The error is ignored: without an answer the origin stays unknown.
-		_ = o.lookups.submit(l).wait(ctx)
+		return originOrUnknown(own.Version, true)
+	}
+	o.lookups.submit(l)
+	select {
+	case <-l.done:
+		return originOrUnknown(l.version, l.known)
+	case <-ctx.Done():
+		return originOrUnknown("", false)
 	}
-	if ctx.Err() != nil || !l.known || l.version == "" {
+}
+
+func originOrUnknown(version string, known bool) (string, *verdict.Error) {
+	if !known || version == "" {
 		return "", &verdict.Error{Verdict: verdict.NotRun, Reason: verdict.ReasonOriginUnknown, RetryAfter: originRetryAfter,
 			Message: "it is not known which version began the stream; begin it anew if this goes on"}
 	}
-	return l.version, nil
+	return version, nil
 }
 
-// findBatch looks for the origins of several streams at once.
-func (o *origins) findBatch(ctx context.Context, lookups []*lookup) error {
+// find looks for the origins of several streams at once. Those that it can't tell are looked for
+// again until maxOriginSearch has passed.
+func (o *origins) find(ctx context.Context, lookups []*lookup) error {
 	var streams []origin.Stream
+	oldest := time.Duration(0)
 	for _, l := range lookups {
 		streams = append(streams, l.stream)
+		oldest = max(oldest, time.Since(l.since))
 	}
 	keepers, _ := o.present()
-	var found originsFound
-	for _, k := range slices.Concat(keepers, []originKeeper{{id: o.g.self.ID}}) {
-		answer, err := o.findAt(ctx, k, findOrigins{Streams: streams})
-		found.Records = append(found.Records, answer.Records...)
-		if err == nil && answer.Read {
-			found.Bases, found.OnlyBase, found.Read = answer.Bases, answer.OnlyBase, true
-			break
-		}
-	}
+	found := o.findInStore(ctx, keepers, findOrigins{Streams: streams, Age: oldest})
 	found.Records = append(found.Records, o.findElsewhere(ctx, keepers, streams, found.Records)...)
 	o.addBases(found.Bases)
 	resolve(lookups, &found)
+	again := false
+	for _, l := range lookups {
+		if !l.known && !found.Read && time.Since(l.since) < maxOriginSearch {
+			o.lookups.submit(l)
+			again = true
+			continue
+		}
+		close(l.done)
+	}
+	if again {
+		pause(ctx, originRetryInterval)
+	}
 	return nil
 }
 
+// findInStore asks the keepers one after the other until one has read the store, and then this
+// instance.
+func (o *origins) findInStore(ctx context.Context, keepers []originKeeper, query findOrigins) (found originsFound) {
+	for _, k := range slices.Concat(keepers, []originKeeper{{id: o.g.self.ID}}) {
+		answer, err := o.findAt(ctx, k, query)
+		if err == nil && answer.Read {
+			answer.Records = append(answer.Records, found.Records...)
+			return answer
+		}
+		found.Records = append(found.Records, answer.Records...)
+	}
+	return found
+}
+
 // findElsewhere asks the keepers for what they know of the streams that were not found: the store
 // may have been away when they were recorded.
 func (o *origins) findElsewhere(ctx context.Context, keepers []originKeeper, streams []origin.Stream, found []origin.Record) []origin.Record {
@@ -241,8 +330,6 @@
 
 // findAt asks one instance.
 func (o *origins) findAt(ctx context.Context, k originKeeper, query findOrigins) (found originsFound, err error) {
-	ctx, cancel := context.WithTimeout(ctx, originTimeout)
-	defer cancel()
 	if k.id == o.g.self.ID {
 		return o.answerFind(ctx, query)
 	}
@@ -250,11 +337,20 @@
 	return found, err
 }
 
-// answerFind answers a query for origins. What is not known is looked for in the store.
+// answerFind answers a query for origins. The store is read unless it has been since the search
+// began, or the bases are all that is asked for and were read not long ago.
 func (o *origins) answerFind(ctx context.Context, query findOrigins) (found originsFound, err error) {
 	if !query.KnownOnly {
-		needed := len(query.Streams) > 0 || !o.log.readWithin(basesInterval)
-		found.Read = !needed || o.log.read(ctx) == nil
+		within := query.Age
+		if len(query.Streams) == 0 {
+			within = basesInterval
+		}
+		found.Read = o.log.readWithin(within)
+		if !found.Read {
+			ctx, cancel := context.WithTimeout(ctx, keeperWait)
+			defer cancel()
+			found.Read = o.log.read(ctx) == nil
+		}
 	}
 	found.Records, found.Bases = o.log.find(query.Streams)
 	found.OnlyBase = o.log.onlyBase()
