--- a/internal/gateway/instance.go
+++ b/internal/gateway/instance.go
@@ -54,6 +54,8 @@
 	Store    Store
 	Callers  edge.HeaderCodec
 	Upstream upstream.HeaderCodec
+	// Dial opens a connection to an endpoint; upstream.DialTCP if it is not set.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Instance is one instance of the scheduler. Its methods are safe for concurrent
@@ -96,7 +98,7 @@
 	g := &Instance{settings: s, adapter: a, log: log, metrics: m, stop: make(chan struct{}), storeReplaced: make(chan struct{}, 1), quarantineChanged: make(chan struct{}, 1)}
 	g.state.endpoints.Store(catalog.NewEndpoints(nil))
 	g.client = upstream.New(upstream.Options{
-		HeaderCodec: a.Upstream, OnDial: m.Dialled,
+		HeaderCodec: a.Upstream, Dial: a.Dial, OnDial: m.Dialled,
 		OnLimitExceeded: func(l upstream.Limit) { m.EndpointLimitExceeded(string(l)) },
 	})
 	g.meter = &meter{meter: quota.NewMeter(time.Now(), s.FirstStart)}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -49,6 +49,9 @@
 	DialTimeout time.Duration
 	// IdleTimeout is how long a connection may be idle if its endpoint states no timeout.
 	IdleTimeout time.Duration
+	// Dial opens a connection; a TCP connection with the keep-alive settings of this package if it
+	// is not set.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// OnDial, if set, is called for each connection that was opened.
 	OnDial func()
 	// OnLimitExceeded, if set, is called for each response that exceeded a limit.
@@ -66,10 +69,9 @@
 // Client sends requests to endpoints and pools the connections. It is safe for
 // concurrent use.
 type Client struct {
-	opts   Options
-	dialer net.Dialer
-	mu     sync.Mutex
-	idle   map[string][]*conn // by address, the most recently used last
+	opts Options
+	mu   sync.Mutex
+	idle map[string][]*conn // by address, the most recently used last
 }
 
 // New returns a Client that has no connections yet.
@@ -80,10 +82,10 @@
 	if o.IdleTimeout == 0 {
 		o.IdleTimeout = DefaultIdleTimeout
 	}
-	c := &Client{opts: o, idle: make(map[string][]*conn)}
-	c.dialer.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
-	c.dialer.Control = setUserTimeout
-	return c
+	if o.Dial == nil {
+		o.Dial = DialTCP
+	}
+	return &Client{opts: o, idle: make(map[string][]*conn)}
 }
 
 // Close closes the idle connections. Those in use are not affected.
@@ -156,7 +158,7 @@
 func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.opts.DialTimeout)
 	defer cancel()
-	raw, err := c.dialer.DialContext(ctx, "tcp", address)
+	raw, err := c.opts.Dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"net"
 	"syscall"
@@ -41,6 +42,17 @@
 	return &conn{Conn: raw, address: address, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}
 }
 
+// tcpDialer opens the TCP connections to endpoints.
+var tcpDialer = net.Dialer{
+	KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
+	Control:         setUserTimeout,
+}
+
+// DialTCP opens a TCP connection whose other end is noticed to be unreachable within seconds.
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
+	return tcpDialer.DialContext(ctx, "tcp", address)
+}
+
 // setUserTimeout sets userTimeout on a socket. It is the Control hook of the dialer.
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var failed error
