Instances cut off from endpoints serve through those that are not

Instances that are themselves cut off open no tunnels, and tunnels lead straight to endpoints, so there are no loops. An endpoint that asks a relayed request for a pause gets none from the relay either. A run of one entry that hangs no longer stops an engine that begins the answers of others.

TCP_USER_TIMEOUT is now 2 s, as a sound endpoint may be silent for a second or so, and probes begin after one second: it, not their count, decides when they give up.

--- a/internal/core/broker/broker.go
+++ b/internal/core/broker/broker.go
@@ -201,6 +201,7 @@
 	for _, p := range b.pools {
 		for _, e := range p.engines {
 			e.refusals.forget(from)
+			delete(e.startedAt, from)
 		}
 	}
 }
--- a/internal/core/broker/engine.go
+++ b/internal/core/broker/engine.go
@@ -42,6 +42,8 @@
 	refusals    refusals
 	// unresponsive is set while a request on the engine is long overdue.
 	unresponsive bool
+	// startedAt is when an answer to each entry's request last began.
+	startedAt map[entity.InstanceID]time.Time
 	// rounding, in [0, 1), decides whether the share of the engine's slots is rounded up, see
 	// slotshare.go. highestRounding marks the engine of the pool with the highest value.
 	rounding        float64
@@ -101,6 +103,10 @@
 func (e *engine) runStarted(now time.Time, r *run, after time.Duration) {
 	r.started = true
 	e.unresponsive = false
+	if e.startedAt == nil {
+		e.startedAt = make(map[entity.InstanceID]time.Time)
+	}
+	e.startedAt[r.from] = now
 	expected := r.expectedStart.Sub(r.grantedAt)
 	e.times.learnPrefill(r.promptTokens, expected-dispatchOverhead, after-dispatchOverhead)
 	if !e.prefillPending() {
@@ -165,14 +171,26 @@
 }
 
 // overdue reports whether a request on the engine should have begun long ago. Requests of entries
-// without a recent message in lastMessage don't count: their reports may just not get through.
+// without a recent message in lastMessage don't count: their reports may just not get through. Nor do
+// those of an entry while answers to others begin: it is the entry that does not reach the engine.
 func (e *engine) overdue(now time.Time, lastMessage map[entity.InstanceID]time.Time) bool {
 	for _, r := range e.runs {
 		if r.started || now.Sub(lastMessage[r.from]) > entryActiveWithin {
 			continue
 		}
 		allowed := max(minOverdue, overdueFactor*r.expectedStart.Sub(r.grantedAt))
-		if now.Sub(r.grantedAt) > allowed {
+		if now.Sub(r.grantedAt) > allowed && !e.servesOthers(r) {
+			return true
+		}
+	}
+	return false
+}
+
+// servesOthers reports whether the answer to a request of another entry has begun that was sent
+// no sooner than r would have been expected to begin.
+func (e *engine) servesOthers(r *run) bool {
+	for from, at := range e.startedAt {
+		if from != r.from && at.After(r.expectedStart) {
 			return true
 		}
 	}
--- a/internal/core/catalog/endpoints.go
+++ b/internal/core/catalog/endpoints.go
@@ -77,6 +77,16 @@
 	return e, ok
 }
 
+// HasAddress reports whether an endpoint has an address.
+func (t *Endpoints) HasAddress(address string) bool {
+	for _, e := range t.byID {
+		if e.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
 // Pool returns the endpoints of a pool, sorted by id.
 func (t *Endpoints) Pool(id entity.PoolID) []*Endpoint { return t.byPool[id] }
 
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -81,6 +81,11 @@
 		request reserve.Request
 		reply   chan<- reserve.Decision
 	}
+	// tellRelay sends a message to the instance through which a response came.
+	tellRelay struct {
+		to  entity.InstanceID
+		msg heldOff
+	}
 	// abandon withdraws a slot request whose caller no longer waits.
 	abandon struct{ id entity.RequestID }
 	// dispatchStarted reports the first byte of a response, and how long after the
@@ -238,6 +243,8 @@
 	case abandon:
 		delete(c.waiters, m.id)
 		c.entry.Withdraw(m.id)
+	case tellRelay:
+		c.send(m.to, c.addresses[m.to], m.msg)
 	case dispatchStarted:
 		c.entry.Started(m.id, m.after)
 	case dispatchDone:
@@ -284,6 +291,8 @@
 		c.zone.HandleBulletin(moment(now), from, m)
 	case zone.Exchange:
 		c.zone.HandleExchange(moment(now), from, m)
+	case heldOff:
+		c.g.handleHeldOff(now, m)
 	case reserve.Poll:
 		// A poll needs no handling: the transport acknowledges it.
 	default:
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -26,6 +26,7 @@
 func (g *Instance) drain(ctx context.Context, servers []*server) {
 	begun := time.Now()
 	g.leaving.Store(true)
+	g.tunnels.StopOpening()
 	g.control.post(ctx, leave{})
 	telemetry.Log(g.log, telemetry.EventDrainBegin, "in_flight", g.edge.InFlight())
 	end := begun.Add(g.settings.GracePeriod - exitMargin)
@@ -35,7 +36,7 @@
 		if now.Sub(begun) >= closeTime {
 			g.closed.Store(true)
 		}
-		if now.Sub(begun) >= noticeTime && g.edge.InFlight() == 0 {
+		if now.Sub(begun) >= noticeTime && g.edge.InFlight() == 0 && g.tunnels.Open() == 0 {
 			break
 		}
 	}
--- a/internal/gateway/instance.go
+++ b/internal/gateway/instance.go
@@ -21,6 +21,7 @@
 	"github.com/medlarhold/medlarhold/internal/edge"
 	"github.com/medlarhold/medlarhold/internal/peer"
 	"github.com/medlarhold/medlarhold/internal/telemetry"
+	"github.com/medlarhold/medlarhold/internal/tunnel"
 	"github.com/medlarhold/medlarhold/internal/upstream"
 	"github.com/medlarhold/medlarhold/internal/version"
 )
@@ -76,6 +77,8 @@
 	limits     *endpointLimits
 	quarantine *quarantineTable
 	origins    *origins
+	links      *links
+	tunnels    *tunnel.Server
 	start      *startGate
 	self       entity.Instance
 	control    *control
@@ -97,8 +100,10 @@
 func New(s Settings, a Adapter, log logr.Logger, m *telemetry.Metrics) *Instance {
 	g := &Instance{settings: s, adapter: a, log: log, metrics: m, stop: make(chan struct{}), storeReplaced: make(chan struct{}, 1), quarantineChanged: make(chan struct{}, 1)}
 	g.state.endpoints.Store(catalog.NewEndpoints(nil))
+	g.links = newLinks(g)
+	g.tunnels = g.newTunnelServer()
 	g.client = upstream.New(upstream.Options{
-		HeaderCodec: a.Upstream, Dial: a.Dial, OnDial: m.Dialled,
+		HeaderCodec: a.Upstream, Dial: g.links.dial, Usable: g.links.usable, OnDial: m.Dialled,
 		OnLimitExceeded: func(l upstream.Limit) { m.EndpointLimitExceeded(string(l)) },
 	})
 	g.meter = &meter{meter: quota.NewMeter(time.Now(), s.FirstStart)}
@@ -235,6 +240,7 @@
 			g.client.CloseExpired(now)
 			g.holds.expire(now)
 			g.limits.expire()
+			g.links.expire(now)
 			g.quarantine.expire(now)
 			g.services.expireBefore(now.Add(-endpointRetention))
 		}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -18,6 +18,7 @@
 	"github.com/medlarhold/medlarhold/internal/core/reserve"
 	"github.com/medlarhold/medlarhold/internal/core/zone"
 	"github.com/medlarhold/medlarhold/internal/peer"
+	"github.com/medlarhold/medlarhold/internal/tunnel"
 )
 
 // exchangeTimeout bounds one exchange with another instance. It is many round trips
@@ -56,6 +57,7 @@
 	peer.Register[broker.Withdraw](r, "undo", peer.CauseRequest)
 	peer.Register[broker.Started](r, "begun", peer.CauseRequest)
 	peer.Register[broker.Done](r, "done", peer.CauseRequest)
+	peer.Register[heldOff](r, "hold-off", peer.CauseControl)
 	r.RegisterQuery(queryRecordOrigins, peer.CauseRequest)
 	r.RegisterQuery(queryFindOrigins, peer.CauseRequest)
 	return r
@@ -165,5 +167,6 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "listening on %s", g.settings.Peers)
 	}
-	return func() error { return g.transport.Serve(l) }, nil
+	shared := tunnel.Split(g.ctx, l, g.tunnels)
+	return func() error { return g.transport.Serve(shared) }, nil
 }
--- a/internal/gateway/responses.go
+++ b/internal/gateway/responses.go
@@ -26,6 +26,24 @@
 		g.holds.add(now, e, m.RetryAfter)
 		g.metrics.EndpointHeldOff()
 		telemetry.Log(g.log, telemetry.EventEndpointHeldOff, "endpoint", e.ID, "request", m.RequestID, "for_ms", m.RetryAfter.Milliseconds())
+		if m.Through != "" {
+			go g.control.post(g.ctx, tellRelay{to: m.Through, msg: heldOff{Endpoint: e.ID, Incarnation: e.Incarnation, For: m.RetryAfter}})
+		}
+	}
+}
+
+// heldOff tells the instance through which a response came that the endpoint wants no requests for
+// a while: to the endpoint, they all came from that instance.
+type heldOff struct {
+	Endpoint    entity.EndpointID `json:"e"`
+	Incarnation int64             `json:"b"`
+	For         time.Duration     `json:"d"`
+}
+
+// handleHeldOff processes what another instance was told through this one.
+func (g *Instance) handleHeldOff(now time.Time, h heldOff) {
+	if e, ok := g.state.endpoints.Load().Get(h.Endpoint); ok && e.Incarnation == h.Incarnation {
+		g.holds.add(now, e, h.For)
 	}
 }
 
--- a/internal/gateway/roles.go
+++ b/internal/gateway/roles.go
@@ -37,6 +37,7 @@
 			c.g.transport.RemovePeer(id)
 		}
 	}
+	c.g.links.setRelays(c.self.ID, &c.view)
 	localZone, _ := c.view.Zone(c.self.Zone)
 	c.local.SetSlotShare(localShare / float64(max(1, len(localZone.Members))))
 	c.g.metrics.Members.Update(int64(len(localZone.Members)))
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -66,6 +66,9 @@
 	EventEndpointUnlimited    = Event{6015, "endpoint states no limit any more", 0}
 	EventOriginsNotRecorded   = Event{6016, "origins of streams could not be recorded, tried again", 0}
 	EventBaseChosen           = Event{6017, "version that began all streams without a record has changed", 0}
+	EventEndpointBypassed     = Event{6018, "endpoint is reached only through another instance", 0}
+	EventEndpointReached      = Event{6019, "endpoint is reached directly again", 0}
+	EventCutOffChanged        = Event{6020, "this instance is cut off from the endpoints, or no longer", 0}
 	EventLeaseAcquired        = Event{6002, "lease held", 0}
 	EventLeaseLost            = Event{6003, "lease given up or lapsed", 0}
 	EventOrderSent            = Event{6004, "order sent to endpoint", 0}
@@ -85,7 +88,7 @@
 		EventLogUnavailable, EventLogRestored, EventListUnavailable, EventAppendUnknown, EventStoreReplaced, EventStoreSettled,
 		EventConfigApplied, EventConfigRejected, EventConfigCaughtUp, EventConfigSnapshot, EventConfigFromPeer,
 		EventEndpointFailed, EventLeaseAcquired, EventLeaseLost, EventOrderSent, EventOrderRefused, EventEntryMalformed, EventEndpointsChanged, EventEndpointDeparting, EventEndpointHeldOff,
-		EventRunLost, EventPartQuarantined, EventPartReleased, EventPartTried, EventEndpointLimited, EventEndpointUnlimited, EventOriginsNotRecorded, EventBaseChosen,
+		EventRunLost, EventPartQuarantined, EventPartReleased, EventPartTried, EventEndpointLimited, EventEndpointUnlimited, EventOriginsNotRecorded, EventBaseChosen, EventEndpointBypassed, EventEndpointReached, EventCutOffChanged,
 		EventBadInput, EventSettingsReloaded, EventSettingsReloadFailed, EventSettingsChecked,
 	}
 }
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -139,6 +139,9 @@
 // Dialled counts one connection that was opened to an endpoint.
 func (m *Metrics) Dialled() { m.counter("medlarhold_endpoint_connections_total").Inc(1) }
 
+// TunnelOpened counts one connection that was opened to an endpoint through another instance.
+func (m *Metrics) TunnelOpened() { m.counter("medlarhold_endpoint_tunnels_total").Inc(1) }
+
 // EndpointLimitExceeded counts one response of an endpoint that exceeded a limit.
 func (m *Metrics) EndpointLimitExceeded(limit string) {
 	m.counter(fmt.Sprintf(`medlarhold_endpoint_limits_exceeded_total{limit=%q}`, limit)).Inc(1)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -38,6 +38,8 @@
 	// RetryAfter is how long the endpoint, which declined the request, wants no further
 	// requests from this instance; 0 if not stated.
 	RetryAfter time.Duration
+	// Through is the instance through which the response came, empty if it came directly.
+	Through entity.InstanceID
 	// Limit is what the response says about the rate that the endpoint takes.
 	Limit endpointlimit.Reading
 }
@@ -52,6 +54,8 @@
 	// Dial opens a connection; a TCP connection with the keep-alive settings of this package if it
 	// is not set.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Usable, if set, reports whether an idle connection to an address may still be used.
+	Usable func(conn net.Conn, address string) bool
 	// OnDial, if set, is called for each connection that was opened.
 	OnDial func()
 	// OnLimitExceeded, if set, is called for each response that exceeded a limit.
@@ -129,13 +133,18 @@
 		if k == nil {
 			return c.dial(ctx, address)
 		}
-		if time.Now().Before(k.usableUntil) && k.reusable() {
+		if time.Now().Before(k.usableUntil) && k.reusable() && c.usable(k) {
 			return k, nil
 		}
 		k.Close()
 	}
 }
 
+// usable reports whether an idle connection may still be used.
+func (c *Client) usable(k *conn) bool {
+	return c.opts.Usable == nil || c.opts.Usable(k.Conn, k.address)
+}
+
 func (c *Client) takeIdle(address string) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/medlarhold/medlarhold/internal/core/entity"
 )
 
 const (
@@ -16,15 +18,22 @@
 	// and a few events.
 	readBufferBytes = 4 << 10
 	// keepAliveIdle, keepAliveInterval and keepAliveCount configure the TCP keep-alive
-	// probes, which detect an unresponsive endpoint while no data is sent.
-	keepAliveIdle     = 2 * time.Second
-	keepAliveInterval = time.Second
+	// probes, which detect an unresponsive endpoint while no data is sent. userTimeout decides when
+	// they give up, whatever their count: a second after the first probe.
+	keepAliveIdle     = time.Second
+	keepAliveInterval = 500 * time.Millisecond
 	keepAliveCount    = 2
-	// userTimeout is the TCP_USER_TIMEOUT: a connection is closed if sent bytes stay
-	// unacknowledged for this long.
-	userTimeout = 1500 * time.Millisecond
+	// userTimeout is the TCP_USER_TIMEOUT: a connection is closed if sent bytes or probes stay
+	// unacknowledged for this long. A sound endpoint may be silent for a second or so.
+	userTimeout = 2 * time.Second
 )
 
+// Relayed is implemented by connections that pass through another instance.
+type Relayed interface {
+	// Relay returns that instance.
+	Relay() entity.InstanceID
+}
+
 // conn is one connection to an endpoint. One exchange uses it at a time.
 type conn struct {
 	net.Conn
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -205,6 +205,9 @@
 var errForeign = errors.New("the connection carries answers to other requests")
 
 func (c *Client) newResponse(k *conn, resp *http.Response, meta Meta, r *Request, written *atomic.Bool) *Response {
+	if r, ok := k.Conn.(Relayed); ok {
+		meta.Through = r.Relay()
+	}
 	idle := idleTimeout(resp.Header, c.opts.IdleTimeout)
 	k.usableUntil = time.Now().Add(idle)
 	out := &Response{
