Brittle endpoints are sent no request that they might have to turn away

Brittleness is one more thing that an endpoint asks for, in the same statements as its limit: all instances learn it, a broker grants its slots also if the service is a plain one, and after one request that it declined it is left alone for a second. Which number it states does not matter, as nothing is tried that may be turned away.

--- a/internal/core/broker/engine.go
+++ b/internal/core/broker/engine.go
@@ -50,6 +50,8 @@
 	highestRounding bool
 	// staggered is set if other instances have pacers of their own for the engine.
 	staggered bool
+	// brittle is set if the engine must not have to turn requests away.
+	brittle bool
 	// pacer keeps the limit that the engine has stated, nil if it has none.
 	pacer *endpointlimit.Pacer
 }
@@ -153,6 +155,9 @@
 func (e *engine) recordOutcome(now time.Time, from entity.InstanceID, d Done) {
 	if d.NotRun {
 		e.refusals.add(now, from, d.Unreachable)
+		if e.brittle && !d.Unreachable {
+			e.refusals.all.until = now.Add(brittlePause)
+		}
 		return
 	}
 	e.refusals.clear(from)
--- a/internal/core/broker/ratelimit.go
+++ b/internal/core/broker/ratelimit.go
@@ -13,7 +13,11 @@
 // than it is served only makes all of them late. This answers the load of a pool that is asked for
 // several times what its endpoints take.
 
-// SetLimits replaces the limits that endpoints have stated, and the share of them that this broker
+// Endpoints may also say that they are brittle: that they fall over if they have to turn many requests
+// away for want of room. Such an endpoint is granted no more requests than it has slots, and after it
+// has declined one, whoever sent it, none for brittlePause.
+
+// SetLimits replaces what endpoints have asked for, and the share of their limits that this broker
 // may use.
 func (b *Broker) SetLimits(now time.Time, limits map[entity.EndpointID]endpointlimit.Limit, share float64) {
 	b.limits, b.limitShare = limits, share
@@ -36,7 +40,9 @@
 func (p *pool) setLimits(now time.Time, limits map[entity.EndpointID]endpointlimit.Limit, share float64) {
 	for _, e := range p.engines {
 		limit, ok := limits[e.endpoint.ID]
-		e.setLimit(now, limit.PerSecond, share, ok && limit.Incarnation == e.endpoint.Incarnation)
+		ok = ok && limit.Incarnation == e.endpoint.Incarnation
+		e.brittle = ok && limit.Brittle
+		e.setLimit(now, limit.PerSecond, share, ok && limit.Limited)
 	}
 }
 
--- a/internal/core/broker/ratelimit_test.go
+++ b/internal/core/broker/ratelimit_test.go
@@ -16,7 +16,7 @@
 func limitsOf(n int, perSecond float64) map[entity.EndpointID]endpointlimit.Limit {
 	out := make(map[entity.EndpointID]endpointlimit.Limit)
 	for i := range n {
-		out[engineRow(i, 1).ID] = endpointlimit.Limit{Incarnation: 1, PerSecond: perSecond}
+		out[engineRow(i, 1).ID] = endpointlimit.Limit{Incarnation: 1, Limited: true, PerSecond: perSecond}
 	}
 	return out
 }
--- a/internal/core/broker/refusals_test.go
+++ b/internal/core/broker/refusals_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/medlarhold/medlarhold/internal/core/catalog"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 )
 
@@ -76,3 +77,17 @@
 		}
 	}
 }
+
+// A brittle engine that has declined one request gets no more of any entry for a while.
+func TestBrittleEngineIsLeftAloneAfterItDeclined(t *testing.T) {
+	e := newEngine(&catalog.Endpoint{Endpoint: entity.Endpoint{ID: "e", Slots: 8}}, defaultTokenTimes())
+	e.brittle = true
+	now := time.Unix(1_700_000_000, 0)
+	e.recordOutcome(now, "entry", Done{NotRun: true})
+	if got := e.free(now.Add(brittlePause-time.Millisecond), 0); got != 0 {
+		t.Errorf("%d slots are free %v after the engine declined a request, want none", got, brittlePause-time.Millisecond)
+	}
+	if got := e.free(now.Add(brittlePause), 0); got != 8 {
+		t.Errorf("%d slots are free after %v, want all 8", got, brittlePause)
+	}
+}
--- a/internal/core/broker/settings.go
+++ b/internal/core/broker/settings.go
@@ -59,6 +59,8 @@
 	// doubles up to maxPauseDoublings times while no connection can be opened.
 	refusalPause      = 250 * time.Millisecond
 	maxPauseDoublings = 3
+	// brittlePause is how long a brittle engine that declined a request is granted no further ones.
+	brittlePause = time.Second
 	// failurePause is how long an engine that fails too often is granted no requests.
 	failurePause = 2 * time.Second
 	// failureWeight is the weight of the latest outcome in an engine's failure rate, a moving
--- a/internal/core/endpointlimit/table_test.go
+++ b/internal/core/endpointlimit/table_test.go
@@ -50,7 +50,8 @@
 			}
 			table.Record(h.at, "e", h.incarnation, h.reading)
 		}
-		got, ok := table.Limit("e", last)
+		asked, ok := table.Asks("e", last)
+		got := asked.PerSecond
 		if !ok {
 			got = -1
 		}
@@ -124,7 +125,7 @@
 	table := New()
 	table.Record(0, "a", 1, limited(1))
 	table.Expire(retention)
-	if _, ok := table.Limit("a", 1); !ok {
+	if _, ok := table.Asks("a", 1); !ok {
 		t.Errorf("the limit ended after %v", retention)
 	}
 	version := table.Version()
@@ -133,3 +134,21 @@
 		t.Errorf("the limit holds longer than %v", retention)
 	}
 }
+
+func TestBrittlenessSpreadsAndEndsLikeALimit(t *testing.T) {
+	first, second := New(), New()
+	first.Record(0, "e", 1, Reading{Brittle: true})
+	second.Merge(0, first.Since(0, 0))
+	if asked, ok := second.Asks("e", 1); !ok || !asked.Brittle || asked.Limited {
+		t.Errorf("got %+v, %v at another instance, want brittle and no limit", asked, ok)
+	}
+	if _, ok := second.Asks("e", 2); ok {
+		t.Error("the next incarnation is brittle, want no statement about it")
+	}
+	version := first.Version()
+	first.Record(2*OrderTolerance, "e", 1, Reading{})
+	second.Merge(2*OrderTolerance, first.Since(2*OrderTolerance, version))
+	if asked, ok := second.Asks("e", 1); ok {
+		t.Errorf("got %+v after the statement was taken back, want nothing", asked)
+	}
+}
--- a/internal/core/zone/limits_test.go
+++ b/internal/core/zone/limits_test.go
@@ -9,8 +9,8 @@
 
 // keeps reports whether a member holds a limit of endpoint e.
 func keeps(m *member, perSecond float64) bool {
-	got, ok := m.limits.Limit("e", 1)
-	return ok && got == perSecond
+	got, ok := m.limits.Asks("e", 1)
+	return ok && got.PerSecond == perSecond
 }
 
 // untilAll returns after how long a condition holds for all members, up to most.
@@ -43,7 +43,7 @@
 			m.limits.Record(f.boot, "e", 1, r)
 			took := f.untilAll(tt.most+tick, func(m *member) bool {
 				if !r.Limited {
-					_, ok := m.limits.Limit("e", 1)
+					_, ok := m.limits.Asks("e", 1)
 					return !ok
 				}
 				return keeps(m, r.PerSecond)
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -100,7 +100,7 @@
 		return endpoints, nil
 	}
 	for _, e := range endpoints {
-		if _, ok := l.table.Limit(e.ID, e.Incarnation); ok {
+		if _, ok := l.table.Asks(e.ID, e.Incarnation); ok {
 			limited = append(limited, e)
 		} else {
 			unlimited = append(unlimited, e)
@@ -115,11 +115,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, e := range limited {
-		perSecond, ok := l.table.Limit(e.ID, e.Incarnation)
+		asked, ok := l.table.Asks(e.ID, e.Incarnation)
 		if !ok || e.Zone != zone || e.Leaving {
 			continue
 		}
-		interval := time.Duration(l.zoneMembers) * min(endpointlimit.Interval(perSecond), maxShareInterval)
+		interval := time.Duration(l.zoneMembers) * asked.Interval(maxShareInterval)
 		next, known := l.nextShare[e.ID]
 		if !known {
 			next = now.Add(rand.N(interval))
@@ -138,7 +138,7 @@
 func (g *Instance) recordLimit(e *catalog.Endpoint, m upstream.Meta) {
 	if m.Limit.Limited || m.Limit.Unreadable {
 		g.metrics.EndpointLimitStated(!m.Limit.Unreadable)
-	} else if !m.HasProof && !m.NotRun {
+	} else if !m.Limit.Brittle && !m.HasProof && !m.NotRun {
 		return
 	}
 	g.limits.record(e.ID, e.Incarnation, m.Limit)
@@ -213,10 +213,10 @@
 	changes := c.g.limits.changes()
 	for _, s := range changes {
 		event := telemetry.EventEndpointUnlimited
-		if s.Limited {
+		if s.Limited || s.Brittle {
 			event = telemetry.EventEndpointLimited
 		}
-		telemetry.Log(c.g.log, event, "endpoint", s.Endpoint, "incarnation", s.Incarnation, "per_second", s.PerSecond, "age_ms", s.Age.Milliseconds(), "share", share)
+		telemetry.Log(c.g.log, event, "endpoint", s.Endpoint, "incarnation", s.Incarnation, "per_second", s.PerSecond, "brittle", s.Brittle, "age_ms", s.Age.Milliseconds(), "share", share)
 	}
 	if len(changes) > 0 {
 		c.refresh(now)
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -62,8 +62,8 @@
 	EventPartQuarantined      = Event{6011, "part of prompts crashes engines, requests with it are refused", 0}
 	EventPartReleased         = Event{6012, "part of prompts released from quarantine", 0}
 	EventPartTried            = Event{6013, "quarantined part is tried with one request", 0}
-	EventEndpointLimited      = Event{6014, "endpoint states how many requests a second it takes from all instances", 0}
-	EventEndpointUnlimited    = Event{6015, "endpoint states no limit any more", 0}
+	EventEndpointLimited      = Event{6014, "endpoint asks for fewer requests: it states a limit, or that it is brittle", 0}
+	EventEndpointUnlimited    = Event{6015, "endpoint asks for fewer requests no more", 0}
 	EventOriginsNotRecorded   = Event{6016, "origins of streams could not be recorded, tried again", 0}
 	EventBaseChosen           = Event{6017, "version that began all streams without a record has changed", 0}
 	EventEndpointBypassed     = Event{6018, "endpoint is reached only through another instance", 0}
