--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -239,7 +239,7 @@
 		panic(http.ErrAbortHandler) // the caller has disconnected
 	}
 	h := c.w.Header()
-	status := v.Reason.HTTPStatus()
+	status := statusOf(v)
 	if guaranteesNotRun(status) {
 		h.Set("Retry-After", strconv.FormatFloat(c.retryAfter(v).Seconds(), 'f', 3, 64))
 	}
@@ -260,6 +260,16 @@
 	return max(after, minRetryAfter)
 }
 
+// statusOf returns the status of an error. A request that was not run gets one that says so, whatever
+// kept it from running: callers may then send it again, also one that is not idempotent.
+func statusOf(v *verdict.Error) int {
+	status := v.Reason.HTTPStatus()
+	if v.Verdict == verdict.NotRun && status >= http.StatusInternalServerError {
+		return http.StatusServiceUnavailable
+	}
+	return status
+}
+
 // guaranteesNotRun reports whether a status tells the caller that the request was not run.
 func guaranteesNotRun(status int) bool {
 	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || status == http.StatusRequestTimeout
