Origins: a search counts only reads of the store that began after it

Found by reading: searches that are answered together were judged by the oldest one, so a read that began before a younger search could count for it, and a record written in between would be missed (the stream then goes on at the base). Each search is now judged by itself.

--- a/internal/gateway/originlog.go
+++ b/internal/gateway/originlog.go
@@ -198,6 +198,14 @@
 	return !l.readAt.IsZero() && time.Since(l.readAt) <= d
 }
 
+// readBefore returns how long before a time the last read of the log to its end began, 0 if after,
+// false if there was none.
+func (l *originLog) readBefore(at time.Time) (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(0, at.Sub(l.readAt)), !l.readAt.IsZero()
+}
+
 // expire forgets records that are no longer needed.
 func (l *originLog) expire(now time.Time) {
 	l.mu.Lock()
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -54,7 +54,7 @@
 	Streams []origin.Stream `json:"s,omitempty"`
 	// KnownOnly is set if the store is not to be read.
 	KnownOnly bool `json:"k,omitempty"`
-	// Age is how long ago the search began. The store is to be read since.
+	// Age is how long ago the latest search began. The store is to be read since.
 	Age time.Duration `json:"a,omitempty"`
 }
 
@@ -62,8 +62,10 @@
 type originsFound struct {
 	Records []origin.Record `json:"r,omitempty"`
 	Bases   []origin.Base   `json:"b,omitempty"`
-	// Read is set if the store has been read to its end since the search began.
-	Read bool `json:"c,omitempty"`
+	// Read is set if the store has been read to its end. ReadBefore is how long before the query
+	// arrived that read began, 0 if after.
+	Read       bool          `json:"c,omitempty"`
+	ReadBefore time.Duration `json:"d,omitempty"`
 	// OnlyBase lists the pools of which no stream has a record of another version than the base.
 	OnlyBase []entity.PoolID `json:"o,omitempty"`
 }
@@ -257,19 +259,22 @@
 // again until maxOriginSearch has passed.
 func (o *origins) find(ctx context.Context, lookups []*lookup) error {
 	var streams []origin.Stream
-	oldest := time.Duration(0)
+	var latest time.Time
 	for _, l := range lookups {
 		streams = append(streams, l.stream)
-		oldest = max(oldest, time.Since(l.since))
+		if l.since.After(latest) {
+			latest = l.since
+		}
 	}
 	keepers, _ := o.present()
-	found := o.findInStore(ctx, keepers, findOrigins{Streams: streams, Age: oldest})
+	found := o.findInStore(ctx, keepers, streams, latest)
 	found.Records = append(found.Records, o.findElsewhere(ctx, keepers, streams, found.Records)...)
 	o.addBases(found.Bases)
-	resolve(lookups, &found)
 	again := false
 	for _, l := range lookups {
-		if !l.known && !found.Read && time.Since(l.since) < maxOriginSearch {
+		read := !l.since.After(found.readSince)
+		l.resolve(&found.originsFound, read)
+		if !l.known && !read && time.Since(l.since) < maxOriginSearch {
 			o.lookups.submit(l)
 			again = true
 			continue
@@ -282,17 +287,32 @@
 	return nil
 }
 
-// findInStore asks the keepers one after the other until one has read the store, and then this
-// instance.
-func (o *origins) findInStore(ctx context.Context, keepers []originKeeper, query findOrigins) (found originsFound) {
+// storeSearch is what was found in the store.
+type storeSearch struct {
+	originsFound
+	// readSince is a time since which the store has been read to its end, zero if it has not.
+	readSince time.Time
+}
+
+// findInStore asks the keepers, and then this instance, one after the other until one has read the
+// store since a time.
+func (o *origins) findInStore(ctx context.Context, keepers []originKeeper, streams []origin.Stream, since time.Time) (found storeSearch) {
+	var records []origin.Record
 	for _, k := range slices.Concat(keepers, []originKeeper{{id: o.g.self.ID}}) {
-		answer, err := o.findAt(ctx, k, query)
-		if err == nil && answer.Read {
-			answer.Records = append(answer.Records, found.Records...)
-			return answer
+		asked := time.Now()
+		answer, err := o.findAt(ctx, k, findOrigins{Streams: streams, Age: asked.Sub(since)})
+		if err != nil {
+			continue
+		}
+		records = append(records, answer.Records...)
+		if read := asked.Add(-answer.ReadBefore); answer.Read && read.After(found.readSince) {
+			found = storeSearch{originsFound: answer, readSince: read}
+		}
+		if !since.After(found.readSince) {
+			break
 		}
-		found.Records = append(found.Records, answer.Records...)
 	}
+	found.Records = records
 	return found
 }
 
@@ -341,38 +361,39 @@
 // began, or the bases are all that is asked for and were read not long ago.
 func (o *origins) answerFind(ctx context.Context, query findOrigins) (found originsFound, err error) {
 	if !query.KnownOnly {
+		arrived := time.Now()
 		within := query.Age
 		if len(query.Streams) == 0 {
 			within = basesInterval
 		}
-		found.Read = o.log.readWithin(within)
-		if !found.Read {
+		if !o.log.readWithin(within) {
 			ctx, cancel := context.WithTimeout(ctx, keeperWait)
 			defer cancel()
-			found.Read = o.log.read(ctx) == nil
+			// After an error it counts what was read before.
+			_ = o.log.read(ctx)
 		}
+		found.ReadBefore, found.Read = o.log.readBefore(arrived)
 	}
 	found.Records, found.Bases = o.log.find(query.Streams)
 	found.OnlyBase = o.log.onlyBase()
 	return found, nil
 }
 
-// resolve sets the results of lookups. Without a record, the base began a stream.
-func resolve(lookups []*lookup, found *originsFound) {
+// resolve sets the result of the search. Without a record, the base began the stream, if the store
+// has been read since the search began.
+func (l *lookup) resolve(found *originsFound, read bool) {
 	known := origin.NewTable()
 	known.Add(time.Time{}, found.Records)
 	known.SetBases(found.Bases)
-	for _, l := range lookups {
-		if r, ok := known.Find(l.stream); ok && l.stream.Request != "" {
-			l.version, l.known = r.Version, true
-			continue
-		}
-		if !found.Read || l.stream.Request == "" && !found.hasOnlyBase(l.stream.Pool) {
-			continue
-		}
-		if b, ok := known.Base(l.stream.Pool); ok && b.Version != "" {
-			l.version, l.known = b.Version, true
-		}
+	if r, ok := known.Find(l.stream); ok && l.stream.Request != "" {
+		l.version, l.known = r.Version, true
+		return
+	}
+	if !read || l.stream.Request == "" && !found.hasOnlyBase(l.stream.Pool) {
+		return
+	}
+	if b, ok := known.Base(l.stream.Pool); ok && b.Version != "" {
+		l.version, l.known = b.Version, true
 	}
 }
 
