Links: a dark endpoint does not keep instances from helping others

Found by reading: an endpoint that nobody reaches in time made every instance that was asked for a tunnel count as unable to help for 2 s; only those that are not reached, are cut off themselves or have no room do now. A goroutine that waited for the result of a failed attempt for ever ends.

--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -183,12 +183,23 @@
 			if d.err != nil {
 				continue
 			}
-			if late := l.awaitDirect(direct, started, headStart); late != nil {
-				l.recordReached(address)
-				d.conn.Close()
-				return late, nil
+			if headStart == 0 {
+				direct = awaitConn(direct, directPreference-time.Since(started))
+			}
+			if direct == nil {
+				l.recordBypassed(address)
+				return d.conn, nil
+			}
+			select {
+			case late := <-direct:
+				if late.err == nil {
+					l.recordReached(address)
+					d.conn.Close()
+					return late.conn, nil
+				}
+			default:
+				discard(direct)
 			}
-			discard(direct)
 			l.recordBypassed(address)
 			return d.conn, nil
 		}
@@ -206,18 +217,24 @@
 	return out
 }
 
-// awaitDirect waits until directPreference after both attempts have begun for a direct connection,
-// and returns it, nil if there is none.
-func (l *links) awaitDirect(direct chan dialled, started time.Time, headStart time.Duration) net.Conn {
-	left := directPreference - time.Since(started)
-	if direct == nil || headStart > 0 || left <= 0 {
-		return nil
+// awaitConn waits for a while for the connection of an attempt. It returns a channel from which the
+// connection can be received at once or later, nil if the attempt has failed.
+func awaitConn(attempt chan dialled, d time.Duration) chan dialled {
+	if attempt == nil || d <= 0 {
+		return attempt
 	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
 	select {
-	case d := <-direct:
-		return d.conn
-	case <-time.After(left):
-		return nil
+	case got := <-attempt:
+		if got.err != nil {
+			return nil
+		}
+		again := make(chan dialled, 1)
+		again <- got
+		return again
+	case <-timer.C:
+		return attempt
 	}
 }
 
@@ -254,8 +271,7 @@
 	defer cancel()
 	conn, err := tunnel.Dial(attempt, upstream.DialTCP, r.address, l.g.peerKeys()[0], address)
 	if err != nil {
-		var refused *tunnel.OpenError
-		if ctx.Err() == nil && (!errors.As(err, &refused) || refused.Code != tunnel.CodeRefused) {
+		if ctx.Err() == nil && !helpsOthers(err) {
 			l.pauseRelay(r.id)
 		}
 		return nil, err
@@ -272,6 +288,16 @@
 	return &tunnelConn{TCPConn: tcp, relay: r.id}, nil
 }
 
+// helpsOthers reports whether an instance that did not open a tunnel may open one to another
+// endpoint: the endpoint is down, or not known there yet.
+func helpsOthers(err error) bool {
+	var refused *tunnel.OpenError
+	if !errors.As(err, &refused) {
+		return false
+	}
+	return refused.Code == tunnel.CodeRefused || refused.Code == tunnel.CodeUnreachable || refused.Code == tunnel.CodeNotAllowed
+}
+
 // candidates returns the instances to ask for a tunnel, in this order: the one that helped last, then
 // others at random, by turns of the local zone and of others.
 func (l *links) candidates(now time.Time) []relay {
--- /dev/null
+++ b/internal/tunnel/tunnel_test.go
@@ -0,0 +1,215 @@
+package tunnel
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+var testKey = []byte("key")
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// startServer starts a server of tunnels behind a Listener, and returns its address and the other
+// connections that the Listener accepts.
+func startServer(t *testing.T, s *Server) (address string, others chan net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(func() {
+		cancel()
+		l.Close()
+	})
+	split := Split(ctx, l, s)
+	others = make(chan net.Conn, 1)
+	go func() {
+		for {
+			conn, err := split.Accept()
+			if err != nil {
+				return
+			}
+			others <- conn
+		}
+	}()
+	return l.Addr().String(), others
+}
+
+// newServer returns a server that reaches endpoints and allows all of them.
+func newServer() *Server {
+	return &Server{Key: testKey, MaxOpen: 2, Dial: dialTCP, Allows: func(string) bool { return true }, CutOff: func() bool { return false }}
+}
+
+// startEndpoint starts an endpoint that handles each connection with f.
+func startEndpoint(t *testing.T, f func(conn *net.TCPConn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go f(conn.(*net.TCPConn))
+		}
+	}()
+	return l.Addr().String()
+}
+
+func dialTunnel(t *testing.T, server, endpoint string) net.Conn {
+	t.Helper()
+	conn, err := Dial(t.Context(), dialTCP, server, testKey, endpoint)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+func TestBytesPassUnchangedBothWays(t *testing.T) {
+	endpoint := startEndpoint(t, func(conn *net.TCPConn) {
+		defer conn.Close()
+		_, _ = io.Copy(conn, conn)
+	})
+	server, _ := startServer(t, newServer())
+	conn := dialTunnel(t, server, endpoint)
+	sent := bytes.Repeat([]byte("\x00 some bytes\n"), 20_000)
+	go func() { _, _ = conn.Write(sent) }()
+	got := make([]byte, len(sent))
+	if _, err := io.ReadFull(conn, got); err != nil || !bytes.Equal(got, sent) {
+		t.Errorf("got other bytes back, or error %v", err)
+	}
+}
+
+// A response without a length ends with its connection: only a regular end may look like one.
+func TestEndOfTheEndpointsConnectionShowsAsItIs(t *testing.T) {
+	tests := []struct {
+		name string
+		end  func(conn *net.TCPConn)
+		want func(err error) bool
+	}{
+		{"regular", func(conn *net.TCPConn) { conn.Close() }, func(err error) bool { return err == nil }},
+		{"reset", func(conn *net.TCPConn) {
+			time.Sleep(20 * time.Millisecond) // the bytes are through
+			_ = conn.SetLinger(0)
+			conn.Close()
+		}, func(err error) bool { return errors.Is(err, syscall.ECONNRESET) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			endpoint := startEndpoint(t, func(conn *net.TCPConn) {
+				_, _ = io.WriteString(conn, "part")
+				tt.end(conn)
+			})
+			server, _ := startServer(t, newServer())
+			got, err := io.ReadAll(dialTunnel(t, server, endpoint))
+			if !tt.want(err) || string(got) != "part" {
+				t.Errorf("got %q and error %v", got, err)
+			}
+		})
+	}
+}
+
+func TestEndpointSeesThatTheInstanceHasClosed(t *testing.T) {
+	ended := make(chan struct{})
+	endpoint := startEndpoint(t, func(conn *net.TCPConn) {
+		defer close(ended)
+		_, _ = io.Copy(io.Discard, conn)
+	})
+	server, _ := startServer(t, newServer())
+	dialTunnel(t, server, endpoint).Close()
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second):
+		t.Error("the endpoint's connection is still open 5 s after the instance has closed the tunnel")
+	}
+}
+
+func TestTunnelIsNotOpened(t *testing.T) {
+	endpoint := startEndpoint(t, func(conn *net.TCPConn) { conn.Close() })
+	refusing, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	refusing.Close()
+	tests := []struct {
+		name    string
+		change  func(s *Server)
+		address string
+		want    Code
+	}{
+		{"wrong key", func(s *Server) { s.Key = []byte("other") }, endpoint, CodeNotAllowed},
+		{"no endpoint", func(s *Server) { s.Allows = func(string) bool { return false } }, endpoint, CodeNotAllowed},
+		{"cut off itself", func(s *Server) { s.CutOff = func() bool { return true } }, endpoint, CodeCutOff},
+		{"too many", func(s *Server) { s.MaxOpen = 0 }, endpoint, CodeBusy},
+		{"stopping", func(s *Server) { s.StopOpening() }, endpoint, CodeBusy},
+		{"refused by the endpoint", func(*Server) {}, refusing.Addr().String(), CodeRefused},
+		{"no answer", func(s *Server) {
+			s.Dial = func(ctx context.Context, _ string) (net.Conn, error) {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+		}, endpoint, CodeUnreachable},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newServer()
+			tt.change(s)
+			server, _ := startServer(t, s)
+			_, err := Dial(t.Context(), dialTCP, server, testKey, tt.address)
+			var refused *OpenError
+			if !errors.As(err, &refused) || refused.Code != tt.want {
+				t.Errorf("got error %v, want code %d", err, tt.want)
+			}
+		})
+	}
+}
+
+func TestOtherConnectionsKeepAllTheirBytes(t *testing.T) {
+	server, others := startServer(t, newServer())
+	conn, err := net.Dial("tcp", server)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(conn, "message"); err != nil {
+		t.Fatal(err)
+	}
+	conn.Close()
+	if got, err := io.ReadAll(<-others); err != nil || string(got) != "message" {
+		t.Errorf("got %q and error %v, want the whole message", got, err)
+	}
+}
+
+func FuzzReadObject(f *testing.F) {
+	f.Add([]byte("\x02{}rest"))
+	f.Add([]byte("\xff\xff\xff\xff\x0f"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r := bytes.NewReader(data)
+		var v any
+		if readObject(r, &v) == nil && len(data)-r.Len() > maxOpenBytes+10 {
+			t.Errorf("read %d bytes, want at most an object", len(data)-r.Len())
+		}
+	})
+}
+
+func TestLongObjectIsNotRead(t *testing.T) {
+	var v any
+	if err := readObject(strings.NewReader("\x80\x80\x04"), &v); err == nil {
+		t.Error("got no error for an object of 64 KB")
+	}
+}
