Tunnels: the end of an instance that has vanished is noticed

Found by reading: the connection of the instance that opened a tunnel had the system's keep-alive, so an endpoint went on for a caller whose instance was gone until a write had stalled for 20 s.

--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -38,6 +38,8 @@
 	CutOff func() bool
 	// Dial opens a connection to an endpoint.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Tune, if set, prepares the connections of instances, so that one that has vanished is noticed.
+	Tune func(conn net.Conn)
 	// MaxOpen is the number of tunnels that may be open.
 	MaxOpen int64
 
@@ -55,6 +57,9 @@
 func (s *Server) Serve(ctx context.Context, conn net.Conn) {
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	if s.Tune != nil {
+		s.Tune(conn)
+	}
 	n := s.opened.Add(1)
 	defer s.opened.Add(-1)
 	_ = conn.SetDeadline(time.Now().Add(openTimeout)) // fails only for a closed connection
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -62,6 +62,19 @@
 	return tcpDialer.DialContext(ctx, "tcp", address)
 }
 
+// Tune makes the end of a TCP connection that another host has opened noticed as those of DialTCP.
+func Tune(conn net.Conn) {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	// The errors are ignored: a connection that has ended needs no settings.
+	_ = tcp.SetKeepAliveConfig(tcpDialer.KeepAliveConfig)
+	if raw, err := tcp.SyscallConn(); err == nil {
+		_ = setUserTimeout("", "", raw)
+	}
+}
+
 // setUserTimeout sets userTimeout on a socket. It is the Control hook of the dialer.
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var failed error
