Origins: streams sent to an endpoint that came back with another version are taken back

Found by reading: an endpoint may restart under its id with another software version. Until that is known, streams that it begins are attributed to the old one. When it is known, the records of the streams sent to the old incarnation in the last 4 s are taken back, so that they go on nowhere. Test: a restart at the same version changes nothing, one at another version leaves no origin.

--- a/internal/gateway/originbases.go
+++ b/internal/gateway/originbases.go
@@ -37,6 +37,11 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.table.Expire(now)
+	for at, streams := range o.recent {
+		if o.recent[at] = dropOld(now, streams); len(o.recent[at]) == 0 {
+			delete(o.recent, at)
+		}
+	}
 }
 
 // resumablePools returns the pools that serve resumable streams.
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -90,6 +90,20 @@
 	chooses bool
 	// table holds what this instance itself has recorded or was told.
 	table *origin.Table
+	// recent holds the streams that were lately sent to each endpoint, by incarnation.
+	recent map[incarnation][]recentStream
+}
+
+// incarnation identifies one start of an endpoint.
+type incarnation struct {
+	endpoint entity.EndpointID
+	start    int64
+}
+
+// recentStream is a record of a stream and when its request was sent.
+type recentStream struct {
+	record origin.Record
+	at     time.Time
 }
 
 // unsent is a record that is not in the store yet.
@@ -114,7 +128,7 @@
 }
 
 func newOrigins(g *Instance) *origins {
-	o := &origins{g: g, log: newOriginLog(g), table: origin.NewTable()}
+	o := &origins{g: g, log: newOriginLog(g), table: origin.NewTable(), recent: make(map[incarnation][]recentStream)}
 	o.sends = batcher[*unsent]{ctx: g.ctx, run: o.send}
 	o.lookups = batcher[*lookup]{ctx: g.ctx, run: o.find}
 	return o
@@ -148,6 +162,8 @@
 	before, dispatched := o.table.Find(record.Stream)
 	needed := o.table.NeedsRecord(r.Pool, e.Version) || dispatched && before.Version != e.Version
 	o.table.Add(now, []origin.Record{record})
+	at := incarnation{e.ID, e.Incarnation}
+	o.recent[at] = append(dropOld(now, o.recent[at]), recentStream{record, now})
 	o.mu.Unlock()
 	if !needed {
 		return nil
@@ -157,6 +173,33 @@
 	return u.released
 }
 
+// restartNotice is within what time a restart of an endpoint is known to all instances.
+const restartNotice = 4 * time.Second
+
+// dropOld returns the streams that were sent within restartNotice.
+func dropOld(now time.Time, streams []recentStream) []recentStream {
+	return slices.DeleteFunc(streams, func(s recentStream) bool { return now.Sub(s.at) > restartNotice })
+}
+
+// endpointRestarted corrects the records of the streams that were lately sent to an incarnation of an
+// endpoint which is known now to have been followed by one of another version. Any of them may have
+// been begun by that one.
+func (o *origins) endpointRestarted(now time.Time, old incarnation) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, s := range dropOld(now, o.recent[old]) {
+		r := s.record
+		r.Version, r.Dispatch = "", r.Dispatch+uncertainDispatch
+		o.table.Add(now, []origin.Record{r})
+		o.sends.submit(&unsent{Record: r, since: now, released: make(chan struct{})})
+	}
+	delete(o.recent, old)
+}
+
+// uncertainDispatch is added to the dispatch of a record that is taken back: it is more than a
+// request has.
+const uncertainDispatch = 1 << 16
+
 // send has records appended to the store. Those that the store does not take at once are told to the
 // keepers of two zones, which find them until they are in the store, and sent again.
 func (o *origins) send(ctx context.Context, items []*unsent) error {
