--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -30,7 +30,7 @@
 type testCodec struct{}
 
 func (testCodec) ReadRequest(h http.Header) Meta {
-	return Meta{ID: entity.RequestID(h.Get("Id")), Key: h.Get("Key"), PromptTokens: 10, HasTokens: true, LastEventID: h.Get("Last"), Resumes: entity.RequestID(h.Get("Resumes"))}
+	return Meta{ID: entity.RequestID(h.Get("Id")), Key: h.Get("Key"), PromptTokens: 10, HasTokens: true, LastEventID: h.Get("Last"), Resumes: entity.RequestID(h.Get("Begun-By"))}
 }
 
 func (testCodec) RewriteForEndpoint(h http.Header, org entity.OrgID) {
--- a/internal/edge/origin_test.go
+++ b/internal/edge/origin_test.go
@@ -50,10 +50,10 @@
 		status  int
 		version string
 	}{
-		{"named", http.Header{"Last": {"7"}, "Resumes": {"begun"}}, http.StatusOK, "v9"},
+		{"named", http.Header{"Last": {"7"}, "Begun-By": {"begun"}}, http.StatusOK, "v9"},
 		{"not named", http.Header{"Last": {"7"}}, http.StatusServiceUnavailable, ""},
-		{"of a stream that does not exist", http.Header{"Last": {"7"}, "Resumes": {"none"}}, http.StatusServiceUnavailable, ""},
-		{"new, although it names one", http.Header{"Resumes": {"begun"}}, http.StatusOK, ""},
+		{"of a stream that does not exist", http.Header{"Last": {"7"}, "Begun-By": {"none"}}, http.StatusServiceUnavailable, ""},
+		{"new, although it names one", http.Header{"Begun-By": {"begun"}}, http.StatusOK, ""},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- /dev/null
+++ b/internal/gateway/originrecord.go
@@ -0,0 +1,130 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/catalog"
+	"github.com/medlarhold/medlarhold/internal/core/origin"
+	"github.com/medlarhold/medlarhold/internal/edge"
+	"github.com/medlarhold/medlarhold/internal/telemetry"
+)
+
+// RecordOrigin implements edge.Scheduler.
+func (g *Instance) RecordOrigin(r edge.SlotRequest, e *catalog.Endpoint, dispatch int) <-chan struct{} {
+	record := origin.Record{Stream: origin.Stream{Pool: r.Pool, Request: r.ID}, Version: e.Version, Dispatch: dispatch}
+	now := time.Now()
+	o := g.origins
+	o.mu.Lock()
+	before, dispatched := o.table.Find(record.Stream)
+	needed := o.table.NeedsRecord(r.Pool, e.Version) || dispatched && before.Version != e.Version
+	o.table.Add(now, []origin.Record{record})
+	at := incarnation{e.ID, e.Incarnation}
+	o.recent[at] = append(dropOld(now, o.recent[at]), recentStream{record, now})
+	o.mu.Unlock()
+	if !needed {
+		return nil
+	}
+	u := &unsent{Record: record, since: now, released: make(chan struct{})}
+	o.sends.submit(u)
+	return u.released
+}
+
+// restartNotice is within what time a restart of an endpoint is known to all instances.
+const restartNotice = 4 * time.Second
+
+// dropOld returns the streams that were sent within restartNotice.
+func dropOld(now time.Time, streams []recentStream) []recentStream {
+	return slices.DeleteFunc(streams, func(s recentStream) bool { return now.Sub(s.at) > restartNotice })
+}
+
+// endpointRestarted corrects the records of the streams that were lately sent to an incarnation of an
+// endpoint which is known now to have been followed by one of another version. Any of them may have
+// been begun by that one.
+func (o *origins) endpointRestarted(now time.Time, old incarnation) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, s := range dropOld(now, o.recent[old]) {
+		r := s.record
+		r.Version, r.Dispatch = "", r.Dispatch+uncertainDispatch
+		o.table.Add(now, []origin.Record{r})
+		o.sends.submit(&unsent{Record: r, since: now, released: make(chan struct{})})
+	}
+	delete(o.recent, old)
+}
+
+// uncertainDispatch is added to the dispatch of a record that is taken back: it is more than a
+// request has.
+const uncertainDispatch = 1 << 16
+
+// send has records appended to the store. Those that the store does not take at once are told to the
+// keepers of two zones, which find them until they are in the store, and sent again.
+func (o *origins) send(ctx context.Context, items []*unsent) error {
+	records := make([]origin.Record, 0, len(items))
+	for _, u := range items {
+		records = append(records, u.Record)
+	}
+	if durable, told := o.record(ctx, records); durable || told {
+		for _, u := range items {
+			u.release()
+		}
+		if durable {
+			return nil
+		}
+	}
+	telemetry.Log(o.g.log, telemetry.EventOriginsNotRecorded, "records", len(records), "oldest_ms", time.Since(items[0].since).Milliseconds())
+	for _, u := range items {
+		if time.Since(u.since) < origin.Retention {
+			o.sends.submit(u)
+		}
+	}
+	pause(ctx, originRetryInterval)
+	return nil
+}
+
+// toldKeepers is the number of keepers that are told of records that are not in the store.
+const toldKeepers = 2
+
+// record has records appended by a keeper, or by this instance if it reaches none. It reports
+// whether they are in the store, and whether enough keepers were told.
+func (o *origins) record(ctx context.Context, records []origin.Record) (durable, told bool) {
+	keepers, _ := o.present()
+	answers := 0
+	for _, k := range keepers {
+		answer, err := o.recordAt(ctx, k, records)
+		if err != nil {
+			continue
+		}
+		o.addBases(answer.Bases)
+		if answer.Durable {
+			return true, true
+		}
+		if answers++; answers == toldKeepers {
+			return false, true
+		}
+	}
+	if answers == 0 {
+		answer, err := o.answerRecord(ctx, records)
+		return err == nil && answer.Durable, false
+	}
+	return false, answers >= min(toldKeepers, len(keepers))
+}
+
+// recordAt has records appended by one keeper.
+func (o *origins) recordAt(ctx context.Context, k originKeeper, records []origin.Record) (answer originsRecorded, err error) {
+	if k.id == o.g.self.ID {
+		return o.answerRecord(ctx, records)
+	}
+	err = o.g.transport.Call(ctx, k.id, k.address, queryRecordOrigins, records, &answer)
+	return answer, err
+}
+
+// answerRecord appends records for another instance.
+func (o *origins) answerRecord(ctx context.Context, records []origin.Record) (originsRecorded, error) {
+	ctx, cancel := context.WithTimeout(ctx, keeperWait)
+	defer cancel()
+	err := o.log.record(ctx, records)
+	_, bases := o.log.find(nil)
+	return originsRecorded{Durable: err == nil, Bases: bases}, nil
+}
--- a/internal/gateway/origins_test.go
+++ b/internal/gateway/origins_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"testing"
 
 	"github.com/go-logr/logr"
@@ -8,6 +10,7 @@
 	"github.com/medlarhold/medlarhold/internal/core/catalog"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/core/origin"
+	"github.com/medlarhold/medlarhold/internal/core/storeera"
 	"github.com/medlarhold/medlarhold/internal/edge"
 	"github.com/medlarhold/medlarhold/internal/telemetry"
 )
@@ -38,10 +41,17 @@
 	}
 }
 
+// noStore is a store that does not answer.
+type noStore struct{ Store }
+
+func (noStore) AppendOrigins(context.Context, *storeera.Position, []OriginRecord) error {
+	return errors.New("no store")
+}
+
 // An endpoint has restarted under its id with another version, and a stream was sent to it just before
 // that was known: which version began it is not certain.
 func TestStreamsOfARestartedEndpointGoOnNowhere(t *testing.T) {
-	g := New(Settings{Name: "i", Zone: "a"}, Adapter{}, logr.Discard(), telemetry.NewMetrics())
+	g := New(Settings{Name: "i", Zone: "a"}, Adapter{Store: noStore{}}, logr.Discard(), telemetry.NewMetrics())
 	t.Cleanup(g.cancel)
 	row := func(start int64, version string) *catalog.Endpoints {
 		return catalog.NewEndpoints([]catalog.Endpoint{{Endpoint: entity.Endpoint{ID: "e", Pool: "p"}, Incarnation: start, Version: version}})
--- /dev/null
+++ b/internal/gateway/originversion.go
@@ -0,0 +1,39 @@
+package gateway
+
+import (
+	"github.com/medlarhold/medlarhold/internal/core/catalog"
+	"github.com/medlarhold/medlarhold/internal/edge"
+	"github.com/medlarhold/medlarhold/internal/verdict"
+)
+
+// IsCurrent implements edge.Scheduler.
+func (g *Instance) IsCurrent(e *catalog.Endpoint) bool {
+	now, ok := g.state.endpoints.Load().Get(e.ID)
+	return !ok || now.Incarnation == e.Incarnation && now.Version == e.Version
+}
+
+// servesVersion reports whether an endpoint is of a software version, or any will do.
+func servesVersion(e *catalog.Endpoint, version string) bool {
+	return version == "" || e.Version == version
+}
+
+// ofVersion returns the endpoints of a software version, all if it is empty.
+func ofVersion(endpoints []*catalog.Endpoint, version string) []*catalog.Endpoint {
+	if version == "" {
+		return endpoints
+	}
+	var out []*catalog.Endpoint
+	for _, e := range endpoints {
+		if e.Version == version {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// versionGone returns the error sent to a caller whose stream was begun by a version that no
+// endpoint has.
+func versionGone(r edge.SlotRequest) *verdict.Error {
+	return &verdict.Error{Verdict: verdict.NotRun, Reason: verdict.ReasonVersionGone, RetryAfter: originRetryAfter,
+		Message: "no endpoint has version " + r.Version + ", which began the stream; begin it anew"}
+}
