Origins: an instance that has just started reads no bases for itself

Found by reading: at its start an instance knows no others, takes itself for the keeper of its zone and the one that chooses the bases, and reads the store: two calls a start that say nothing. It now waits three seconds, and asks the keeper if it knows one. Old records are removed a hundred at a time, not each second.

--- a/internal/gateway/originbases.go
+++ b/internal/gateway/originbases.go
@@ -10,22 +10,29 @@
 	"github.com/medlarhold/medlarhold/internal/telemetry"
 )
 
+// keeperSettleTime is how long after its start an instance does not act as keeper by itself: it may
+// be one only because it does not know the others yet.
+const keeperSettleTime = 3 * time.Second
+
 // run keeps the bases known to this instance, and chooses them if it is the one that does, until
 // ctx ends.
 func (o *origins) run(ctx context.Context) {
-	chooser := origin.NewChooser(time.Now(), o.g.settings.FirstStart)
+	started := time.Now()
+	chooser := origin.NewChooser(started, o.g.settings.FirstStart)
 	var nextRead time.Time
 	for ctx.Err() == nil {
 		now := time.Now()
 		o.expire(now)
-		_, chooses := o.present()
+		keepers, chooses := o.present()
 		pools := o.resumablePools()
+		settled := now.Sub(started) > keeperSettleTime
 		switch {
-		case len(pools) == 0:
+		case len(pools) == 0 || len(keepers) == 0:
+		case !settled && keepers[0].id == o.g.self.ID:
 		case chooses:
 			o.choose(ctx, chooser, pools)
 		case !now.Before(nextRead):
-			o.refreshBases(ctx)
+			o.refreshBases(ctx, keepers[0])
 			nextRead = now.Add(basesInterval/2 + rand.N(basesInterval/2))
 		}
 		pause(ctx, chooseInterval)
@@ -53,14 +60,11 @@
 	return cfg.ResumablePools()
 }
 
-// refreshBases asks the zone's keeper for the bases.
-func (o *origins) refreshBases(ctx context.Context) {
-	keepers, _ := o.present()
-	for _, k := range keepers[:min(1, len(keepers))] {
-		// After an error the bases known before are used: a record too many is written.
-		if found, err := o.findAt(ctx, k, findOrigins{}); err == nil {
-			o.addBases(found.Bases)
-		}
+// refreshBases asks a keeper for the bases.
+func (o *origins) refreshBases(ctx context.Context, k originKeeper) {
+	// After an error the bases known before are used: a record too many is written.
+	if found, err := o.findAt(ctx, k, findOrigins{}); err == nil {
+		o.addBases(found.Bases)
 	}
 }
 
@@ -79,7 +83,7 @@
 		o.addBases(changed)
 		telemetry.Log(o.g.log, telemetry.EventBaseChosen, "bases", changed)
 	}
-	if expired := o.log.expiredKeys(time.Now()); len(expired) > 0 {
+	if expired := o.log.expiredKeys(time.Now()); len(expired) >= minRemovals {
 		o.g.metrics.LogCall("append", "origins")
 		// After an error the next call removes them.
 		_ = o.g.adapter.Store.AppendOrigins(ctx, nil, expired)
--- a/internal/gateway/originlog.go
+++ b/internal/gateway/originlog.go
@@ -214,8 +214,11 @@
 	l.own.Expire(now)
 }
 
-// maxRemovals is the number of keys that are removed from the store in one call.
-const maxRemovals = 500
+// minRemovals and maxRemovals bound the number of keys that are removed from the store in one call.
+const (
+	minRemovals = 100
+	maxRemovals = 500
+)
 
 // expiredKeys returns keys of the log whose records are no longer needed.
 func (l *originLog) expiredKeys(now time.Time) []OriginRecord {
