Broker: streams wait until a new broker has heard of the zone with their version

Found by reading: after a restart of all instances, a broker without an engine of a stream's version refused it as gone (version_gone) before it could have heard of the other zones. It waits for that, as it does if it has no engine at all. TestStreamWaitsUntilANewBrokerHasHeardOfTheOtherZones failed before.

--- a/internal/core/broker/job.go
+++ b/internal/core/broker/job.go
@@ -33,8 +33,8 @@
 	return j.end.IsZero() || !now.Add(time.Duration(endFactor*float64(d))).After(j.end)
 }
 
-// compare orders waiting requests: those that go on with a stream first, on-time before late ones, then by rank, then on-time ones by
-// target and late ones by IsRetry, then by arrival.
+// compare orders waiting requests: those that go on with a stream first, then on-time before late
+// ones, then by rank, then on-time ones by target and late ones by IsRetry, then by arrival.
 func (j *job) compare(k *job) int {
 	switch {
 	case j.request.pinned() != k.request.pinned():
--- a/internal/core/broker/refuse.go
+++ b/internal/core/broker/refuse.go
@@ -31,7 +31,7 @@
 		b.deny(now, p, j, DenyDeadline)
 	}
 	for _, j := range gone {
-		if !b.spill(now, p, j) {
+		if !b.spill(now, p, j) && !p.isNew(now) {
 			b.deny(now, p, j, DenyVersion)
 		}
 	}
--- a/internal/core/broker/version_test.go
+++ b/internal/core/broker/version_test.go
@@ -101,3 +101,27 @@
 		h.b.Ready()
 	}
 }
+
+// After a restart of all instances, a new broker has not heard of the other zones yet.
+func TestStreamWaitsUntilANewBrokerHasHeardOfTheOtherZones(t *testing.T) {
+	h := newHarness(t, 0, 0)
+	h.b.SetEndpoints(h.now, []entity.PoolID{llm}, versions("v2"))
+	h.b.TakeOver(h.now, llm)
+	for _, m := range h.requestSlot("old", func(r *SlotRequest) { r.Version = "v1" }) {
+		if d, ok := m.Message.(Deny); ok {
+			t.Fatalf("refused with %q at once, want it to wait", d.Reason)
+		}
+	}
+	h.now = h.now.Add(loadTimeout / 2)
+	h.b.HandleZoneState(h.now, "right", ZoneState{Pool: llm, Zone: "y", Free: 0, Slots: 1, Versions: []string{"v1"}})
+	h.b.Tick(h.now)
+	var to entity.InstanceID
+	for _, m := range h.b.Ready() {
+		if f, ok := m.Message.(Forwarded); ok {
+			to = f.To
+		}
+	}
+	if to != "right" {
+		t.Errorf("forwarded to %q, want the broker of the zone that has the version", to)
+	}
+}
