Hold-off: a pause that a restarted endpoint asks for is kept when its restart becomes known

A pause asked for within two seconds before the restart is known now holds for the new incarnation as well. Same class as the origins of streams: what an endpoint states was attributed to a row instead of the process that said it.

--- a/internal/core/holdoff/doc.go
+++ b/internal/core/holdoff/doc.go
@@ -11,5 +11,6 @@
 // # Contract
 //
 // A Table has no I/O, clock or goroutine, and isn't safe for concurrent use. An
-// endpoint that has restarted is a new one, which has asked for nothing.
+// endpoint that has restarted is a new one, which has asked for nothing, unless
+// it may have asked before its restart was known.
 package holdoff
--- a/internal/core/holdoff/table.go
+++ b/internal/core/holdoff/table.go
@@ -19,7 +19,7 @@
 // row is what one incarnation of an endpoint has asked for.
 type row struct {
 	incarnation int64
-	until       time.Time
+	at, until   time.Time
 }
 
 // New returns an empty Table.
@@ -35,7 +35,20 @@
 	if old, ok := t.rows[e.ID]; ok && old.incarnation == e.Incarnation && old.until.After(until) {
 		return
 	}
-	t.rows[e.ID] = row{incarnation: e.Incarnation, until: until}
+	t.rows[e.ID] = row{incarnation: e.Incarnation, at: now, until: until}
+}
+
+// noticeTime is within what time a restart of an endpoint is known.
+const noticeTime = 2 * time.Second
+
+// Restarted records that an endpoint is known now to have restarted as e. What it asked for shortly
+// before may have come from e already, so it holds for e as well.
+func (t *Table) Restarted(now time.Time, e *catalog.Endpoint) {
+	r, ok := t.rows[e.ID]
+	if ok && e.Incarnation > r.incarnation && now.Sub(r.at) <= noticeTime {
+		r.incarnation = e.Incarnation
+		t.rows[e.ID] = r
+	}
 }
 
 // Len returns the number of endpoints in the table, including some whose time is over.
--- a/internal/core/holdoff/table_test.go
+++ b/internal/core/holdoff/table_test.go
@@ -61,3 +61,18 @@
 		t.Errorf("got %v for a thousand hours, want %v", d, Max)
 	}
 }
+
+// An endpoint asked for a pause just before, or long before, its restart was known.
+func TestPauseAskedForByANewIncarnationIsKept(t *testing.T) {
+	table := New()
+	table.Add(start, endpoint("just", 1), time.Minute)
+	table.Add(start.Add(-noticeTime-time.Second), endpoint("long", 1), time.Minute)
+	table.Restarted(start, endpoint("just", 2))
+	table.Restarted(start, endpoint("long", 2))
+	if table.Remaining(start, endpoint("just", 2)) == 0 {
+		t.Error("the endpoint is not avoided, although it may have asked for the pause after its restart")
+	}
+	if table.Remaining(start, endpoint("long", 2)) != 0 {
+		t.Error("the endpoint is avoided, although only its earlier incarnation can have asked for the pause")
+	}
+}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -167,19 +167,23 @@
 		return
 	}
 	g.checkStart()
-	g.correctOrigins(before, t)
+	g.endpointsChanged(before, t)
 	go g.control.post(g.ctx, stateChanged{}) // the caller may be the control goroutine, which must not block
 	telemetry.Log(g.log, telemetry.EventEndpointsChanged, "endpoints", t.Len(), "before", before.Len(), "leaving", t.Leaving())
 }
 
-// correctOrigins takes back the records of streams that were lately sent to endpoints which have
-// restarted with another version.
-func (g *Instance) correctOrigins(before, t *catalog.Endpoints) {
+// endpointsChanged corrects what was lately learned of endpoints that have restarted since: it may have
+// come from the new incarnation. Streams that one of another version may have begun have no origin.
+func (g *Instance) endpointsChanged(before, t *catalog.Endpoints) {
 	now := time.Now()
 	for _, id := range t.DiffIDs(before) {
 		old, known := before.Get(id)
 		e, present := t.Get(id)
-		if known && present && e.Incarnation != old.Incarnation && e.Version != old.Version {
+		if !known || !present || e.Incarnation == old.Incarnation {
+			continue
+		}
+		g.holds.restarted(now, e)
+		if e.Version != old.Version {
 			g.origins.endpointRestarted(now, incarnation{id, old.Incarnation})
 		}
 	}
--- a/internal/gateway/responses.go
+++ b/internal/gateway/responses.go
@@ -106,6 +106,12 @@
 	return h.table.FirstIn(now, candidates)
 }
 
+func (h *holds) restarted(now time.Time, e *catalog.Endpoint) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.table.Restarted(now, e)
+}
+
 func (h *holds) expire(now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
