--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/medlarhold/medlarhold/internal/testbed/loopback"
 )
 
 var testKey = []byte("key")
@@ -51,24 +53,10 @@
 	return &Server{Key: testKey, MaxOpen: 2, Dial: dialTCP, Allows: func(string) bool { return true }, CutOff: func() bool { return false }}
 }
 
-// startEndpoint starts an endpoint that handles each connection with f.
+// startEndpoint starts an endpoint that handles each connection with f, and then closes it.
 func startEndpoint(t *testing.T, f func(conn *net.TCPConn)) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go f(conn.(*net.TCPConn))
-		}
-	}()
-	return l.Addr().String()
+	return loopback.Serve(t, func(conn net.Conn) { f(conn.(*net.TCPConn)) })
 }
 
 func dialTunnel(t *testing.T, server, endpoint string) net.Conn {
