Gateway: work that fails is not submitted again once the instance has ended

Callers saw nothing; an instance that ended with records of streams which the store had not taken submitted them again without a pause for a minute, on one processor, until its process was gone (in tests: until Retention had passed).

Cause: a batch whose run ends because the context has ended was followed by the next at once. Items submitted after the context's end are not taken now.

--- a/internal/gateway/batcher.go
+++ b/internal/gateway/batcher.go
@@ -7,7 +7,8 @@
 )
 
 // batcher passes items to run in batches, one at a time: the items that are submitted while a
-// batch runs form the next one. It is safe for concurrent use.
+// batch runs form the next one. After ctx has ended it takes no more items. It is safe for
+// concurrent use.
 type batcher[T any] struct {
 	ctx context.Context
 	// interval is the minimum time between the beginnings of two batches.
@@ -30,6 +31,9 @@
 func (b *batcher[T]) submit(items ...T) *batch[T] {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if err := b.ctx.Err(); err != nil {
+		return endedBatch[T](err)
+	}
 	if b.next == nil {
 		b.next = &batch[T]{done: make(chan struct{})}
 	}
@@ -42,6 +46,13 @@
 	return n
 }
 
+// endedBatch returns a batch of items that were not taken.
+func endedBatch[T any](err error) *batch[T] {
+	n := &batch[T]{done: make(chan struct{}), err: err}
+	close(n.done)
+	return n
+}
+
 // loop runs batches until none is left.
 func (b *batcher[T]) loop() {
 	for {
