Origins: streams begun without the store outlive a kill of all instances

Callers would have got answers joined from two versions: a stream begun at another version than the base while the store was away was known only to two coordinators, and after a kill of all of them it went on at the base.

The first event now waits for the store as long as an endpoint of the base serves the pool, since only then the stream could go on at the wrong one; where none does, two coordinators are enough, as before, and after a kill of all such a stream is refused. All keepers are tried, not two: one that reaches the store is enough.

Ruled out: evidence of an outage found after the restart (an outage that ends before the restart leaves none).

--- a/internal/gateway/originrecord.go
+++ b/internal/gateway/originrecord.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/medlarhold/medlarhold/internal/core/catalog"
+	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/core/origin"
 	"github.com/medlarhold/medlarhold/internal/edge"
 	"github.com/medlarhold/medlarhold/internal/telemetry"
@@ -59,19 +60,19 @@
 const uncertainDispatch = 1 << 16
 
 // send has records appended to the store. Those that the store does not take at once are told to the
-// keepers of two zones, which find them until they are in the store, and sent again.
+// keepers of two zones, which find them until they are in the store, and sent again. Streams that don't
+// need the store may begin once the keepers were told.
 func (o *origins) send(ctx context.Context, items []*unsent) error {
 	records := make([]origin.Record, 0, len(items))
 	for _, u := range items {
 		records = append(records, u.Record)
 	}
-	if durable, told := o.record(ctx, records); durable || told {
+	durable := o.record(ctx, records, func() { o.releaseTold(items) })
+	if durable {
 		for _, u := range items {
 			u.release()
 		}
-		if durable {
-			return nil
-		}
+		return nil
 	}
 	telemetry.Log(o.g.log, telemetry.EventOriginsNotRecorded, "records", len(records), "oldest_ms", time.Since(items[0].since).Milliseconds())
 	for _, u := range items {
@@ -83,12 +84,34 @@
 	return nil
 }
 
+// releaseTold releases the streams whose records keepers were told of and that don't need the store.
+func (o *origins) releaseTold(items []*unsent) {
+	for _, u := range items {
+		if !o.needsStore(u.Pool) {
+			u.release()
+		}
+	}
+}
+
+// needsStore reports whether streams of a pool that have a record may begin only once the store has it.
+// If all instances were killed before, such a stream would go on at the base, if an endpoint of that
+// version serves.
+func (o *origins) needsStore(pool entity.PoolID) bool {
+	o.mu.Lock()
+	base, ok := o.table.Base(pool)
+	o.mu.Unlock()
+	if !ok {
+		return true // another instance may know of one
+	}
+	return base.Version != "" && len(ofVersion(o.g.state.endpoints.Load().Pool(pool), base.Version)) > 0
+}
+
 // toldKeepers is the number of keepers that are told of records that are not in the store.
 const toldKeepers = 2
 
 // record has records appended by a keeper, or by this instance if it reaches none. It reports
-// whether they are in the store, and whether enough keepers were told.
-func (o *origins) record(ctx context.Context, records []origin.Record) (durable, told bool) {
+// whether they are in the store, and calls told once enough keepers know of them.
+func (o *origins) record(ctx context.Context, records []origin.Record, told func()) (durable bool) {
 	keepers, _ := o.present()
 	answers := 0
 	for _, k := range keepers {
@@ -98,17 +121,17 @@
 		}
 		o.addBases(answer.Bases)
 		if answer.Durable {
-			return true, true
+			return true
 		}
-		if answers++; answers == toldKeepers {
-			return false, true
+		if answers++; answers == min(toldKeepers, len(keepers)) {
+			told()
 		}
 	}
-	if answers == 0 {
-		answer, err := o.answerRecord(ctx, records)
-		return err == nil && answer.Durable, false
+	if answers > 0 {
+		return false
 	}
-	return false, answers >= min(toldKeepers, len(keepers))
+	answer, err := o.answerRecord(ctx, records)
+	return err == nil && answer.Durable
 }
 
 // recordAt has records appended by one keeper.
