Departures that one instance reads in the store are told to the others

Cause: after an entry changed, the store fell silent for a third of the instances, the zone's coordinator among them. Three members whose turn it was read the change within 1.3 s, but nobody told the coordinator; the others waited for their own turn or another coordinator. Two things kept it back: only departures stated in responses were told, and members take the coordinator's table only if it was read later than theirs, which near a silent store is a matter of chance.

Change: a leaving entry holds for its incarnation like a statement in a response, so the two marks are one (Leaving; Departing is gone from tables and messages). Whoever reads one, or a removal, tells it for 3 s. Bulletins carry departures while the coordinator's read is older than 1.1 s. A removal names the change that it follows, so a later one restores the endpoint.

Ruled out: the bound of tries (members read in time).

--- a/internal/core/catalog/departures.go
+++ b/internal/core/catalog/departures.go
@@ -10,57 +10,67 @@
 // several messages, as some may be lost.
 const departureRepeat = 3 * time.Second
 
-// Departure is the statement of an endpoint, in a response to a request, that it is going
-// to stop. It holds for the rest of that incarnation, whatever the endpoint's entry in the
-// store says.
+// Departure says that an endpoint is going to stop. Most endpoints state it themselves, in their
+// entries in the store or in responses to requests. That holds for the rest of the incarnation,
+// whatever is read of the endpoint later.
 type Departure struct {
 	ID          entity.EndpointID `json:"i"`
 	Incarnation int64             `json:"b"`
+	// Removed is set if the endpoint's entry was removed from the store after its change Seq. A
+	// later change restores the endpoint.
+	Removed bool  `json:"r,omitempty"`
+	Seq     int64 `json:"q,omitempty"`
 }
 
+// row returns the row to which the departure applies.
+func (d *Departure) row() *Endpoint { return &Endpoint{Incarnation: d.Incarnation, Seq: d.Seq} }
+
 // departures holds the endpoints that are going to stop.
 type departures map[entity.EndpointID]departureRecord
 
-// departureRecord is a departure and the time at which this instance learned of it from
-// a message; zero if it learned of it from a table, which needs no repetition.
+// departureRecord is a departure and the time at which this instance learned of it from the store
+// or a message; zero if it learned of it from a table, which needs no repetition.
 type departureRecord struct {
 	incarnation int64
 	learnedAt   time.Time
 }
 
 // applyTo returns the change with its row marked if the endpoint has stated that it is
-// going to stop. It records such a statement that the row already carries.
-func (d departures) applyTo(c Change) Change {
+// going to stop. It records such a statement that the row itself makes, learned at the given time.
+func (d departures) applyTo(learnedAt time.Time, c Change) Change {
 	if c.Row == nil {
 		return c
 	}
 	record, known := d[c.ID]
-	known = known && record.incarnation == c.Row.Incarnation
 	switch {
-	case c.Row.Departing && !known:
-		d[c.ID] = departureRecord{incarnation: c.Row.Incarnation}
-	case known && !c.Row.Departing:
+	case c.Row.Leaving && (!known || record.incarnation < c.Row.Incarnation):
+		d[c.ID] = departureRecord{incarnation: c.Row.Incarnation, learnedAt: learnedAt}
+	case !c.Row.Leaving && known && record.incarnation == c.Row.Incarnation:
 		row := *c.Row
-		row.Leaving, row.Departing = true, true
+		row.Leaving = true
 		c.Row = &row
 	}
 	return c
 }
 
-// RecordDepartures records that endpoints have stated that they are going to stop, to this
-// instance or to another one. Those that are not in the table, or have restarted since,
-// are ignored. It reports whether the table was replaced.
-func (d *Discovery) RecordDepartures(now time.Time, stated []Departure) bool {
+// RecordDepartures records departures of which this instance or another one has learned. Those of
+// endpoints that are not in the table, or have restarted since, are ignored. It reports whether the
+// table was replaced.
+func (d *Discovery) RecordDepartures(now time.Time, departed []Departure) bool {
 	var changes []Change
-	for _, s := range stated {
+	for _, s := range departed {
 		row, ok := d.table.Get(s.ID)
-		if !ok || row.Incarnation != s.Incarnation || row.Departing {
-			continue
+		switch {
+		case !ok:
+		case s.Removed && !row.laterThan(s.row()):
+			d.removed[s.ID] = tombstone{row: s.row(), at: now, tell: true}
+			changes = append(changes, Change{ID: s.ID})
+		case !s.Removed && row.Incarnation == s.Incarnation && !row.Leaving:
+			d.departures[s.ID] = departureRecord{incarnation: s.Incarnation, learnedAt: now}
+			changes = append(changes, Change{ID: s.ID, Row: row})
 		}
-		d.departures[s.ID] = departureRecord{incarnation: s.Incarnation, learnedAt: now}
-		changes = append(changes, Change{ID: s.ID, Row: row})
 	}
-	return d.apply(changes)
+	return d.apply(now, changes)
 }
 
 // RecentDepartures returns the departures that other instances may not know yet.
@@ -71,6 +81,11 @@
 			out = append(out, Departure{ID: id, Incarnation: r.incarnation})
 		}
 	}
+	for id, t := range d.removed {
+		if t.tell && now.Sub(t.at) < departureRepeat {
+			out = append(out, Departure{ID: id, Incarnation: t.row.Incarnation, Removed: true, Seq: t.row.Seq})
+		}
+	}
 	return out
 }
 
--- a/internal/core/catalog/departures_test.go
+++ b/internal/core/catalog/departures_test.go
@@ -61,6 +61,63 @@
 	}
 }
 
+// An instance that reads a departure in the store tells the others, which may not reach the store. One
+// that learns of it from a peer's table has nothing to tell.
+func TestDepartureReadInTheStoreIsToldToOthers(t *testing.T) {
+	leaving := row("e", 1, 2)
+	leaving.Row.Leaving = true
+	reader, peer := NewDiscovery(), NewDiscovery()
+	for _, d := range []*Discovery{reader, peer} {
+		d.ApplyRead(start, []Change{row("e", 1, 1)}, true)
+	}
+	now := start.Add(time.Second)
+	reader.ApplyRead(now, []Change{leaving}, false)
+	if got := reader.RecentDepartures(now); len(got) != 1 || got[0] != (Departure{ID: "e", Incarnation: 1}) {
+		t.Errorf("got departures %v from the instance that read one, want that of e", got)
+	}
+	peer.ApplyPeerTable(now, reader.Table().All())
+	if got := peer.RecentDepartures(now); len(got) != 0 {
+		t.Errorf("got departures %v from the instance that got a table, want none", got)
+	}
+}
+
+// The entries of some endpoints are removed without having said that they are leaving.
+func TestRemovalReadInTheStoreIsToldToOthers(t *testing.T) {
+	reader, told := NewDiscovery(), NewDiscovery()
+	for _, d := range []*Discovery{reader, told} {
+		d.ApplyRead(start, []Change{row("e", 1, 1), row("f", 1, 1)}, true)
+	}
+	now := start.Add(time.Second)
+	reader.ApplyRead(now, []Change{removed("e")}, false)
+	if !told.RecordDepartures(now, reader.RecentDepartures(now)) || told.has("e") || !told.has("f") {
+		t.Fatalf("got e in the table: %v, f: %v, want only f", told.has("e"), told.has("f"))
+	}
+	if got := told.RecentDepartures(now); len(got) != 1 || !got[0].Removed {
+		t.Errorf("got departures %v to tell others, want the removal", got)
+	}
+	told.ApplyRead(now, []Change{row("e", 1, 1)}, false)
+	if told.has("e") {
+		t.Error("an outdated row restores the endpoint, want it to stay away")
+	}
+	told.ApplyRead(now, []Change{row("e", 1, 2)}, false)
+	told.RecordDepartures(now, reader.RecentDepartures(now))
+	if !told.has("e") {
+		t.Error("the endpoint that was written again is removed by an older removal, want it to stay")
+	}
+}
+
+// A row of an earlier start that arrives late does not hide that the endpoint is going to stop.
+func TestDepartureOutlastsRowsOfEarlierStarts(t *testing.T) {
+	old, leaving := row("e", 1, 9), row("e", 2, 1)
+	old.Row.Leaving, leaving.Row.Leaving = true, true
+	d := NewDiscovery()
+	d.ApplyRead(start, []Change{leaving}, true)
+	d.ApplyRead(start, []Change{old, row("e", 2, 2)}, false)
+	if !d.isLeaving("e") {
+		t.Error("the endpoint is not leaving, want leaving until it restarts")
+	}
+}
+
 func TestDeparturesAreRepeatedForAWhile(t *testing.T) {
 	d := NewDiscovery()
 	d.ApplyRead(start, []Change{row("e", 1, 1)}, true)
--- a/internal/core/catalog/discovery.go
+++ b/internal/core/catalog/discovery.go
@@ -48,6 +48,9 @@
 type tombstone struct {
 	row *Endpoint
 	at  time.Time
+	// tell is set if other instances may not know of the removal: it was read from the store or
+	// told by another instance, and not found in a peer's table.
+	tell bool
 }
 
 // NewDiscovery returns a Discovery with an empty table.
@@ -83,11 +86,11 @@
 			continue
 		}
 		delete(d.missing, c.ID)
-		d.addTombstone(now, c, rows[c.ID])
+		d.addTombstone(now, c, rows[c.ID], true)
 		rows[c.ID] = c.Row
 		kept = append(kept, c)
 	}
-	changed := d.apply(kept)
+	changed := d.apply(now, kept)
 	return d.expire(now) || changed
 }
 
@@ -102,7 +105,7 @@
 
 // addTombstone keeps the last row of an entry that is removed: the row in the
 // table, or a newer one from the same read.
-func (d *Discovery) addTombstone(now time.Time, c Change, justRead *Endpoint) {
+func (d *Discovery) addTombstone(now time.Time, c Change, justRead *Endpoint, tell bool) {
 	if c.Row != nil {
 		return
 	}
@@ -111,7 +114,7 @@
 		last = old
 	}
 	if last != nil {
-		d.removed[c.ID] = tombstone{row: last, at: now}
+		d.removed[c.ID] = tombstone{row: last, at: now, tell: tell}
 	}
 }
 
@@ -135,11 +138,11 @@
 	kept := changes[:0:0]
 	for _, c := range changes {
 		if !d.outdated(c.Row) {
-			d.addTombstone(readAt, c, nil)
+			d.addTombstone(readAt, c, nil, false)
 			kept = append(kept, c)
 		}
 	}
-	d.apply(kept)
+	d.apply(time.Time{}, kept)
 	d.recordRead(readAt)
 	clear(d.missing)
 }
@@ -247,16 +250,18 @@
 			delete(d.missing, id)
 		}
 	}
-	return d.apply(overdue)
+	return d.apply(now, overdue)
 }
 
-func (d *Discovery) apply(changes []Change) bool {
+// apply applies changes to the table and reports whether there were any. Departures that they state
+// are learned at the given time, zero if from a peer's table.
+func (d *Discovery) apply(learnedAt time.Time, changes []Change) bool {
 	if len(changes) == 0 {
 		return false
 	}
 	marked := make([]Change, len(changes))
 	for i, c := range changes {
-		marked[i] = d.departures.applyTo(c)
+		marked[i] = d.departures.applyTo(learnedAt, c)
 	}
 	d.table = d.table.Apply(marked)
 	return true
--- a/internal/core/catalog/endpoints.go
+++ b/internal/core/catalog/endpoints.go
@@ -22,9 +22,6 @@
 	Seq int64
 	// Version is the version of the endpoint's software, empty if it can't be read.
 	Version string
-	// Departing is set if the endpoint itself has said, in a response, that it is going
-	// to stop. Leaving is set too then.
-	Departing bool
 	// hash is the row's fingerprint, set when the row is added to a table.
 	hash uint64
 }
@@ -130,9 +127,6 @@
 	b := binary.AppendVarint(buffer[:0], int64(e.Slots))
 	b = binary.AppendVarint(b, e.Incarnation)
 	b = strconv.AppendBool(b, e.Leaving)
-	if e.Departing {
-		b = append(b, 'd') // rows without the mark have the hash that they had before there was one
-	}
 	_, _ = d.Write(b)
 	return d.Sum64()
 }
--- a/internal/core/zone/core.go
+++ b/internal/core/zone/core.go
@@ -198,6 +198,9 @@
 	c.mergeLimits(at, from, r.EndpointLimits)
 	b := Bulletin{ReportSeq: r.Seq, ProofAge: c.proofAge(at), ConfigVersion: versionOf(c.state.Config()), ReadAge: c.state.ReadAge(at.Now), Cursors: c.state.Cursors()}
 	b.StoreAnswersOthers = c.IsCoordinator() && c.answersOthers(at.Now)
+	if b.ReadAge > maxReadAge {
+		b.Departures = c.state.RecentDepartures(at.Now)
+	}
 	if cfg := c.state.Config(); versionOf(cfg) > r.ConfigVersion && c.sentConfigs.shouldSend(at.Now, from, uint64(cfg.Version)) {
 		b.Config = c.packedConfig.bytes(cfg)
 	}
@@ -214,11 +217,12 @@
 }
 
 // HandleBulletin processes the coordinator's answer to a report. Of a bulletin from another
-// instance, only the quarantine's records and the statements about limits are used: its sender
+// instance, only the quarantine's records and the statements of endpoints are used: its sender
 // won't send them again.
 func (c *Core) HandleBulletin(at Moment, from entity.InstanceID, b Bulletin) {
 	c.mergeQuarantine(at.Now, from, b.Quarantine)
 	c.mergeLimits(at, from, b.EndpointLimits)
+	c.state.RecordDepartures(at.Now, b.Departures)
 	if from != c.coordinator {
 		return
 	}
--- a/internal/core/zone/message.go
+++ b/internal/core/zone/message.go
@@ -55,6 +55,9 @@
 	Config    []byte       `json:"c,omitempty"`
 	Endpoints []byte       `json:"e,omitempty"`
 	Changes   *TableChange `json:"d,omitempty"`
+	// Departures lists endpoints that have recently said that they are going to stop, while the
+	// table has not been read for so long that members may not take it.
+	Departures []catalog.Departure `json:"g,omitempty"`
 	// Cursors are the coordinator's read positions, and TableDigest is the digest
 	// of its endpoints at that position.
 	TableDigest uint64                         `json:"t,omitempty"`
--- a/internal/core/zone/table.go
+++ b/internal/core/zone/table.go
@@ -54,20 +54,19 @@
 	Address     string            `json:"a"`
 	Slots       int               `json:"s"`
 	Leaving     bool              `json:"l,omitempty"`
-	Departing   bool              `json:"d,omitempty"`
 	Incarnation int64             `json:"b"`
 	Seq         int64             `json:"q"`
 	Version     string            `json:"v,omitempty"`
 }
 
 func rowOf(e *catalog.Endpoint) TableRow {
-	return TableRow{ID: e.ID, Pool: e.Pool, Zone: e.Zone, Address: e.Address, Slots: e.Slots, Leaving: e.Leaving, Departing: e.Departing, Incarnation: e.Incarnation, Seq: e.Seq, Version: e.Version}
+	return TableRow{ID: e.ID, Pool: e.Pool, Zone: e.Zone, Address: e.Address, Slots: e.Slots, Leaving: e.Leaving, Incarnation: e.Incarnation, Seq: e.Seq, Version: e.Version}
 }
 
 func (r *TableRow) endpoint() catalog.Endpoint {
 	return catalog.Endpoint{
 		Endpoint:    entity.Endpoint{ID: r.ID, Pool: r.Pool, Zone: r.Zone, Address: r.Address, Slots: r.Slots, Leaving: r.Leaving},
-		Incarnation: r.Incarnation, Seq: r.Seq, Departing: r.Departing, Version: r.Version,
+		Incarnation: r.Incarnation, Seq: r.Seq, Version: r.Version,
 	}
 }
 
@@ -206,9 +205,8 @@
 	// Versions lists the distinct software versions, VersionOf each row's index in them.
 	Versions  []string `json:"v"`
 	VersionOf []int    `json:"w"`
-	// Leaving and Departing list the indexes of the rows with these marks.
-	Leaving   []int `json:"l,omitempty"`
-	Departing []int `json:"d,omitempty"`
+	// Leaving lists the indexes of the rows with that mark.
+	Leaving []int `json:"l,omitempty"`
 }
 
 // packTable returns the encoded form of a table.
@@ -224,9 +222,6 @@
 		if e.Leaving {
 			c.Leaving = append(c.Leaving, i)
 		}
-		if e.Departing {
-			c.Departing = append(c.Departing, i)
-		}
 	}
 	return pack(c)
 }
@@ -273,24 +268,13 @@
 			Incarnation: c.Incarnations[i], Seq: c.Seqs[i], Version: c.Versions[c.VersionOf[i]],
 		}
 	}
-	if err := mark(rows, c.Leaving, func(e *catalog.Endpoint) { e.Leaving = true }); err != nil {
-		return nil, err
-	}
-	if err := mark(rows, c.Departing, func(e *catalog.Endpoint) { e.Departing = true }); err != nil {
-		return nil, err
-	}
-	return rows, nil
-}
-
-// mark calls set for the rows with the given indexes.
-func mark(rows []catalog.Endpoint, indexes []int, set func(*catalog.Endpoint)) error {
-	for _, i := range indexes {
-		if !inRange(i, len(rows)) {
-			return trace.BadParameter("a peer's table of endpoints has %d rows but marks row %d", len(rows), i)
+	for _, i := range c.Leaving {
+		if !inRange(i, n) {
+			return nil, trace.BadParameter("a peer's table of endpoints has %d rows but marks row %d", n, i)
 		}
-		set(&rows[i])
+		rows[i].Leaving = true
 	}
-	return nil
+	return rows, nil
 }
 
 func inRange(i, n int) bool { return i >= 0 && i < n }
