Origins: what a search has found is put into one table for all streams of a batch

The table of found records was built again for each stream of a batch. No change in behaviour; the tests of the search and of versions pass.

--- a/internal/gateway/originfind.go
+++ b/internal/gateway/originfind.go
@@ -53,10 +53,11 @@
 	found := o.findInStore(ctx, keepers, streams, latest)
 	found.Records = append(found.Records, o.findElsewhere(ctx, keepers, streams, found.Records)...)
 	o.addBases(found.Bases)
+	known := found.table()
 	again := false
 	for _, l := range lookups {
 		read := !l.since.After(found.readSince)
-		l.resolve(&found.originsFound, read)
+		l.resolve(known, &found.originsFound, read)
 		if !l.known && !read && time.Since(l.since) < maxOriginSearch {
 			o.lookups.submit(l)
 			again = true
@@ -162,12 +163,17 @@
 	return found, nil
 }
 
-// resolve sets the result of the search. Without a record, the base began the stream, if the store
-// has been read since the search began.
-func (l *lookup) resolve(found *originsFound, read bool) {
-	known := origin.NewTable()
-	known.Add(time.Time{}, found.Records)
-	known.SetBases(found.Bases)
+// table returns a table of what was found.
+func (f *originsFound) table() *origin.Table {
+	t := origin.NewTable()
+	t.Add(time.Time{}, f.Records)
+	t.SetBases(f.Bases)
+	return t
+}
+
+// resolve sets the result of the search, given the table of what was found. Without a record, the base
+// began the stream, if the store has been read since the search began.
+func (l *lookup) resolve(known *origin.Table, found *originsFound, read bool) {
 	if r, ok := known.Find(l.stream); ok && l.stream.Request != "" {
 		l.version, l.known = r.Version, true
 		return
--- a/internal/gateway/origins_test.go
+++ b/internal/gateway/origins_test.go
@@ -34,7 +34,8 @@
 	}
 	for _, tt := range tests {
 		l := &lookup{stream: origin.Stream{Pool: "p", Request: tt.request}}
-		l.resolve(&originsFound{Records: recorded, Bases: bases, OnlyBase: tt.onlyBase}, tt.read)
+		found := originsFound{Records: recorded, Bases: bases, OnlyBase: tt.onlyBase}
+		l.resolve(found.table(), &found, tt.read)
 		if l.version != tt.want || l.known != (tt.want != "") {
 			t.Errorf("%s: got version %q, known %v, want %q", tt.name, l.version, l.known, tt.want)
 		}
