--- a/internal/standin/relay/faults.go
+++ b/internal/standin/relay/faults.go
@@ -1,6 +1,11 @@
 package relay
 
-import "time"
+import (
+	"maps"
+	"net"
+	"slices"
+	"time"
+)
 
 // Direction holds the faults of the bytes that flow in one direction.
 type Direction struct {
@@ -47,6 +52,49 @@
 	}
 }
 
+// cut is a set of clients that are cut off.
+type cut struct{ matches func(client net.Addr) bool }
+
+// CutClients cuts the clients with matching addresses off until heal is called: new connections are
+// closed at once, and open ones too or, if stall is set, forward nothing more.
+func (r *Relay) CutClients(matches func(client net.Addr) bool, stall bool) (heal func()) {
+	c := &cut{matches}
+	r.mu.Lock()
+	r.cuts[c] = struct{}{}
+	open := slices.Collect(maps.Keys(r.links))
+	r.mu.Unlock()
+	for _, l := range open {
+		if matches(l.client.RemoteAddr()) {
+			r.cutLink(l, stall)
+		}
+	}
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.cuts, c)
+	}
+}
+
+// cutLink closes or stalls an open connection.
+func (r *Relay) cutLink(l *link, stall bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !stall {
+		l.close()
+		return
+	}
+	l.stalled = true
+	r.notify()
+}
+
+// cutsOff reports whether a client is cut off.
+func (r *Relay) cutsOff(client net.Addr) bool {
+	r.mu.Lock()
+	cuts := slices.Collect(maps.Keys(r.cuts))
+	r.mu.Unlock()
+	return slices.ContainsFunc(cuts, func(c *cut) bool { return c.matches(client) })
+}
+
 // OpenConnections returns the number of open connections.
 func (r *Relay) OpenConnections() int {
 	r.mu.Lock()
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -19,6 +19,8 @@
 	links    map[*link]struct{}
 	accepted int
 	closed   bool
+	// cuts are the clients that are cut off, see CutClients.
+	cuts map[*cut]struct{}
 }
 
 // Start starts a relay that listens on the address listen and forwards its connections to target.
@@ -27,7 +29,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	r := &Relay{target: target, listener: l, changed: make(chan struct{}), links: map[*link]struct{}{}}
+	r := &Relay{target: target, listener: l, changed: make(chan struct{}), links: map[*link]struct{}{}, cuts: map[*cut]struct{}{}}
 	r.running.Add(1)
 	go r.accept()
 	return r, nil
@@ -66,7 +68,7 @@
 // forward forwards one connection until it ends.
 func (r *Relay) forward(client net.Conn) {
 	defer client.Close()
-	if !r.admit() {
+	if !r.admit() || r.cutsOff(client.RemoteAddr()) {
 		return
 	}
 	target, err := net.Dial("tcp", r.target)
--- a/internal/standin/relay/relay_test.go
+++ b/internal/standin/relay/relay_test.go
@@ -123,6 +123,36 @@
 	expectNothing(t, c)
 }
 
+func TestCutClientsSparesOthers(t *testing.T) {
+	for _, stall := range []bool{false, true} {
+		r := startRelay(t)
+		cutOff, spared := dial(t, r), dial(t, r)
+		for _, c := range []net.Conn{cutOff, spared} {
+			send(t, c, "a")
+			expect(t, c, "a")
+		}
+		heal := r.CutClients(func(client net.Addr) bool { return client.String() == cutOff.LocalAddr().String() }, stall)
+		send(t, spared, "b")
+		expect(t, spared, "b")
+		if stall {
+			send(t, cutOff, "b")
+			expectNothing(t, cutOff)
+		} else if _, err := cutOff.Read(make([]byte, 1)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("read after the cut: got %v, want a closed connection", err)
+		}
+		heal()
+	}
+	r := startRelay(t)
+	heal := r.CutClients(func(net.Addr) bool { return true }, false)
+	if n, err := dial(t, r).Read(make([]byte, 1)); n != 0 || err == nil {
+		t.Errorf("got %d bytes, error %v on a new connection of a client that is cut off, want it closed", n, err)
+	}
+	heal()
+	again := dial(t, r)
+	send(t, again, "c")
+	expect(t, again, "c")
+}
+
 func TestStalledOrDelayedDirectionHoldsBytesBack(t *testing.T) {
 	for _, f := range []Faults{
 		{ToTarget: Direction{Stalled: true}},
