--- a/internal/core/zone/message.go
+++ b/internal/core/zone/message.go
@@ -26,7 +26,7 @@
 	// StoreAnswerAge is the time since the store last answered the sender itself,
 	// negative for never.
 	StoreAnswerAge time.Duration `json:"r"`
-	// Departures lists endpoints that have recently said that they are going to stop.
+	// Departures lists the departures of which the sender has recently learned.
 	Departures []catalog.Departure `json:"d,omitempty"`
 	// EndpointLimits holds the statements of endpoints about their limits that have changed
 	// since the last report.
@@ -55,7 +55,7 @@
 	Config    []byte       `json:"c,omitempty"`
 	Endpoints []byte       `json:"e,omitempty"`
 	Changes   *TableChange `json:"d,omitempty"`
-	// Departures lists endpoints that have recently said that they are going to stop, while the
+	// Departures lists the departures of which the sender has recently learned, while its
 	// table has not been read for so long that members may not take it.
 	Departures []catalog.Departure `json:"g,omitempty"`
 	// Cursors are the coordinator's read positions, and TableDigest is the digest
@@ -120,7 +120,7 @@
 	// StoreAnswerAge is the time since the store last answered the sender itself,
 	// negative for never.
 	StoreAnswerAge time.Duration `json:"r"`
-	// Departures lists endpoints that have recently said that they are going to stop.
+	// Departures lists the departures of which the sender has recently learned.
 	Departures []catalog.Departure `json:"d,omitempty"`
 	// EndpointLimits holds the statements of endpoints about their limits that have changed
 	// since the last exchange.
