Origins: keepers are asked in vain no longer than streams need; departures are sent in order

Now the second answer ends it if all streams of the batch may begin. RecentDepartures no longer takes the order of a map.

--- a/internal/core/catalog/departures.go
+++ b/internal/core/catalog/departures.go
@@ -1,6 +1,8 @@
 package catalog
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/medlarhold/medlarhold/internal/core/entity"
@@ -73,7 +75,7 @@
 	return d.apply(now, changes)
 }
 
-// RecentDepartures returns the departures that other instances may not know yet.
+// RecentDepartures returns the departures that other instances may not know yet, sorted by id.
 func (d *Discovery) RecentDepartures(now time.Time) []Departure {
 	var out []Departure
 	for id, r := range d.departures {
@@ -86,6 +88,7 @@
 			out = append(out, Departure{ID: id, Incarnation: t.row.Incarnation, Removed: true, Seq: t.row.Seq})
 		}
 	}
+	slices.SortStableFunc(out, func(a, b Departure) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
 
--- a/internal/gateway/originrecord.go
+++ b/internal/gateway/originrecord.go
@@ -67,7 +67,7 @@
 	for _, u := range items {
 		records = append(records, u.Record)
 	}
-	durable := o.record(ctx, records, func() { o.releaseTold(items) })
+	durable := o.record(ctx, records, func() bool { return o.releaseTold(items) })
 	if durable {
 		for _, u := range items {
 			u.release()
@@ -84,13 +84,18 @@
 	return nil
 }
 
-// releaseTold releases the streams whose records keepers were told of and that don't need the store.
-func (o *origins) releaseTold(items []*unsent) {
+// releaseTold releases the streams whose records keepers were told of and that don't need the store. It
+// reports whether that were all.
+func (o *origins) releaseTold(items []*unsent) (all bool) {
+	all = true
 	for _, u := range items {
-		if !o.needsStore(u.Pool) {
-			u.release()
+		if o.needsStore(u.Pool) {
+			all = false
+			continue
 		}
+		u.release()
 	}
+	return all
 }
 
 // needsStore reports whether streams of a pool that have a record may begin only once the store has it.
@@ -110,8 +115,9 @@
 const toldKeepers = 2
 
 // record has records appended by a keeper, or by this instance if it reaches none. It reports
-// whether they are in the store, and calls told once enough keepers know of them.
-func (o *origins) record(ctx context.Context, records []origin.Record, told func()) (durable bool) {
+// whether they are in the store. It calls told once enough keepers know of them, and asks no others if
+// that suffices for all.
+func (o *origins) record(ctx context.Context, records []origin.Record, told func() (all bool)) (durable bool) {
 	keepers, _ := o.present()
 	answers := 0
 	for _, k := range keepers {
@@ -123,8 +129,8 @@
 		if answer.Durable {
 			return true
 		}
-		if answers++; answers == min(toldKeepers, len(keepers)) {
-			told()
+		if answers++; answers == min(toldKeepers, len(keepers)) && told() {
+			return false
 		}
 	}
 	if answers > 0 {
