Soak: the process of a connection is told by both of its addresses

Cause: several sockets can have the same local address while their remote ones differ, such as one that has ended and waits (inode 0); the first in the table was taken.

--- a/internal/standin/relay/faults.go
+++ b/internal/standin/relay/faults.go
@@ -53,18 +53,18 @@
 }
 
 // cut is a set of clients that are cut off.
-type cut struct{ matches func(client net.Addr) bool }
+type cut struct{ matches func(client net.Conn) bool }
 
-// CutClients cuts the clients with matching addresses off until heal is called: new connections are
+// CutClients cuts the clients off whose connections match until heal is called: new connections are
 // closed at once, and open ones too or, if stall is set, forward nothing more.
-func (r *Relay) CutClients(matches func(client net.Addr) bool, stall bool) (heal func()) {
+func (r *Relay) CutClients(matches func(client net.Conn) bool, stall bool) (heal func()) {
 	c := &cut{matches}
 	r.mu.Lock()
 	r.cuts[c] = struct{}{}
 	open := slices.Collect(maps.Keys(r.links))
 	r.mu.Unlock()
 	for _, l := range open {
-		if matches(l.client.RemoteAddr()) {
+		if matches(l.client) {
 			r.cutLink(l, stall)
 		}
 	}
@@ -88,7 +88,7 @@
 }
 
 // cutsOff reports whether a client is cut off.
-func (r *Relay) cutsOff(client net.Addr) bool {
+func (r *Relay) cutsOff(client net.Conn) bool {
 	r.mu.Lock()
 	cuts := slices.Collect(maps.Keys(r.cuts))
 	r.mu.Unlock()
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -68,7 +68,7 @@
 // forward forwards one connection until it ends.
 func (r *Relay) forward(client net.Conn) {
 	defer client.Close()
-	if !r.admit() || r.cutsOff(client.RemoteAddr()) {
+	if !r.admit() || r.cutsOff(client) {
 		return
 	}
 	target, err := net.Dial("tcp", r.target)
--- a/internal/standin/relay/relay_test.go
+++ b/internal/standin/relay/relay_test.go
@@ -131,7 +131,7 @@
 			send(t, c, "a")
 			expect(t, c, "a")
 		}
-		heal := r.CutClients(func(client net.Addr) bool { return client.String() == cutOff.LocalAddr().String() }, stall)
+		heal := r.CutClients(func(client net.Conn) bool { return client.RemoteAddr().String() == cutOff.LocalAddr().String() }, stall)
 		send(t, spared, "b")
 		expect(t, spared, "b")
 		if stall {
@@ -143,7 +143,7 @@
 		heal()
 	}
 	r := startRelay(t)
-	heal := r.CutClients(func(net.Addr) bool { return true }, false)
+	heal := r.CutClients(func(net.Conn) bool { return true }, false)
 	if n, err := dial(t, r).Read(make([]byte, 1)); n != 0 || err == nil {
 		t.Errorf("got %d bytes, error %v on a new connection of a client that is cut off, want it closed", n, err)
 	}
