--- a/review/standins/case2.go
+++ b/review/standins/case2.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -47,7 +46,7 @@
 	w.configure(fmt.Sprintf(streamConfig, 7, streamTenant))
 	for i := range 6 {
 		w.addEngine(&engine{id: fmt.Sprintf("i-llm-%d", i+1), service: "llm", zone: "a", slots: 9, queue: 54, events: events, gap: gap,
-			unframed: func() float64 { return unframedShare }, silentFor: 300 * time.Millisecond, silentEvery: 500 * time.Millisecond})
+			unframed: func() float64 { return unframedShare }, silentFor: 300 * time.Millisecond, silentEvery: 350 * time.Millisecond})
 	}
 	var instances []*instance
 	for i := range machines {
@@ -97,26 +96,16 @@
 
 // mostChannels returns the instance with the most channels to engines.
 func mostChannels(w *world, instances []*instance) *instance {
-	var best *instance
-	most := -1
+	var pids []int
 	for _, in := range instances {
-		n := 0
-		for _, e := range w.engines {
-			e.mu.Lock()
-			conns := make([]net.Conn, 0, len(e.conns))
-			for c := range e.conns {
-				conns = append(conns, c)
-			}
-			e.mu.Unlock()
-			for _, c := range conns {
-				if find(c, []int{in.pid()}) != 0 {
-					n++
-				}
-			}
-		}
-		w.log("%s has %d channels to engines", in.name, n)
-		if n > most {
-			best, most = in, n
+		pids = append(pids, in.pid())
+	}
+	held := w.channels(pids)
+	best := instances[0]
+	for _, in := range instances {
+		w.log("%s has %d channels to engines", in.name, held[in.pid()])
+		if held[in.pid()] > held[best.pid()] {
+			best = in
 		}
 	}
 	return best
--- a/review/standins/owner.go
+++ b/review/standins/owner.go
@@ -8,61 +8,40 @@
 	"os"
 	"path/filepath"
 	"strings"
-	"sync"
 )
 
-// owners tells which process a channel comes from, as the machine's address would where each
-// process has its own machine.
-type owners struct {
-	mu    sync.Mutex
-	known map[string]int // by remote address and local address
-}
-
-// of returns the process, of those given, that holds the other end of a channel; 0 for none of them.
-func (o *owners) of(conn net.Conn, pids []int) int {
-	key := conn.RemoteAddr().String() + " " + conn.LocalAddr().String()
-	o.mu.Lock()
-	pid, ok := o.known[key]
-	o.mu.Unlock()
-	if ok {
-		return pid
-	}
-	pid = find(conn, pids)
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.known == nil {
-		o.known = map[string]int{}
+// channels returns how many of the engines' channels each process holds: on machines of their own, the
+// processes would be told apart by their addresses.
+func (w *world) channels(pids []int) map[int]int {
+	remote := map[string]bool{} // the other ends of the channels
+	for _, e := range w.engines {
+		e.mu.Lock()
+		for c := range e.conns {
+			remote[inTable(c.RemoteAddr())+" "+inTable(c.LocalAddr())] = true
+		}
+		e.mu.Unlock()
 	}
-	o.known[key] = pid
-	return pid
-}
-
-func find(conn net.Conn, pids []int) int {
 	table, err := os.ReadFile("/proc/net/tcp")
-	if err != nil {
-		return 0
-	}
-	inode := ""
+	must(err)
+	inodes := map[string]bool{}
 	for line := range strings.Lines(string(table)) {
-		columns := strings.Fields(line)
-		if len(columns) > 9 && columns[1] == inTable(conn.RemoteAddr()) && columns[2] == inTable(conn.LocalAddr()) && columns[9] != "0" {
-			inode = columns[9]
+		if columns := strings.Fields(line); len(columns) > 9 && remote[columns[1]+" "+columns[2]] {
+			inodes["socket:["+columns[9]+"]"] = true
 		}
 	}
-	if inode == "" {
-		return 0
-	}
+	held := map[int]int{}
 	for _, pid := range pids {
 		links, _ := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", pid))
 		for _, l := range links {
-			if to, err := os.Readlink(l); err == nil && to == "socket:["+inode+"]" {
-				return pid
+			if to, err := os.Readlink(l); err == nil && inodes[to] {
+				held[pid]++
 			}
 		}
 	}
-	return 0
+	return held
 }
 
+// inTable returns an address in the form of /proc/net/tcp.
 func inTable(a net.Addr) string {
 	tcp := a.(*net.TCPAddr)
 	ip := tcp.IP.To4()
