--- a/review/standins/case2.go
+++ b/review/standins/case2.go
@@ -36,12 +36,11 @@
 	const (
 		unframedShare = 0.05
 		machines      = 3
-		clients       = 48
-		rounds        = 10
+		clients       = 52
 	)
-	events, gap := 30, 100*time.Millisecond
-	if how == syscall.SIGTERM {
-		events, gap = 36, 320*time.Millisecond
+	events, gap, rounds := 30, 100*time.Millisecond, 12
+	if how == syscall.SIGTERM { // streams that last longer than the grace period
+		events, gap, rounds = 36, 320*time.Millisecond, 5
 	}
 	w.configure(fmt.Sprintf(streamConfig, 7, streamTenant))
 	for i := range 6 {
--- a/review/standins/case5.go
+++ b/review/standins/case5.go
@@ -31,10 +31,11 @@
 	for i := range 4 {
 		w.addEngine(&engine{id: fmt.Sprintf("i-desk-%d", i+1), service: "desk", zone: "a", slots: 50, queue: 100, work: 20 * time.Millisecond})
 	}
-	in := w.addInstance("front-a-1", "a")
+	w.addInstance("front-a-1", "a")
 	w.addInstance("front-a-2", "a")
 	w.awaitReady(w.instances...)
-	time.Sleep(time.Second)
+	time.Sleep(3 * time.Second)
+	in := w.coordinator()
 	var mu sync.Mutex
 	status := map[string]int{}
 	for round := range rounds {
