--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 plays it without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x review/bin/standins ] || { echo "run review/build.sh first"; exit 2; }
-exec review/bin/standins late-header review/5/record.txt
+exec review/bin/standins revoked-key review/5/record.txt
--- a/review/standins/case3.go
+++ b/review/standins/case3.go
@@ -3,131 +3,172 @@
 package main
 
 import (
-	"encoding/json"
+	"bufio"
+	"errors"
 	"fmt"
+	"io"
 	"net/http"
-	"os"
-	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
-
-	"github.com/medlarhold/medlarhold/platform/standin"
 )
 
-func init() { cases["joined-streams"] = joinedStreams }
-
-// coordinator returns the instance that reads and writes the store for its zone, as the instances say.
-func (w *world) coordinator() *instance {
-	names := map[string]*instance{}
-	chosen := ""
-	for _, in := range w.instances {
-		res, err := http.Get(fmt.Sprintf("http://127.0.0.1:%d/beliefs", in.peers+1))
-		must(err)
-		var s struct{ Instance, Coordinator string }
-		must(json.NewDecoder(res.Body).Decode(&s))
-		res.Body.Close()
-		names[s.Instance] = in
-		chosen = s.Coordinator
-	}
-	if names[chosen] == nil {
-		panic(errNotPlayed{"the instances name no coordinator"})
-	}
-	return names[chosen]
+func init() {
+	cases["cut-answer"] = func(w *world) { cutAnswer(w, syscall.SIGKILL) }
+	cases["cut-answer-stop"] = func(w *world) { cutAnswer(w, syscall.SIGTERM) }
 }
 
-// joinedStreams: engines of two software versions serve side by side. The store comes back from a copy
-// some seconds old, and the instance that had written there is killed while the store is away. Clients
-// take their streams up at the other instances.
-func joinedStreams(w *world) {
+const streamConfig = `{"version":%d,"routes":[
+	{"name":"r-long","host":"llm.example","prefix":"/long/","kind":"stream","timeout-ms":15000,"target-latency-ms":800,"priority":0,"service":"llm","max-attempts":1,"public":false,"sticky":true,"can-resume":false,"gap-aim-ms":400},
+	{"name":"r-short","host":"llm.example","prefix":"/short/","kind":"stream","timeout-ms":12000,"target-latency-ms":400,"priority":1,"service":"llm","max-attempts":2,"public":false,"sticky":true,"can-resume":true,"gap-aim-ms":400}],
+	"services":[{"name":"llm","health-path":"/health","max-conns":720,"protocol":"h1","tls":false,"engine":{"slots":9,"kv-tokens":616741,"kv-token-bytes":163840,"link-mbps":260000.0,"stride":6,"models":[{"name":"m"}]}}],
+	"limits":{"header-bytes":16384,"body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},
+	"tenants":[%s]}`
+
+const streamTenant = `{"name":"acme","api-keys":["key-of-acme"],"priority":1,"unit":"tokens","plain-tokens":200,"rate-per-s":314410,"burst":314410}`
+
+// cutAnswer: engines fall silent for a moment now and then, so that opening packets to them are lost, and
+// a machine then reaches them through another one. That one is killed or stopped. Some answers have
+// neither a length nor chunks.
+func cutAnswer(w *world, how syscall.Signal) {
 	const (
-		clients = 40
-		events  = 40
-		tries   = 8
+		unframedShare = 0.05
+		machines      = 3
+		clients       = 52
 	)
+	events, gap, rounds := 30, 100*time.Millisecond, 11
+	if how == syscall.SIGTERM { // streams that last longer than the grace period
+		events, gap, rounds = 36, 320*time.Millisecond, 5
+	}
 	w.configure(fmt.Sprintf(streamConfig, 7, streamTenant))
 	for i := range 6 {
-		version := "v1"
-		if i >= 4 {
-			version = "v2"
-		}
-		w.addEngine(&engine{id: fmt.Sprintf("i-llm-%d", i+1), service: "llm", zone: "a", slots: 9, queue: 54, events: events, gap: 150 * time.Millisecond, version: version})
+		w.addEngine(&engine{id: fmt.Sprintf("i-llm-%d", i+1), service: "llm", zone: "a", slots: 9, queue: 54, events: events, gap: gap,
+			unframed: func() float64 { return unframedShare }, silentFor: 300 * time.Millisecond, silentEvery: 350 * time.Millisecond})
 	}
-	for i := range 4 {
-		w.addInstance(fmt.Sprintf("front-a-%d", i+1), "a")
+	var instances []*instance
+	for i := range machines {
+		instances = append(instances, w.addInstance(fmt.Sprintf("front-a-%d", i+1), "a"))
 	}
-	w.awaitReady(w.instances...)
-	time.Sleep(9 * time.Second)
-	first := w.coordinator()
-	var others []*instance
-	for _, in := range w.instances {
-		if in != first {
-			others = append(others, in)
-		}
-	}
-	w.log("%s reads and writes the store for its zone", first.name)
-	older := w.store.Copy()
-	w.log("a copy of the store is made")
-	time.Sleep(500 * time.Millisecond)
+	w.awaitReady(instances...)
+	time.Sleep(2 * time.Second)
 
+	var stop atomic.Bool
 	var all sync.WaitGroup
-	var joined, resumed, began, refused atomic.Int64
+	var served, failed atomic.Int64
 	for c := range clients {
 		all.Go(func() {
-			id := fmt.Sprintf("%04x%012x", c, 0)
-			s := openStream(w, first, "/short/x", id, "", "")
-			if s.count > 0 {
-				began.Add(1)
-			}
-			versions, lastID, resumes := s.versions, s.lastID, id
-			for n := 1; n <= tries && !s.complete; n++ {
-				if n > 1 {
-					time.Sleep(500 * time.Millisecond)
-				}
-				if lastID == "" {
-					resumes = "" // nothing to take up
-				}
-				id := fmt.Sprintf("%04x%012x", c, n)
-				s = openStream(w, others[(c+n)%len(others)], "/short/x", id, lastID, resumes)
-				if s.count == 0 {
-					refused.Add(1)
-					continue
+			for n := 0; !stop.Load(); n++ {
+				s := openStream(w, instances[0], "/long/x", fmt.Sprintf("%04x%012x", c, n), "", "")
+				switch {
+				case s.complete && s.count == events:
+					served.Add(1)
+				case s.complete:
+					w.breaks("MIXED: stream %s looks complete with %d of %d events; the engine had not ended it", s.id, s.count, events)
+				default:
+					failed.Add(1)
+					time.Sleep(200 * time.Millisecond)
 				}
-				if resumes == "" {
-					resumes = id
-				}
-				resumed.Add(1)
-				versions, lastID = append(versions, s.versions...), s.lastID
-			}
-			slices.Sort(versions)
-			if v := slices.Compact(versions); len(v) > 1 {
-				joined.Add(1)
-				w.log("JOINED the stream that %04x%012x began has events of the versions %v", c, 0, v)
 			}
 		})
 	}
-	time.Sleep(1500 * time.Millisecond)
-	switch {
-	case os.Getenv("TROUBLE") == "kill": // the kill alone, to tell which disruption matters
-		first.end(syscall.SIGKILL)
-	case w.trouble:
-		w.store.SetFault(standin.Unavailable)
-		w.log("the store is away")
-		first.end(syscall.SIGKILL)
-		time.Sleep(time.Second)
-		w.store.Restore(older)
-		w.store.SetFault(standin.NoFault)
-		w.log("the store is back from the copy, Store-Era has risen")
+	for range rounds {
+		time.Sleep(4500 * time.Millisecond)
+		// The machine through which most channels to engines pass gets the signal.
+		relay := mostChannels(w, instances[1:])
+		if w.trouble {
+			relay.end(how)
+			time.Sleep(3500 * time.Millisecond)
+			relay.start(false)
+		}
 	}
+	time.Sleep(3 * time.Second)
+	stop.Store(true)
 	all.Wait()
-	summary := fmt.Sprintf("%d streams began, %d were taken up, %d tries got nothing, %d hold events of two versions", began.Load(), resumed.Load(), refused.Load(), joined.Load())
-	w.log("%s", summary)
-	fmt.Println(summary)
-	if joined.Load() > 2 {
-		w.breaks("ORDER: %d streams hold events of engines of two software versions", joined.Load())
-	}
-	if began.Load() < clients/2 {
+	w.log("%d streams complete, %d broken off or refused", served.Load(), failed.Load())
+	fmt.Printf("%d streams complete, %d broken off or refused\n", served.Load(), failed.Load())
+	if served.Load() < 50 {
 		panic(errNotPlayed{"hardly anything was served"})
 	}
 }
+
+// mostChannels returns the instance with the most channels to engines.
+func mostChannels(w *world, instances []*instance) *instance {
+	var pids []int
+	for _, in := range instances {
+		pids = append(pids, in.pid())
+	}
+	held := w.channels(pids)
+	best := instances[0]
+	for _, in := range instances {
+		w.log("%s has %d channels to engines", in.name, held[in.pid()])
+		if held[in.pid()] > held[best.pid()] {
+			best = in
+		}
+	}
+	return best
+}
+
+// stream is what a client has got of one.
+type stream struct {
+	id       string
+	status   int
+	count    int    // events
+	lastID   string // of the last event
+	versions []string
+	complete bool // the answer is complete in the protocol
+}
+
+// openStream sends a request and reads its stream to the end.
+func openStream(w *world, in *instance, path, id, lastID, resumes string) (s stream) {
+	s = stream{id: id, lastID: lastID}
+	req, err := http.NewRequest("POST", "http://"+in.front+path, strings.NewReader("prompt"))
+	must(err)
+	req.Host = "llm.example"
+	req.Header.Set("Medlarhold-Request-Id", id)
+	req.Header.Set("Medlarhold-Deadline-Ms", "15000")
+	req.Header.Set("Medlarhold-Model", "m")
+	req.Header.Set("Medlarhold-Token-Usage", "660,80")
+	req.Header.Set("Medlarhold-Prefix-Hash", id[:4]+"07a2:60,"+id[8:]+":600")
+	req.Header.Set("Authorization", "Token key-of-acme")
+	if lastID != "" {
+		req.Header.Set("Last-Event-Id", lastID)
+		req.Header.Set("Resumes", resumes)
+	}
+	w.log("client: sends %s to %s, after event %q", id, in.name, lastID)
+	client := http.Client{Timeout: 15 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	res, err := client.Do(req)
+	if err != nil {
+		w.log("client: %s has no answer, %v", id, err)
+		return s
+	}
+	defer res.Body.Close()
+	s.status = res.StatusCode
+	if res.StatusCode != http.StatusOK {
+		body, _ := io.ReadAll(res.Body)
+		w.log("client: %s is answered %d %q", id, res.StatusCode, strings.TrimSpace(string(body)))
+		return s
+	}
+	reader := bufio.NewReader(res.Body)
+	for {
+		line, err := reader.ReadString('\n')
+		switch {
+		case err == nil:
+		case errors.Is(err, io.EOF):
+			s.complete = true
+			w.log("client: %s ends as complete after %d events, last event %s", id, s.count, s.lastID)
+			return s
+		default:
+			w.log("client: %s breaks off after %d events, last event %s: %v", id, s.count, s.lastID, err)
+			return s
+		}
+		if after, ok := strings.CutPrefix(line, "id: "); ok {
+			s.lastID = strings.TrimSpace(after)
+		}
+		if data, ok := strings.CutPrefix(line, "data: "); ok {
+			s.count++
+			s.versions = append(s.versions, strings.Fields(data)[0])
+		}
+	}
+}
--- a/review/standins/case5.go
+++ b/review/standins/case5.go
@@ -3,103 +3,101 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/medlarhold/medlarhold/platform/standin"
 )
 
-func init() { cases["late-header"] = lateHeader }
+func init() { cases["revoked-key"] = revokedKey }
 
-// lateHeader: a machine freezes while the second packets of its clients' headers are on their way, and
-// wakes after the header timeout.
-func lateHeader(w *world) {
+// revokedKey: a key is taken away. Some seconds later the store comes back from a copy that still has
+// it, and one instance is killed and starts again, while the others know that the key is gone.
+func revokedKey(w *world) {
 	const (
-		clients = 200
-		freeze  = 3500 * time.Millisecond
-		rounds  = 4
+		machines = 4
+		revoke   = 5 * time.Second // revoke-ms
 	)
-	w.configure(`{"version":7,"routes":[{"name":"r-pay","host":"desk.example","prefix":"/pay/","kind":"unsafe","timeout-ms":15000,
+	document := func(version int, betaKeys string) string {
+		return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r-pay","host":"desk.example","prefix":"/pay/","kind":"unsafe","timeout-ms":800,
 		"target-latency-ms":150,"priority":2,"service":"desk","max-attempts":1,"public":false}],
-		"services":[{"name":"desk","health-path":"/health","max-conns":2000,"protocol":"h1","tls":false}],
+		"services":[{"name":"desk","health-path":"/health","max-conns":200,"protocol":"h1","tls":false}],
 		"limits":{"header-bytes":16384,"body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},
-		"tenants":[{"name":"acme","api-keys":["key-of-acme"],"priority":1,"unit":"tokens","plain-tokens":200,"rate-per-s":314410,"burst":314410}]}`)
-	for i := range 4 {
-		w.addEngine(&engine{id: fmt.Sprintf("i-desk-%d", i+1), service: "desk", zone: "a", slots: 50, queue: 100, work: 20 * time.Millisecond})
+		"tenants":[{"name":"acme","api-keys":["key-of-acme"],"priority":1,"unit":"tokens","plain-tokens":200,"rate-per-s":314410,"burst":314410},
+		{"name":"beta","api-keys":[%s],"priority":1,"unit":"tokens","plain-tokens":200,"rate-per-s":314410,"burst":314410}]}`, version, betaKeys)
+	}
+	w.configure(document(7, `"new-key-of-beta","old-key-of-beta"`))
+	e := w.addEngine(&engine{id: "i-desk-1", service: "desk", zone: "a", slots: 6, queue: 24, work: 20 * time.Millisecond})
+	w.addEngine(&engine{id: "i-desk-2", service: "desk", zone: "a", slots: 6, queue: 24, work: 20 * time.Millisecond})
+	for i := range machines {
+		w.addInstance(fmt.Sprintf("front-a-%d", i+1), "a")
 	}
-	w.addInstance("front-a-1", "a")
-	w.addInstance("front-a-2", "a")
 	w.awaitReady(w.instances...)
-	time.Sleep(3 * time.Second)
-	in := w.coordinator()
-	var mu sync.Mutex
-	status := map[string]int{}
-	for round := range rounds {
-		var all sync.WaitGroup
-		frozen := make(chan struct{})
-		for c := range clients {
-			all.Go(func() {
-				id := fmt.Sprintf("%02x%02x%012x", round, c, 0)
-				code := sendInTwo(w, in, id, frozen)
-				mu.Lock()
-				defer mu.Unlock()
-				status[id] = code
-			})
-		}
-		time.Sleep(150 * time.Millisecond)
-		if w.trouble {
-			in.signal(syscall.SIGSTOP)
-		}
-		close(frozen)
-		if w.trouble {
-			time.Sleep(freeze)
-			in.signal(syscall.SIGCONT)
+	time.Sleep(4 * time.Second)
+	older := w.store.Copy()
+	w.log("a copy of the store is made")
+	time.Sleep(500 * time.Millisecond)
+	w.configure(document(8, `"new-key-of-beta"`))
+	revoked := time.Now()
+	time.Sleep(revoke + time.Second)
+	n := 0
+	send := func(in *instance) {
+		n++
+		id := fmt.Sprintf("%016x", n)
+		req, err := http.NewRequest("POST", "http://"+in.front+"/pay/fee", strings.NewReader("fee"))
+		must(err)
+		req.Host = "desk.example"
+		req.Header.Set("Medlarhold-Request-Id", id)
+		req.Header.Set("Medlarhold-Deadline-Ms", "1500")
+		req.Header.Set("Authorization", "Token old-key-of-beta")
+		sent := time.Since(revoked)
+		client := http.Client{Timeout: 1500 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
+		res, err := client.Do(req)
+		if err != nil {
+			w.log("client: %s sent to %s with the key that was taken away has no answer", id, in.name)
+			return
 		}
-		all.Wait()
-		time.Sleep(3500 * time.Millisecond)
+		res.Body.Close()
+		w.log("client: %s sent to %s with the key that was taken away, %.3f s after the acknowledgement, is answered %d", id, in.name, sent.Seconds(), res.StatusCode)
+	}
+	for _, in := range w.instances {
+		send(in)
+	}
+	restarted := w.instances[0]
+	if first := w.coordinator(); first == restarted {
+		restarted = w.instances[1]
+	}
+	var all sync.WaitGroup
+	if w.trouble {
+		w.store.SetFault(standin.Unavailable)
+		w.log("the store is away")
+		time.Sleep(time.Second)
+		w.store.Restore(older)
+		w.store.SetFault(standin.NoFault)
+		w.log("the store is back from the copy, Store-Era has risen")
+		all.Go(func() {
+			time.Sleep(2500 * time.Millisecond)
+			w.configure(document(8, `"new-key-of-beta"`)) // what the operator wrote is written again
+		})
+		time.Sleep(200 * time.Millisecond)
+		restarted.end(syscall.SIGKILL)
+		time.Sleep(400 * time.Millisecond) // shorter than two questions for readiness are apart
+		restarted.start(false)
 	}
+	for until := time.Now().Add(5 * time.Second); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		send(restarted)
+	}
+	all.Wait()
 	time.Sleep(time.Second)
-	runs := map[string]int{}
-	for _, e := range w.engines {
+	for _, e := range []*engine{e, w.engines[1]} {
 		e.mu.Lock()
-		for id, n := range e.runs {
-			runs[id] += n
+		for id := range e.runs {
+			w.breaks("CONFIG: request %s, sent with a key that was taken away over %v before, was run by %s", id, revoke, e.id)
 		}
 		e.mu.Unlock()
 	}
-	codes := map[int]int{}
-	for id, code := range status {
-		codes[code]++
-		if code == http.StatusRequestTimeout && runs[id] > 0 {
-			w.breaks("REFUSED: the unsafe request %s was answered 408 and was run", id)
-		}
-	}
-	w.log("answers by status %v", codes)
-	fmt.Println("answers by status", codes)
-}
-
-// sendInTwo sends a request whose header comes in two packets, the second one once second is closed.
-func sendInTwo(w *world, in *instance, id string, second <-chan struct{}) int {
-	conn, err := net.Dial("tcp", in.front)
-	if err != nil {
-		return 0
-	}
-	defer conn.Close()
-	_ = conn.SetDeadline(time.Now().Add(15 * time.Second))
-	fmt.Fprintf(conn, "POST /pay/fee HTTP/1.1\r\nHost: desk.example\r\nMedlarhold-Request-Id: %s\r\nMedlarhold-Deadline-Ms: 15000\r\n", id)
-	<-second
-	fmt.Fprintf(conn, "Authorization: Token key-of-acme\r\nContent-Length: 3\r\n\r\nfee")
-	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		w.log("client: %s has no answer, %v", id, err)
-		return 0
-	}
-	defer res.Body.Close()
-	_, _ = io.Copy(io.Discard, res.Body)
-	w.log("client: %s is answered %d", id, res.StatusCode)
-	return res.StatusCode
 }
--- a/review/standins/engine.go
+++ b/review/standins/engine.go
@@ -33,6 +33,8 @@
 	// refuses reports whether the engine is unreachable over a channel.
 	cut func(conn net.Conn) bool
 
+	// keepAlive is the header that states how long a channel may be idle, empty for none.
+	keepAlive string
 	// silentFor and silentEvery make the engine fall silent for a while at times, 0 for never.
 	silentFor, silentEvery time.Duration
 	silentUntil            time.Time
@@ -207,7 +209,7 @@
 	load := fmt.Sprintf("%d,%d,%d", e.running, e.waiting, e.slots)
 	e.mu.Unlock()
 	e.w.log("%s: runs %s (%s %s, %d bytes), run %d", e.id, id, r.Method, r.URL.Path, len(body), n)
-	head := "Medlarhold-Request-Id: " + id + "\r\nMedlarhold-Server-Stamp: stamp." + e.id + "." + id + "\r\nMedlarhold-Server-Load: " + load + "\r\n"
+	head := "Medlarhold-Request-Id: " + id + "\r\nMedlarhold-Server-Stamp: stamp." + e.id + "." + id + "\r\nMedlarhold-Server-Load: " + load + "\r\n" + e.keepAlive
 	if e.events > 0 {
 		return nil, e.stream(conn, r, head)
 	}
