Origins: a base holds for one era of the store, and records are held by two

Cause: a read of the log to its end counted as proof that a stream without a record began at the base, although the log may have lost records with the replacement. Records were appended again by the one instance that had appended them, once, when it next read the log.

Change: a statement about a base carries the era of the store in which it was made or confirmed. In a later era it proves nothing, and all streams that begin are recorded. Each record is held by two instances; on the rise of the era all append again what they hold, until the store has it. The instance that chooses the bases confirms them once all others have done so and at most one has left within a minute, otherwise a minute later. Appends and messages are split below the store's and the peers' limits.

--- a/internal/core/origin/doc.go
+++ b/internal/core/origin/doc.go
@@ -17,11 +17,17 @@
 // # Contract
 //
 //   - A record is in the log before the first event of its stream is sent to the caller. So after a
-//     read of the log to its end, a stream without a record began at the base.
+//     read of the log to its end, a stream without a record began at the base, if the statement about
+//     the base was made or confirmed in the log's present era.
+//   - The log may come back from an older copy of itself, in a new era (package storeera), and lack
+//     records. The base is confirmed once all that instances hold was appended again and at most one
+//     instance is gone that may have held records, as each record is held by two; otherwise once no
+//     stream of the earlier era can be taken up. Until then all streams that begin are recorded.
 //   - The base moves only after no stream of the old one can be taken up any more: no endpoint of it
 //     has been seen for Retention, and the pool then has no base for closedFor, in which all streams
 //     are recorded. An instance that still goes by the old base meanwhile writes a record too many.
-//   - Of two statements about a pool's base, the one with the higher revision holds.
+//   - Of two statements about a pool's base, that of the later era holds; of the same era, the one with
+//     the higher revision.
 //   - What is not known is not guessed: Find and Base say so.
 //
 // The package has no I/O, clock or goroutine. Its types aren't safe for concurrent use.
--- a/internal/core/origin/table.go
+++ b/internal/core/origin/table.go
@@ -31,8 +31,19 @@
 	Pool entity.PoolID `json:"p"`
 	// Version is empty if all streams that begin are recorded.
 	Version string `json:"v"`
-	// Revision orders the statements about the pool.
+	// Revision orders the statements about the pool of one era.
 	Revision uint64 `json:"r"`
+	// Era is the era of the log, see storeera, in which the statement was made or confirmed. In a later
+	// one records may be missing, so that a stream without one may have begun at any version.
+	Era int64 `json:"e,omitempty"`
+}
+
+// newerThan reports whether a statement replaces another one about the same pool.
+func (b *Base) newerThan(other *Base) bool {
+	if b.Era != other.Era {
+		return b.Era > other.Era
+	}
+	return b.Revision > other.Revision
 }
 
 // Batch is what one record of the log holds.
@@ -45,6 +56,8 @@
 type Table struct {
 	records map[Stream]known
 	bases   map[entity.PoolID]Base
+	// era is the newest era of the log that is known.
+	era int64
 }
 
 // known is a record and when it was added.
@@ -76,13 +89,37 @@
 // SetBases adds statements about bases.
 func (t *Table) SetBases(bases []Base) {
 	for _, b := range bases {
-		if old, ok := t.bases[b.Pool]; !ok || b.Revision > old.Revision {
+		if old, ok := t.bases[b.Pool]; !ok || b.newerThan(&old) {
 			t.bases[b.Pool] = b
 		}
+		t.SetEra(b.Era)
+	}
+}
+
+// SetEra records an era of the log. Only the newest one matters.
+func (t *Table) SetEra(era int64) { t.era = max(t.era, era) }
+
+// Era returns the newest era of the log that is known.
+func (t *Table) Era() int64 { return t.era }
+
+// Confirmed returns the version that began all streams of a pool without a record, false if there is
+// none or the statement about it is not confirmed in the newest era.
+func (t *Table) Confirmed(pool entity.PoolID) (version string, ok bool) {
+	b, ok := t.bases[pool]
+	return b.Version, ok && b.Version != "" && b.Era >= t.era
+}
+
+// Unconfirmed reports whether a statement about a base is not confirmed in the newest era.
+func (t *Table) Unconfirmed() bool {
+	for _, b := range t.bases {
+		if b.Era < t.era {
+			return true
+		}
 	}
+	return false
 }
 
-// Base returns the newest statement about a pool's base.
+// Base returns the newest statement about a pool's base, confirmed or not.
 func (t *Table) Base(pool entity.PoolID) (Base, bool) {
 	b, ok := t.bases[pool]
 	return b, ok
@@ -99,19 +136,25 @@
 
 // NeedsRecord reports whether a stream that begins at a version of a pool needs a record.
 func (t *Table) NeedsRecord(pool entity.PoolID, version string) bool {
-	b, ok := t.bases[pool]
-	return !ok || version == "" || b.Version != version
+	base, ok := t.Confirmed(pool)
+	return !ok || version != base
+}
+
+// DiffersFromBase reports whether a version may be another one than a pool's base, confirmed or not.
+func (t *Table) DiffersFromBase(pool entity.PoolID, version string) bool {
+	b := t.bases[pool]
+	return b.Version == "" || version != b.Version
 }
 
-// OnlyBase reports whether no stream of a pool that may still be taken up has a record of another
+// OnlyBase reports whether no stream of a pool that may still be taken up can have begun at another
 // version than the pool's base.
 func (t *Table) OnlyBase(pool entity.PoolID) bool {
-	b, ok := t.bases[pool]
-	if !ok || b.Version == "" {
+	base, ok := t.Confirmed(pool)
+	if !ok {
 		return false
 	}
 	for s, r := range t.records {
-		if s.Pool == pool && r.Version != b.Version {
+		if s.Pool == pool && r.Version != base {
 			return false
 		}
 	}
--- a/internal/gateway/judge.go
+++ b/internal/gateway/judge.go
@@ -17,7 +17,9 @@
 // everything is read again, and the instance registers again.
 func (f *follower) observeEra(now time.Time, era int64) {
 	before := f.era.Era()
-	if !f.era.ObserveEra(now, era) {
+	replaced := f.era.ObserveEra(now, era)
+	f.g.origins.observeEra(era)
+	if !replaced {
 		return
 	}
 	f.configAt = storeera.Start(era)
--- a/internal/gateway/originbases.go
+++ b/internal/gateway/originbases.go
@@ -18,7 +18,7 @@
 // ctx ends.
 func (o *origins) run(ctx context.Context) {
 	started := time.Now()
-	chooser := origin.NewChooser(started, o.g.settings.FirstStart)
+	o.chooser = origin.NewChooser(started, o.g.settings.FirstStart)
 	var nextRead time.Time
 	for ctx.Err() == nil {
 		now := time.Now()
@@ -26,16 +26,20 @@
 		keepers, chooses := o.present()
 		pools := o.resumablePools()
 		settled := now.Sub(started) > keeperSettleTime
+		interval := chooseInterval
 		switch {
 		case len(pools) == 0 || len(keepers) == 0:
 		case !settled && keepers[0].id == o.g.self.ID:
 		case chooses:
-			o.choose(ctx, chooser, pools)
+			o.choose(ctx, pools)
+			if o.log.unconfirmed() {
+				interval = restoreInterval
+			}
 		case !now.Before(nextRead):
 			o.refreshBases(ctx, keepers[0])
 			nextRead = now.Add(basesInterval/2 + rand.N(basesInterval/2))
 		}
-		pause(ctx, chooseInterval)
+		pause(ctx, interval)
 	}
 }
 
@@ -44,6 +48,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.table.Expire(now)
+	o.chooser.Observe(now, o.table.Era())
 	for at, streams := range o.recent {
 		if o.recent[at] = dropOld(now, streams); len(o.recent[at]) == 0 {
 			delete(o.recent, at)
@@ -64,23 +69,23 @@
 func (o *origins) refreshBases(ctx context.Context, k originKeeper) {
 	// After an error the bases known before are used: a record too many is written.
 	if found, err := o.findAt(ctx, k, findOrigins{}); err == nil {
-		o.addBases(found.Bases)
+		o.addBases(found.Bases, found.Era)
 	}
 }
 
 // choose reads the log now and then, and writes the bases that are to change. It also removes
 // records that are no longer needed.
-func (o *origins) choose(ctx context.Context, chooser *origin.Chooser, pools []entity.PoolID) {
-	if !o.log.readWithin(basesInterval) {
+func (o *origins) choose(ctx context.Context, pools []entity.PoolID) {
+	if !o.log.readWithin(basesInterval) || o.log.readEra() < o.log.era() {
 		if o.log.read(ctx) != nil {
 			return
 		}
 	}
 	_, bases := o.log.find(nil)
-	o.addBases(bases)
-	changed := o.nextBases(chooser, pools)
-	if (len(changed) > 0 || o.log.lacksBases()) && o.log.read(ctx) == nil && o.log.setBases(ctx, changed) == nil {
-		o.addBases(changed)
+	o.addBases(bases, o.log.era())
+	changed := o.nextBases(ctx, pools)
+	if len(changed) > 0 && o.log.read(ctx) == nil && o.log.setBases(ctx, changed) == nil {
+		o.addBases(changed, o.log.era())
 		telemetry.Log(o.g.log, telemetry.EventBaseChosen, "bases", changed)
 	}
 	if expired := o.log.expiredKeys(time.Now()); len(expired) >= minRemovals {
@@ -91,7 +96,11 @@
 }
 
 // nextBases returns the bases that are to change.
-func (o *origins) nextBases(chooser *origin.Chooser, pools []entity.PoolID) []origin.Base {
+func (o *origins) nextBases(ctx context.Context, pools []entity.PoolID) []origin.Base {
+	log := origin.Log{Era: o.log.readEra()}
+	if o.log.unconfirmed() {
+		log.Whole = o.logWhole(ctx, log.Era)
+	}
 	var changed []origin.Base
 	endpoints := o.g.state.endpoints.Load()
 	for _, p := range pools {
@@ -100,7 +109,7 @@
 			versions[e.Version]++
 		}
 		current, stated := o.log.base(p)
-		if next, ok := chooser.Next(time.Now(), p, versions, current, stated); ok {
+		if next, ok := o.chooser.Next(time.Now(), p, versions, current, stated, log); ok {
 			changed = append(changed, next)
 		}
 	}
--- a/internal/gateway/originfind.go
+++ b/internal/gateway/originfind.go
@@ -52,7 +52,7 @@
 	keepers, _ := o.present()
 	found := o.findInStore(ctx, keepers, streams, latest)
 	found.Records = append(found.Records, o.findElsewhere(ctx, keepers, streams, found.Records)...)
-	o.addBases(found.Bases)
+	o.addBases(found.Bases, found.Era)
 	known := found.table()
 	again := false
 	for _, l := range lookups {
@@ -158,6 +158,7 @@
 		}
 		found.ReadBefore, found.Read = o.log.readBefore(arrived)
 	}
+	found.Era = o.log.era()
 	found.Records, found.Bases = o.log.find(query.Streams)
 	found.OnlyBase = o.log.onlyBase()
 	return found, nil
@@ -168,11 +169,13 @@
 	t := origin.NewTable()
 	t.Add(time.Time{}, f.Records)
 	t.SetBases(f.Bases)
+	t.SetEra(f.Era)
 	return t
 }
 
 // resolve sets the result of the search, given the table of what was found. Without a record, the base
-// began the stream, if the store has been read since the search began.
+// began the stream, if the store has been read since the search began and the base is confirmed in the era
+// that was read.
 func (l *lookup) resolve(known *origin.Table, found *originsFound, read bool) {
 	if r, ok := known.Find(l.stream); ok && l.stream.Request != "" {
 		l.version, l.known = r.Version, true
@@ -181,9 +184,7 @@
 	if !read || l.stream.Request == "" && !found.hasOnlyBase(l.stream.Pool) {
 		return
 	}
-	if b, ok := known.Base(l.stream.Pool); ok && b.Version != "" {
-		l.version, l.known = b.Version, true
-	}
+	l.version, l.known = known.Confirmed(l.stream.Pool)
 }
 
 // hasOnlyBase reports whether only the base can have begun a stream of a pool.
--- a/internal/gateway/originlog.go
+++ b/internal/gateway/originlog.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/core/origin"
 	"github.com/medlarhold/medlarhold/internal/core/storeera"
@@ -36,17 +38,15 @@
 	readAt time.Time
 	// keys holds when each key of the log was first seen.
 	keys map[string]time.Time
-	// own holds the records that this instance has appended, to be appended again after a
-	// replacement of the store.
-	own *origin.Table
-	// appended numbers the appends.
+	// held holds the records that this instance was asked to append or to hold, stored those of them that
+	// it has appended in the log's present era.
+	held, stored *origin.Table
+	// appended numbers the records of the log that this instance has appended.
 	appended uint64
-	// replaced is set while the bases may be missing in a store that came back from an older copy.
-	replaced bool
 }
 
 func newOriginLog(g *Instance) *originLog {
-	l := &originLog{g: g, table: origin.NewTable(), own: origin.NewTable(), at: storeera.Start(0), keys: make(map[string]time.Time)}
+	l := &originLog{g: g, table: origin.NewTable(), held: origin.NewTable(), stored: origin.NewTable(), at: storeera.Start(0), keys: make(map[string]time.Time)}
 	l.appends = batcher[origin.Record]{ctx: g.ctx, interval: originAppendInterval, run: l.appendBatch}
 	l.reads = batcher[struct{}]{ctx: g.ctx, run: func(ctx context.Context, _ []struct{}) error { return l.readToEnd(ctx) }}
 	return l
@@ -55,14 +55,14 @@
 // record adds records, and returns once they are in the store. They can be found from the
 // beginning of the call on. Records that were added before are not appended again.
 func (l *originLog) record(ctx context.Context, records []origin.Record) error {
+	l.hold(records)
 	l.mu.Lock()
 	var missing []origin.Record
 	for _, r := range records {
-		if known, ok := l.own.Find(r.Stream); !ok || known != r {
+		if known, ok := l.stored.Find(r.Stream); !ok || known != r {
 			missing = append(missing, r)
 		}
 	}
-	l.table.Add(time.Now(), records)
 	l.mu.Unlock()
 	if len(missing) == 0 {
 		return nil
@@ -70,28 +70,62 @@
 	return l.appends.submit(missing...).wait(ctx)
 }
 
+// hold adds records that another instance appends. They can be found, and are appended again if the
+// store is replaced.
+func (l *originLog) hold(records []origin.Record) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	l.table.Add(now, records)
+	l.held.Add(now, records)
+}
+
 // appendBatch appends records to the log.
 func (l *originLog) appendBatch(ctx context.Context, records []origin.Record) error {
 	ctx, cancel := context.WithTimeout(ctx, originCallTimeout)
 	defer cancel()
 	once := origin.NewTable() // instances that wait have sent some more than once
 	once.Add(time.Now(), records)
-	records = once.Records()
+	for _, some := range groupRecords(once.Records(), maxAppendBytes) {
+		if err := l.appendGroup(ctx, some); err != nil {
+			return err // the instances send them again
+		}
+	}
+	return nil
+}
+
+// appendGroup appends records to the log in one call.
+func (l *originLog) appendGroup(ctx context.Context, records []origin.Record) error {
+	var encoded []OriginRecord
 	l.mu.Lock()
-	l.appended++
-	key := fmt.Sprintf("%s/%d", l.g.self.ID, l.appended)
+	era := l.table.Era()
+	for _, some := range groupRecords(records, maxBatchBytes) {
+		l.appended++
+		encoded = append(encoded, OriginRecord{Key: fmt.Sprintf("%s/%d", l.g.self.ID, l.appended), Batch: &origin.Batch{Records: some}})
+	}
 	l.mu.Unlock()
 	l.g.metrics.LogCall("append", "origins")
-	err := l.g.adapter.Store.AppendOrigins(ctx, nil, []OriginRecord{{Key: key, Batch: &origin.Batch{Records: records}}})
-	if err != nil {
-		return err // the instances send them again
+	if err := l.g.adapter.Store.AppendOrigins(ctx, nil, encoded); err != nil {
+		return err
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.own.Add(time.Now(), records)
+	if l.table.Era() == era { // otherwise they may be lost already, and are appended again
+		l.stored.Add(time.Now(), records)
+	}
 	return nil
 }
 
+// startEra records an era of the log. It returns what this instance holds, of which the store may have lost a
+// part.
+func (l *originLog) startEra(era int64) []origin.Record {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.table.SetEra(era)
+	l.stored = origin.NewTable()
+	return l.held.Records()
+}
+
 // read reads the log to its end, and returns once a read that began after the call has ended.
 func (l *originLog) read(ctx context.Context) error { return l.reads.submit(struct{}{}).wait(ctx) }
 
@@ -110,11 +144,19 @@
 		if err != nil {
 			return err
 		}
-		if storeera.Judge(from.Era, from, read.Next.Era) == storeera.Use {
+		l.g.origins.observeEra(read.Next.Era)
+		if read.Complete {
+			from.Offset = storeera.FromStart
+		}
+		switch storeera.Judge(l.era(), from, read.Next.Era) {
+		case storeera.Use:
 			l.apply(started, &read)
 			return nil
+		case storeera.Discard:
+			return trace.ConnectionProblem(nil, "the response comes from an earlier era of the store")
+		case storeera.Restart:
+			l.restart(read.Next.Era)
 		}
-		l.restart(read.Next.Era)
 	}
 }
 
@@ -143,13 +185,22 @@
 // lack what was appended since.
 func (l *originLog) restart(era int64) {
 	l.mu.Lock()
-	l.at, l.replaced = storeera.Start(era), true
-	clear(l.keys)
-	lost := l.own.Records()
-	l.mu.Unlock()
-	if len(lost) > 0 {
-		l.appends.submit(lost...)
-	}
+	defer l.mu.Unlock()
+	l.at = storeera.Start(era)
+}
+
+// era returns the newest era of the log that is known.
+func (l *originLog) era() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.table.Era()
+}
+
+// readEra returns the era in which the log was last read.
+func (l *originLog) readEra() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.at.Era
 }
 
 // find returns the records of streams that are known, and the bases.
@@ -177,18 +228,25 @@
 	return out
 }
 
-// base returns the newest statement about a pool's base.
-func (l *originLog) base(pool entity.PoolID) (origin.Base, bool) {
+// addBases adds statements about bases that other instances know.
+func (l *originLog) addBases(bases []origin.Base) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.table.Base(pool)
+	l.table.SetBases(bases)
+}
+
+// unconfirmed reports whether a statement about a base is to be confirmed.
+func (l *originLog) unconfirmed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.table.Unconfirmed()
 }
 
-// lacksBases reports whether the bases may be missing in the store.
-func (l *originLog) lacksBases() bool {
+// base returns the newest statement about a pool's base.
+func (l *originLog) base(pool entity.PoolID) (origin.Base, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.replaced && len(l.table.Bases()) > 0
+	return l.table.Base(pool)
 }
 
 // readWithin reports whether the log has been read to its end not longer ago than d.
@@ -211,7 +269,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.table.Expire(now)
-	l.own.Expire(now)
+	l.held.Expire(now)
+	l.stored.Expire(now)
 }
 
 // minRemovals and maxRemovals bound the number of keys that are removed from the store in one call.
@@ -249,6 +308,5 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.table.SetBases(changed)
-	l.replaced = false
 	return nil
 }
--- a/internal/gateway/originrecord.go
+++ b/internal/gateway/originrecord.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/medlarhold/medlarhold/internal/core/catalog"
-	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/core/origin"
 	"github.com/medlarhold/medlarhold/internal/edge"
 	"github.com/medlarhold/medlarhold/internal/telemetry"
@@ -19,7 +18,9 @@
 	o := g.origins
 	o.mu.Lock()
 	before, dispatched := o.table.Find(record.Stream)
-	needed := o.table.NeedsRecord(r.Pool, e.Version) || dispatched && before.Version != e.Version
+	corrects := dispatched && before.Version != e.Version
+	needed := o.table.NeedsRecord(r.Pool, e.Version) || corrects
+	differs := o.table.DiffersFromBase(r.Pool, e.Version) || corrects
 	o.table.Add(now, []origin.Record{record})
 	at := incarnation{e.ID, e.Incarnation}
 	o.recent[at] = append(dropOld(now, o.recent[at]), recentStream{record, now})
@@ -27,8 +28,12 @@
 	if !needed {
 		return nil
 	}
-	u := &unsent{Record: record, since: now, released: make(chan struct{})}
+	u := newUnsent(record, now)
+	u.corrects = corrects
 	o.sends.submit(u)
+	if !differs {
+		return nil // without the record it can go on at no other version
+	}
 	return u.released
 }
 
@@ -50,7 +55,9 @@
 		r := s.record
 		r.Version, r.Dispatch = "", r.Dispatch+uncertainDispatch
 		o.table.Add(now, []origin.Record{r})
-		o.sends.submit(&unsent{Record: r, since: now, released: make(chan struct{})})
+		u := newUnsent(r, now)
+		u.corrects = true
+		o.sends.submit(u)
 	}
 	delete(o.recent, old)
 }
@@ -63,6 +70,25 @@
 // keepers of two zones, which find them until they are in the store, and sent again. Streams that don't
 // need the store may begin once the keepers were told.
 func (o *origins) send(ctx context.Context, items []*unsent) error {
+	for len(items) > 0 {
+		n := messageSize(items)
+		o.sendSome(ctx, items[:n])
+		items = items[n:]
+	}
+	return nil
+}
+
+// messageSize returns how many of the items fit into one message.
+func messageSize(items []*unsent) int {
+	records := make([]origin.Record, 0, len(items))
+	for _, u := range items {
+		records = append(records, u.Record)
+	}
+	return len(groupRecords(records, maxMessageBytes)[0])
+}
+
+// sendSome is send for as many records as fit into a message.
+func (o *origins) sendSome(ctx context.Context, items []*unsent) {
 	records := make([]origin.Record, 0, len(items))
 	for _, u := range items {
 		records = append(records, u.Record)
@@ -70,18 +96,20 @@
 	durable := o.record(ctx, records, func() bool { return o.releaseTold(items) })
 	if durable {
 		for _, u := range items {
+			u.stored.Store(true)
 			u.release()
 		}
-		return nil
+		return
 	}
 	telemetry.Log(o.g.log, telemetry.EventOriginsNotRecorded, "records", len(records), "oldest_ms", time.Since(items[0].since).Milliseconds())
 	for _, u := range items {
 		if time.Since(u.since) < origin.Retention {
 			o.sends.submit(u)
+			continue
 		}
+		u.stored.Store(true) // it is no longer needed
 	}
 	pause(ctx, originRetryInterval)
-	return nil
 }
 
 // releaseTold releases the streams whose records keepers were told of and that don't need the store. It
@@ -89,7 +117,7 @@
 func (o *origins) releaseTold(items []*unsent) (all bool) {
 	all = true
 	for _, u := range items {
-		if o.needsStore(u.Pool) {
+		if o.needsStore(u) {
 			all = false
 			continue
 		}
@@ -98,37 +126,51 @@
 	return all
 }
 
-// needsStore reports whether streams of a pool that have a record may begin only once the store has it.
-// If all instances were killed before, such a stream would go on at the base, if an endpoint of that
-// version serves.
-func (o *origins) needsStore(pool entity.PoolID) bool {
+// needsStore reports whether a stream may begin only once the store has its record. If all instances were
+// killed before, it would go on at the base, if an endpoint of that version serves, or at the version of the
+// record that its own corrects.
+func (o *origins) needsStore(u *unsent) bool {
 	o.mu.Lock()
-	base, ok := o.table.Base(pool)
+	base, ok := o.table.Base(u.Pool)
 	o.mu.Unlock()
-	if !ok {
-		return true // another instance may know of one
+	switch {
+	case !ok, u.corrects:
+		return true // another instance may know of a base
+	case base.Version == "":
+		return false
 	}
-	return base.Version != "" && len(ofVersion(o.g.state.endpoints.Load().Pool(pool), base.Version)) > 0
+	return len(ofVersion(o.g.state.endpoints.Load().Pool(u.Pool), base.Version)) > 0
 }
 
 // toldKeepers is the number of keepers that are told of records that are not in the store.
 const toldKeepers = 2
 
 // record has records appended by a keeper, or by this instance if it reaches none. It reports
-// whether they are in the store. It calls told once enough keepers know of them, and asks no others if
-// that suffices for all.
+// whether they are in the store and two instances hold them. It calls told once enough keepers know of them, and
+// asks no others if that suffices for all.
 func (o *origins) record(ctx context.Context, records []origin.Record, told func() (all bool)) (durable bool) {
 	keepers, _ := o.present()
-	answers := 0
+	answers, others := 0, 0
 	for _, k := range keepers {
+		own := k.id == o.g.self.ID
+		var copied <-chan struct{}
+		if own && others == 0 {
+			copied = o.copyElsewhere(ctx, keepers, records)
+		}
 		answer, err := o.recordAt(ctx, k, records)
+		if copied != nil {
+			<-copied
+		}
 		if err != nil {
 			continue
 		}
-		o.addBases(answer.Bases)
+		o.addBases(answer.Bases, answer.Era)
 		if answer.Durable {
 			return true
 		}
+		if !own {
+			others++
+		}
 		if answers++; answers == min(toldKeepers, len(keepers)) && told() {
 			return false
 		}
@@ -140,6 +182,26 @@
 	return err == nil && answer.Durable
 }
 
+// copyElsewhere has another keeper hold records that this instance appends. The returned channel is closed once
+// one does, or none can be reached.
+func (o *origins) copyElsewhere(ctx context.Context, keepers []originKeeper, records []origin.Record) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for _, k := range keepers {
+			if k.id == o.g.self.ID {
+				continue
+			}
+			var answer originsRecorded
+			if o.g.transport.Call(ctx, k.id, k.address, queryHoldOrigins, records, &answer) == nil {
+				o.addBases(answer.Bases, answer.Era)
+				return
+			}
+		}
+	}()
+	return done
+}
+
 // recordAt has records appended by one keeper.
 func (o *origins) recordAt(ctx context.Context, k originKeeper, records []origin.Record) (answer originsRecorded, err error) {
 	if k.id == o.g.self.ID {
@@ -155,5 +217,12 @@
 	defer cancel()
 	err := o.log.record(ctx, records)
 	_, bases := o.log.find(nil)
-	return originsRecorded{Durable: err == nil, Bases: bases}, nil
+	return originsRecorded{Durable: err == nil, Bases: bases, Era: o.log.era()}, nil
+}
+
+// answerHold holds records for another instance that appends them.
+func (o *origins) answerHold(_ context.Context, records []origin.Record) (originsRecorded, error) {
+	o.log.hold(records)
+	_, bases := o.log.find(nil)
+	return originsRecorded{Bases: bases, Era: o.log.era()}, nil
 }
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/medlarhold/medlarhold/internal/core/entity"
@@ -11,13 +12,21 @@
 // The coordinators of the zones keep the origins of streams: each appends the records of its zone's
 // instances to the store, many at once, and reads them for those that look for one. Another zone's
 // coordinator, and then the instance itself, does it if the own one can't.
+//
+// The store may come back from an older copy of itself. So each record is also held by two instances:
+// the one whose stream it is and the keeper, or another keeper if these are the same.
 
 // Queries between instances.
 const (
 	// queryRecordOrigins has []origin.Record as parameter and an originsRecorded as result.
 	queryRecordOrigins = "origin-record"
+	// queryHoldOrigins asks an instance to hold records that another one appends: it has
+	// []origin.Record as parameter and an originsRecorded as result.
+	queryHoldOrigins = "origin-hold"
 	// queryFindOrigins has a findOrigins as parameter and an originsFound as result.
 	queryFindOrigins = "origin-find"
+	// queryOriginsRestored has a restoreOrigins as parameter and an originsRestored as result.
+	queryOriginsRestored = "origin-restored"
 )
 
 const (
@@ -41,6 +50,8 @@
 	// Durable is set if the records are in the store.
 	Durable bool          `json:"d,omitempty"`
 	Bases   []origin.Base `json:"b,omitempty"`
+	// Era is the newest era of the log that the answering instance knows.
+	Era int64 `json:"e,omitempty"`
 }
 
 // findOrigins asks for the records of streams.
@@ -60,6 +71,8 @@
 	// arrived that read began, 0 if after.
 	Read       bool          `json:"c,omitempty"`
 	ReadBefore time.Duration `json:"d,omitempty"`
+	// Era is the era of the log that was read.
+	Era int64 `json:"e,omitempty"`
 	// OnlyBase lists the pools of which no stream has a record of another version than the base.
 	OnlyBase []entity.PoolID `json:"o,omitempty"`
 }
@@ -77,13 +90,23 @@
 	sends   batcher[*unsent]
 	lookups batcher[*lookup]
 
+	// startedAt is when this instance began to know the others.
+	startedAt time.Time
+	// chooser is used by the goroutine of run only.
+	chooser *origin.Chooser
+
 	mu sync.Mutex
 	// keepers are the instances to ask, in this order.
 	keepers []originKeeper
 	// chooses is set if this instance chooses the bases.
 	chooses bool
+	// members holds the addresses of the other instances, departed when one of them has left lately.
+	members  map[entity.InstanceID]string
+	departed []time.Time
 	// table holds what this instance itself has recorded or was told.
 	table *origin.Table
+	// restoring holds the records that are appended again in the log's present era.
+	restoring []*unsent
 	// recent holds the streams that were lately sent to each endpoint, by incarnation.
 	recent map[incarnation][]recentStream
 }
@@ -104,11 +127,20 @@
 type unsent struct {
 	origin.Record
 	since time.Time
+	// corrects is set if the record replaces another one: without it, the stream would go on at the
+	// version of that one.
+	corrects bool
+	// stored is set once the store has the record.
+	stored atomic.Bool
 	// released is closed once the stream's first event may be sent to the caller.
 	released chan struct{}
 	once     sync.Once
 }
 
+func newUnsent(r origin.Record, since time.Time) *unsent {
+	return &unsent{Record: r, since: since, released: make(chan struct{})}
+}
+
 func (u *unsent) release() { u.once.Do(func() { close(u.released) }) }
 
 // lookup is a search for the origin of one stream.
@@ -122,7 +154,7 @@
 }
 
 func newOrigins(g *Instance) *origins {
-	o := &origins{g: g, log: newOriginLog(g), table: origin.NewTable(), recent: make(map[incarnation][]recentStream)}
+	o := &origins{g: g, log: newOriginLog(g), startedAt: time.Now(), table: origin.NewTable(), recent: make(map[incarnation][]recentStream)}
 	o.sends = batcher[*unsent]{ctx: g.ctx, run: o.send}
 	o.lookups = batcher[*lookup]{ctx: g.ctx, run: o.find}
 	return o
@@ -141,7 +173,12 @@
 	return o.keepers, o.chooses
 }
 
-func (o *origins) addBases(bases []origin.Base) {
+// addBases adds statements about bases that were made or known in an era of the log.
+func (o *origins) addBases(bases []origin.Base, era int64) {
+	for _, b := range bases {
+		era = max(era, b.Era)
+	}
+	o.observeEra(era)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.table.SetBases(bases)
--- a/internal/gateway/origins_test.go
+++ b/internal/gateway/origins_test.go
@@ -57,7 +57,7 @@
 	row := func(start int64, version string) *catalog.Endpoints {
 		return catalog.NewEndpoints([]catalog.Endpoint{{Endpoint: entity.Endpoint{ID: "e", Pool: "p"}, Incarnation: start, Version: version}})
 	}
-	g.origins.addBases([]origin.Base{{Pool: "p", Version: "v1", Revision: 1}})
+	g.origins.addBases([]origin.Base{{Pool: "p", Version: "v1", Revision: 1}}, 0)
 	begin := func(id entity.RequestID) {
 		e, _ := g.state.endpoints.Load().Get("e")
 		g.RecordOrigin(edge.SlotRequest{ID: id, Pool: "p"}, e, 1)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -59,7 +59,9 @@
 	peer.Register[broker.Done](r, "done", peer.CauseRequest)
 	peer.Register[heldOff](r, "hold-off", peer.CauseControl)
 	r.RegisterQuery(queryRecordOrigins, peer.CauseRequest)
+	r.RegisterQuery(queryHoldOrigins, peer.CauseRequest)
 	r.RegisterQuery(queryFindOrigins, peer.CauseRequest)
+	r.RegisterQuery(queryOriginsRestored, peer.CauseControl)
 	return r
 }
 
@@ -81,8 +83,12 @@
 	switch method {
 	case queryRecordOrigins:
 		return answerQuery(ctx, params, g.origins.answerRecord)
+	case queryHoldOrigins:
+		return answerQuery(ctx, params, g.origins.answerHold)
 	case queryFindOrigins:
 		return answerQuery(ctx, params, g.origins.answerFind)
+	case queryOriginsRestored:
+		return answerQuery(ctx, params, g.origins.answerRestored)
 	}
 	return nil, trace.NotImplemented("unknown query %q", method)
 }
--- a/internal/gateway/roles.go
+++ b/internal/gateway/roles.go
@@ -41,6 +41,7 @@
 	localZone, _ := c.view.Zone(c.self.Zone)
 	c.local.SetSlotShare(localShare / float64(max(1, len(localZone.Members))))
 	c.g.metrics.Members.Update(int64(len(localZone.Members)))
+	c.g.origins.setMembers(now, c.addresses)
 	telemetry.Log(c.g.log, telemetry.EventMembersChanged, "zone_members", len(localZone.Members), "members", members, "version", c.view.Version)
 	c.chooseRoles(now)
 }
@@ -111,7 +112,7 @@
 }
 
 // setOriginKeepers tells which instances keep the origins of streams: the coordinators, that of the
-// local zone first.
+// local zone first, and the one that would follow it last.
 func (c *control) setOriginKeepers(remote map[entity.ZoneID]entity.InstanceID) {
 	var keepers []originKeeper
 	if id := c.roleHolder(c.self.Zone, coordinatorRole); id != "" {
@@ -120,6 +121,9 @@
 	for _, z := range slices.Sorted(maps.Keys(remote)) {
 		keepers = append(keepers, originKeeper{id: remote[z], address: c.addresses[remote[z]]})
 	}
+	if next := c.roleHolders(c.self.Zone, coordinatorRole, 2); len(next) == 2 {
+		keepers = append(keepers, originKeeper{id: next[1], address: c.addresses[next[1]]})
+	}
 	c.g.origins.setKeepers(keepers, c.coordinatesFirstZone(remote))
 }
 
@@ -168,9 +172,18 @@
 // rendezvous hash among those that are eligible, and neither suspected nor leaving.
 // It returns "" if the zone is unreachable or has no such member.
 func (c *control) roleHolder(in entity.ZoneID, role string) entity.InstanceID {
+	first := c.roleHolders(in, role, 1)
+	if len(first) == 0 {
+		return ""
+	}
+	return first[0]
+}
+
+// roleHolders returns the first n members by that hash, or all if there are fewer.
+func (c *control) roleHolders(in entity.ZoneID, role string, n int) []entity.InstanceID {
 	z, ok := c.view.Zone(in)
 	if !ok || !z.Reachable {
-		return ""
+		return nil
 	}
 	var candidates []entity.Instance
 	for _, m := range z.Members {
@@ -178,11 +191,7 @@
 			candidates = append(candidates, m.Instance)
 		}
 	}
-	winner := ownership.Ranked(eligible(candidates), role, 1)
-	if len(winner) == 0 {
-		return ""
-	}
-	return winner[0]
+	return ownership.Ranked(eligible(candidates), role, n)
 }
 
 // sendFreeSlots reports the free slots of the pools whose broker is this instance to
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -69,6 +69,7 @@
 	EventEndpointBypassed     = Event{6018, "endpoint is reached only through another instance", 0}
 	EventEndpointReached      = Event{6019, "endpoint is reached directly again", 0}
 	EventCutOffChanged        = Event{6020, "this instance is cut off from the endpoints, or no longer", 0}
+	EventOriginsRestoring     = Event{6021, "origins of streams are appended again, the store may have lost them", 0}
 	EventRolloutHeard         = Event{6100, "order of a roll-out heard", 0}
 	EventRolloutRejected      = Event{6101, "order of a roll-out can't be followed", 0}
 	EventRolloutStep          = Event{6102, "share of a roll-out's target has changed", 0}
@@ -101,7 +102,7 @@
 		EventLogUnavailable, EventLogRestored, EventListUnavailable, EventAppendUnknown, EventStoreReplaced, EventStoreSettled,
 		EventConfigApplied, EventConfigRejected, EventConfigCaughtUp, EventConfigSnapshot, EventConfigFromPeer,
 		EventEndpointFailed, EventLeaseAcquired, EventLeaseLost, EventOrderSent, EventOrderRefused, EventEntryMalformed, EventEndpointsChanged, EventEndpointDeparting, EventEndpointHeldOff,
-		EventRunLost, EventPartQuarantined, EventPartReleased, EventPartTried, EventEndpointLimited, EventEndpointUnlimited, EventOriginsNotRecorded, EventBaseChosen, EventEndpointBypassed, EventEndpointReached, EventCutOffChanged,
+		EventRunLost, EventPartQuarantined, EventPartReleased, EventPartTried, EventEndpointLimited, EventEndpointUnlimited, EventOriginsNotRecorded, EventBaseChosen, EventEndpointBypassed, EventEndpointReached, EventCutOffChanged, EventOriginsRestoring,
 		EventRolloutHeard, EventRolloutRejected, EventRolloutStep, EventRolloutDone, EventRolloutRolledBack, EventRolloutNotSaved, EventRolloutStatusWritten,
 		EventLearnedLimit, EventLearnedLimitEnded, EventSlowdownUnreadable,
 		EventOverloadBegun, EventOverloadEnded,
