Upstream: a request is never sent twice on one connection

Cause: the only engine rejects a request and it is sent again, with the same id, on the same connection. A late second copy of the rejection comes first there, names the id, and is taken for the answer to the second sending. An id names the request, not the sending.

Change: a request keeps the connections that have carried it and is sent on none of them again, whatever the answers were.

--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -14,6 +14,7 @@
 	"github.com/medlarhold/medlarhold/internal/core/quota"
 	"github.com/medlarhold/medlarhold/internal/hopbyhop"
 	"github.com/medlarhold/medlarhold/internal/telemetry"
+	"github.com/medlarhold/medlarhold/internal/upstream"
 	"github.com/medlarhold/medlarhold/internal/verdict"
 )
 
@@ -50,8 +51,9 @@
 	header      http.Header
 	// deadline is the time after which a response is of no use.
 	deadline time.Time
-	// tried lists the endpoints that the request was sent to.
-	tried []entity.EndpointID
+	// tried lists the endpoints that the request was sent to, carriers the connections.
+	tried    []entity.EndpointID
+	carriers upstream.Carriers
 	// possibleRuns counts the endpoints that may have run the request.
 	possibleRuns int
 	// headerSent reports whether the header of an endpoint's response was sent to the caller.
--- a/internal/edge/dispatch.go
+++ b/internal/edge/dispatch.go
@@ -120,7 +120,7 @@
 	}
 	response, err := c.server.opts.Client.Do(ctx, upstream.Request{
 		ID: c.meta.ID, To: slot.Endpoint, Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: c.header.Clone(),
-		Body: c.body, Remaining: time.Until(c.deadline), LastEventID: lastEventID, MaxBodyBytes: c.maxResponseBytes(),
+		Body: c.body, Remaining: time.Until(c.deadline), LastEventID: lastEventID, MaxBodyBytes: c.maxResponseBytes(), Carriers: &c.carriers,
 	})
 	if err != nil {
 		v = verdict.Of(err)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -129,11 +130,11 @@
 	}
 }
 
-// connection returns a connection to an endpoint: an idle one that is reusable, or a
-// new one.
-func (c *Client) connection(ctx context.Context, address string) (*conn, error) {
+// connection returns a connection to an endpoint: an idle one that is reusable and not among those
+// that have carried the request, or a new one.
+func (c *Client) connection(ctx context.Context, address string, used *Carriers) (*conn, error) {
 	for {
-		k := c.takeIdle(address)
+		k := c.takeIdle(address, used)
 		if k == nil {
 			return c.dial(ctx, address)
 		}
@@ -149,16 +150,18 @@
 	return c.opts.Usable == nil || c.opts.Usable(k.Conn, k.address)
 }
 
-func (c *Client) takeIdle(address string) *conn {
+// takeIdle takes the most recently used idle connection to an address that is not among used, nil if there is none.
+func (c *Client) takeIdle(address string, used *Carriers) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	list := c.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i := len(list) - 1; i >= 0; i-- {
+		if k := list[i]; !used.has(k) {
+			c.idle[address] = slices.Delete(list, i, i+1)
+			return k
+		}
 	}
-	k := list[len(list)-1]
-	c.idle[address] = list[:len(list)-1]
-	return k
+	return nil
 }
 
 // putIdle makes a connection available for later requests.
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -138,6 +139,43 @@
 	}
 }
 
+// A request that was rejected is sent to the endpoint again, and a second copy of the rejection comes before
+// the response: it must not be taken for it (REFUSED, TWICE).
+func TestSecondResponseToAnEarlierSendingIsNoResponse(t *testing.T) {
+	var mu sync.Mutex
+	runs := 0
+	e := serve(t, func(conn net.Conn, r *bufio.Reader) {
+		copies := ""
+		for req, _ := readRequest(r); req != nil; req, _ = readRequest(r) {
+			id := req.Header.Get("Id")
+			if copies != "" {
+				respond(conn, copies, "rejected")
+			}
+			mu.Lock()
+			runs++
+			n := runs
+			mu.Unlock()
+			if n%2 == 1 {
+				respond(conn, id, "rejected")
+				copies = id
+				continue
+			}
+			respond(conn, id, "done")
+			copies = ""
+		}
+	})
+	c := newClient(t)
+	for i := range 4 {
+		r := request(e, fmt.Sprint("r", i), "")
+		r.Carriers = new(Carriers)
+		for _, want := range []string{"rejected", "done"} {
+			if body, err := send(t, c, r); err != nil || body != want {
+				t.Fatalf("request %s: got body %q and error %v, want %q", r.ID, body, err, want)
+			}
+		}
+	}
+}
+
 func TestEarlyResponseLeavesRequestBodyIntact(t *testing.T) {
 	e := serve(t, func(conn net.Conn, r *bufio.Reader) {
 		req, err := http.ReadRequest(r)
--- a/internal/upstream/doc.go
+++ b/internal/upstream/doc.go
@@ -13,7 +13,9 @@
 //   - An endpoint closes an idle connection, or drops it without notice: a connection is
 //     checked before it is reused, and not reused after its idle timeout.
 //   - It sends a second response, at once, before the next response or in place of it: a
-//     response names its request, and responses to other requests are read and discarded.
+//     response names its request, and responses to other requests are read and discarded. A
+//     request that is sent again takes another connection, as a response does not say to which
+//     sending it belongs.
 //   - It responds before it has read the body: large requests are written concurrently
 //     with the reading of the response, and a connection is not reused if the body was
 //     not written completely.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -53,6 +54,24 @@
 	LastEventID string
 	// MaxBodyBytes limits the body of the response, 0 for DefaultMaxBodyBytes.
 	MaxBodyBytes int64
+	// Carriers holds the connections on which the request was sent before; Do adds its own. It must be set
+	// if the request may be sent more than once.
+	Carriers *Carriers
+}
+
+// Carriers holds the connections on which a request was sent. An endpoint may send a second copy of a
+// response on the connection of the first, so the request is not sent on one of them again: a response names
+// its request, but not which sending of it. The zero value holds none.
+type Carriers struct{ conns []*conn }
+
+// has reports whether a connection is among them.
+func (c *Carriers) has(k *conn) bool { return c != nil && slices.Contains(c.conns, k) }
+
+// add adds a connection.
+func (c *Carriers) add(k *conn) {
+	if c != nil {
+		c.conns = append(c.conns, k)
+	}
 }
 
 // maxBodyBytes returns the limit on the body of the response.
@@ -88,10 +107,11 @@
 // Do sends a request, at most once, and reads the header of its response. The error wraps a
 // *verdict.Error. When ctx ends, the connection is closed.
 func (c *Client) Do(ctx context.Context, r Request) (*Response, error) {
-	k, err := c.connection(ctx, r.To.Address)
+	k, err := c.connection(ctx, r.To.Address, r.Carriers)
 	if err != nil {
 		return nil, notConnected(r.To, err)
 	}
+	r.Carriers.add(k)
 	stop := context.AfterFunc(ctx, func() { k.Close() })
 	response, err := c.exchange(k, r)
 	if err != nil {
