Edge: a header is either complete or refused, never both

Cause: the header timer answered under a lock for which the read of the rest waited; then the request went on. Its context had ended, and the client of endpoints wrote it on an idle connection all the same.

Change: one state decides. The end of the header is found when it is read and stops the timer; once 408 is being sent, the HTTP server gets no further bytes, and a request that it has got already is not begun. Bytes that have arrived and were not read yet are waited for. A request whose context has ended is not written and counts as not run.

--- a/internal/edge/listener.go
+++ b/internal/edge/listener.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"net"
@@ -33,8 +32,6 @@
 var slowHeaderResponse = fmt.Appendf(nil, "HTTP/1.1 408 Request Timeout\r\nContent-Type: text/plain; charset=utf-8\r\n"+
 	"Content-Length: %d\r\nConnection: close\r\n\r\n%s\n", len(slowHeaderMessage)+len("\n"), slowHeaderMessage)
 
-var headerEnd = []byte("\r\n\r\n")
-
 // listener accepts callers' connections and sends status 408 to callers that take too
 // long to send a header. The HTTP server's own timeout would close the connection
 // without a response.
@@ -58,7 +55,7 @@
 		return nil, err
 	}
 	limitUnsent(conn)
-	return &callerConn{Conn: conn, server: l.server, awaitingHeader: true}, nil
+	return &callerConn{Conn: conn, server: l.server, header: headerWait{awaited: true}}, nil
 }
 
 // connState is the ConnState hook of the HTTP server. It passes the new state to the connection.
@@ -73,12 +70,8 @@
 	net.Conn
 	server *Server
 
-	mu sync.Mutex
-	// awaitingHeader is set from the end of a response, or the opening of the
-	// connection, until the next header is complete.
-	awaitingHeader bool
-	// headerTimer runs while a header has arrived in part.
-	headerTimer *time.Timer
+	mu     sync.Mutex
+	header headerWait
 	// aborted is set once no write is to be completed any more.
 	aborted atomic.Bool
 }
@@ -139,51 +132,6 @@
 	})
 }
 
-// Read implements net.Conn.
-func (c *callerConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.onRead(b[:n])
-	}
-	return n, err
-}
-
-// onRead starts the timer when the first bytes of a header arrive without its end.
-func (c *callerConn) onRead(b []byte) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.awaitingHeader || c.headerTimer != nil || bytes.Contains(b, headerEnd) {
-		return
-	}
-	c.headerTimer = time.AfterFunc(c.server.headerTimeout(), c.headerTimedOut)
-}
-
-// setState stops the timer when a request header is complete or the connection is closed.
-func (c *callerConn) setState(state http.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.awaitingHeader = state == http.StateNew || state == http.StateIdle
-	if !c.awaitingHeader && c.headerTimer != nil {
-		c.headerTimer.Stop()
-		c.headerTimer = nil
-	}
-}
-
-// headerTimedOut refuses a request whose header did not arrive in time and closes the connection.
-func (c *callerConn) headerTimedOut() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.awaitingHeader || c.headerTimer == nil {
-		return
-	}
-	c.awaitingHeader = false
-	c.server.recordSlowHeader(c.RemoteAddr())
-	// Errors are ignored: the connection is closed whether or not the caller reads the response.
-	_ = c.SetWriteDeadline(time.Now().Add(refusalWriteTimeout))
-	_, _ = c.Write(slowHeaderResponse)
-	_ = c.Close()
-}
-
 // headerTimeout returns how long a caller may take to send a header, counted from its first byte.
 func (s *Server) headerTimeout() time.Duration {
 	if config := s.opts.Scheduler.Config(); config != nil && config.Bounds.HeaderTimeout > 0 {
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -52,6 +52,9 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if conn, ok := r.Context().Value(callerConnKey{}).(*callerConn); ok && conn.isRefused() {
+		panic(http.ErrAbortHandler) // the caller was told that the request is not run
+	}
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	c := &call{server: s, w: w, r: r, arrivedAt: time.Now()}
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -288,6 +289,38 @@
 	}
 }
 
+// The context has ended before there is anything to wait for: the request is not run.
+func TestEndOfContextSendsNothingOnAnIdleConnection(t *testing.T) {
+	var mu sync.Mutex
+	var got []string
+	e := serve(t, func(conn net.Conn, r *bufio.Reader) {
+		for req, _ := readRequest(r); req != nil; req, _ = readRequest(r) {
+			mu.Lock()
+			got = append(got, req.Header.Get("Id"))
+			mu.Unlock()
+			respond(conn, req.Header.Get("Id"), "fine")
+		}
+	})
+	c := newClient(t)
+	if _, err := send(t, c, request(e, "first", "")); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := c.Do(ctx, request(e, "ended", ""))
+	if err == nil || verdict.Of(err).Verdict != verdict.NotRun {
+		t.Errorf("got error %v, want verdict %s", err, verdict.NotRun)
+	}
+	if _, err := send(t, c, request(e, "last", "")); err != nil {
+		t.Fatal(err)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if !slices.Equal(got, []string{"first", "last"}) {
+		t.Errorf("the endpoint got %v, want the first and the last request", got)
+	}
+}
+
 func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
 	e := serve(t, func(conn net.Conn, r *bufio.Reader) {
 		if req, _ := readRequest(r); req != nil {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -111,6 +111,10 @@
 	if err != nil {
 		return nil, notConnected(r.To, err)
 	}
+	if ctx.Err() != nil {
+		c.putIdle(k)
+		return nil, notConnected(r.To, ctx.Err())
+	}
 	r.Carriers.add(k)
 	stop := context.AfterFunc(ctx, func() { k.Close() })
 	response, err := c.exchange(k, r)
