Origins: a stream of the base does not wait for the store

Cause: whether a record needs the store was decided per pool. A stream of the base needs its record for nothing once the base is known, which the keeper's answer tells; without a record it goes on at the base.

Change: it is decided per record. One that corrects an earlier record of its stream always needs the store: without it the stream would go on at the version of that one.

--- a/internal/gateway/originrecord.go
+++ b/internal/gateway/originrecord.go
@@ -136,7 +136,7 @@
 	switch {
 	case !ok, u.corrects:
 		return true // another instance may know of a base
-	case base.Version == "":
+	case base.Version == "", base.Version == u.Version:
 		return false
 	}
 	return len(ofVersion(o.g.state.endpoints.Load().Pool(u.Pool), base.Version)) > 0
