--- a/internal/gateway/judge.go
+++ b/internal/gateway/judge.go
@@ -53,6 +53,9 @@
 		return false
 	}
 	f.configAt = read.Next
+	if read.Unreadable {
+		f.configAt = storeera.Start(read.Next.Era) // it must not be taken for read
+	}
 	if read.Config != nil {
 		f.era.RecordRead(read.Config.Version, read.Complete)
 	}
--- a/internal/gateway/read.go
+++ b/internal/gateway/read.go
@@ -66,7 +66,7 @@
 
 // readConfig reads the configuration once and reports whether that succeeded. The
 // read proves that the configuration in force was the newest when it began, unless the
-// store may have lost a newer one.
+// store may have lost a newer one or the newest can't be decoded.
 func (f *follower) readConfig(ctx context.Context) bool {
 	started := bootTime()
 	read, from, err := f.askConfig(ctx)
@@ -83,6 +83,9 @@
 	if read.Config != nil {
 		f.g.applyConfig(read.Config, "store")
 	}
+	if read.Unreadable {
+		return false // a newer configuration than the one in force exists
+	}
 	if f.readProves() {
 		f.g.state.recordProof(started)
 		f.g.checkStart()
--- a/internal/gateway/read_test.go
+++ b/internal/gateway/read_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/medlarhold/medlarhold/internal/core/catalog"
 	"github.com/medlarhold/medlarhold/internal/core/storeera"
 	"github.com/medlarhold/medlarhold/internal/telemetry"
 )
@@ -49,3 +50,41 @@
 		}
 	}
 }
+
+// scriptedStore returns reads of the configuration in order, the last one again and again.
+type scriptedStore struct {
+	Store
+	reads []ConfigRead
+	asked []storeera.Position
+}
+
+func (s *scriptedStore) Config(_ context.Context, after storeera.Position, _ time.Duration) (ConfigRead, error) {
+	s.asked = append(s.asked, after)
+	return s.reads[min(len(s.asked), len(s.reads))-1], nil
+}
+
+// The newest configuration can't be decoded: what is in force is not the newest, however often the store is
+// read, and whoever continues from here must not skip it.
+func TestUnreadableConfigurationIsNoProof(t *testing.T) {
+	at := func(offset int64) storeera.Position { return storeera.Position{Offset: offset} }
+	store := &scriptedStore{reads: []ConfigRead{
+		{Config: &catalog.Config{Version: 7}, Complete: true, Next: at(1)},
+		{Unreadable: true, Malformed: []error{errors.New("not valid")}, Next: at(2)},
+		{Unreadable: true, Malformed: []error{errors.New("not valid")}, Complete: true, Next: at(2)},
+		{Config: &catalog.Config{Version: 9}, Complete: true, Next: at(3)},
+	}}
+	g := New(Settings{Name: "i", Zone: "a", FirstStart: true}, Adapter{Store: store}, logr.Discard(), telemetry.NewMetrics())
+	t.Cleanup(g.cancel)
+	for i, proves := range []bool{true, false, false, true} {
+		g.state.provedAt.Store(0)
+		if got := g.follower.readConfig(t.Context()); got != proves || (g.state.provedAt.Load() != 0) != proves {
+			t.Errorf("read %d: got success %v, proof at %d, want %v", i+1, got, g.state.provedAt.Load(), proves)
+		}
+	}
+	if got := g.follower.position().Config; got != 3 {
+		t.Errorf("got position %d, want 3", got)
+	}
+	if store.asked[2].Offset != storeera.FromStart || store.asked[3].Offset != storeera.FromStart {
+		t.Errorf("got reads from %+v, want those after the unreadable one from the start", store.asked)
+	}
+}
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -14,6 +14,9 @@
 
 // Store holds the configuration that operators publish, the endpoints that discovery
 // has recorded, and the registered instances. Its methods are called concurrently.
+//
+// What a read returns reaches to the end of what was there when it began: callers take what is missing in it
+// for what does not exist.
 type Store interface {
 	// Config returns the newest configuration after a position. It waits for one for
 	// up to wait.
@@ -69,8 +72,10 @@
 	Complete bool
 	// Next is the position for the next read. It has the era of the response.
 	Next storeera.Position
-	// Malformed holds an error for each record that could not be decoded.
-	Malformed []error
+	// Malformed holds an error for each record that could not be decoded. Unreadable is set if one of them
+	// is the newest configuration.
+	Malformed  []error
+	Unreadable bool
 	// Orders are the records about roll-outs, and MalformedOrders an error for each that could not be
 	// decoded.
 	Orders          []rollout.Heard
