Roll-outs: what was decided is saved again after the store was replaced

The instance that decides took what it had saved for being there. Operators were told that the version runs, and instances that started later took that word.

Cause: the words that were saved were read once; a rise of the store's era did not make them be read again.

Change: after a replacement they are read again, and what is missing is saved.

--- a/internal/gateway/judge.go
+++ b/internal/gateway/judge.go
@@ -26,6 +26,7 @@
 	f.endpointsAt = f.configAt
 	f.discovery.StoreReplaced(now)
 	f.g.registerAgain()
+	f.g.rollouts.keeper.storeReplaced.Store(true)
 	telemetry.Log(f.g.log, telemetry.EventStoreReplaced, "era", era, "before", before, "config", f.g.state.version(),
 		"proof_age_ms", f.g.state.proofAge().Milliseconds())
 }
--- a/internal/gateway/rolloutkeeper.go
+++ b/internal/gateway/rolloutkeeper.go
@@ -45,8 +45,10 @@
 // decides.
 type rolloutKeeper struct {
 	// decides is set while this instance decides.
-	decides  atomic.Bool
-	deciders map[entity.PoolID]*rollout.Decider
+	decides atomic.Bool
+	// storeReplaced is set once the store was replaced, which may have lost what was saved.
+	storeReplaced atomic.Bool
+	deciders      map[entity.PoolID]*rollout.Decider
 	// loaded is set while saved, status and at are those of the store.
 	loaded bool
 	saved  map[entity.PoolID]rollout.Word
@@ -84,6 +86,9 @@
 	if len(words) == 0 {
 		return
 	}
+	if o.keeper.storeReplaced.Swap(false) {
+		o.keeper.loaded = false
+	}
 	o.load(ctx)
 	counts, traffic := o.drain(bootTime())
 	for _, w := range words {
