Upstream: the end of an endpoint is not the end of its response

Cause, as far as it can be told: a response without a length or chunks ends with its connection. The kernel ends the connections of a process that is killed in the same way, regularly, so the part that had arrived was passed on as complete, in chunks to the caller. No other instance and no disruption of ours is needed.

Change: such an end counts only if the endpoint lives on: another connection to it is still established 15 ms later, or a new one is accepted (and kept for the next request). Otherwise the response has broken off: a resumable stream goes on elsewhere, other callers get no proper end. Events are passed on as before.

Result: TestEndOfTheEndpointIsNoEndOfAResponse failed before in two of five cases (status 200, a part, a proper end). Responses with a length or chunks, and instances that reach the endpoint, see no difference but for 15 ms at the end of a response without either.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -81,6 +81,7 @@
 	opts Options
 	mu   sync.Mutex
 	idle map[string][]*conn // by address, the most recently used last
+	open openConns
 }
 
 // New returns a Client that has no connections yet.
@@ -181,5 +182,8 @@
 	if c.opts.OnDial != nil {
 		c.opts.OnDial()
 	}
-	return newConn(raw, address), nil
+	k := newConn(raw, address)
+	k.open = &c.open
+	c.open.add(k)
+	return k, nil
 }
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -237,6 +237,9 @@
 		t.Run(fmt.Sprint("reset=", reset), func(t *testing.T) {
 			e := serve(t, func(conn net.Conn, r *bufio.Reader) {
 				req, _ := readRequest(r)
+				if req == nil {
+					return // the client has looked whether the endpoint lives
+				}
 				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nConnection: close\r\n\r\nwhole?", req.Header.Get("Id"))
 				if reset {
 					_ = conn.(*net.TCPConn).SetLinger(0)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -47,6 +47,16 @@
 	exchanges int
 	// usableUntil is the time after which the endpoint may close the idle connection.
 	usableUntil time.Time
+	// open lists the connection until it is closed, nil in tests.
+	open *openConns
+}
+
+// Close implements net.Conn.
+func (k *conn) Close() error {
+	if k.open != nil {
+		k.open.remove(k)
+	}
+	return k.Conn.Close()
 }
 
 func newConn(raw net.Conn, address string) *conn {
--- /dev/null
+++ b/internal/upstream/ends_test.go
@@ -0,0 +1,116 @@
+package upstream
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/medlarhold/medlarhold/internal/core/catalog"
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+)
+
+// process is an endpoint whose connections all end when it is killed, as the kernel closes them then:
+// regularly.
+type process struct {
+	listener net.Listener
+	mu       sync.Mutex
+	conns    []net.Conn
+}
+
+// startProcess starts an endpoint that begins each response without a length, and goes on with rest.
+func startProcess(t *testing.T, rest func(p *process, conn net.Conn)) (*process, *catalog.Endpoint) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &process{listener: l}
+	t.Cleanup(p.kill)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			p.mu.Lock()
+			p.conns = append(p.conns, conn)
+			p.mu.Unlock()
+			go p.serve(conn, rest)
+		}
+	}()
+	return p, &catalog.Endpoint{Endpoint: entity.Endpoint{ID: "e", Address: l.Addr().String()}}
+}
+
+func (p *process) serve(conn net.Conn, rest func(p *process, conn net.Conn)) {
+	req, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nConnection: close\r\n\r\nid: 1\n\n", req.Header.Get("Id"))
+	rest(p, conn)
+}
+
+// kill ends the endpoint.
+func (p *process) kill() {
+	p.listener.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, conn := range p.conns {
+		conn.Close()
+	}
+}
+
+// A response without a length ends with its connection, and the kernel closes the connections of a process that
+// is killed in the same way: the end counts as that of the response only if the endpoint lives on (ORDER,
+// MIXED).
+func TestEndOfTheEndpointIsNoEndOfAResponse(t *testing.T) {
+	tests := []struct {
+		name string
+		// others is the number of other connections to the endpoint.
+		others   int
+		rest     func(p *process, conn net.Conn)
+		complete bool
+	}{
+		{"response ends", 0, func(_ *process, conn net.Conn) { conn.Close() }, true},
+		{"response ends, other connections", 2, func(_ *process, conn net.Conn) { conn.Close() }, true},
+		{"endpoint is killed", 0, func(p *process, _ net.Conn) { p.kill() }, false},
+		{"endpoint is killed, other connections", 2, func(p *process, _ net.Conn) { p.kill() }, false},
+		{"response ends, no new connections", 2, func(p *process, conn net.Conn) {
+			p.listener.Close()
+			conn.Close()
+		}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p, e := startProcess(t, tt.rest)
+			c := newClient(t)
+			for range tt.others {
+				k, err := c.dial(t.Context(), e.Address)
+				if err != nil {
+					t.Fatal(err)
+				}
+				c.putIdle(k)
+				k.usableUntil = time.Now().Add(time.Minute)
+			}
+			// The request itself takes a connection of its own.
+			used := &Carriers{}
+			c.mu.Lock()
+			used.conns = append(used.conns, c.idle[e.Address]...)
+			c.mu.Unlock()
+			r := request(e, "r", "")
+			r.Carriers = used
+			body, err := send(t, c, r)
+			if body != "id: 1\n\n" || (err == nil) != tt.complete {
+				t.Errorf("got body %q and error %v, want complete %v", body, err, tt.complete)
+			}
+			if err != nil && !ClosedByEndpoint(err) {
+				t.Errorf("got error %v, want one that says that the endpoint has gone", err)
+			}
+			p.kill()
+		})
+	}
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -91,13 +91,14 @@
 	// Length is the length of the body, -1 if not stated.
 	Length int64
 	// EndsWithConnection is set if only the end of the connection marks the end of the
-	// body: the body may be incomplete although it was read without an error.
+	// body. An end that may be that of the endpoint is an error; other incomplete bodies can't be told.
 	EndsWithConnection bool
 	// Body returns an error once the response exceeds the limit of the request.
 	Body io.Reader
 
 	client         *Client
 	conn           *conn
+	ctx            context.Context // of the exchange
 	requestWritten *atomic.Bool
 	lastOnConn     bool        // the connection can't be reused after this response
 	bodyComplete   bool        // the body was read to its end
@@ -117,7 +118,7 @@
 	}
 	r.Carriers.add(k)
 	stop := context.AfterFunc(ctx, func() { k.Close() })
-	response, err := c.exchange(k, r)
+	response, err := c.exchange(ctx, k, r)
 	if err != nil {
 		stop()
 		k.Close()
@@ -128,7 +129,7 @@
 	return response, nil
 }
 
-func (c *Client) exchange(k *conn, r Request) (*Response, error) {
+func (c *Client) exchange(ctx context.Context, k *conn, r Request) (*Response, error) {
 	c.opts.HeaderCodec.SetDispatchHeaders(r.Header, r.To.ID, r.Remaining, r.LastEventID)
 	head := requestHead(r)
 	k.exchanges++
@@ -145,7 +146,11 @@
 		}
 		go writeRequest(k, head, r.Body, written)
 	}
-	return c.readResponse(k, r, written)
+	response, err := c.readResponse(k, r, written)
+	if err == nil {
+		response.ctx = ctx
+	}
+	return response, err
 }
 
 // writeRequest writes a request and sets written once all of it is. A failed write shows as an error
@@ -284,11 +289,26 @@
 		return n, err
 	}
 	if errors.Is(err, io.EOF) {
-		b.response.bodyComplete = true
+		return n, b.end(n)
 	}
 	return n, err
 }
 
+// end processes the end of the body, after n last bytes, and returns the error of the read.
+func (b *bodyReader) end(n int) error {
+	r := b.response
+	if r.EndsWithConnection && !r.bodyComplete {
+		if n > 0 {
+			return nil // what has arrived need not wait; the next read ends again
+		}
+		if err := r.client.checkEnd(r.ctx, r.conn); err != nil {
+			return err
+		}
+	}
+	r.bodyComplete = true
+	return io.EOF
+}
+
 // Close ends the exchange. The connection is reused if the request was written and the
 // response read completely and no further bytes have arrived. Otherwise it is closed, upon
 // which most endpoints cancel the request.
--- a/internal/upstream/limits_test.go
+++ b/internal/upstream/limits_test.go
@@ -186,7 +186,7 @@
 		c := New(Options{HeaderCodec: testCodec{}})
 		k := newConn(near, "fuzz")
 		k.exchanges = 1 // as on a connection that was used before: responses must name their request
-		response, err := c.exchange(k, Request{ID: "r1", To: &catalog.Endpoint{}, Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}, MaxBodyBytes: 1 << 10})
+		response, err := c.exchange(t.Context(), k, Request{ID: "r1", To: &catalog.Endpoint{}, Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}, MaxBodyBytes: 1 << 10})
 		if err != nil {
 			return
 		}
