Tunnels: only the end of the endpoint's connection ends one regularly

Cause: the kernel of a killed process, and a process at its planned end, close both connections of a tunnel regularly, and the instance that dialled took this for the end of the response.

Change: from the opening on, closing the dialler's connection resets it, whoever closes it, until the endpoint has ended its own. The response to the opening says so; through an instance of an earlier version, such an end is none.

--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -69,12 +69,16 @@
 // tunnelConn is a connection to an endpoint through another instance.
 type tunnelConn struct {
 	*net.TCPConn
-	relay entity.InstanceID
+	relay      entity.InstanceID
+	reportsEnd bool
 }
 
 // Relay implements upstream.Relayed.
 func (t *tunnelConn) Relay() entity.InstanceID { return t.relay }
 
+// ReportsEnd implements upstream.Relayed.
+func (t *tunnelConn) ReportsEnd() bool { return t.reportsEnd }
+
 // relayOf returns the instance through which a connection passes, empty for a direct one.
 func relayOf(conn net.Conn) entity.InstanceID {
 	if r, ok := conn.(upstream.Relayed); ok {
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -38,7 +38,7 @@
 		}
 		return nil, err
 	}
-	tcp, ok := conn.(*net.TCPConn)
+	tcp, ok := conn.Conn.(*net.TCPConn)
 	if !ok {
 		conn.Close()
 		return nil, errNoRelay
@@ -47,7 +47,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.helped = r.id
-	return &tunnelConn{TCPConn: tcp, relay: r.id}, nil
+	return &tunnelConn{TCPConn: tcp, relay: r.id, reportsEnd: conn.ReportsEnd}, nil
 }
 
 // helpsOthers reports whether an instance that did not open a tunnel may open one to another
--- a/internal/tunnel/open.go
+++ b/internal/tunnel/open.go
@@ -28,6 +28,13 @@
 	MAC []byte `json:"mac"`
 }
 
+// openResult is the result of methodOpen.
+type openResult struct {
+	// ReportsEnd is set if the tunnel ends regularly only if the endpoint has ended its connection. Servers
+	// of earlier versions don't set it.
+	ReportsEnd bool `json:"reports_end,omitempty"`
+}
+
 // Code is the reason why a tunnel was not opened.
 type Code int64
 
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -73,7 +73,8 @@
 		resp.Error = &jsonrpc2.Error{Code: int64(failed.Code), Message: failed.Message}
 	} else {
 		defer endpoint.Close()
-		_ = resp.SetResult(struct{}{}) // an empty struct can be encoded
+		resetOnClose(conn)                               // until the endpoint has ended its connection
+		_ = resp.SetResult(openResult{ReportsEnd: true}) // it can be encoded
 	}
 	if writeObject(conn, nil, &resp) != nil || failed != nil {
 		return
@@ -111,7 +112,9 @@
 	return nil, &OpenError{CodeUnreachable, "no connection to the endpoint in time"}
 }
 
-// join passes bytes between the instance that dialled and the endpoint until one of them is done.
+// join passes bytes between the instance that dialled and the endpoint until one of them is done. The
+// instance's connection ends regularly only if the endpoint's did: it is reset otherwise, also by the kernel
+// if this process is killed.
 func join(instance, endpoint net.Conn) {
 	done := make(chan struct{})
 	go func() {
@@ -120,8 +123,8 @@
 		_ = pass(endpoint, instance)
 		endpoint.Close()
 	}()
-	if err := pass(instance, endpoint); err != nil {
-		resetOnClose(instance)
+	if pass(instance, endpoint) == nil {
+		endOnClose(instance)
 	}
 	instance.Close()
 	<-done
@@ -148,9 +151,20 @@
 	}
 }
 
+// Values for net.TCPConn.SetLinger.
+const (
+	lingerReset   = 0
+	lingerDefault = -1
+)
+
 // resetOnClose makes the close of a connection a reset.
-func resetOnClose(conn net.Conn) {
+func resetOnClose(conn net.Conn) { setLinger(conn, lingerReset) }
+
+// endOnClose makes the close of a connection a regular end.
+func endOnClose(conn net.Conn) { setLinger(conn, lingerDefault) }
+
+func setLinger(conn net.Conn, seconds int) {
 	if tcp, ok := conn.(interface{ SetLinger(int) error }); ok {
-		_ = tcp.SetLinger(0) // fails only for a closed connection
+		_ = tcp.SetLinger(seconds) // fails only for a closed connection
 	}
 }
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -10,6 +10,10 @@
 	"syscall"
 	"testing"
 	"time"
+	"unsafe"
+
+	"github.com/sourcegraph/jsonrpc2"
+	"golang.org/x/sys/unix"
 
 	"github.com/medlarhold/medlarhold/internal/testbed/loopback"
 )
@@ -113,6 +117,87 @@
 	}
 }
 
+// An instance that stops or is killed ends its connections; the endpoint is still writing then (MIXED, ORDER).
+func TestEndOfTheInstanceIsNoEndOfTheResponse(t *testing.T) {
+	endpoint := startEndpoint(t, func(conn *net.TCPConn) {
+		_, _ = io.WriteString(conn, "part")
+		_, _ = io.Copy(io.Discard, conn)
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		accepted <- conn
+		_, _ = byteReader{conn}.ReadByte()
+		newServer().Serve(ctx, conn)
+	}()
+	conn := dialTunnel(t, l.Addr().String(), endpoint)
+	if _, err := io.ReadFull(conn, make([]byte, len("part"))); err != nil {
+		t.Fatal(err)
+	}
+	// What the kernel does when the process is killed depends on this option.
+	if linger := lingerOf(t, <-accepted); linger.Onoff != 1 || linger.Linger != 0 {
+		t.Errorf("got the option %+v on an open tunnel, want that its end is a reset", linger)
+	}
+	stop()
+	if rest, err := io.ReadAll(conn); !errors.Is(err, syscall.ECONNRESET) || len(rest) > 0 {
+		t.Errorf("got %q and error %v after the instance has stopped, want a reset", rest, err)
+	}
+}
+
+// lingerOf returns how a connection ends when it is closed.
+func lingerOf(t *testing.T, conn net.Conn) unix.Linger {
+	t.Helper()
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out unix.Linger
+	if err := raw.Control(func(fd uintptr) {
+		size := uint32(unsafe.Sizeof(out))
+		_, _, errno := unix.Syscall6(unix.SYS_GETSOCKOPT, fd, unix.SOL_SOCKET, unix.SO_LINGER, uintptr(unsafe.Pointer(&out)), uintptr(unsafe.Pointer(&size)), 0)
+		if errno != 0 {
+			t.Error(errno)
+		}
+	}); err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+// An instance of an earlier version does not say that its end is a reset.
+func TestOlderServersReportNoEnd(t *testing.T) {
+	endpoint := startEndpoint(t, func(conn *net.TCPConn) { _, _ = io.Copy(io.Discard, conn) })
+	server, _ := startServer(t, newServer())
+	now, err := Dial(t.Context(), dialTCP, server, testKey, endpoint)
+	if err != nil || !now.ReportsEnd {
+		t.Fatalf("got %+v, %v, want a connection that reports the end", now, err)
+	}
+	now.Close()
+	older := startEndpoint(t, func(conn *net.TCPConn) {
+		_, _ = byteReader{conn}.ReadByte()
+		var req jsonrpc2.Request
+		_ = readObject(conn, &req)
+		resp := jsonrpc2.Response{ID: req.ID}
+		_ = resp.SetResult(struct{}{})
+		_ = writeObject(conn, nil, &resp)
+		_, _ = io.Copy(io.Discard, conn)
+	})
+	then, err := Dial(t.Context(), dialTCP, older, testKey, endpoint)
+	if err != nil || then.ReportsEnd {
+		t.Errorf("got %+v, %v from an older server, want a connection that does not report the end", then, err)
+	}
+}
+
 func TestEndpointSeesThatTheInstanceHasClosed(t *testing.T) {
 	ended := make(chan struct{})
 	endpoint := startEndpoint(t, func(conn *net.TCPConn) {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -35,6 +35,8 @@
 type Relayed interface {
 	// Relay returns that instance.
 	Relay() entity.InstanceID
+	// ReportsEnd reports whether the connection ends regularly only if the endpoint has ended its own.
+	ReportsEnd() bool
 }
 
 // conn is one connection to an endpoint. One exchange uses it at a time.
--- a/internal/upstream/ends.go
+++ b/internal/upstream/ends.go
@@ -18,8 +18,11 @@
 // endpointEndTime is within what time the ends of all connections of an endpoint that was killed arrive.
 const endpointEndTime = 15 * time.Millisecond
 
-// errEndpointGone is returned where the end of a connection is not the end of a response.
-var errEndpointGone = fmt.Errorf("the endpoint has gone: %w", io.ErrUnexpectedEOF)
+// Reasons why the end of a connection is not the end of a response.
+var (
+	errEndpointGone  = fmt.Errorf("the endpoint has gone: %w", io.ErrUnexpectedEOF)
+	errEndUnreported = fmt.Errorf("the instance in between does not tell its own end from the endpoint's: %w", io.ErrUnexpectedEOF)
+)
 
 // openConns holds the open connections to each address. It is safe for concurrent use.
 type openConns struct {
@@ -63,6 +66,9 @@
 
 // checkEnd returns nil if the end of a connection is the regular end of a response that only it delimits.
 func (c *Client) checkEnd(ctx context.Context, k *conn) error {
+	if r, ok := k.Conn.(Relayed); ok && !r.ReportsEnd() {
+		return errEndUnreported
+	}
 	wait := time.NewTimer(endpointEndTime)
 	defer wait.Stop()
 	select {
--- a/internal/upstream/ends_test.go
+++ b/internal/upstream/ends_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"bufio"
+	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -114,3 +117,27 @@
 		})
 	}
 }
+
+// relayed is a connection through another instance, which may not tell the end of the endpoint's connection
+// from its own.
+type relayed struct {
+	net.Conn
+	reports bool
+}
+
+func (relayed) Relay() entity.InstanceID { return "other" }
+func (r relayed) ReportsEnd() bool       { return r.reports }
+
+func TestEndThroughAnInstanceThatDoesNotReportIt(t *testing.T) {
+	for _, reports := range []bool{false, true} {
+		_, e := startProcess(t, func(_ *process, conn net.Conn) { conn.Close() })
+		c := New(Options{HeaderCodec: testCodec{}, Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			conn, err := DialTCP(ctx, address)
+			return relayed{conn, reports}, err
+		}})
+		t.Cleanup(c.Close)
+		if _, err := send(t, c, request(e, "r", "")); (err == nil) != reports || err != nil && !errors.Is(err, io.ErrUnexpectedEOF) {
+			t.Errorf("reports=%v: got error %v", reports, err)
+		}
+	}
+}
