An answer that may have been ended unread is not complete

Change: such an end is no end if the answer was not read because of its caller, or if the process has stood still for a second since the answer began. A stream goes on only with an answer that is one.

--- a/internal/edge/slow_test.go
+++ b/internal/edge/slow_test.go
@@ -177,6 +177,29 @@
 	awaitEmpty(t, server)
 }
 
+// The engine ends an answer without a length regularly because it stays unread, and then the caller reads on:
+// what has arrived is not the whole answer (MIXED, ORDER).
+func TestAnswerThatWasEndedUnreadIsNotComplete(t *testing.T) {
+	ended := make(chan struct{})
+	impatient := func(conn net.Conn, _ *http.Request, _ string) {
+		defer close(ended)
+		fmt.Fprint(conn, openHead)
+		for {
+			_ = conn.SetWriteDeadline(time.Now().Add(fullPatience / 2))
+			if _, err := fmt.Fprint(conn, event); err != nil {
+				_ = conn.SetWriteDeadline(time.Time{})
+				return
+			}
+		}
+	}
+	conn := dialSlow(t, startServer(t, newServer(newFakeScheduler(startEndpoint(t, impatient)))))
+	ask(conn, "/stream/", "r1", "k")
+	<-ended
+	if body, err := readAnswer(bufio.NewReader(conn)); err == nil {
+		t.Errorf("got an answer of %d bytes that looks complete, want it broken off", len(body))
+	}
+}
+
 // The load: hundreds of callers of one organisation stop reading, with answers that are many times the memory,
 // while one of another organisation reads slowly and others come and go.
 func TestCrowdOfStoppedCallersHarmsNobody(t *testing.T) {
--- a/internal/edge/spool.go
+++ b/internal/edge/spool.go
@@ -18,7 +18,7 @@
 )
 
 // errUnread is returned for an answer that the endpoint ended while it wasn't read, because the caller
-// did not read either.
+// did not read either. It may look like the end of the answer.
 var errUnread = errors.New("the endpoint ended an answer that was not read")
 
 // spool reads an answer. Once it has begun, a goroutine takes what the endpoint sends and holds
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -99,7 +99,7 @@
 	}
 	for retries := 0; c.takeRetry(ctx, v, retries); retries++ {
 		a, err := c.dispatch(ctx, lastEventID)
-		if err == nil && a.response.Status == http.StatusOK {
+		if err == nil && c.isEventStream(a.response) {
 			return a
 		}
 		if err == nil {
@@ -151,8 +151,9 @@
 				return err
 			}
 		}
+		regular := errors.Is(err, io.EOF)
 		switch {
-		case errors.Is(err, io.EOF):
+		case regular && !(a.response.EndsWithConnection && s.isUnread()):
 			return c.finishStream(out, a, events)
 		case err != nil && s.isUnread():
 			c.holding().letGo(letGoFull)
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -217,6 +217,7 @@
 // while the store refuses it but answers others.
 func (c *control) checkEligibility(now time.Time) {
 	slow := c.stalls.tick(now)
+	c.g.standstill.tick(now, bootTime())
 	refused := c.refusal.update(now, c.zone.RefusedByStore(now), c.g.follower.storeAnswerAge(now))
 	if ineligible := slow || refused; ineligible != c.ineligible {
 		c.ineligible = ineligible
--- a/internal/gateway/instance.go
+++ b/internal/gateway/instance.go
@@ -72,6 +72,7 @@
 	edge       *edge.Server
 	services   *services
 	slowdowns  unreadableSlowdowns
+	standstill standstill
 	meter      *meter
 	retries    *retries
 	holds      *holds
@@ -106,6 +107,7 @@
 	g.tunnels = g.newTunnelServer()
 	g.client = upstream.New(upstream.Options{
 		HeaderCodec: a.Upstream, Dial: g.links.dial, Usable: g.links.usable, OnDial: m.Dialled,
+		StoodStill:      func(since time.Time) bool { return g.standstill.since(since, bootTime()) },
 		OnLimitExceeded: func(l upstream.Limit) { m.EndpointLimitExceeded(string(l)) },
 	})
 	g.meter = &meter{meter: quota.NewMeter(time.Now(), s.FirstStart)}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -63,6 +63,9 @@
 	Usable func(conn net.Conn, address string) bool
 	// OnDial, if set, is called for each connection that was opened.
 	OnDial func()
+	// StoodStill, if set, reports whether this process has stood still since a time, long enough for an
+	// endpoint to end a response that is not read.
+	StoodStill func(since time.Time) bool
 	// OnLimitExceeded, if set, is called for each response that exceeded a limit.
 	OnLimitExceeded func(Limit)
 }
--- a/internal/upstream/ends.go
+++ b/internal/upstream/ends.go
@@ -21,6 +21,7 @@
 // Reasons why the end of a connection is not the end of a response.
 var (
 	errEndpointGone  = fmt.Errorf("the endpoint has gone: %w", io.ErrUnexpectedEOF)
+	errStoodStill    = fmt.Errorf("this process has stood still meanwhile: %w", io.ErrUnexpectedEOF)
 	errEndUnreported = fmt.Errorf("the instance in between does not tell its own end from the endpoint's: %w", io.ErrUnexpectedEOF)
 )
 
@@ -65,7 +66,10 @@
 }
 
 // checkEnd returns nil if the end of a connection is the regular end of a response that only it delimits.
-func (c *Client) checkEnd(ctx context.Context, k *conn) error {
+func (c *Client) checkEnd(ctx context.Context, k *conn, began time.Time) error {
+	if c.opts.StoodStill != nil && c.opts.StoodStill(began) {
+		return errStoodStill
+	}
 	if r, ok := k.Conn.(Relayed); ok && !r.ReportsEnd() {
 		return errEndUnreported
 	}
--- a/internal/upstream/ends_test.go
+++ b/internal/upstream/ends_test.go
@@ -118,6 +118,18 @@
 	}
 }
 
+// The process stood still during a response, so that the endpoint may have ended it unread.
+func TestEndAfterAStandstillIsInDoubt(t *testing.T) {
+	for _, stood := range []bool{false, true} {
+		_, e := startProcess(t, func(_ *process, conn net.Conn) { conn.Close() })
+		c := New(Options{HeaderCodec: testCodec{}, StoodStill: func(time.Time) bool { return stood }})
+		t.Cleanup(c.Close)
+		if _, err := send(t, c, request(e, "r", "")); (err != nil) != stood {
+			t.Errorf("stood still %v: got error %v", stood, err)
+		}
+	}
+}
+
 // relayed is a connection through another instance, which may not tell the end of the endpoint's connection
 // from its own.
 type relayed struct {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -99,6 +99,7 @@
 	client         *Client
 	conn           *conn
 	ctx            context.Context // of the exchange
+	began          time.Time       // when the header had arrived
 	requestWritten *atomic.Bool
 	lastOnConn     bool        // the connection can't be reused after this response
 	bodyComplete   bool        // the body was read to its end
@@ -252,7 +253,7 @@
 	out := &Response{
 		Status: resp.StatusCode, Header: resp.Header, Meta: meta, Length: resp.ContentLength,
 		EndsWithConnection: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
-		client:             c, conn: k, requestWritten: written, lastOnConn: resp.Close || idle <= 0,
+		client:             c, conn: k, began: time.Now(), requestWritten: written, lastOnConn: resp.Close || idle <= 0,
 	}
 	out.Body = &bodyReader{response: out, body: resp.Body, left: r.maxBodyBytes()}
 	return out
@@ -301,7 +302,7 @@
 		if n > 0 {
 			return nil // what has arrived need not wait; the next read ends again
 		}
-		if err := r.client.checkEnd(r.ctx, r.conn); err != nil {
+		if err := r.client.checkEnd(r.ctx, r.conn, r.began); err != nil {
 			return err
 		}
 	}
