Upstream: a late copy of an answer in chunks is skipped

What callers saw: 502 for a sound request whose connection carried a late second copy of a streamed answer first (29 of 200 streams with a stand-in that copies each fifth answer).

Cause: only foreign answers with a length were skipped.

Change: chunked ones are skipped as well, up to the same size.

Result: TestLateCopyInChunksIsDiscarded failed before, passes now.

--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -140,6 +140,28 @@
 	}
 }
 
+// A late copy of a response in chunks is skipped as well: the next request gets its own response.
+func TestLateCopyInChunksIsDiscarded(t *testing.T) {
+	e := serve(t, func(conn net.Conn, r *bufio.Reader) {
+		late := ""
+		for req, _ := readRequest(r); req != nil; req, _ = readRequest(r) {
+			id := req.Header.Get("Id")
+			body := "id: 1\ndata: for " + id + "\n\n"
+			response := fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", id, len(body), body)
+			_, _ = io.WriteString(conn, late+response)
+			late = response
+		}
+	})
+	c := newClient(t)
+	for i := range 4 {
+		id := fmt.Sprint("r", i)
+		body, err := send(t, c, request(e, id, ""))
+		if err != nil || body != "id: 1\ndata: for "+id+"\n\n" {
+			t.Fatalf("request %s: got body %q and error %v, want its own response", id, body, err)
+		}
+	}
+}
+
 // A request that was rejected is sent to the endpoint again, and a second copy of the rejection comes before
 // the response: it must not be taken for it (REFUSED, TWICE).
 func TestSecondResponseToAnEarlierSendingIsNoResponse(t *testing.T) {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -210,16 +210,33 @@
 			}
 			return c.newResponse(k, resp, meta, &r, written), nil
 		}
-		// A body that is read in part would be taken for the next response.
-		if foreign++; foreign > maxForeignResponses || resp.ContentLength < 0 || resp.ContentLength > maxForeignBytes {
+		if foreign++; foreign > maxForeignResponses {
 			return nil, errForeign
 		}
-		if _, err := io.CopyN(io.Discard, resp.Body, resp.ContentLength); err != nil {
+		if err := skipForeign(resp); err != nil {
 			return nil, err
 		}
 	}
 }
 
+// skipForeign reads the body of a response to another request to its end: a body that is read in part would be
+// taken for the next response.
+func skipForeign(resp *http.Response) error {
+	if endsWithConnection(resp) || resp.ContentLength > maxForeignBytes {
+		return errForeign
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxForeignBytes+1))
+	if err == nil && n > maxForeignBytes {
+		return errForeign
+	}
+	return err
+}
+
+// endsWithConnection reports whether only the end of the connection marks the end of a response.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // readHead reads the status line and the headers of the next response that is not
 // informational.
 func readHead(k *conn, method string) (*http.Response, error) {
@@ -252,7 +269,7 @@
 	k.usableUntil = time.Now().Add(idle)
 	out := &Response{
 		Status: resp.StatusCode, Header: resp.Header, Meta: meta, Length: resp.ContentLength,
-		EndsWithConnection: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
+		EndsWithConnection: endsWithConnection(resp),
 		client:             c, conn: k, began: time.Now(), requestWritten: written, lastOnConn: resp.Close || idle <= 0,
 	}
 	out.Body = &bodyReader{response: out, body: resp.Body, left: r.maxBodyBytes()}
