Origins: reads before a suspension are not recent, late restarts are noticed whole

Other operators reported streams that went on at another version at a machine that was out of step.

By reading, two ways: the age of a read of the log did not count suspension, so a keeper could answer from before it; and a restart under the same id that is noticed late put only the streams of the last four seconds in doubt.

Change: the age is taken on the clock that counts suspension; streams are remembered for four seconds more than the last read of discovery is old.

--- a/internal/gateway/originbases.go
+++ b/internal/gateway/originbases.go
@@ -45,12 +45,13 @@
 
 func (o *origins) expire(now time.Time) {
 	o.log.expire(now)
+	notice := restartNotice + max(0, o.g.follower.readAge(now))
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.table.Expire(now)
 	o.chooser.Observe(now, o.table.Era())
 	for at, streams := range o.recent {
-		if o.recent[at] = dropOld(now, streams); len(o.recent[at]) == 0 {
+		if o.recent[at] = dropOld(now, notice, streams); len(o.recent[at]) == 0 {
 			delete(o.recent, at)
 		}
 	}
--- a/internal/gateway/originfind.go
+++ b/internal/gateway/originfind.go
@@ -145,7 +145,7 @@
 // began, or the bases are all that is asked for and were read not long ago.
 func (o *origins) answerFind(ctx context.Context, query findOrigins) (found originsFound, err error) {
 	if !query.KnownOnly {
-		arrived := time.Now()
+		arrived := o.log.boot()
 		within := query.Age
 		if len(query.Streams) == 0 {
 			within = basesInterval
--- a/internal/gateway/originlog.go
+++ b/internal/gateway/originlog.go
@@ -33,9 +33,11 @@
 	mu    sync.Mutex
 	table *origin.Table
 	// at is the position up to which the log has been read, readAt when the last read began that
-	// succeeded.
+	// succeeded, on the clock of boot; 0 for never.
 	at     storeera.Position
-	readAt time.Time
+	readAt time.Duration
+	// boot is bootTime: a read before a suspension of the machine is not a recent one after it.
+	boot func() time.Duration
 	// keys holds when each key of the log was first seen.
 	keys map[string]time.Time
 	// held holds the records that this instance was asked to append or to hold, stored those of them that
@@ -46,7 +48,7 @@
 }
 
 func newOriginLog(g *Instance) *originLog {
-	l := &originLog{g: g, table: origin.NewTable(), held: origin.NewTable(), stored: origin.NewTable(), at: storeera.Start(0), keys: make(map[string]time.Time)}
+	l := &originLog{g: g, table: origin.NewTable(), held: origin.NewTable(), stored: origin.NewTable(), at: storeera.Start(0), boot: bootTime, keys: make(map[string]time.Time)}
 	l.appends = batcher[origin.Record]{ctx: g.ctx, interval: originAppendInterval, run: l.appendBatch}
 	l.reads = batcher[struct{}]{ctx: g.ctx, run: func(ctx context.Context, _ []struct{}) error { return l.readToEnd(ctx) }}
 	return l
@@ -135,7 +137,7 @@
 	ctx, cancel := context.WithTimeout(ctx, originCallTimeout)
 	defer cancel()
 	for {
-		started := time.Now()
+		started, startedBoot := time.Now(), l.boot()
 		l.mu.Lock()
 		from := l.at
 		l.mu.Unlock()
@@ -150,7 +152,7 @@
 		}
 		switch storeera.Judge(l.era(), from, read.Next.Era) {
 		case storeera.Use:
-			l.apply(started, &read)
+			l.apply(started, startedBoot, &read)
 			return nil
 		case storeera.Discard:
 			return trace.ConnectionProblem(nil, "the response comes from an earlier era of the store")
@@ -160,8 +162,8 @@
 	}
 }
 
-// apply adds what was read.
-func (l *originLog) apply(started time.Time, read *OriginsRead) {
+// apply adds what was read by a read that began at a time, on both clocks.
+func (l *originLog) apply(started time.Time, startedBoot time.Duration, read *OriginsRead) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if read.Complete {
@@ -178,7 +180,7 @@
 		l.table.Add(started, r.Batch.Records)
 		l.table.SetBases(r.Batch.Bases)
 	}
-	l.at, l.readAt = read.Next, started
+	l.at, l.readAt = read.Next, startedBoot
 }
 
 // restart makes the next read begin at the start: the store came back from an older copy, which may
@@ -253,15 +255,15 @@
 func (l *originLog) readWithin(d time.Duration) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !l.readAt.IsZero() && time.Since(l.readAt) <= d
+	return l.readAt > 0 && l.boot()-l.readAt <= d
 }
 
-// readBefore returns how long before a time the last read of the log to its end began, 0 if after,
+// readBefore returns how long before a time of boot the last read of the log to its end began, 0 if after,
 // false if there was none.
-func (l *originLog) readBefore(at time.Time) (time.Duration, bool) {
+func (l *originLog) readBefore(at time.Duration) (time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return max(0, at.Sub(l.readAt)), !l.readAt.IsZero()
+	return max(0, at-l.readAt), l.readAt > 0
 }
 
 // expire forgets records that are no longer needed.
--- a/internal/gateway/originrecord.go
+++ b/internal/gateway/originrecord.go
@@ -15,6 +15,7 @@
 func (g *Instance) RecordOrigin(r edge.SlotRequest, e *catalog.Endpoint, dispatch int) <-chan struct{} {
 	record := origin.Record{Stream: origin.Stream{Pool: r.Pool, Request: r.ID}, Version: e.Version, Dispatch: dispatch}
 	now := time.Now()
+	notice := restartNotice + max(0, g.follower.readAge(now))
 	o := g.origins
 	o.mu.Lock()
 	before, dispatched := o.table.Find(record.Stream)
@@ -23,7 +24,7 @@
 	differs := o.table.DiffersFromBase(r.Pool, e.Version) || corrects
 	o.table.Add(now, []origin.Record{record})
 	at := incarnation{e.ID, e.Incarnation}
-	o.recent[at] = append(dropOld(now, o.recent[at]), recentStream{record, now})
+	o.recent[at] = append(dropOld(now, notice, o.recent[at]), recentStream{record, now})
 	o.mu.Unlock()
 	if !needed {
 		return nil
@@ -37,12 +38,13 @@
 	return u.released
 }
 
-// restartNotice is within what time a restart of an endpoint is known to all instances.
+// restartNotice is within what time a restart of an endpoint is known to all instances that have read
+// discovery just now; the others know of it by so much later as their last read is old.
 const restartNotice = 4 * time.Second
 
-// dropOld returns the streams that were sent within restartNotice.
-func dropOld(now time.Time, streams []recentStream) []recentStream {
-	return slices.DeleteFunc(streams, func(s recentStream) bool { return now.Sub(s.at) > restartNotice })
+// dropOld returns the streams that were sent within a time.
+func dropOld(now time.Time, within time.Duration, streams []recentStream) []recentStream {
+	return slices.DeleteFunc(streams, func(s recentStream) bool { return now.Sub(s.at) > within })
 }
 
 // endpointRestarted corrects the records of the streams that were lately sent to an incarnation of an
@@ -51,7 +53,7 @@
 func (o *origins) endpointRestarted(now time.Time, old incarnation) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for _, s := range dropOld(now, o.recent[old]) {
+	for _, s := range o.recent[old] {
 		r := s.record
 		r.Version, r.Dispatch = "", r.Dispatch+uncertainDispatch
 		o.table.Add(now, []origin.Record{r})
--- a/internal/gateway/origins_test.go
+++ b/internal/gateway/origins_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr"
 
@@ -42,6 +43,42 @@
 	}
 }
 
+// originsStore counts the reads of an empty log of origins.
+type originsStore struct {
+	Store
+	reads int
+}
+
+func (s *originsStore) Origins(context.Context, storeera.Position) (OriginsRead, error) {
+	s.reads++
+	return OriginsRead{Next: storeera.Position{}}, nil
+}
+
+// A keeper whose machine was suspended after a read of the log must read it again, although its own clock says that
+// the read was just now: streams may have begun at other versions meanwhile (ORDER).
+func TestReadBeforeASuspensionIsNotRecent(t *testing.T) {
+	store := &originsStore{}
+	g := New(Settings{Name: "i", Zone: "a"}, Adapter{Store: store}, logr.Discard(), telemetry.NewMetrics())
+	t.Cleanup(g.cancel)
+	suspended := time.Duration(0)
+	g.origins.log.boot = func() time.Duration { return bootTime() + suspended }
+	find := func() originsFound {
+		found, err := g.origins.answerFind(t.Context(), findOrigins{Streams: []origin.Stream{{Pool: "p", Request: "r"}}, Age: time.Second})
+		if err != nil || !found.Read {
+			t.Fatalf("got %+v, %v, want a read", found, err)
+		}
+		return found
+	}
+	find()
+	if find(); store.reads != 1 {
+		t.Fatalf("got %d reads for two searches that began a second ago, want 1", store.reads)
+	}
+	suspended = 5 * time.Second
+	if found := find(); store.reads != 2 || found.ReadBefore > time.Second {
+		t.Errorf("got %d reads, the last %v before the query, want another one after the suspension", store.reads, found.ReadBefore)
+	}
+}
+
 // noStore is a store that does not answer.
 type noStore struct{ Store }
 
@@ -82,3 +119,33 @@
 		t.Errorf("got origin %q for a stream sent after that, want v2", got)
 	}
 }
+
+// An instance that has not read discovery for long notices a restart late: streams that it has sent since its last
+// read are in doubt, however long ago (ORDER).
+func TestLateNoticeOfARestartConcernsAllStreamsSince(t *testing.T) {
+	g := New(Settings{Name: "i", Zone: "a"}, Adapter{Store: noStore{}}, logr.Discard(), telemetry.NewMetrics())
+	t.Cleanup(g.cancel)
+	row := func(start int64, version string) *catalog.Endpoints {
+		return catalog.NewEndpoints([]catalog.Endpoint{{Endpoint: entity.Endpoint{ID: "e", Pool: "p"}, Incarnation: start, Version: version}})
+	}
+	g.origins.addBases([]origin.Base{{Pool: "p", Version: "v1", Revision: 1}}, 0)
+	g.setEndpoints(row(1, "v1"))
+	const age = 3 * restartNotice
+	for _, stale := range []bool{true, false} {
+		readAt := time.Now()
+		if stale {
+			readAt = readAt.Add(-age)
+		}
+		g.follower.discovery = catalog.NewDiscovery()
+		g.follower.discovery.ApplyRead(readAt, nil, false)
+		e, _ := g.state.endpoints.Load().Get("e")
+		at := incarnation{e.ID, e.Incarnation}
+		g.RecordOrigin(edge.SlotRequest{ID: "early", Pool: "p"}, e, 1)
+		g.origins.recent[at][0].at = time.Now().Add(-2 * restartNotice)
+		g.RecordOrigin(edge.SlotRequest{ID: "late", Pool: "p"}, e, 1)
+		if got, want := len(g.origins.recent[at]), map[bool]int{true: 2, false: 1}[stale]; got != want {
+			t.Errorf("last read long ago %v: got %d streams that a restart would put in doubt, want %d", stale, got, want)
+		}
+		delete(g.origins.recent, at)
+	}
+}
