Listeners outlive errors that pass

Cause: the listeners of tunnels and of other instances took any error of accept for their end, and Run returned.

Change: errors that say nothing about the listener are waited out, as net/http does for callers.

--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -13,6 +13,7 @@
 	"github.com/gravitational/trace"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/medlarhold/medlarhold/internal/accept"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/telemetry"
 )
@@ -180,7 +181,7 @@
 	}
 	context.AfterFunc(t.ctx, func() { ln.Close() })
 	for {
-		conn, err := ln.Accept()
+		conn, err := accept.Next(t.ctx, ln)
 		if err != nil {
 			if t.ctx.Err() != nil {
 				return nil
--- a/internal/tunnel/listener.go
+++ b/internal/tunnel/listener.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"time"
+
+	"github.com/medlarhold/medlarhold/internal/accept"
 )
 
 // firstByteTimeout is how long an accepted connection may take to send its first byte.
@@ -40,7 +42,7 @@
 // run accepts connections until the listener fails.
 func (l *Listener) run() {
 	for {
-		conn, err := l.Listener.Accept()
+		conn, err := accept.Next(l.ctx, l.Listener)
 		if err != nil {
 			l.failed <- err
 			return
