--- a/internal/standin/relay/faults.go
+++ b/internal/standin/relay/faults.go
@@ -43,12 +43,14 @@
 	r.notify()
 }
 
-// CutConnections closes all open connections on both sides.
-func (r *Relay) CutConnections() {
+// CutConnections resets all open connections on both sides.
+func (r *Relay) CutConnections() { r.endLinks((*link).reset) }
+
+func (r *Relay) endLinks(end func(l *link)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for l := range r.links {
-		l.close()
+		end(l)
 	}
 }
 
@@ -56,7 +58,7 @@
 type cut struct{ matches func(client net.Conn) bool }
 
 // CutClients cuts the clients off whose connections match until heal is called: new connections are
-// closed at once, and open ones too or, if stall is set, forward nothing more.
+// closed at once, and open ones reset or, if stall is set, forward nothing more.
 func (r *Relay) CutClients(matches func(client net.Conn) bool, stall bool) (heal func()) {
 	c := &cut{matches}
 	r.mu.Lock()
@@ -80,7 +82,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !stall {
-		l.close()
+		l.reset()
 		return
 	}
 	l.stalled = true
--- a/internal/standin/relay/link.go
+++ b/internal/standin/relay/link.go
@@ -1,8 +1,11 @@
 package relay
 
 import (
+	"errors"
+	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -14,6 +17,8 @@
 	stalled bool
 	once    sync.Once
 	done    chan struct{}
+	// broken is set once a connection was reset: the other one must not look as if it had ended.
+	broken atomic.Bool
 }
 
 func newLink(r *Relay, client, target net.Conn) *link {
@@ -39,6 +44,16 @@
 	both.Wait()
 }
 
+// reset ends the link by resetting both connections.
+func (l *link) reset() {
+	for _, conn := range []net.Conn{l.client, l.target} {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // fails only for a closed connection
+		}
+	}
+	l.close()
+}
+
 const (
 	// chunkBytes bounds one read. chunksInFlight bounds the chunks that a direction holds while it
 	// delays them.
@@ -68,6 +83,10 @@
 		}
 	}
 	if l.hold(chunk{read: time.Now()}, direction) {
+		if l.broken.Load() {
+			l.reset()
+			return
+		}
 		if half, ok := dst.(interface{ CloseWrite() error }); ok {
 			_ = half.CloseWrite() // fails only if the connection has already been closed
 		}
@@ -88,6 +107,9 @@
 			}
 		}
 		if err != nil {
+			if !errors.Is(err, io.EOF) {
+				l.broken.Store(true)
+			}
 			return
 		}
 	}
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -40,13 +40,13 @@
 	return r.listener.Addr().String()
 }
 
-// Close closes the relay and all connections.
+// Close closes the relay and all connections, which end as those of a process that is killed: regularly.
 func (r *Relay) Close() {
 	r.mu.Lock()
 	r.closed = true
 	r.mu.Unlock()
 	r.listener.Close()
-	r.CutConnections()
+	r.endLinks((*link).close)
 	r.running.Wait()
 }
 
