Histories: the simulated log returns three records at a time

Cause: like the store's stand-in, it returned as many records as were asked for, so a reader that takes one response for all of the log was never met.

--- a/internal/fleet/platform.go
+++ b/internal/fleet/platform.go
@@ -17,6 +17,8 @@
 	maxLogDelay = 5 * time.Millisecond
 	// readPoll is how often a waiting read checks for new records.
 	readPoll = 100 * time.Millisecond
+	// readRecords is the number of records in one response at most: readers must not take a response for all.
+	readRecords = 3
 )
 
 // platformFake is the log service and the instance list, with the faults in force.
@@ -97,7 +99,7 @@
 	var res platform.ReadResult
 	var err error
 	p.exchange(from, func() {
-		res, err = p.store.Read(context.Background(), s, at, limit, 0)
+		res, err = p.store.Read(context.Background(), s, at, min(limit, readRecords), 0)
 	}, func(failed error) {
 		switch {
 		case failed != nil:
