--- a/internal/upstream/doc.go
+++ b/internal/upstream/doc.go
@@ -22,7 +22,8 @@
 //   - It sends bytes after a response, or bytes that are no response: the connection is
 //     closed.
 //   - It sends a response without a length: the response ends with the connection, and
-//     counts as complete only if the connection was closed and not reset.
+//     counts as complete only if the connection was closed and not reset, and the endpoint
+//     lives on: the connections of a process that is killed are closed as well.
 //   - It sends bytes without end, in the headers, as informational responses or as a body:
 //     each is limited, and the connection is closed when a limit is exceeded. The time is
 //     bounded by the caller's context, however often bytes arrive.
