Edge: the end of a header is looked for without copying it

Cause: what comes in one piece, as most headers do, was copied to be searched.

Change: bytes are joined only if an earlier piece may hold the beginning of the mark; nothing is kept once the header is complete.

--- a/internal/edge/headerwait.go
+++ b/internal/edge/headerwait.go
@@ -45,9 +45,14 @@
 
 // add processes bytes of the header, and reports whether it is complete.
 func (h *headerWait) add(b []byte) bool {
-	joined := slices.Concat(h.tail, b)
-	h.tail = bytes.Clone(joined[max(0, len(joined)-len(headerEnd)+1):])
-	return bytes.Contains(joined, headerEnd) || bytes.Contains(joined, shortHeaderEnd)
+	if len(h.tail) > 0 {
+		b = slices.Concat(h.tail, b)
+	}
+	if bytes.Contains(b, headerEnd) || bytes.Contains(b, shortHeaderEnd) {
+		return true
+	}
+	h.tail = bytes.Clone(b[max(0, len(b)-len(headerEnd)+1):])
+	return false
 }
 
 // end ends the wait.
