Origins: a stream waits for one exchange for its second holder, not for one per keeper

Cause: the instance that appends a record asked the other keepers one after the other to hold it, each for up to 200 ms, and the first event of the stream waited for that.

Change: together they have the time of one exchange. A record that none could hold in that time is in the store and held by the instance that appended it.

Result: the tests of gateway on origins pass.

--- a/internal/gateway/originrecord.go
+++ b/internal/gateway/originrecord.go
@@ -185,11 +185,13 @@
 }
 
 // copyElsewhere has another keeper hold records that this instance appends. The returned channel is closed once
-// one does, or none can be reached.
+// one does, or none does within exchangeTimeout.
 func (o *origins) copyElsewhere(ctx context.Context, keepers []originKeeper, records []origin.Record) <-chan struct{} {
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
+		ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+		defer cancel()
 		for _, k := range keepers {
 			if k.id == o.g.self.ID {
 				continue
