Store era: a read proves only what was there when it began

Cause, two: the test published again after its loop over callers, of which one can wait, so later than the 2.2 s that it states; and a read that began before the operator had published again counted as a proof if its response came after the time for that.

Change: a read counts by the time at which it began; the model of eras asks for that without an exception.

--- a/internal/core/storeera/era.go
+++ b/internal/core/storeera/era.go
@@ -119,9 +119,9 @@
 	return t.known && (t.replacedAt.IsZero() || t.confirmed == t.era)
 }
 
-// Proves reports whether a read that has just succeeded proves that the version in force is the newest. known
-// is the newest version that another instance is known to have.
-func (t *Tracker) Proves(now time.Time, inForce, known int64) bool {
+// Proves reports whether a read that began at the given time and has just succeeded proves that the version in
+// force is the newest. known is the newest version that another instance is known to have.
+func (t *Tracker) Proves(began time.Time, inForce, known int64) bool {
 	switch {
 	case known > inForce:
 		return false // it was read in an earlier era, or published since this read began
@@ -129,7 +129,7 @@
 		return true
 	case t.shown < inForce:
 		return false
-	case !t.Settled() && !t.published && now.Sub(t.replacedAt) < t.settle:
+	case !t.Settled() && !t.published && began.Sub(t.replacedAt) < t.settle:
 		return false
 	}
 	t.replacedAt = time.Time{}
--- a/internal/core/storeera/model_test.go
+++ b/internal/core/storeera/model_test.go
@@ -118,7 +118,7 @@
 	if r.asked.Offset == FromStart || r.asked == m.position {
 		m.position = Position{Era: r.era, Offset: r.end}
 	}
-	if m.inForce > 0 && m.tracker.Proves(m.now, m.inForce, 0) && m.inForce < r.newest && m.now.Sub(m.replacedAt) < SettleTime {
+	if m.inForce > 0 && m.tracker.Proves(r.at, m.inForce, 0) && m.inForce < r.newest {
 		t.Fatalf("a read answered at %v proves version %d, but %d was acknowledged before", r.at.Sub(start), m.inForce, r.newest)
 	}
 }
--- a/internal/gateway/judge.go
+++ b/internal/gateway/judge.go
@@ -63,13 +63,13 @@
 	return true
 }
 
-// readProves reports whether a read that has just succeeded proves that the configuration
-// in force is the newest.
-func (f *follower) readProves() bool {
+// readProves reports whether a read that began at the given time and has just succeeded proves that the
+// configuration in force is the newest.
+func (f *follower) readProves(began time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	settled := f.era.Settled()
-	proves := f.era.Proves(time.Now(), f.g.state.version(), f.peerVersion.Load())
+	proves := f.era.Proves(began, f.g.state.version(), f.peerVersion.Load())
 	if proves && !settled {
 		telemetry.Log(f.g.log, telemetry.EventStoreSettled, "era", f.era.Era(), "config", f.g.state.version())
 	}
--- a/internal/gateway/read.go
+++ b/internal/gateway/read.go
@@ -69,7 +69,7 @@
 // read proves that the configuration in force was the newest when it began, unless the
 // store may have lost a newer one or the newest can't be decoded.
 func (f *follower) readConfig(ctx context.Context) bool {
-	started := bootTime()
+	started, began := bootTime(), time.Now()
 	read, from, err := f.askConfig(ctx)
 	if !f.recordResult(ctx, topicConfig, err) {
 		return false
@@ -87,7 +87,7 @@
 	if read.Unreadable {
 		return false // a newer configuration than the one in force exists
 	}
-	if f.readProves() {
+	if f.readProves(began) {
 		f.g.state.recordProof(started)
 		f.g.checkStart()
 	}
--- a/internal/gateway/read_test.go
+++ b/internal/gateway/read_test.go
@@ -53,15 +53,21 @@
 	}
 }
 
-// scriptedStore returns reads of the configuration in order, the last one again and again.
+// scriptedStore returns reads of the configuration in order, the last one again and again. The response to
+// read number slow comes after slowness.
 type scriptedStore struct {
 	Store
-	reads []ConfigRead
-	asked []storeera.Position
+	reads    []ConfigRead
+	asked    []storeera.Position
+	slow     int
+	slowness time.Duration
 }
 
 func (s *scriptedStore) Config(_ context.Context, after storeera.Position, _ time.Duration) (ConfigRead, error) {
 	s.asked = append(s.asked, after)
+	if len(s.asked) == s.slow {
+		time.Sleep(s.slowness)
+	}
 	return s.reads[min(len(s.asked), len(s.reads))-1], nil
 }
 
@@ -90,3 +96,20 @@
 		t.Errorf("got reads from %+v, want those after the unreadable one from the start", store.asked)
 	}
 }
+
+// A read begins just after the store came back older and its response arrives after the operator's time to
+// publish again: it shows nothing of what was published in between, and proves nothing (CONFIG).
+func TestReadThatBeganBeforeTheStoreSettledIsNoProof(t *testing.T) {
+	read := func(era int64) ConfigRead {
+		return ConfigRead{Config: &catalog.Config{Version: 7}, Complete: true, Next: storeera.Position{Era: era, Offset: 1}}
+	}
+	store := &scriptedStore{reads: []ConfigRead{read(1), read(2), read(2)}, slow: 3, slowness: storeera.LongSettleTime + 50*time.Millisecond}
+	g := New(Settings{Name: "i", Zone: "a", FirstStart: true}, Adapter{Store: store}, logr.Discard(), telemetry.NewMetrics())
+	t.Cleanup(g.cancel)
+	for i, proves := range []bool{true, false, false, true} {
+		g.state.provedAt.Store(0)
+		if g.follower.readConfig(t.Context()); (g.state.provedAt.Load() != 0) != proves {
+			t.Errorf("read %d: got a proof %v, want %v", i+1, !proves, proves)
+		}
+	}
+}
