Upstream: an endpoint lives on if it accepts a connection, not if one of its ends is late

Cause: one late end among those of a killed endpoint (a lossy link, a busy machine) sufficed, and an accepted connection that is closed at once counted.

Change: the endpoint has to accept a new connection and keep it for 15 ms, which takes the place of the one that has ended; one that accepts none, as at its limit or before its end, must have ended none of its others.

--- a/internal/upstream/ends.go
+++ b/internal/upstream/ends.go
@@ -15,7 +15,8 @@
 // A response without a length ends with its connection. The kernel ends the connections of a process that was
 // killed in the same way, so such an end counts only if the endpoint lives on.
 
-// endpointEndTime is within what time the ends of all connections of an endpoint that was killed arrive.
+// endpointEndTime is within what time an endpoint that was killed has closed its listener and its connections, and
+// something in between that has accepted a connection for it notices that there is none.
 const endpointEndTime = 15 * time.Millisecond
 
 // Reasons why the end of a connection is not the end of a response.
@@ -73,25 +74,59 @@
 	if r, ok := k.Conn.(Relayed); ok && !r.ReportsEnd() {
 		return errEndUnreported
 	}
-	wait := time.NewTimer(endpointEndTime)
-	defer wait.Stop()
+	if err := pause(ctx, endpointEndTime); err != nil {
+		return err
+	}
+	accepts, err := c.acceptsConnections(ctx, k.address)
+	if err != nil || accepts {
+		return err
+	}
+	if !c.keepsOthers(k) {
+		return errEndpointGone
+	}
+	return nil
+}
+
+// pause waits for d. It returns an error if ctx ends before.
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
 	select {
-	case <-wait.C:
+	case <-timer.C:
+		return nil
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	for _, other := range c.open.others(k) {
-		if isOpen(other.Conn) {
-			return nil
+}
+
+// acceptsConnections reports whether an endpoint accepts a new connection and keeps it; one that lives on may have too
+// many, or accept no more of them because it will stop. The connection is used for later requests.
+func (c *Client) acceptsConnections(ctx context.Context, address string) (bool, error) {
+	k, failed := c.dial(ctx, address)
+	if err := pause(ctx, endpointEndTime); err != nil || failed != nil {
+		if failed == nil {
+			k.Close()
 		}
+		return false, err
 	}
-	fresh, err := c.dial(ctx, k.address)
-	if err != nil {
-		return errEndpointGone
+	if !isOpen(k.Conn) {
+		k.Close()
+		return false, nil
 	}
-	fresh.usableUntil = time.Now().Add(c.opts.IdleTimeout)
-	c.putIdle(fresh)
-	return nil
+	k.usableUntil = time.Now().Add(c.opts.IdleTimeout)
+	c.putIdle(k)
+	return true, nil
+}
+
+// keepsOthers reports whether an endpoint has ended none of its other connections, of which there must be one.
+func (c *Client) keepsOthers(ended *conn) bool {
+	others := c.open.others(ended)
+	for _, k := range others {
+		if !isOpen(k.Conn) {
+			return false
+		}
+	}
+	return len(others) > 0
 }
 
 // isOpen reports whether the other end has not ended a connection, as far as the kernel knows, whatever is
--- a/internal/upstream/ends_test.go
+++ b/internal/upstream/ends_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,8 +21,10 @@
 // regularly.
 type process struct {
 	listener net.Listener
-	mu       sync.Mutex
-	conns    []net.Conn
+	// full is set while new connections are closed at once.
+	full  atomic.Bool
+	mu    sync.Mutex
+	conns []net.Conn
 }
 
 // startProcess starts an endpoint that begins each response without a length, and goes on with rest.
@@ -39,6 +42,10 @@
 			if err != nil {
 				return
 			}
+			if p.full.Load() {
+				conn.Close()
+				continue
+			}
 			p.mu.Lock()
 			p.conns = append(p.conns, conn)
 			p.mu.Unlock()
@@ -60,9 +67,27 @@
 // kill ends the endpoint.
 func (p *process) kill() {
 	p.listener.Close()
+	p.closeConns(0)
+}
+
+// killSlowly ends the endpoint. The end of the connection that was opened first is still on its way, as over a link
+// that loses packets.
+func (p *process) killSlowly() {
+	p.listener.Close()
+	p.closeConns(1)
+}
+
+// killBehindProxy ends the endpoint; a proxy in front of it still accepts connections, and closes them.
+func (p *process) killBehindProxy() {
+	p.full.Store(true)
+	p.closeConns(0)
+}
+
+// closeConns closes the connections but those opened first.
+func (p *process) closeConns(first int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, conn := range p.conns {
+	for _, conn := range p.conns[min(first, len(p.conns)):] {
 		conn.Close()
 	}
 }
@@ -82,6 +107,13 @@
 		{"response ends, other connections", 2, func(_ *process, conn net.Conn) { conn.Close() }, true},
 		{"endpoint is killed", 0, func(p *process, _ net.Conn) { p.kill() }, false},
 		{"endpoint is killed, other connections", 2, func(p *process, _ net.Conn) { p.kill() }, false},
+		{"endpoint is killed, the end of another connection is late", 2, func(p *process, _ net.Conn) { p.killSlowly() }, false},
+		{"endpoint is killed behind a proxy", 0, func(p *process, _ net.Conn) { p.killBehindProxy() }, false},
+		{"endpoint is killed behind a proxy, other connections", 2, func(p *process, _ net.Conn) { p.killBehindProxy() }, false},
+		{"response ends, too many connections", 2, func(p *process, conn net.Conn) {
+			p.full.Store(true)
+			conn.Close()
+		}, true},
 		{"response ends, no new connections", 2, func(p *process, conn net.Conn) {
 			p.listener.Close()
 			conn.Close()
@@ -133,7 +165,7 @@
 // relayed is a connection through another instance, which may not tell the end of the endpoint's connection
 // from its own.
 type relayed struct {
-	net.Conn
+	*net.TCPConn
 	reports bool
 }
 
@@ -145,7 +177,10 @@
 		_, e := startProcess(t, func(_ *process, conn net.Conn) { conn.Close() })
 		c := New(Options{HeaderCodec: testCodec{}, Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			conn, err := DialTCP(ctx, address)
-			return relayed{conn, reports}, err
+			if err != nil {
+				return nil, err
+			}
+			return relayed{conn.(*net.TCPConn), reports}, nil
 		}})
 		t.Cleanup(c.Close)
 		if _, err := send(t, c, request(e, "r", "")); (err == nil) != reports || err != nil && !errors.Is(err, io.ErrUnexpectedEOF) {
