--- a/internal/core/storeera/era.go
+++ b/internal/core/storeera/era.go
@@ -8,7 +8,7 @@
 // older than the replacement.
 const (
 	SettleTime     = time.Second
-	LongSettleTime = 2500 * time.Millisecond
+	LongSettleTime = 2750 * time.Millisecond
 )
 
 // NoEra is an era that no store has.
