Edge: a test of a stream in chunks that goes on beside a late copy of its answer

Cause: an answer in chunks can be complete by its framing and end within an event. Its connection was used again, for the resumption at the same endpoint with the same id, and the late copy of the answer came there first: its events were passed on once more.

--- a/internal/edge/ends_test.go
+++ b/internal/edge/ends_test.go
@@ -13,6 +13,8 @@
 	"testing"
 
 	"github.com/medlarhold/medlarhold/internal/core/catalog"
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/testbed/loopback"
 )
 
 // Bodies of event streams, by where they end.
@@ -173,3 +175,31 @@
 		t.Errorf("got answer %q and error %v, want the connection reset", data, err)
 	}
 }
+
+// An answer in chunks is complete by its framing and ends within an event. The stream goes on at the same endpoint,
+// whose late copy of that answer comes where the next one on its connection is due: no event comes twice (ORDER).
+func TestStreamGoesOnWithoutTheLateCopyOfItsAnswer(t *testing.T) {
+	address := loopback.Serve(t, func(conn net.Conn) {
+		requests := bufio.NewReader(conn)
+		late := func() {}
+		for {
+			req, err := http.ReadRequest(requests)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, req.Body)
+			body := cutInData
+			if req.Header.Get("Last") == "1" {
+				body = "id: 2\ndata: b\n\nid: 3\ndata: c\n\n"
+			}
+			late()
+			late = func() { withChunks(conn, body, false) }
+			withChunks(conn, body, false)
+		}
+	})
+	e := &catalog.Endpoint{Endpoint: entity.Endpoint{ID: "e", Address: address, Pool: "p"}, Version: fixtureVersion}
+	r := send(t, newFakeScheduler(e, e), "/resumable/", "", nil)
+	if want := "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"; r.err != nil || r.body != want {
+		t.Errorf("got body %q and error %v, want the events 1 to 3 once each", r.body, r.err)
+	}
+}
