--- a/internal/core/zone/config.go
+++ b/internal/core/zone/config.go
@@ -61,8 +61,9 @@
 // sentItem is what was last sent to a receiver.
 type sentItem struct {
 	// id is the version of a configuration, the digest of a table or anyFullTable.
-	id     uint64
-	sentAt time.Time
+	id uint64
+	// firstAt is when it was first sent, sentAt when last.
+	firstAt, sentAt time.Time
 	// failed is set if the item may not have arrived.
 	failed bool
 }
@@ -82,10 +83,43 @@
 	if ok && last.id == id && now.Sub(last.sentAt) < interval {
 		return false
 	}
-	s[to] = sentItem{id: id, sentAt: now}
+	first := now
+	if ok && last.id == id {
+		first = last.firstAt
+	}
+	s[to] = sentItem{id: id, firstAt: first, sentAt: now}
 	return true
 }
 
+// Resend is a configuration that was sent again to an instance that still lacks it.
+type Resend struct {
+	To entity.InstanceID
+	// Version is the one that was sent, Has the one that the instance has.
+	Version, Has int64
+	// After is the time since it was first sent.
+	After time.Duration
+}
+
+// configFor returns the encoded configuration for an instance that has the given version, nil if it is not to be
+// sent now.
+func (c *Core) configFor(now time.Time, to entity.InstanceID, has int64) []byte {
+	cfg := c.state.Config()
+	if versionOf(cfg) <= has || !c.sentConfigs.shouldSend(now, to, uint64(cfg.Version)) {
+		return nil
+	}
+	if after := now.Sub(c.sentConfigs[to].firstAt); after > 0 {
+		c.resends = append(c.resends, Resend{To: to, Version: cfg.Version, Has: has, After: after})
+	}
+	return c.packedConfig.bytes(cfg)
+}
+
+// Resends returns and clears the configurations that were sent again since the last call.
+func (c *Core) Resends() []Resend {
+	resends := c.resends
+	c.resends = nil
+	return resends
+}
+
 // SendFailed records that a bulletin or an exchange may not have been delivered,
 // so that its content may be sent again soon.
 func (c *Core) SendFailed(to entity.InstanceID) {
--- a/internal/core/zone/core.go
+++ b/internal/core/zone/core.go
@@ -77,6 +77,7 @@
 
 	messages []entity.Outgoing
 	updates  []Update
+	resends  []Resend
 }
 
 // New returns a Core that has no coordinator yet.
@@ -193,7 +194,7 @@
 // is the coordinator before the instance itself does; its report is then answered
 // without accounts.
 func (c *Core) HandleReport(at Moment, from entity.InstanceID, r Report) {
-	c.state.RecordPeerVersion(r.ConfigVersion)
+	c.state.RecordPeerVersion(at.Now, from, r.ConfigVersion)
 	c.state.RecordPeerStoreUptime(at.Now, r.StoreUptime)
 	c.recordStoreAnswer(at.Now, r.StoreAnswerAge, true)
 	c.state.RecordDepartures(at.Now, r.Departures)
@@ -205,9 +206,7 @@
 	if b.ReadAge > maxReadAge {
 		b.Departures = c.state.RecentDepartures(at.Now)
 	}
-	if cfg := c.state.Config(); versionOf(cfg) > r.ConfigVersion && c.sentConfigs.shouldSend(at.Now, from, uint64(cfg.Version)) {
-		b.Config = c.packedConfig.bytes(cfg)
-	}
+	b.Config = c.configFor(at.Now, from, r.ConfigVersion)
 	b.Quarantine, b.EndpointLimits = c.quarantineFor(at.Now, from), c.limitsFor(at, from)
 	b.Rollouts = c.rolloutBulletin(at)
 	b.TableDigest = c.state.Endpoints().Digest()
@@ -225,7 +224,7 @@
 // instance, only the quarantine's records and the statements of endpoints are used: its sender
 // won't send them again.
 func (c *Core) HandleBulletin(at Moment, from entity.InstanceID, b Bulletin) {
-	c.state.RecordPeerVersion(b.ConfigVersion)
+	c.state.RecordPeerVersion(at.Now, from, b.ConfigVersion)
 	c.mergeQuarantine(at.Now, from, b.Quarantine)
 	c.mergeLimits(at, from, b.EndpointLimits)
 	c.mergeRollouts(at, from, b.Rollouts)
--- a/internal/core/zone/exchange.go
+++ b/internal/core/zone/exchange.go
@@ -28,8 +28,8 @@
 	}
 	if r := c.remoteZones[z]; r != nil && r.coordinator == c.remoteCoordinators[z] {
 		x.AckSeq = r.seq
-		if r.isBehind(at.Now, x.ConfigVersion) && c.sentConfigs.shouldSend(at.Now, r.coordinator, uint64(x.ConfigVersion)) {
-			x.Config = c.packedConfig.bytes(c.state.Config())
+		if r.isBehind(at.Now, x.ConfigVersion) {
+			x.Config = c.configFor(at.Now, r.coordinator, r.configVersion)
 		}
 	}
 	return x
@@ -49,7 +49,7 @@
 
 // HandleExchange processes the message of another zone's coordinator.
 func (c *Core) HandleExchange(at Moment, from entity.InstanceID, x Exchange) {
-	c.state.RecordPeerVersion(x.ConfigVersion)
+	c.state.RecordPeerVersion(at.Now, from, x.ConfigVersion)
 	c.mergeQuarantine(at.Now, from, x.Quarantine)
 	c.mergeLimits(at, from, x.EndpointLimits)
 	c.mergeRollouts(at, from, x.Rollouts)
--- a/internal/core/zone/fleet_test.go
+++ b/internal/core/zone/fleet_test.go
@@ -73,9 +73,11 @@
 	return nil, nil
 }
 func (m *member) MergeRollouts(time.Duration, entity.InstanceID, *rollout.Message) {}
-func (m *member) RecordPeerVersion(version int64)                                  { m.peerVersion = max(m.peerVersion, version) }
-func (m *member) Cursors() Cursors                                                 { return Cursors{} }
-func (m *member) Used() map[entity.OrgID]quota.Usage                               { return m.meter.Used() }
+func (m *member) RecordPeerVersion(_ time.Time, _ entity.InstanceID, version int64) {
+	m.peerVersion = max(m.peerVersion, version)
+}
+func (m *member) Cursors() Cursors                   { return Cursors{} }
+func (m *member) Used() map[entity.OrgID]quota.Usage { return m.meter.Used() }
 func (m *member) Limits() map[entity.OrgID]quota.Limit {
 	return map[entity.OrgID]quota.Limit{org: {Rate: limitRate, Burst: burst, Window: limitWindow}}
 }
--- a/internal/core/zone/reader.go
+++ b/internal/core/zone/reader.go
@@ -49,21 +49,47 @@
 	return time.Duration(xxhash.Sum64String(string(id)) % uint64(maxReadDelay))
 }
 
+// ReadReason is why an instance reads the store itself.
+type ReadReason string
+
+// The reasons.
+const (
+	// ReadNot: it doesn't read the store.
+	ReadNot ReadReason = ""
+	// ReadAsCoordinator: it reads for its zone.
+	ReadAsCoordinator ReadReason = "coordinator"
+	// ReadNoCoordinator: it knows no coordinator, or has never heard from it.
+	ReadNoCoordinator ReadReason = "no_coordinator"
+	// ReadNoBulletin: the coordinator has been silent for too long.
+	ReadNoBulletin ReadReason = "no_bulletin"
+	// ReadStale: the coordinator has not read the store for a while.
+	ReadStale ReadReason = "stale"
+	// ReadTold: the store answers others, but not the coordinator.
+	ReadTold ReadReason = "told"
+)
+
 // ShouldReadStore reports whether this instance should read the store.
-func (c *Core) ShouldReadStore(now time.Time) bool {
+func (c *Core) ShouldReadStore(now time.Time) bool { return c.ReadReason(now) != ReadNot }
+
+// ReadReason returns why this instance should read the store, ReadNot if it should not.
+func (c *Core) ReadReason(now time.Time) ReadReason {
 	switch {
 	case c.firstReadSuffices(now):
-		return false
-	case c.IsCoordinator(), c.coordinator == "", c.lastBulletinAt.IsZero():
-		return true
+	case c.IsCoordinator():
+		return ReadAsCoordinator
+	case c.coordinator == "", c.lastBulletinAt.IsZero():
+		return ReadNoCoordinator
 	case now.Sub(c.lastBulletinAt) > BulletinTimeout+c.readDelay:
-		return true
+		return ReadNoBulletin
 	case c.staleSince.IsZero():
-		return false
 	case !c.answersOthersSince.IsZero():
-		return now.Sub(c.answersOthersSince) > c.toldReadDelay()
+		if now.Sub(c.answersOthersSince) > c.toldReadDelay() {
+			return ReadTold
+		}
+	case c.triesFirst(now.Sub(c.staleSince)):
+		return ReadStale
 	}
-	return c.triesFirst(now.Sub(c.staleSince))
+	return ReadNot
 }
 
 // SetReadRank sets this instance's place among the members of its zone, from 0, by which
--- a/internal/core/zone/state.go
+++ b/internal/core/zone/state.go
@@ -26,7 +26,7 @@
 	StoreAnswerAge(now time.Time) time.Duration
 	Cursors() Cursors
 	// RecordPeerVersion processes the version of another instance's configuration.
-	RecordPeerVersion(version int64)
+	RecordPeerVersion(now time.Time, from entity.InstanceID, version int64)
 	// StoreUptime is how long the store has been read without an outage.
 	// RecordPeerStoreUptime processes the StoreUptime of another instance.
 	StoreUptime(now time.Time) time.Duration
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -118,6 +118,7 @@
 	path, _, _ := strings.Cut(c.r.RequestURI, "?")
 	route, ok := c.config.Match(c.r.Host, path)
 	if !ok {
+		c.explainConfig()
 		return refusal(verdict.ReasonUnknownPool, 0, "no route has this host and path")
 	}
 	if limit := c.config.Bounds.HeaderBytes; limit > 0 && headerBytes(c.r) > limit {
@@ -135,16 +136,21 @@
 		return nil
 	}
 	if !c.server.opts.Scheduler.KeysFresh() {
+		c.explainConfig()
 		return refusal(verdict.ReasonNotReady, noConfigRetryAfter, "it is not known well enough which keys are in force")
 	}
 	org, ok := c.config.ByKey(c.meta.Key)
 	if !ok {
+		c.explainConfig()
 		return refusal(verdict.ReasonUnauthenticated, 0, "the key is not in force")
 	}
 	c.org = org
 	return nil
 }
 
+// explainConfig adds to the request's log line what is known of the configuration that decided.
+func (c *call) explainConfig() { c.explanation = c.server.opts.Scheduler.ConfigStanding().Fields() }
+
 // headerBytes returns the size of a request's line and header fields as they were sent.
 func headerBytes(r *http.Request) int64 {
 	const lineExtra, fieldExtra = len("  HTTP/1.1\r\n"), len(": \r\n")
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -97,8 +97,11 @@
 
 func (s *fakeScheduler) Config() *catalog.Config { return s.config }
 func (s *fakeScheduler) KeysFresh() bool         { return !s.keysStale }
-func (s *fakeScheduler) Leaving() bool           { return false }
-func (s *fakeScheduler) Closed() bool            { return false }
+func (s *fakeScheduler) ConfigStanding() ConfigStanding {
+	return ConfigStanding{Version: s.config.Version}
+}
+func (s *fakeScheduler) Leaving() bool { return false }
+func (s *fakeScheduler) Closed() bool  { return false }
 
 func (s *fakeScheduler) Charge(_ *catalog.Organisation, c Charge) (bool, time.Duration) {
 	s.mu.Lock()
--- a/internal/edge/types.go
+++ b/internal/edge/types.go
@@ -139,6 +139,8 @@
 	// KeysFresh reports whether the local list of API keys is recent enough to
 	// authenticate callers.
 	KeysFresh() bool
+	// ConfigStanding returns how well it is known that Config is the newest, to explain a refusal.
+	ConfigStanding() ConfigStanding
 	// Charge counts a request against the organisation's limit. If the limit is used
 	// up, it returns false and the time after which the caller may retry.
 	Charge(org *catalog.Organisation, c Charge) (ok bool, retryAfter time.Duration)
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -53,6 +53,8 @@
 	// last update.
 	viewChanged bool
 	viewedAt    time.Time
+	// loggedCounts are the numbers of members as last logged.
+	loggedCounts memberCounts
 	// addresses holds the peer addresses of the reachable members.
 	addresses map[entity.InstanceID]string
 	// brokersByZonePool holds the brokers of all zones, brokers those of the local zone.
@@ -75,6 +77,9 @@
 	send       func(to entity.InstanceID, address string, msg any)
 }
 
+// memberCounts are the numbers of reachable members, of the local zone and of all.
+type memberCounts struct{ zone, all int }
+
 // Messages to the control goroutine.
 type (
 	// acquire requests a slot. The decision is sent to reply, which must have a
@@ -203,7 +208,9 @@
 	c.logLimitChanges(now)
 	c.zone.Tick(moment(now))
 	c.g.follower.coordinator.Store(c.zone.IsCoordinator())
-	c.g.follower.setReading(c.zone.ShouldReadStore(now) || c.refusal.retryDue(now))
+	why := c.zone.ReadReason(now)
+	c.g.follower.setReading(why != zone.ReadNot || c.refusal.retryDue(now), why)
+	c.logBehind(now)
 	if !now.Before(c.nextFreeSlots) {
 		c.nextFreeSlots = now.Add(freeSlotsInterval)
 		c.g.follower.expireEndpoints(now)
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -38,8 +38,6 @@
 	marks atomic.Bool
 	// marked is the era that was marked as settled in the store, as far as known.
 	marked int64
-	// peerVersion is the newest version of the configuration that another instance is known to have.
-	peerVersion atomic.Int64
 	// readAgain has an element if the configuration is to be read at once.
 	readAgain chan struct{}
 	// coordinator is set while this instance is its zone's coordinator.
@@ -54,10 +52,10 @@
 	}
 }
 
-// setReading sets whether this instance reads the store itself.
-func (f *follower) setReading(on bool) {
+// setReading sets whether this instance reads the store itself, and why.
+func (f *follower) setReading(on bool, why zone.ReadReason) {
 	if f.reading.Swap(on) != on {
-		telemetry.Log(f.g.log, telemetry.EventReaderChanged, "reads", on, "config", f.g.state.version(),
+		telemetry.Log(f.g.log, telemetry.EventReaderChanged, "reads", on, "why", why, "config", f.g.state.version(),
 			"proof_age_ms", f.g.state.proofAge().Milliseconds())
 	}
 }
@@ -147,15 +145,19 @@
 // applyConfig puts a configuration into force unless that version or a newer one
 // already is.
 func (g *Instance) applyConfig(c *catalog.Config, from string) {
+	before, proofAge := g.state.version(), g.state.proofAge()
 	if g.state.setConfig(c) {
+		behind := g.newest.applied(time.Now(), c.Version, from)
 		g.metrics.ConfigRevision.Update(c.Version)
-		telemetry.Log(g.log, telemetry.EventConfigApplied, "version", c.Version, "from", from, "routes", len(c.Routes))
+		telemetry.Log(g.log, telemetry.EventConfigApplied, "version", c.Version, "from", from, "routes", len(c.Routes), "before", before,
+			"newest_known", g.newest.version(), "behind_ms", behind.Milliseconds(), "proof_age_ms", proofAge.Milliseconds())
 		go g.control.post(g.ctx, stateChanged{}) // the caller may be the control goroutine, which must not block
 	}
 }
 
 // applyUpdate applies an update received from another instance.
 func (g *Instance) applyUpdate(now time.Time, u zone.Update) {
+	g.newest.heard(now, u.From)
 	if u.DecodeErr != nil {
 		telemetry.Log(g.log, telemetry.EventConfigRejected, "from", u.From, "error", trace.UserMessage(u.DecodeErr))
 	}
--- a/internal/gateway/instance.go
+++ b/internal/gateway/instance.go
@@ -68,6 +68,7 @@
 	metrics    *telemetry.Metrics
 	state      localState
 	follower   *follower
+	newest     newestKnown
 	client     *upstream.Client
 	edge       *edge.Server
 	services   *services
--- a/internal/gateway/judge.go
+++ b/internal/gateway/judge.go
@@ -69,7 +69,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	settled := f.era.Settled()
-	proves := f.era.Proves(began, f.g.state.version(), f.peerVersion.Load())
+	proves := f.era.Proves(began, f.g.state.version(), f.g.newest.version())
 	if proves && !settled {
 		telemetry.Log(f.g.log, telemetry.EventStoreSettled, "era", f.era.Era(), "config", f.g.state.version())
 	}
@@ -100,16 +100,6 @@
 	}
 }
 
-// recordPeerVersion processes the version of another instance's configuration.
-func (f *follower) recordPeerVersion(version int64) {
-	for {
-		old := f.peerVersion.Load()
-		if version <= old || f.peerVersion.CompareAndSwap(old, version) {
-			return
-		}
-	}
-}
-
 // toMark returns the store's era if it is settled and not marked yet.
 func (f *follower) toMark() (era int64, due bool) {
 	f.mu.Lock()
--- a/internal/gateway/outputs.go
+++ b/internal/gateway/outputs.go
@@ -87,6 +87,9 @@
 	for _, u := range updates {
 		c.g.applyUpdate(now, u)
 	}
+	for _, r := range c.zone.Resends() {
+		telemetry.Log(c.g.log, telemetry.EventConfigSentAgain, "to", r.To, "version", r.Version, "has", r.Has, "after_ms", r.After.Milliseconds())
+	}
 }
 
 // deliverDecision sends a decision to the request goroutine that waits for it, or
--- a/internal/gateway/read.go
+++ b/internal/gateway/read.go
@@ -25,6 +25,8 @@
 	discoveryInterval = 800 * time.Millisecond
 	// shortAttempt is the time limit of every second read after a failure.
 	shortAttempt = 800 * time.Millisecond
+	// slowAnswer is how much longer than it was asked to wait a read may take before that is logged.
+	slowAnswer = 500 * time.Millisecond
 	// readerPoll is the time between two checks whether this instance is to read
 	// the store.
 	readerPoll = 50 * time.Millisecond
@@ -106,7 +108,12 @@
 	if failures > 0 || from.Offset == storeera.FromStart || !f.settled() {
 		wait = 0
 	}
+	began := time.Now()
 	read, err = f.g.adapter.Store.Config(ctx, from, wait)
+	if took := time.Since(began); took > wait+slowAnswer {
+		telemetry.Log(f.g.log, telemetry.EventStoreSlow, "reading", topicConfig, "ms", took.Milliseconds(), "wait_ms", wait.Milliseconds(),
+			"from", from.Offset, "failed", err != nil, "config", f.g.state.version())
+	}
 	return read, from, err
 }
 
--- a/internal/gateway/roles.go
+++ b/internal/gateway/roles.go
@@ -42,7 +42,10 @@
 	c.local.SetSlotShare(localShare / float64(max(1, len(localZone.Members))))
 	c.g.metrics.Members.Update(int64(len(localZone.Members)))
 	c.g.origins.setMembers(now, c.addresses)
-	telemetry.Log(c.g.log, telemetry.EventMembersChanged, "zone_members", len(localZone.Members), "members", members, "version", c.view.Version)
+	if counts := (memberCounts{zone: len(localZone.Members), all: members}); counts != c.loggedCounts {
+		c.loggedCounts = counts
+		telemetry.Log(c.g.log, telemetry.EventMembersChanged, "zone_members", counts.zone, "members", counts.all, "version", c.view.Version)
+	}
 	c.chooseRoles(now)
 }
 
@@ -108,7 +111,11 @@
 	c.g.follower.marks.Store(c.coordinatesFirstZone(remote))
 	c.setOriginKeepers(remote)
 	localZone, _ := c.view.Zone(c.self.Zone)
-	c.zone.SetCoordinators(c.roleHolder(c.self.Zone, coordinatorRole), remote, len(localZone.Members))
+	local := c.roleHolder(c.self.Zone, coordinatorRole)
+	if before := c.g.newest.setCoordinator(local); before != local {
+		telemetry.Log(c.g.log, telemetry.EventCoordinatorChanged, "coordinator", local, "before", before, "remote", len(remote), "view", c.view.Version)
+	}
+	c.zone.SetCoordinators(local, remote, len(localZone.Members))
 	c.zone.SetReadRank(slices.IndexFunc(localZone.Members, func(m membership.Member) bool { return m.ID == c.self.ID }))
 }
 
--- a/internal/gateway/zonecorestate.go
+++ b/internal/gateway/zonecorestate.go
@@ -61,8 +61,10 @@
 func (z zoneCoreState) MergeRollouts(boot time.Duration, from entity.InstanceID, m *rollout.Message) {
 	z.g.rollouts.merge(boot, from, m)
 }
-func (z zoneCoreState) Cursors() zone.Cursors           { return z.g.follower.position() }
-func (z zoneCoreState) RecordPeerVersion(version int64) { z.g.follower.recordPeerVersion(version) }
+func (z zoneCoreState) Cursors() zone.Cursors { return z.g.follower.position() }
+func (z zoneCoreState) RecordPeerVersion(now time.Time, from entity.InstanceID, version int64) {
+	z.g.newest.observe(now, from, version, z.g.state.version())
+}
 
 func (z zoneCoreState) Limits() map[entity.OrgID]quota.Limit {
 	cfg := z.Config()
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -42,17 +42,21 @@
 	EventReaderChanged        = Event{3008, "this instance begins or ends reading the store for itself", 0}
 	EventBrokerUnresponsive   = Event{3009, "broker is silent, this instance grants its own part of the slots", 0}
 	EventEligibilityChanged   = Event{3010, "this instance gives its roles up, or may have them again", 0}
+	EventCoordinatorChanged   = Event{3011, "another instance coordinates the zone", 0}
 	EventLogUnavailable       = Event{4001, "log service unavailable", 0}
 	EventLogRestored          = Event{4002, "log service back", 0}
 	EventListUnavailable      = Event{4003, "instance list unavailable", 0}
 	EventAppendUnknown        = Event{4004, "outcome of an append unknown, settling by reading", 0}
 	EventStoreReplaced        = Event{4005, "store came back from an older copy, all is read again", 0}
 	EventStoreSettled         = Event{4006, "store shows the newest configuration again", 0}
+	EventStoreSlow            = Event{4007, "store took long to answer a read", 0}
 	EventConfigApplied        = Event{5001, "configuration change in force", 0}
 	EventConfigRejected       = Event{5002, "configuration change lost or invalid", 0}
 	EventConfigCaughtUp       = Event{5003, "configuration caught up", 0}
 	EventConfigSnapshot       = Event{5004, "configuration snapshot appended", 0}
 	EventConfigFromPeer       = Event{5005, "configuration taken from a peer", 0}
+	EventConfigBehind         = Event{5006, "a newer configuration is known than the one in force", 0}
+	EventConfigSentAgain      = Event{5007, "configuration sent again to an instance that lacks it", 0}
 	EventEndpointFailed       = Event{6001, "endpoint failed", 0}
 	EventEntryMalformed       = Event{6006, "discovery entry names no endpoint to use", 0}
 	EventEndpointsChanged     = Event{6007, "endpoints appeared or left", 0}
@@ -98,9 +102,9 @@
 	return []Event{
 		EventStarting, EventReady, EventDrainBegin, EventDrainEnd, EventDrainTimeout, EventSecondSignal, EventServerFailed, EventLogLinesDropped,
 		EventRequestFinished, EventRequestRetried, EventRequestPanicked, EventCallEnded, EventCallDenied,
-		EventPeerConnected, EventPeerDisconnected, EventPeerUnresponsive, EventPeerRefused, EventMembersChanged, EventOwnershipChanged, EventBrokerChanged, EventReaderChanged, EventBrokerUnresponsive, EventEligibilityChanged,
-		EventLogUnavailable, EventLogRestored, EventListUnavailable, EventAppendUnknown, EventStoreReplaced, EventStoreSettled,
-		EventConfigApplied, EventConfigRejected, EventConfigCaughtUp, EventConfigSnapshot, EventConfigFromPeer,
+		EventPeerConnected, EventPeerDisconnected, EventPeerUnresponsive, EventPeerRefused, EventMembersChanged, EventOwnershipChanged, EventBrokerChanged, EventReaderChanged, EventBrokerUnresponsive, EventEligibilityChanged, EventCoordinatorChanged,
+		EventLogUnavailable, EventLogRestored, EventListUnavailable, EventAppendUnknown, EventStoreReplaced, EventStoreSettled, EventStoreSlow,
+		EventConfigApplied, EventConfigRejected, EventConfigCaughtUp, EventConfigSnapshot, EventConfigFromPeer, EventConfigBehind, EventConfigSentAgain,
 		EventEndpointFailed, EventLeaseAcquired, EventLeaseLost, EventOrderSent, EventOrderRefused, EventEntryMalformed, EventEndpointsChanged, EventEndpointDeparting, EventEndpointHeldOff,
 		EventRunLost, EventPartQuarantined, EventPartReleased, EventPartTried, EventEndpointLimited, EventEndpointUnlimited, EventOriginsNotRecorded, EventBaseChosen, EventEndpointBypassed, EventEndpointReached, EventCutOffChanged, EventOriginsRestoring,
 		EventRolloutHeard, EventRolloutRejected, EventRolloutStep, EventRolloutDone, EventRolloutRolledBack, EventRolloutNotSaved, EventRolloutStatusWritten,
