Tests that fail: late configurations, and refusals that need no proof

Callers get 404 or 401 for what a version allows that was acknowledged more than 3 s before.

- a coordinator hands a position on before the version behind it is in force;

--- a/internal/core/zone/fleet_test.go
+++ b/internal/core/zone/fleet_test.go
@@ -34,12 +34,20 @@
 	partitioned bool
 	isolated    bool      // partitioned from all others
 	answered    time.Time // when the store last answered the member
+	lastRead    time.Time // when discovery was last read, by the member or by the one that told it
 	proved      time.Duration
 	peerVersion int64                             // the newest that others are known to have
 	ledgers     int                               // how often the ledger has changed
 	readAge     func(now time.Time) time.Duration // nil for 0
 }
 
+// apply puts a configuration into force unless it is older than the one in force.
+func (m *member) apply(_ time.Time, cfg *catalog.Config) {
+	if cfg.Version > m.config.Version {
+		m.config = cfg
+	}
+}
+
 func (m *member) Config() *catalog.Config       { return m.config }
 func (m *member) Endpoints() *catalog.Endpoints { return catalog.NewEndpoints(nil) }
 func (m *member) ProvedAt() time.Duration       { return m.proved }
@@ -224,8 +232,11 @@
 		}
 		for _, x := range updates {
 			m.proved = max(m.proved, x.ProvedAt)
-			if x.Config != nil && x.Config.Version > m.config.Version {
-				m.config = x.Config
+			if x.Cursors != nil {
+				m.lastRead = latest(m.lastRead, f.now.Add(-x.ReadAge))
+			}
+			if x.Config != nil {
+				m.apply(f.now, x.Config)
 			}
 		}
 	}
--- a/internal/gateway/read_test.go
+++ b/internal/gateway/read_test.go
@@ -9,6 +9,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/medlarhold/medlarhold/internal/core/catalog"
+	"github.com/medlarhold/medlarhold/internal/core/rollout"
 	"github.com/medlarhold/medlarhold/internal/core/storeera"
 	"github.com/medlarhold/medlarhold/internal/telemetry"
 )
@@ -113,3 +114,24 @@
 		}
 	}
 }
+
+// A member that takes a coordinator's position without the version that belongs to it never sees that version (CONFIG).
+func TestPositionIsHandedOnOnlyWithItsVersionInForce(t *testing.T) {
+	store := &scriptedStore{reads: []ConfigRead{
+		{Config: &catalog.Config{Version: 1}, Complete: true, Next: storeera.Position{Offset: 1}},
+		{Config: &catalog.Config{Version: 2}, Next: storeera.Position{Offset: 2}},
+	}}
+	s := Settings{Name: "i", Zone: "a", FirstStart: true, Exposure: rollout.Exposure{Share: 0.1, Slack: 50, RollBackWithin: time.Second}}
+	g := New(s, Adapter{Store: store}, logr.Discard(), telemetry.NewMetrics())
+	t.Cleanup(g.cancel)
+	g.follower.readConfig(t.Context())
+	g.rollouts.mu.Lock() // a request holds it while the next version arrives
+	read := make(chan bool)
+	go func() { read <- g.follower.readConfig(t.Context()) }()
+	time.Sleep(50 * time.Millisecond)
+	if at, version := g.follower.position().Config, g.state.version(); at == 2 && version < 2 {
+		t.Errorf("position %d is handed on while version %d is in force", at, version)
+	}
+	g.rollouts.mu.Unlock()
+	<-read
+}
