Zone: a position in the store is handed on only with the version that belongs to it

What callers saw: 404 for a route of a version that was acknowledged seconds before.

Cause: a coordinator that had read a version moved its position behind it, and put the version into force afterwards; reports were answered in between, with the new position and the old version's number. A member took both. If it became coordinator before it was told the version, it read on behind it: it never saw it, and took the older one for proved.

Evidence: TestPositionIsHandedOnOnlyWithItsVersionInForce failed on (position 2 while version 1 is in force). Found by reading; that it caused the incident is not shown.

Now the position moves after the version is in force, and a bulletin takes the position before the version: the version may be newer than the position, not older.

--- a/internal/core/zone/core.go
+++ b/internal/core/zone/core.go
@@ -201,7 +201,9 @@
 	c.mergeQuarantine(at.Now, from, r.Quarantine)
 	c.mergeLimits(at, from, r.EndpointLimits)
 	c.mergeRollouts(at, from, r.Rollouts)
-	b := Bulletin{ReportSeq: r.Seq, ProofAge: c.proofAge(at), ConfigVersion: versionOf(c.state.Config()), ReadAge: c.state.ReadAge(at.Now), Cursors: c.state.Cursors()}
+	// The position is taken first: the version may be newer than it, but not older.
+	b := Bulletin{ReportSeq: r.Seq, Cursors: c.state.Cursors(), ProofAge: c.proofAge(at), ReadAge: c.state.ReadAge(at.Now)}
+	b.ConfigVersion = versionOf(c.state.Config())
 	b.StoreAnswersOthers = c.IsCoordinator() && c.answersOthers(at.Now)
 	if b.ReadAge > maxReadAge {
 		b.Departures = c.state.RecentDepartures(at.Now)
--- a/internal/gateway/judge.go
+++ b/internal/gateway/judge.go
@@ -41,8 +41,7 @@
 	return storeera.Judge(f.era.Era(), asked, era)
 }
 
-// acceptConfig records a read of the configuration from a position. It returns false if
-// the read can't be used.
+// acceptConfig judges a read of the configuration from a position. It returns false if the read can't be used.
 func (f *follower) acceptConfig(from storeera.Position, read ConfigRead) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -53,16 +52,25 @@
 		f.configAt = storeera.Start(read.Next.Era)
 		return false
 	}
-	f.configAt = read.Next
-	if read.Unreadable {
-		f.configAt = storeera.Start(read.Next.Era) // it must not be taken for read
-	}
 	if read.Config != nil {
 		f.era.RecordRead(read.Config.Version, read.Complete)
 	}
 	return true
 }
 
+// moveConfigAt moves configAt behind a read whose configuration is in force.
+func (f *follower) moveConfigAt(read ConfigRead) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case read.Next.Era != f.era.Era(): // the store was replaced meanwhile
+	case read.Unreadable:
+		f.configAt = storeera.Start(read.Next.Era) // it must not be taken for read
+	default:
+		f.configAt = read.Next
+	}
+}
+
 // readProves reports whether a read that began at the given time and has just succeeded proves that the
 // configuration in force is the newest.
 func (f *follower) readProves(began time.Time) bool {
--- a/internal/gateway/read.go
+++ b/internal/gateway/read.go
@@ -86,6 +86,7 @@
 	if read.Config != nil {
 		f.g.applyConfig(read.Config, "store")
 	}
+	f.moveConfigAt(read) // others take over the position with the version in force
 	if read.Unreadable {
 		return false // a newer configuration than the one in force exists
 	}
