Zone: an instance that lacks a newer configuration gets it itself, whoever should have told it

What callers saw: 404 for a route of a version that was acknowledged seconds before.

Cause: a member takes its configuration from one coordinator and judged it only by the age of its reads of discovery, as of the sending of a bulletin. The same holds if two members take each other for the coordinator, if reads of the configuration hang while discovery is read, if bulletins arrive late, and if a configuration is lost on the way. Class: news that depends on one teller, whose silence looks like no news.

Now: - messages carry the newest version that the sender knows of; an instance that lacks it for 0.5 to 0.8 s without progress reads the store anew, over another connection, as whatever; - members read it if proofs are over 2.5 s old though the coordinator reads discovery, and a coordinator renews its read then; - an answer without accounts comes from one that does not know of the role: no sign of life; - a coordinator that members report to reads from its start on.

TestLastVersionOfABurstIsInForceInTime failed on: 29, 126, 41 and 1 of 126 members late after 3 s in four of its six cases; now none in all six. In it, hanging reads are now those of one connection (a read that begins anew is answered), as a client's connections are; TestMembersStartReadingAtDifferentTimes states accounts in its bulletins, as coordinators do.

--- a/internal/core/zone/core.go
+++ b/internal/core/zone/core.go
@@ -49,6 +49,11 @@
 	// staleSince is since when the coordinator's reads have been out of date,
 	// zero if they are not.
 	staleSince time.Time
+	// membersListen is set once a member has reported to this instance as the coordinator.
+	membersListen bool
+	// unprovedSince is since when the coordinator reads the store, but has given no recent proof of the configuration;
+	// zero if it has.
+	unprovedSince time.Time
 	// answersOthersSince is since when the store has answered other members, but not the
 	// coordinator that is out of date; zero if that is not known.
 	answersOthersSince time.Time
@@ -119,6 +124,9 @@
 // Tick advances time to at: it sends the report or the exchanges that are due.
 func (c *Core) Tick(at Moment) {
 	c.updateRole(at.Now)
+	if age := c.state.StoreAnswerAge(at.Now); c.IsCoordinator() && age >= 0 && age <= maxReadAge {
+		c.updateUnproved(at, c.state.ProvedAt())
+	}
 	if !c.due(at.Now) {
 		return
 	}
@@ -183,7 +191,7 @@
 func (c *Core) report(at Moment) Report {
 	return Report{
 		Seq: c.nextSeq(at), Address: c.self.PeerAddress, Used: c.state.Used(),
-		ConfigVersion: versionOf(c.state.Config()), TableDigest: c.state.Endpoints().Digest(),
+		ConfigVersion: versionOf(c.state.Config()), NewestVersion: c.newestVersion(), TableDigest: c.state.Endpoints().Digest(),
 		StoreUptime: c.state.StoreUptime(at.Now), StoreAnswerAge: c.state.StoreAnswerAge(at.Now), Departures: c.state.RecentDepartures(at.Now),
 		Quarantine: c.quarantineFor(at.Now, c.coordinator), EndpointLimits: c.limitsFor(at, c.coordinator),
 		Rollouts: c.rolloutReport(at),
@@ -194,7 +202,7 @@
 // is the coordinator before the instance itself does; its report is then answered
 // without accounts.
 func (c *Core) HandleReport(at Moment, from entity.InstanceID, r Report) {
-	c.state.RecordPeerVersion(at.Now, from, r.ConfigVersion)
+	c.recordVersions(at.Now, from, r.ConfigVersion, r.NewestVersion)
 	c.state.RecordPeerStoreUptime(at.Now, r.StoreUptime)
 	c.recordStoreAnswer(at.Now, r.StoreAnswerAge, true)
 	c.state.RecordDepartures(at.Now, r.Departures)
@@ -203,7 +211,8 @@
 	c.mergeRollouts(at, from, r.Rollouts)
 	// The position is taken first: the version may be newer than it, but not older.
 	b := Bulletin{ReportSeq: r.Seq, Cursors: c.state.Cursors(), ProofAge: c.proofAge(at), ReadAge: c.state.ReadAge(at.Now)}
-	b.ConfigVersion = versionOf(c.state.Config())
+	b.ConfigVersion, b.NewestVersion = versionOf(c.state.Config()), c.newestVersion()
+	c.membersListen = c.membersListen || c.IsCoordinator()
 	b.StoreAnswersOthers = c.IsCoordinator() && c.answersOthers(at.Now)
 	if b.ReadAge > maxReadAge {
 		b.Departures = c.state.RecentDepartures(at.Now)
@@ -226,7 +235,7 @@
 // instance, only the quarantine's records and the statements of endpoints are used: its sender
 // won't send them again.
 func (c *Core) HandleBulletin(at Moment, from entity.InstanceID, b Bulletin) {
-	c.state.RecordPeerVersion(at.Now, from, b.ConfigVersion)
+	c.recordVersions(at.Now, from, b.ConfigVersion, b.NewestVersion)
 	c.mergeQuarantine(at.Now, from, b.Quarantine)
 	c.mergeLimits(at, from, b.EndpointLimits)
 	c.mergeRollouts(at, from, b.Rollouts)
@@ -245,10 +254,11 @@
 		u.Cursors, u.ReadAge, u.ConfigVersion, u.TableDigest = &b.Cursors, b.ReadAge, b.ConfigVersion, b.TableDigest
 		c.decodeTable(&u, b)
 	}
-	c.lastBulletinAt = at.Now
-	c.updateStale(at.Now, b.ReadAge, b.StoreAnswersOthers)
 	c.updates = append(c.updates, u)
+	c.updateStale(at.Now, b.ReadAge, b.StoreAnswersOthers)
+	c.updateUnproved(at, max(c.state.ProvedAt(), u.ProvedAt))
 	if b.Instances > 0 {
+		c.lastBulletinAt = at.Now // an answer without accounts comes from one that doesn't know of the role
 		c.applyBulletinAccounts(at.Now, from, b)
 	}
 }
@@ -283,6 +293,20 @@
 	return sent - age
 }
 
+// newestVersion returns the newest version that another instance is known to have if it is newer than the one in
+// force, otherwise 0.
+func (c *Core) newestVersion() int64 {
+	if newest := c.state.NewestVersion(); newest > versionOf(c.state.Config()) {
+		return newest
+	}
+	return 0
+}
+
+// recordVersions processes the version that another instance has, and the newest one that it knows of.
+func (c *Core) recordVersions(now time.Time, from entity.InstanceID, has, newest int64) {
+	c.state.RecordPeerVersion(now, from, max(has, newest))
+}
+
 func versionOf(cfg *catalog.Config) int64 {
 	if cfg == nil {
 		return 0
--- a/internal/core/zone/exchange.go
+++ b/internal/core/zone/exchange.go
@@ -21,7 +21,7 @@
 // exchange returns the message to the coordinator of another zone.
 func (c *Core) exchange(at Moment, z entity.ZoneID) Exchange {
 	x := Exchange{
-		Zone: c.self.Zone, LedgerSeq: c.ledgersOpened, Seq: c.nextSeq(at), ProofAge: c.proofAge(at), ConfigVersion: versionOf(c.state.Config()),
+		Zone: c.self.Zone, LedgerSeq: c.ledgersOpened, Seq: c.nextSeq(at), ProofAge: c.proofAge(at), ConfigVersion: versionOf(c.state.Config()), NewestVersion: c.newestVersion(),
 		Used: c.ledger.ZoneTotals(), Instances: min(c.zoneSize, c.ledger.Members(at.Now)), StoreUptime: c.state.StoreUptime(at.Now), StoreAnswerAge: c.state.StoreAnswerAge(at.Now),
 		Departures: c.state.RecentDepartures(at.Now), Quarantine: c.quarantineFor(at.Now, c.remoteCoordinators[z]),
 		EndpointLimits: c.limitsFor(at, c.remoteCoordinators[z]), Rollouts: c.rolloutExchange(at, z),
@@ -49,7 +49,7 @@
 
 // HandleExchange processes the message of another zone's coordinator.
 func (c *Core) HandleExchange(at Moment, from entity.InstanceID, x Exchange) {
-	c.state.RecordPeerVersion(at.Now, from, x.ConfigVersion)
+	c.recordVersions(at.Now, from, x.ConfigVersion, x.NewestVersion)
 	c.mergeQuarantine(at.Now, from, x.Quarantine)
 	c.mergeLimits(at, from, x.EndpointLimits)
 	c.mergeRollouts(at, from, x.Rollouts)
--- a/internal/core/zone/fleet_test.go
+++ b/internal/core/zone/fleet_test.go
@@ -36,15 +36,16 @@
 	answered    time.Time // when the store last answered the member
 	lastRead    time.Time // when discovery was last read, by the member or by the one that told it
 	proved      time.Duration
-	peerVersion int64                             // the newest that others are known to have
+	lag         VersionLag
 	ledgers     int                               // how often the ledger has changed
 	readAge     func(now time.Time) time.Duration // nil for 0
 }
 
 // apply puts a configuration into force unless it is older than the one in force.
-func (m *member) apply(_ time.Time, cfg *catalog.Config) {
+func (m *member) apply(now time.Time, cfg *catalog.Config) {
 	if cfg.Version > m.config.Version {
 		m.config = cfg
+		m.lag.Applied(now, cfg.Version)
 	}
 }
 
@@ -81,11 +82,13 @@
 	return nil, nil
 }
 func (m *member) MergeRollouts(time.Duration, entity.InstanceID, *rollout.Message) {}
-func (m *member) RecordPeerVersion(_ time.Time, _ entity.InstanceID, version int64) {
-	m.peerVersion = max(m.peerVersion, version)
+func (m *member) RecordPeerVersion(now time.Time, from entity.InstanceID, version int64) {
+	m.lag.Observe(now, from, version, m.config.Version)
 }
-func (m *member) Cursors() Cursors                   { return Cursors{} }
-func (m *member) Used() map[entity.OrgID]quota.Usage { return m.meter.Used() }
+func (m *member) NewestVersion() int64                   { return m.lag.Newest }
+func (m *member) LaggingFor(now time.Time) time.Duration { return m.lag.For(now) }
+func (m *member) Cursors() Cursors                       { return Cursors{} }
+func (m *member) Used() map[entity.OrgID]quota.Usage     { return m.meter.Used() }
 func (m *member) Limits() map[entity.OrgID]quota.Limit {
 	return map[entity.OrgID]quota.Limit{org: {Rate: limitRate, Burst: burst, Window: limitWindow}}
 }
--- a/internal/core/zone/message.go
+++ b/internal/core/zone/message.go
@@ -22,6 +22,8 @@
 	// endpoints.
 	ConfigVersion int64  `json:"c,omitempty"`
 	TableDigest   uint64 `json:"e,omitempty"`
+	// NewestVersion is the newest version that the sender knows of, if it has an older one.
+	NewestVersion int64 `json:"k,omitempty"`
 	// StoreUptime is how long the sender has read the store without an outage.
 	StoreUptime time.Duration `json:"s,omitempty"`
 	// StoreAnswerAge is the time since the store last answered the sender itself,
@@ -46,6 +48,8 @@
 	// be the newest, negative if it never was.
 	ProofAge      time.Duration `json:"p"`
 	ConfigVersion int64         `json:"v,omitempty"`
+	// NewestVersion is the newest version that the sender knows of, if it has an older one.
+	NewestVersion int64 `json:"k,omitempty"`
 	// ReadAge is the time since the coordinator last read discovery, negative for
 	// never.
 	ReadAge time.Duration `json:"a"`
@@ -115,8 +119,10 @@
 	ProofAge time.Duration `json:"p"`
 	// ConfigVersion is the version of the sender's configuration. Config,
 	// compressed, is set if the receiver has had an older one for a while.
-	ConfigVersion int64                    `json:"v,omitempty"`
-	Config        []byte                   `json:"c,omitempty"`
+	ConfigVersion int64  `json:"v,omitempty"`
+	Config        []byte `json:"c,omitempty"`
+	// NewestVersion is the newest version that the sender knows of, if it has an older one.
+	NewestVersion int64                    `json:"k,omitempty"`
 	Used          map[entity.OrgID]float64 `json:"u,omitempty"`
 	// Instances is the number of the zone's members whose use is in Used.
 	Instances int `json:"i"`
--- a/internal/core/zone/publication_test.go
+++ b/internal/core/zone/publication_test.go
@@ -28,7 +28,7 @@
 	acked     []time.Time // of the versions from 2 on
 	published int64
 	reads     map[entity.InstanceID]time.Time // begin of the last read, by member
-	// hangs reports whether a member's reads of the configuration get no answer.
+	// hangs reports whether a member's connection for reads of the configuration is silent.
 	hangs func(m *member) bool
 	// heldBack holds messages back that arrive later, delays says by how much.
 	heldBack []lateDelivery
@@ -85,7 +85,7 @@
 	}
 	b.reads[m.id.ID] = b.now
 	m.lastRead, m.answered = b.now, b.now // discovery is answered
-	if b.hangs(m) {
+	if b.hangs(m) && !m.core.ReadReason(b.now).BeginsAnew() {
 		return
 	}
 	m.proved = b.boot
--- a/internal/core/zone/reader.go
+++ b/internal/core/zone/reader.go
@@ -37,6 +37,13 @@
 	// role. It exceeds the time between two reads; otherwise coordinators would
 	// give up their role in each outage.
 	refusalMargin = 1300 * time.Millisecond
+	// maxProofAge is the age of the proof of the configuration beyond which members read the store themselves although
+	// the coordinator reads discovery: its reads of the configuration may hang, or what it tells may arrive late. A read
+	// waits for up to a second and proves what was there at its beginning, so ages of 2 s are usual.
+	maxProofAge = 2500 * time.Millisecond
+	// catchUpAfter is how long an instance may lack a version that another one has, and make no progress, before it
+	// reads the store itself: more than two reports take.
+	catchUpAfter = 500 * time.Millisecond
 	// maxReadAge is the age of the coordinator's last read of discovery beyond
 	// which members read the store themselves: the store may refuse some
 	// instances and serve others.
@@ -64,24 +71,40 @@
 	ReadNoBulletin ReadReason = "no_bulletin"
 	// ReadStale: the coordinator has not read the store for a while.
 	ReadStale ReadReason = "stale"
+	// ReadLagging: another instance has a newer configuration, and nobody passes it on.
+	ReadLagging ReadReason = "lagging"
+	// ReadUnproved: the coordinator reads the store, but its proofs of the configuration are old.
+	ReadUnproved ReadReason = "unproved"
 	// ReadTold: the store answers others, but not the coordinator.
 	ReadTold ReadReason = "told"
 )
 
+// BeginsAnew reports whether the configuration is to be read from the start and over another connection: a read that
+// is under way may never be answered.
+func (r ReadReason) BeginsAnew() bool { return r == ReadLagging || r == ReadUnproved }
+
 // ShouldReadStore reports whether this instance should read the store.
 func (c *Core) ShouldReadStore(now time.Time) bool { return c.ReadReason(now) != ReadNot }
 
 // ReadReason returns why this instance should read the store, ReadNot if it should not.
 func (c *Core) ReadReason(now time.Time) ReadReason {
 	switch {
+	case c.state.LaggingFor(now) > catchUpAfter+c.readDelay:
+		return ReadLagging
 	case c.firstReadSuffices(now):
 	case c.IsCoordinator():
+		if !c.unprovedSince.IsZero() {
+			return ReadUnproved
+		}
 		return ReadAsCoordinator
 	case c.coordinator == "", c.lastBulletinAt.IsZero():
 		return ReadNoCoordinator
 	case now.Sub(c.lastBulletinAt) > BulletinTimeout+c.readDelay:
 		return ReadNoBulletin
 	case c.staleSince.IsZero():
+		if !c.unprovedSince.IsZero() && now.Sub(c.unprovedSince) > c.toldReadDelay() {
+			return ReadUnproved
+		}
 	case !c.answersOthersSince.IsZero():
 		if now.Sub(c.answersOthersSince) > c.toldReadDelay() {
 			return ReadTold
@@ -134,10 +157,10 @@
 }
 
 // firstReadSuffices reports whether this process, just started, has read the store once and
-// can wait for the bulletins of its coordinator. When all instances start together, each
+// can wait for the bulletins of its coordinator. A coordinator that members report to can't. When all instances start together, each
 // is its own coordinator until it knows the others, and all would go on reading.
 func (c *Core) firstReadSuffices(now time.Time) bool {
-	if c.startedAt.IsZero() || now.Sub(c.startedAt) >= BulletinTimeout+c.readDelay {
+	if c.startedAt.IsZero() || now.Sub(c.startedAt) >= BulletinTimeout+c.readDelay || c.membersListen {
 		return false
 	}
 	return c.lastBulletinAt.IsZero() && c.state.ReadAge(now) >= 0 && c.state.ProvedAt() != 0
@@ -199,3 +222,13 @@
 		c.answersOthersSince = now
 	}
 }
+
+// updateUnproved maintains unprovedSince, given when the configuration was proved to be the newest, 0 for never.
+func (c *Core) updateUnproved(at Moment, provedAt time.Duration) {
+	switch {
+	case provedAt == 0 || at.Boot-provedAt <= maxProofAge:
+		c.unprovedSince = time.Time{}
+	case c.unprovedSince.IsZero():
+		c.unprovedSince = at.Now
+	}
+}
--- a/internal/core/zone/reader_test.go
+++ b/internal/core/zone/reader_test.go
@@ -49,7 +49,7 @@
 	reading := func(after time.Duration) (n int) {
 		for i := range members {
 			c, _ := newMemberOf(i)
-			c.HandleBulletin(at, "z0-0", Bulletin{ReadAge: maxReadAge + time.Millisecond, ConfigVersion: 1})
+			c.HandleBulletin(at, "z0-0", Bulletin{ReadAge: maxReadAge + time.Millisecond, ConfigVersion: 1, Instances: members})
 			if c.ShouldReadStore(at.Now.Add(after)) {
 				n++
 			}
--- a/internal/core/zone/state.go
+++ b/internal/core/zone/state.go
@@ -27,6 +27,10 @@
 	Cursors() Cursors
 	// RecordPeerVersion processes the version of another instance's configuration.
 	RecordPeerVersion(now time.Time, from entity.InstanceID, version int64)
+	// NewestVersion is the newest version that another instance is known to have. LaggingFor is for how long the one in
+	// force has been older than that without becoming newer, 0 if it is not older.
+	NewestVersion() int64
+	LaggingFor(now time.Time) time.Duration
 	// StoreUptime is how long the store has been read without an outage.
 	// RecordPeerStoreUptime processes the StoreUptime of another instance.
 	StoreUptime(now time.Time) time.Duration
--- a/internal/edge/standing.go
+++ b/internal/edge/standing.go
@@ -15,10 +15,10 @@
 	// ProofAge is the time since it was proved to be the newest.
 	ProofAge time.Duration
 	// Newest is the newest version that another instance, NewestFrom, is known to have. It has been newer than the
-	// one in force for BehindFor, 0 if it isn't.
+	// one in force for LaggingFor, 0 if it isn't.
 	Newest     int64
 	NewestFrom entity.InstanceID
-	BehindFor  time.Duration
+	LaggingFor time.Duration
 	// Coordinator is the zone's coordinator, which last told something CoordinatorSilentFor ago, negative for never.
 	Coordinator          entity.InstanceID
 	CoordinatorSilentFor time.Duration
@@ -28,7 +28,7 @@
 func (s ConfigStanding) Fields() []any {
 	return []any{
 		"config_version", s.Version, "config_from", s.From, "in_force_ms", s.InForceFor.Milliseconds(), "proof_age_ms", s.ProofAge.Milliseconds(),
-		"newest_known", s.Newest, "newest_from", s.NewestFrom, "behind_ms", s.BehindFor.Milliseconds(),
+		"newest_known", s.Newest, "newest_from", s.NewestFrom, "lagging_ms", s.LaggingFor.Milliseconds(),
 		"coordinator", s.Coordinator, "heard_ms", s.CoordinatorSilentFor.Milliseconds(),
 	}
 }
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -210,7 +210,10 @@
 	c.g.follower.coordinator.Store(c.zone.IsCoordinator())
 	why := c.zone.ReadReason(now)
 	c.g.follower.setReading(why != zone.ReadNot || c.refusal.retryDue(now), why)
-	c.logBehind(now)
+	if why.BeginsAnew() {
+		c.g.follower.renewRead(now)
+	}
+	c.logLagging(now)
 	if !now.Before(c.nextFreeSlots) {
 		c.nextFreeSlots = now.Add(freeSlotsInterval)
 		c.g.follower.expireEndpoints(now)
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -38,6 +38,11 @@
 	marks atomic.Bool
 	// marked is the era that was marked as settled in the store, as far as known.
 	marked int64
+	// endRead ends the read of the configuration that is under way, nil if there is none. renewed is set if that was
+	// done, renewedAt is when.
+	endRead   context.CancelFunc
+	renewed   bool
+	renewedAt time.Time
 	// readAgain has an element if the configuration is to be read at once.
 	readAgain chan struct{}
 	// coordinator is set while this instance is its zone's coordinator.
@@ -147,10 +152,10 @@
 func (g *Instance) applyConfig(c *catalog.Config, from string) {
 	before, proofAge := g.state.version(), g.state.proofAge()
 	if g.state.setConfig(c) {
-		behind := g.newest.applied(time.Now(), c.Version, from)
+		lagged := g.newest.applied(time.Now(), c.Version, from)
 		g.metrics.ConfigRevision.Update(c.Version)
 		telemetry.Log(g.log, telemetry.EventConfigApplied, "version", c.Version, "from", from, "routes", len(c.Routes), "before", before,
-			"newest_known", g.newest.version(), "behind_ms", behind.Milliseconds(), "proof_age_ms", proofAge.Milliseconds())
+			"newest_known", g.newest.version(), "lagged_ms", lagged.Milliseconds(), "proof_age_ms", proofAge.Milliseconds())
 		go g.control.post(g.ctx, stateChanged{}) // the caller may be the control goroutine, which must not block
 	}
 }
--- a/internal/gateway/judge.go
+++ b/internal/gateway/judge.go
@@ -102,10 +102,7 @@
 	if before || !f.era.Settled() {
 		return
 	}
-	select {
-	case f.readAgain <- struct{}{}:
-	default: // it is going to be read
-	}
+	f.wakeReader()
 }
 
 // toMark returns the store's era if it is settled and not marked yet.
--- a/internal/gateway/read.go
+++ b/internal/gateway/read.go
@@ -25,6 +25,8 @@
 	discoveryInterval = 800 * time.Millisecond
 	// shortAttempt is the time limit of every second read after a failure.
 	shortAttempt = 800 * time.Millisecond
+	// renewInterval is the time between two reads that begin anew.
+	renewInterval = time.Second
 	// slowAnswer is how much longer than it was asked to wait a read may take before that is logged.
 	slowAnswer = 500 * time.Millisecond
 	// readerPoll is the time between two checks whether this instance is to read
@@ -62,7 +64,7 @@
 		case read(ctx):
 			pauseUntil(ctx, interval-time.Since(started), again)
 		default:
-			pause(ctx, f.retryPause())
+			pauseUntil(ctx, f.retryPause(), again)
 		}
 	}
 }
@@ -73,6 +75,9 @@
 func (f *follower) readConfig(ctx context.Context) bool {
 	started, began := bootTime(), time.Now()
 	read, from, err := f.askConfig(ctx)
+	if err != nil && f.wasRenewed() {
+		return true // the next read begins at once
+	}
 	if !f.recordResult(ctx, topicConfig, err) {
 		return false
 	}
@@ -105,6 +110,8 @@
 	failures := f.failuresOf(topicConfig)
 	ctx, cancel := limitAttempt(ctx, failures)
 	defer cancel()
+	f.setEndRead(cancel)
+	defer f.setEndRead(nil)
 	wait := configWait
 	if failures > 0 || from.Offset == storeera.FromStart || !f.settled() {
 		wait = 0
@@ -118,6 +125,46 @@
 	return read, from, err
 }
 
+// setEndRead sets how to end the read of the configuration that begins, nil if it has ended.
+func (f *follower) setEndRead(end context.CancelFunc) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.endRead = end
+	f.renewed = f.renewed && end == nil
+}
+
+// wasRenewed reports whether the read of the configuration that has just failed was ended by renewRead.
+func (f *follower) wasRenewed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.renewed
+}
+
+// renewRead ends the read of the configuration that is under way, which may never be answered, and has it read from the
+// start at once.
+func (f *follower) renewRead(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if now.Sub(f.renewedAt) < renewInterval {
+		return
+	}
+	f.renewedAt = now
+	f.configAt = storeera.Start(f.era.Era())
+	if f.endRead != nil {
+		f.renewed = true
+		f.endRead()
+	}
+	f.wakeReader()
+}
+
+// wakeReader has the configuration read at once.
+func (f *follower) wakeReader() {
+	select {
+	case f.readAgain <- struct{}{}:
+	default: // it is going to be read
+	}
+}
+
 // limitAttempt limits the time of a read after the given number of failures. Every second
 // read after a failure is short: one that began before the store came back may never be
 // answered. The others may take as long as the first, for a store that is only slow.
--- a/internal/gateway/zonecorestate.go
+++ b/internal/gateway/zonecorestate.go
@@ -63,8 +63,10 @@
 }
 func (z zoneCoreState) Cursors() zone.Cursors { return z.g.follower.position() }
 func (z zoneCoreState) RecordPeerVersion(now time.Time, from entity.InstanceID, version int64) {
-	z.g.newest.observe(now, from, version, z.g.state.version())
+	z.g.newest.observe(now, from, version, &z.g.state)
 }
+func (z zoneCoreState) NewestVersion() int64                   { return z.g.newest.version() }
+func (z zoneCoreState) LaggingFor(now time.Time) time.Duration { return z.g.newest.laggingFor(now) }
 
 func (z zoneCoreState) Limits() map[entity.OrgID]quota.Limit {
 	cfg := z.Config()
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -55,7 +55,7 @@
 	EventConfigCaughtUp       = Event{5003, "configuration caught up", 0}
 	EventConfigSnapshot       = Event{5004, "configuration snapshot appended", 0}
 	EventConfigFromPeer       = Event{5005, "configuration taken from a peer", 0}
-	EventConfigBehind         = Event{5006, "a newer configuration is known than the one in force", 0}
+	EventConfigLagging        = Event{5006, "a newer configuration is known than the one in force", 0}
 	EventConfigSentAgain      = Event{5007, "configuration sent again to an instance that lacks it", 0}
 	EventEndpointFailed       = Event{6001, "endpoint failed", 0}
 	EventEntryMalformed       = Event{6006, "discovery entry names no endpoint to use", 0}
@@ -104,7 +104,7 @@
 		EventRequestFinished, EventRequestRetried, EventRequestPanicked, EventCallEnded, EventCallDenied,
 		EventPeerConnected, EventPeerDisconnected, EventPeerUnresponsive, EventPeerRefused, EventMembersChanged, EventOwnershipChanged, EventBrokerChanged, EventReaderChanged, EventBrokerUnresponsive, EventEligibilityChanged, EventCoordinatorChanged,
 		EventLogUnavailable, EventLogRestored, EventListUnavailable, EventAppendUnknown, EventStoreReplaced, EventStoreSettled, EventStoreSlow,
-		EventConfigApplied, EventConfigRejected, EventConfigCaughtUp, EventConfigSnapshot, EventConfigFromPeer, EventConfigBehind, EventConfigSentAgain,
+		EventConfigApplied, EventConfigRejected, EventConfigCaughtUp, EventConfigSnapshot, EventConfigFromPeer, EventConfigLagging, EventConfigSentAgain,
 		EventEndpointFailed, EventLeaseAcquired, EventLeaseLost, EventOrderSent, EventOrderRefused, EventEntryMalformed, EventEndpointsChanged, EventEndpointDeparting, EventEndpointHeldOff,
 		EventRunLost, EventPartQuarantined, EventPartReleased, EventPartTried, EventEndpointLimited, EventEndpointUnlimited, EventOriginsNotRecorded, EventBaseChosen, EventEndpointBypassed, EventEndpointReached, EventCutOffChanged, EventOriginsRestoring,
 		EventRolloutHeard, EventRolloutRejected, EventRolloutStep, EventRolloutDone, EventRolloutRolledBack, EventRolloutNotSaved, EventRolloutStatusWritten,
