Edge: 404 and 401 need a proof of the configuration, as a run does

What callers saw: 404, final for them, from an instance whose configuration was out of date.

Cause: a request with a key runs only with a proof of at most 4.5 s, but a refusal of what the configuration does not have needed none: whatever made an instance late became a 404 or 401.

Now such a refusal is for good only if the configuration was proved to be the newest within apply-ms, and no instance is known to have a newer one. Otherwise 503 with Retry-After and the reason config_unproved: the request has not run and may be allowed a moment later.

--- a/internal/cli/advice.go
+++ b/internal/cli/advice.go
@@ -24,6 +24,7 @@
 	verdict.ReasonNoEndpoint:       "No endpoint of the pool could be used: events 6007 and 6008 say which left, 6001 which failed.",
 	verdict.ReasonLogUnavailable:   "The platform's store did not answer: events 4001 and 4002 say from when to when.",
 	verdict.ReasonNotReady:         "The instance could not prove that its keys are in force: events 4001 and 4002 with proof_age_ms say for how long the store was away.",
+	verdict.ReasonConfigUnproved:   "The configuration in force has no such route or key, but a newer one may: newest_known and newest_from say which instance has one, coordinator and heard_ms who should have told it, proof_age_ms how old the proof is.",
 	verdict.ReasonStopping:         "The instance was being stopped: events 1003 to 1005 say when and whether its time was enough.",
 	verdict.ReasonOwnerUnreachable: "The instance that decides on this pool could not be reached: events 3002, 3005 and 3009 say since when.",
 	verdict.ReasonEndpointRefused:  "The endpoint did not take the request: event 6001 says which, 6009 whether it asked for a pause.",
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -118,8 +118,7 @@
 	path, _, _ := strings.Cut(c.r.RequestURI, "?")
 	route, ok := c.config.Match(c.r.Host, path)
 	if !ok {
-		c.explainConfig()
-		return refusal(verdict.ReasonUnknownPool, 0, "no route has this host and path")
+		return c.refuseUnknown(verdict.ReasonUnknownPool, "no route has this host and path")
 	}
 	if limit := c.config.Bounds.HeaderBytes; limit > 0 && headerBytes(c.r) > limit {
 		return refusal(verdict.ReasonHeaderTooLarge, 0, "the header is over the limit")
@@ -141,13 +140,22 @@
 	}
 	org, ok := c.config.ByKey(c.meta.Key)
 	if !ok {
-		c.explainConfig()
-		return refusal(verdict.ReasonUnauthenticated, 0, "the key is not in force")
+		return c.refuseUnknown(verdict.ReasonUnauthenticated, "the key is not in force")
 	}
 	c.org = org
 	return nil
 }
 
+// refuseUnknown returns the error for a request whose route or key the configuration doesn't have: for good only if no
+// newer one can have it.
+func (c *call) refuseUnknown(reason verdict.Reason, message string) *verdict.Error {
+	c.explainConfig()
+	if !c.server.opts.Scheduler.ConfigProved() {
+		return refusal(verdict.ReasonConfigUnproved, noConfigRetryAfter, message+", but a newer configuration may change that")
+	}
+	return refusal(reason, 0, message)
+}
+
 // explainConfig adds to the request's log line what is known of the configuration that decided.
 func (c *call) explainConfig() { c.explanation = c.server.opts.Scheduler.ConfigStanding().Fields() }
 
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -55,6 +55,8 @@
 	mu        sync.Mutex
 	config    *catalog.Config
 	keysStale bool
+	// unproved is set if a newer configuration may exist.
+	unproved  bool
 	endpoints []*catalog.Endpoint
 	next      int
 	// endless is set if the endpoints are granted again and again.
@@ -97,6 +99,7 @@
 
 func (s *fakeScheduler) Config() *catalog.Config { return s.config }
 func (s *fakeScheduler) KeysFresh() bool         { return !s.keysStale }
+func (s *fakeScheduler) ConfigProved() bool      { return !s.unproved }
 func (s *fakeScheduler) ConfigStanding() ConfigStanding {
 	return ConfigStanding{Version: s.config.Version}
 }
--- a/internal/edge/types.go
+++ b/internal/edge/types.go
@@ -139,6 +139,9 @@
 	// KeysFresh reports whether the local list of API keys is recent enough to
 	// authenticate callers.
 	KeysFresh() bool
+	// ConfigProved reports whether Config is known well enough to be the newest to refuse for good what it doesn't
+	// allow.
+	ConfigProved() bool
 	// ConfigStanding returns how well it is known that Config is the newest, to explain a refusal.
 	ConfigStanding() ConfigStanding
 	// Charge counts a request against the organisation's limit. If the limit is used
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -29,6 +29,12 @@
 	return !g.settings.StrictKeys || g.state.proofAge() < g.settings.RevokeWithin-proofMargin
 }
 
+// ConfigProved implements edge.Scheduler. The proof is that of a read, which shows all that was acknowledged before it
+// began.
+func (g *Instance) ConfigProved() bool {
+	return !g.newest.isBehind() && (g.settings.ApplyWithin <= 0 || g.state.proofAge() < g.settings.ApplyWithin)
+}
+
 // Leaving implements edge.Scheduler.
 func (g *Instance) Leaving() bool { return g.leaving.Load() }
 
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -32,6 +32,9 @@
 	Cores float64
 	// GracePeriod is the time that the process has to exit after the stop signal.
 	GracePeriod time.Duration
+	// ApplyWithin is how long after its acknowledgement a configuration may be unknown to an instance, 0 if that is not
+	// bounded.
+	ApplyWithin time.Duration
 	// RevokeWithin is how long after its removal a key may still be accepted. It is
 	// enforced only if StrictKeys is set.
 	RevokeWithin time.Duration
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -54,6 +54,7 @@
 	ReasonNoEndpoint       Reason = "no_endpoint"
 	ReasonLogUnavailable   Reason = "log_unavailable"
 	ReasonNotReady         Reason = "not_ready"
+	ReasonConfigUnproved   Reason = "config_unproved"
 	ReasonStopping         Reason = "stopping"
 	ReasonOwnerUnreachable Reason = "owner_unreachable"
 	ReasonEndpointRefused  Reason = "endpoint_refused"
@@ -95,6 +96,7 @@
 	ReasonNoEndpoint:       http.StatusServiceUnavailable,
 	ReasonLogUnavailable:   http.StatusServiceUnavailable,
 	ReasonNotReady:         http.StatusServiceUnavailable,
+	ReasonConfigUnproved:   http.StatusServiceUnavailable,
 	ReasonStopping:         http.StatusServiceUnavailable,
 	ReasonOwnerUnreachable: http.StatusServiceUnavailable,
 	ReasonEndpointRefused:  http.StatusServiceUnavailable,
