Edge: tests of refusals without a proof, and of a stream whose next endpoint answers with an error

Eight answers of the next endpoint: none of them ends up in the stream, all leave it broken off. Does not happen here.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -286,6 +286,8 @@
 	}{
 		{"unknown path", "/other/", "", nil, nil, 404, false},
 		{"unknown key", "/safe/", "", func(r *http.Request) { r.Header.Set("Key", "x") }, nil, 401, false},
+		{"unknown path, a newer configuration may exist", "/other/", "", nil, func(sched *fakeScheduler) { sched.unproved = true }, 503, true},
+		{"unknown key, a newer configuration may exist", "/safe/", "", func(r *http.Request) { r.Header.Set("Key", "x") }, func(sched *fakeScheduler) { sched.unproved = true }, 503, true},
 		{"keys not known", "/safe/", "", nil, func(sched *fakeScheduler) { sched.keysStale = true }, 503, true},
 		{"no configuration", "/safe/", "", nil, func(sched *fakeScheduler) { sched.config = nil }, 503, true},
 		{"body too large", "/safe/", strings.Repeat("x", 101), nil, nil, 413, false},
--- a/internal/edge/ends_test.go
+++ b/internal/edge/ends_test.go
@@ -203,3 +203,29 @@
 		t.Errorf("got body %q and error %v, want the events 1 to 3 once each", r.body, r.err)
 	}
 }
+
+// ORDER, MIXED: the error of the endpoint that is to go on with a stream must not end up in it, nor complete it.
+func TestErrorOfTheNextEndpointIsNotPutIntoTheStream(t *testing.T) {
+	first := respondChunked(false, "id: 1\ndata: x\n\n")
+	tests := []struct {
+		name string
+		next func(net.Conn, *http.Request, string)
+	}{
+		{"status 500", respond(500, proof, "failed\n")},
+		{"status 500, an event stream", respond(500, proof+"Content-Type: text/event-stream\r\n", "id: 2\ndata: failed\n\n")},
+		{"status 500 without a proof", respond(500, "", "failed\n")},
+		{"status 503, not run", respond(503, "Not-Run: yes\r\n", "full\n")},
+		{"status 200, a text", respond(200, proof+"Content-Type: text/plain\r\n", "failed\n")},
+		{"status 200 without a proof", respond(200, "", "id: 2\ndata: y\n\n")},
+		{"no answer in the protocol", func(conn net.Conn, _ *http.Request, _ string) { fmt.Fprint(conn, "failed\r\n\r\n") }},
+		{"half a head", func(conn net.Conn, _ *http.Request, _ string) { fmt.Fprint(conn, "HTTP/1.1 500 X\r\nContent-Len") }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := send(t, newFakeScheduler(startEndpoint(t, first), startEndpoint(t, tt.next)), "/resumable/", "", nil)
+			if r.err == nil || r.body != "id: 1\ndata: x\n\n" {
+				t.Errorf("got %q and error %v, want the first event and a stream that breaks off", r.body, r.err)
+			}
+		})
+	}
+}
