Edge: a request that is read late in a planned stop is not passed on

Here, one whose header came in time (3 s) and whose body ended later was: the instance looked once, before it read the body, whether it still took requests. It looks again after the body: 503, not run, and the caller goes to another instance.

TestRequestThatIsReadLateInAPlannedStopIsNotPassedOn failed before (200, one run, 4 s after the stop).

--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -98,7 +98,7 @@
 func (c *call) admit() *verdict.Error {
 	c.meta = c.server.opts.HeaderCodec.ReadRequest(c.r.Header)
 	c.server.opts.Scheduler.AwaitStart(c.r.Context())
-	for _, step := range []func() *verdict.Error{c.findRoute, c.findOrganisation, c.readBody, c.charge} {
+	for _, step := range []func() *verdict.Error{c.findRoute, c.findOrganisation, c.readBody, c.checkOpen, c.charge} {
 		if v := step(); v != nil {
 			return v
 		}
@@ -112,8 +112,8 @@
 	if c.config == nil {
 		return refusal(verdict.ReasonNotReady, noConfigRetryAfter, "no configuration is known yet")
 	}
-	if c.server.opts.Scheduler.Closed() {
-		return refusal(verdict.ReasonStopping, minRetryAfter, "the instance is stopping")
+	if v := c.checkOpen(); v != nil {
+		return v
 	}
 	path, _, _ := strings.Cut(c.r.RequestURI, "?")
 	route, ok := c.config.Match(c.r.Host, path)
@@ -130,6 +130,14 @@
 	return nil
 }
 
+// checkOpen refuses the request if the instance is to end soon. That may have begun while the body was read.
+func (c *call) checkOpen() *verdict.Error {
+	if c.server.opts.Scheduler.Closed() {
+		return refusal(verdict.ReasonStopping, minRetryAfter, "the instance is stopping")
+	}
+	return nil
+}
+
 func (c *call) findOrganisation() *verdict.Error {
 	if c.route.Public || !c.config.NeedsKeys() {
 		return nil
