--- a/internal/core/zone/publication_test.go
+++ b/internal/core/zone/publication_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
@@ -47,7 +48,12 @@
 	for i, m := range b.members {
 		m.core.SetReadRank(i % perZone)
 		m.lastRead, m.answered = b.now, b.now
-		m.readAge = func(now time.Time) time.Duration { return now.Sub(m.lastRead) }
+		m.readAge = func(now time.Time) time.Duration {
+			if m.lastRead.IsZero() {
+				return -1
+			}
+			return now.Sub(m.lastRead)
+		}
 	}
 	return b
 }
@@ -105,7 +111,7 @@
 // late returns the members that lack a version which was acknowledged too long ago.
 func (b *publication) late() (out []string) {
 	for _, m := range b.members {
-		if i := int(m.config.Version - 1); i < len(b.acked) && b.now.Sub(b.acked[i]) > inForceWithin {
+		if i := int(m.config.Version - 1); i >= 0 && i < len(b.acked) && b.now.Sub(b.acked[i]) > inForceWithin {
 			out = append(out, fmt.Sprintf("%s has version %d, %v after the next one", m.id.ID, m.config.Version, b.now.Sub(b.acked[i])))
 		}
 	}
@@ -179,3 +185,54 @@
 		})
 	}
 }
+
+// randomRoles changes what a random member takes for the coordinator of its zone, to one of the first three.
+func (b *publication) randomRoles(perZone int) {
+	i := b.random.IntN(len(b.members))
+	first := i - i%perZone
+	m := b.members[i]
+	m.setCoordinator(m.id.Zone, b.members[first+b.random.IntN(3)].id.ID)
+}
+
+// startAgain restarts a random member without its state.
+func (b *publication) startAgain(perZone int, started map[entity.InstanceID]time.Time) {
+	i := b.random.IntN(len(b.members))
+	m := b.members[i]
+	m.config, m.proved, m.lastRead, m.answered, m.lag = &catalog.Config{}, 0, time.Time{}, b.now.Add(-time.Hour), VersionLag{}
+	coordinator, remote := m.core.coordinator, m.core.remoteCoordinators
+	m.core = New(m.id, m)
+	m.core.SetCoordinators(coordinator, remote, perZone)
+	m.core.SetReadRank(i % perZone)
+	started[m.id.ID] = b.now
+}
+
+// Roles move, members start again and messages are lost while a burst of versions is published.
+func TestBurstWhileRolesMove(t *testing.T) {
+	const zones, perZone, contact = 3, 42, 4 * time.Second
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			b := newPublication(zones, perZone)
+			b.random, b.loss = rand.New(rand.NewPCG(seed, seed)), 0.05
+			started := make(map[entity.InstanceID]time.Time)
+			late := make(map[string]bool)
+			for range int(12 * time.Second / tick) {
+				if b.random.IntN(3) == 0 {
+					b.randomRoles(perZone)
+				}
+				if b.random.IntN(5) == 0 {
+					b.startAgain(perZone, started)
+				}
+				b.publish()
+				b.step()
+				for _, l := range b.late() {
+					if id := entity.InstanceID(strings.Fields(l)[0]); b.now.Sub(started[id]) > contact {
+						late[l] = true
+					}
+				}
+			}
+			for l := range late {
+				t.Error(l)
+			}
+		})
+	}
+}
