--- a/internal/core/zone/reader_test.go
+++ b/internal/core/zone/reader_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/medlarhold/medlarhold/internal/core/catalog"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 )
 
@@ -97,6 +98,46 @@
 	}
 }
 
+// CONFIG: a coordinator that has just started answers for its zone from its first read for a second.
+func TestStartedCoordinatorReadsOnceMembersReport(t *testing.T) {
+	at := Moment{Now: time.Unix(1_700_000_000, 0), Boot: time.Hour}
+	c, m := newCoordinator(1, nil)
+	c.Tick(at)
+	m.proved = at.Boot
+	if c.ShouldReadStore(at.Now.Add(tick)) {
+		t.Fatal("reads again although nobody reports to it")
+	}
+	c.HandleReport(at, "z0-1", Report{ConfigVersion: 1})
+	if why := c.ReadReason(at.Now.Add(tick)); why != ReadAsCoordinator {
+		t.Errorf("got reason %q to read once a member has reported, want %q", why, ReadAsCoordinator)
+	}
+}
+
+// An instance that knows of a newer version reads the store itself if it makes no progress, whatever its role, and no
+// longer once it has it.
+func TestInstanceThatLacksAVersionReadsItItself(t *testing.T) {
+	at := Moment{Now: time.Unix(1_700_000_000, 0), Boot: time.Hour}
+	for _, of := range []func() (*Core, *member){
+		func() (*Core, *member) { return newMemberOf(0) },
+		func() (*Core, *member) { return newCoordinator(1, nil) },
+	} {
+		c, m := of()
+		c.HandleReport(at, "z0-9", Report{ConfigVersion: 1, NewestVersion: 3})
+		early, due := at.Now.Add(catchUpAfter-tick), at.Now.Add(catchUpAfter+maxReadDelay+tick)
+		if c.ReadReason(early) == ReadLagging || c.ReadReason(due) != ReadLagging {
+			t.Errorf("%s: got reasons %q before and %q after, want only the second to be %q", m.id.ID, c.ReadReason(early), c.ReadReason(due), ReadLagging)
+		}
+		m.apply(due, &catalog.Config{Version: 2}) // progress
+		if why := c.ReadReason(due); why == ReadLagging {
+			t.Errorf("%s: reads at once although it has just got a newer version", m.id.ID)
+		}
+		m.apply(due, &catalog.Config{Version: 3})
+		if why := c.ReadReason(due.Add(time.Minute)); why == ReadLagging {
+			t.Errorf("%s: still reads although it has the newest version", m.id.ID)
+		}
+	}
+}
+
 // outage is a zone whose coordinator can no longer read the store.
 type outage struct {
 	*fleet
