Gateway: reads that begin anew leave a slow store the time to answer

Cause, found by reading: a coordinator whose proof was old began a read anew once a second, and went on doing so when the store went away. A store that takes longer than that would never have been heard. TestHangingReadBeginsAnew: one read anew at once, from the start, not counted as a failure of the store, and no other one 3 s long. Comments; the package page of zone.

--- a/internal/core/zone/core.go
+++ b/internal/core/zone/core.go
@@ -124,9 +124,7 @@
 // Tick advances time to at: it sends the report or the exchanges that are due.
 func (c *Core) Tick(at Moment) {
 	c.updateRole(at.Now)
-	if age := c.state.StoreAnswerAge(at.Now); c.IsCoordinator() && age >= 0 && age <= maxReadAge {
-		c.updateUnproved(at, c.state.ProvedAt())
-	}
+	c.checkOwnProof(at)
 	if !c.due(at.Now) {
 		return
 	}
--- a/internal/core/zone/doc.go
+++ b/internal/core/zone/doc.go
@@ -24,6 +24,12 @@
 // reads the store itself. A coordinator that the store refuses while it answers
 // others should give up the role: see RefusedByStore.
 //
+// Nobody relies on one teller for news. All messages carry the newest version of the
+// configuration that their sender knows of, and an instance that lacks it for a while
+// without progress reads the store itself, as does a member whose proofs are old although
+// its coordinator reads discovery: see ReadReason. A position in the store is passed on
+// only with the configuration that was read up to it.
+//
 // # Contract
 //
 // A Core does no I/O, reads no clock, starts no goroutine and is not safe for
--- a/internal/core/zone/reader.go
+++ b/internal/core/zone/reader.go
@@ -223,6 +223,18 @@
 	}
 }
 
+// checkOwnProof has a coordinator notice that its proof is old although the store answers it.
+func (c *Core) checkOwnProof(at Moment) {
+	if !c.IsCoordinator() {
+		return
+	}
+	provedAt := c.state.ProvedAt()
+	if age := c.state.StoreAnswerAge(at.Now); age < 0 || age > maxReadAge {
+		provedAt = 0 // the store is away
+	}
+	c.updateUnproved(at, provedAt)
+}
+
 // updateUnproved maintains unprovedSince, given when the configuration was proved to be the newest, 0 for never.
 func (c *Core) updateUnproved(at Moment, provedAt time.Duration) {
 	switch {
--- a/internal/core/zone/reader_test.go
+++ b/internal/core/zone/reader_test.go
@@ -113,8 +113,7 @@
 	}
 }
 
-// An instance that knows of a newer version reads the store itself if it makes no progress, whatever its role, and no
-// longer once it has it.
+// CONFIG: an instance that knows of a newer version waits for its coordinator, or for its own reads, to bring it.
 func TestInstanceThatLacksAVersionReadsItItself(t *testing.T) {
 	at := Moment{Now: time.Unix(1_700_000_000, 0), Boot: time.Hour}
 	for _, of := range []func() (*Core, *member){
--- a/internal/gateway/read.go
+++ b/internal/gateway/read.go
@@ -25,8 +25,9 @@
 	discoveryInterval = 800 * time.Millisecond
 	// shortAttempt is the time limit of every second read after a failure.
 	shortAttempt = 800 * time.Millisecond
-	// renewInterval is the time between two reads that begin anew.
-	renewInterval = time.Second
+	// renewInterval is the time between two reads that begin anew. It is longer than a read may take, so that a store
+	// that is only slow can answer.
+	renewInterval = 3 * time.Second
 	// slowAnswer is how much longer than it was asked to wait a read may take before that is logged.
 	slowAnswer = 500 * time.Millisecond
 	// readerPoll is the time between two checks whether this instance is to read
@@ -130,7 +131,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.endRead = end
-	f.renewed = f.renewed && end == nil
+	f.renewed = f.renewed && end == nil // forgotten once another read begins
 }
 
 // wasRenewed reports whether the read of the configuration that has just failed was ended by renewRead.
--- a/internal/gateway/read_test.go
+++ b/internal/gateway/read_test.go
@@ -135,3 +135,50 @@
 	g.rollouts.mu.Unlock()
 	<-read
 }
+
+// hangingStore answers no read of the configuration until the read is given up, and counts the reads.
+type hangingStore struct {
+	Store
+	begun chan storeera.Position
+}
+
+func (s *hangingStore) Config(ctx context.Context, from storeera.Position, _ time.Duration) (ConfigRead, error) {
+	s.begun <- from
+	<-ctx.Done()
+	return ConfigRead{}, ctx.Err()
+}
+
+// A read that may never be answered is given up and begins anew at once, but not so often that a slow store can't answer.
+func TestHangingReadBeginsAnew(t *testing.T) {
+	store := &hangingStore{begun: make(chan storeera.Position, 8)}
+	g := New(Settings{Name: "i", Zone: "a", FirstStart: true}, Adapter{Store: store}, logr.Discard(), telemetry.NewMetrics())
+	t.Cleanup(g.cancel)
+	f := g.follower
+	f.configAt = storeera.Position{Offset: 7}
+	f.reading.Store(true)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan bool)
+	go func() { f.readLoop(ctx, f.readConfig, configInterval, f.readAgain); close(ended) }()
+	<-store.begun
+	now := time.Now()
+	f.renewRead(now)
+	select {
+	case from := <-store.begun:
+		if from.Offset != storeera.FromStart {
+			t.Errorf("the read began anew from %d, want it to begin from the start", from.Offset)
+		}
+	case <-time.After(time.Second):
+		t.Error("the read did not begin anew")
+	}
+	if got := f.failuresOf(topicConfig); got != 0 {
+		t.Errorf("got %d failures of the store for a read that was given up, want none", got)
+	}
+	f.renewRead(now.Add(renewInterval - time.Millisecond))
+	select {
+	case <-store.begun:
+		t.Error("the read began anew again before the store could answer")
+	case <-time.After(300 * time.Millisecond):
+	}
+	cancel()
+	<-ended
+}
