--- a/internal/core/zone/reader.go
+++ b/internal/core/zone/reader.go
@@ -157,8 +157,9 @@
 }
 
 // firstReadSuffices reports whether this process, just started, has read the store once and
-// can wait for the bulletins of its coordinator. A coordinator that members report to can't. When all instances start together, each
-// is its own coordinator until it knows the others, and all would go on reading.
+// can wait for the bulletins of its coordinator. A coordinator that members report to can't.
+// When all instances start together, each is its own coordinator until it knows the others,
+// and all would go on reading.
 func (c *Core) firstReadSuffices(now time.Time) bool {
 	if c.startedAt.IsZero() || now.Sub(c.startedAt) >= BulletinTimeout+c.readDelay || c.membersListen {
 		return false
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -77,9 +77,6 @@
 	send       func(to entity.InstanceID, address string, msg any)
 }
 
-// memberCounts are the numbers of reachable members, of the local zone and of all.
-type memberCounts struct{ zone, all int }
-
 // Messages to the control goroutine.
 type (
 	// acquire requests a slot. The decision is sent to reply, which must have a
--- a/internal/gateway/read_test.go
+++ b/internal/gateway/read_test.go
@@ -136,7 +136,7 @@
 	<-read
 }
 
-// hangingStore answers no read of the configuration until the read is given up, and counts the reads.
+// hangingStore answers no read of the configuration until the read is given up. It tells from where each begins.
 type hangingStore struct {
 	Store
 	begun chan storeera.Position
--- a/internal/gateway/roles.go
+++ b/internal/gateway/roles.go
@@ -15,6 +15,9 @@
 // coordinatorRole is the key by which the coordinator of a zone is elected.
 const coordinatorRole = "coordinator"
 
+// memberCounts are the numbers of reachable members, of the local zone and of all.
+type memberCounts struct{ zone, all int }
+
 // updateMembers applies a changed membership view: it updates the peer addresses,
 // discards the state of members that have left, and assigns the roles again.
 func (c *control) updateMembers(now time.Time) {
