Review: a stream that its engine's crash cut off looks complete

Cause: the end of an answer without a length counts as regular if the engine refuses connections and the instance's other connections to it are still open, which a lost packet can feign.

--- a/review/standins-2/harness/engine.go
+++ b/review/standins-2/harness/engine.go
@@ -1,6 +1,7 @@
 package harness
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -20,6 +21,8 @@
 	// Events is the number of events of a stream, Gap the time between two.
 	Events int
 	Gap    time.Duration
+	// Unframed is set if answers have neither a length nor chunks, and end with their connection.
+	Unframed bool
 	// Handle, if set, answers a request that the engine runs in place of the stream or text. It
 	// returns false for requests that it does not answer.
 	Handle func(w http.ResponseWriter, r *http.Request) bool
@@ -32,8 +35,10 @@
 	d *Deployment
 
 	mu       sync.Mutex
-	address  string
+	address  string // where it listens
+	known    string // the address in its entry
 	server   *http.Server
+	hijacked map[net.Conn]struct{}
 	ended    chan struct{} // closed when the present process ends
 	version  string
 	born     int64
@@ -49,6 +54,8 @@
 func (d *Deployment) StartEngine(o EngineOptions) (*Engine, error) {
 	e := &Engine{EngineOptions: o, c: d.c, d: d, requests: make(map[string]int)}
 	e.address = d.ports.NextAddress()
+	e.known = e.address
+	e.hijacked = make(map[net.Conn]struct{})
 	d.c.OnEnd(e.Kill)
 	return e, e.Start(o.Version)
 }
@@ -56,6 +63,14 @@
 // Address returns where the engine listens.
 func (e *Engine) Address() string { return e.address }
 
+// AnnounceAt changes the address in the engine's entry.
+func (e *Engine) AnnounceAt(address string) {
+	e.mu.Lock()
+	e.known = address
+	e.mu.Unlock()
+	e.Announce()
+}
+
 // Start starts the engine's process with a software version, under the same id and address.
 func (e *Engine) Start(version string) error {
 	l, err := listen(e.address)
@@ -99,7 +114,7 @@
 		state = "draining"
 	}
 	value, err := json.Marshal(map[string]any{
-		"service": e.Service, "addr": e.address, "zone": e.Zone, "version": e.version, "slots": e.Slots,
+		"service": e.Service, "addr": e.known, "zone": e.Zone, "version": e.version, "slots": e.Slots,
 		"state": state, "warmup-left-ms": 0, "seq": e.seq, "born": e.born,
 	})
 	e.mu.Unlock()
@@ -120,6 +135,12 @@
 	}
 	close(ended)
 	server.Close()
+	e.mu.Lock()
+	for conn := range e.hijacked {
+		conn.Close()
+	}
+	clear(e.hijacked)
+	e.mu.Unlock()
 	e.c.Log("engine %s is killed", e.ID)
 }
 
@@ -208,6 +229,10 @@
 	// Without a numeric event id, the stream starts at its beginning.
 	_, _ = fmt.Sscan(r.Header.Get("Last-Event-Id"), &after)
 	w.Header().Set("Content-Type", "text/event-stream")
+	if e.Unframed {
+		e.streamUnframed(w, after, version, ended)
+		return
+	}
 	for i := after + 1; i <= e.Events; i++ {
 		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, version)
 		_ = http.NewResponseController(w).Flush() // the next write shows a lost connection
@@ -221,4 +246,30 @@
 	}
 }
 
-var _ net.Listener // documents that engines listen on plain TCP
+// streamUnframed is stream for an answer that ends with its connection.
+func (e *Engine) streamUnframed(w http.ResponseWriter, after int, version string, ended <-chan struct{}) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	e.mu.Lock()
+	e.hijacked[conn] = struct{}{}
+	e.mu.Unlock()
+	var head bytes.Buffer
+	head.WriteString("HTTP/1.1 200 OK\r\nConnection: close\r\n")
+	_ = w.Header().Write(&head) // a buffer takes all
+	head.WriteString("\r\n")
+	_, err = conn.Write(head.Bytes())
+	for i := after + 1; i <= e.Events && err == nil; i++ {
+		_, err = fmt.Fprintf(conn, "id: %d\ndata: %s\n\n", i, version)
+		select {
+		case <-time.After(e.Gap):
+		case <-ended:
+			return // Kill closes the connection
+		}
+	}
+	e.mu.Lock()
+	delete(e.hijacked, conn)
+	e.mu.Unlock()
+	conn.Close()
+}
