Review: steadier runs of cases 7 and 8

Cause: under a busy machine single runs of case 7 joined fewer than three streams, and case 8 once cut one stream only; a program that was killed left its instances running.

Change: case 7 upgrades three engines of four, and its clients wait as they are told; case 8 has twice the engines and clients. The stand-ins end what they started also when they are stopped or killed.

--- a/review/standins-2/cmd/crashedagain/main.go
+++ b/review/standins-2/cmd/crashedagain/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,7 +24,7 @@
 	warmUp  = 4 * time.Second
 	downFor = 2500 * time.Millisecond
 	upFor   = 2 * time.Second
-	between = 6 * time.Second
+	between = 4 * time.Second
 	// retryAfter is how soon a client comes back after a broken channel.
 	retryAfter = 100 * time.Millisecond
 	limit      = 12 * time.Second
@@ -31,7 +32,7 @@
 
 const config = `{"version":1,"routes":[
 {"name":"r","host":"h.example","prefix":"/chat/","kind":"stream","timeout-ms":12000,"target-latency-ms":400,"priority":1,"service":"llm","max-attempts":2,"public":false,"sticky":true,"can-resume":true,"gap-aim-ms":400}],
-"services":[{"name":"llm","health-path":"/health","max-conns":771,"protocol":"h1","tls":false,"engine":{"slots":20,"kv-tokens":431868,"stride":6,"models":[{"name":"m"}]}}],
+"services":[{"name":"llm","health-path":"/health","max-conns":771,"protocol":"h1","tls":false,"engine":{"slots":14,"kv-tokens":431868,"stride":6,"models":[{"name":"m"}]}}],
 "limits":{"header-bytes":16384,"body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},
 "tenants":[{"name":"o","api-keys":["` + key + `"],"priority":1,"unit":"tokens","plain-tokens":200,"rate-per-s":3000000,"burst":3000000}]}`
 
@@ -45,9 +46,9 @@
 	d.Configure(config)
 	zones := []string{"rvk-a", "rvk-b"}
 	var engines []*harness.Engine
-	for i := range 3 {
+	for i := range 4 {
 		e, err := d.StartEngine(harness.EngineOptions{
-			ID: fmt.Sprintf("i-%d", i+1), Service: "llm", Zone: zones[i%2], Version: "v1", Slots: 20, Queue: 24, Events: events, Gap: gap,
+			ID: fmt.Sprintf("i-%d", i+1), Service: "llm", Zone: zones[i%2], Version: "v1", Slots: 14, Queue: 24, Events: events, Gap: gap,
 		})
 		if err != nil {
 			return false, err
@@ -79,7 +80,7 @@
 		})
 	}
 	time.Sleep(warmUp)
-	for _, e := range engines[:2] {
+	for _, e := range engines[:3] {
 		if err := upgrade(c, e); err != nil {
 			return false, err
 		}
@@ -121,6 +122,9 @@
 	end := time.Now().Add(limit)
 	a := c.Send(in, harness.Request{ID: id, Host: "h.example", Path: "/chat/2f", Key: key, Tokens: "628,300", Limit: limit, Body: "x"})
 	note(c, versions, id, a)
+	if seconds, err := strconv.ParseFloat(a.RetryAfter, 64); err == nil {
+		time.Sleep(time.Duration(seconds * float64(time.Second)))
+	}
 	if a.Complete && a.Status == 200 || len(a.Events) == 0 {
 		return result{1, len(versions)}
 	}
--- a/review/standins-2/cmd/lossyend/main.go
+++ b/review/standins-2/cmd/lossyend/main.go
@@ -14,8 +14,8 @@
 const (
 	key     = "k1ngf1sher0000000000"
 	perZone = 2 // instances
-	engines = 12
-	clients = 20
+	engines = 24
+	clients = 40
 	events  = 60
 	gap     = 40 * time.Millisecond
 	stagger = 70 * time.Millisecond
@@ -23,7 +23,7 @@
 	// number of engines that crash at once in a round, crashAfter its start; they are down for downFor.
 	loss       = 0.025
 	lossFor    = 3 * time.Second
-	crashed    = 2
+	crashed    = 4
 	crashAfter = time.Second
 	downFor    = time.Second
 	rounds     = 27
--- a/review/standins-2/harness/case.go
+++ b/review/standins-2/harness/case.go
@@ -5,8 +5,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -52,6 +54,9 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitCannot)
 	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	go func() { c.end(exitCannot, fmt.Sprint("stopped by ", <-stop)) }()
 	time.AfterFunc(maxCaseTime, func() { c.end(exitCannot, "the case took too long") })
 	c.Log("disruption: %v", c.Trouble)
 	broken, err := run(c)
--- a/review/standins-2/harness/deployment.go
+++ b/review/standins-2/harness/deployment.go
@@ -181,6 +181,7 @@
 	in.cmd = exec.Command(program[0], program[1:]...)
 	in.cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+in.settings)
 	in.cmd.Stdout, in.cmd.Stderr = log, log
+	in.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // also if this program is killed
 	if err := in.cmd.Start(); err != nil {
 		return err
 	}
