Review: streams go on at a base that came back

In the stand-ins, instances read their settings as a first start before these are rewritten; before, they began as if the system had run already.

--- a/review/standins-2/cmd/crashedagain/main.go
+++ b/review/standins-2/cmd/crashedagain/main.go
@@ -4,7 +4,6 @@
 
 import (
 	"fmt"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -122,9 +121,7 @@
 	end := time.Now().Add(limit)
 	a := c.Send(in, harness.Request{ID: id, Host: "h.example", Path: "/chat/2f", Key: key, Tokens: "628,300", Limit: limit, Body: "x"})
 	note(c, versions, id, a)
-	if seconds, err := strconv.ParseFloat(a.RetryAfter, 64); err == nil {
-		time.Sleep(time.Duration(seconds * float64(time.Second)))
-	}
+	time.Sleep(a.Wait())
 	if a.Complete && a.Status == 200 || len(a.Events) == 0 {
 		return result{1, len(versions)}
 	}
--- a/review/standins-2/harness/client.go
+++ b/review/standins-2/harness/client.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -128,3 +129,12 @@
 		}
 	}
 }
+
+// Wait returns how long the answer asks its client to wait, 0 if it doesn't.
+func (a *Answer) Wait() time.Duration {
+	seconds, err := strconv.ParseFloat(a.RetryAfter, 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
--- a/review/standins-2/harness/deployment.go
+++ b/review/standins-2/harness/deployment.go
@@ -171,7 +171,7 @@
 	}
 }
 
-// Start starts the process. After the first time, the whole system starts no more.
+// Start starts the process.
 func (in *Instance) Start() error {
 	log, err := os.OpenFile(in.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
@@ -192,11 +192,20 @@
 		close(exited)
 	}(in.cmd)
 	in.c.Log("start %s, callers at %s", in.Name, in.Callers)
+	return nil
+}
+
+// StartAgain starts the process of a system that has run before.
+func (in *Instance) StartAgain() error {
 	text, err := os.ReadFile(in.settings)
 	if err != nil {
 		return err
 	}
-	return os.WriteFile(in.settings, []byte(strings.Replace(string(text), "bootstrap = true", "bootstrap = false", 1)), 0o600)
+	text = []byte(strings.Replace(string(text), "bootstrap = true", "bootstrap = false", 1))
+	if err := os.WriteFile(in.settings, text, 0o600); err != nil {
+		return err
+	}
+	return in.Start()
 }
 
 // Signal sends a signal to the process.
--- a/review/standins-2/harness/engine.go
+++ b/review/standins-2/harness/engine.go
@@ -182,6 +182,12 @@
 	e.mu.Unlock()
 	e.c.Log("engine %s (%s) runs %s, last event %q", e.ID, version, id, r.Header.Get("Last-Event-Id"))
 	w.Header().Set("Medlarhold-Server-Stamp", "stamp-of-"+e.ID)
+	e.mu.Lock()
+	leaving := e.leaving
+	e.mu.Unlock()
+	if leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	w.Header().Set("Medlarhold-Server-Load", fmt.Sprintf("%d,0,%d", len(slots), e.Slots))
 	if e.Handle != nil && e.Handle(w, r) {
 		return
@@ -273,3 +279,18 @@
 	e.mu.Unlock()
 	conn.Close()
 }
+
+// Leave makes the engine say that it is going to leave.
+func (e *Engine) Leave() {
+	e.mu.Lock()
+	e.leaving = true
+	e.mu.Unlock()
+	e.Announce()
+	e.c.Log("engine %s leaves", e.ID)
+}
+
+// Remove ends the engine and removes its entry.
+func (e *Engine) Remove() {
+	e.Kill()
+	e.d.Store.Put("keyed.servers", e.ID, nil)
+}
