--- a/review/standins-2/cmd/lossyend/main.go
+++ b/review/standins-2/cmd/lossyend/main.go
@@ -91,10 +91,10 @@
 	}
 	time.Sleep(3 * time.Second)
 	for r := range rounds {
-		if c.Trouble {
-			if err := round(pool, links, r); err != nil {
-				return false, err
-			}
+		if !c.Trouble {
+			time.Sleep(lossFor)
+		} else if err := round(pool, links, r); err != nil {
+			return false, err
 		}
 		time.Sleep(500 * time.Millisecond)
 	}
