Origins: what a missing record proves rests on the store alone

Cause: such a stream may be sent once the store has its record, so that a missing record proves the base. An instance that saw no endpoint of the base made an exception and let two keepers in memory suffice. What discovery says now and what instances remember are both gone after a kill of all.

The next base is announced first; until no stream of another version can be taken up, only its own streams may begin without the store. The decision is origin.Table.NeedsLog, pure.

TestBaseFollowsAReleaseLate asked for the former times; it asks for more now.

--- a/internal/core/origin/doc.go
+++ b/internal/core/origin/doc.go
@@ -23,9 +23,14 @@
 //     records. The base is confirmed once all that instances hold was appended again and at most one
 //     instance is gone that may have held records, as each record is held by two; otherwise once no
 //     stream of the earlier era can be taken up. Until then all streams that begin are recorded.
-//   - The base moves only after no stream of the old one can be taken up any more: no endpoint of it
-//     has been seen for Retention, and the pool then has no base for closedFor, in which all streams
-//     are recorded. An instance that still goes by the old base meanwhile writes a record too many.
+//   - All instances may be killed, and with them what only they hold. So what a missing record proves
+//     may rest on the log alone: a stream that is sent before the log has its record began at the base or
+//     at the version announced as the next one, or while the log says that there is no base, when a missing
+//     record proves nothing.
+//   - The base is taken away once it has no endpoint for goneFor while others serve. The next one is announced
+//     after StatementLifetime, and becomes the base when no stream can be taken up any more that began at
+//     another version and of which only instances knew. An instance that has not read the log for
+//     StatementLifetime sends nothing before the log has its record, but streams of the base it knows.
 //   - Of two statements about a pool's base, that of the later era holds; of the same era, the one with
 //     the higher revision.
 //   - What is not known is not guessed: Find and Base say so.
--- a/internal/core/origin/origin_test.go
+++ b/internal/core/origin/origin_test.go
@@ -48,47 +48,139 @@
 	}
 }
 
-// The base follows a release only when nothing of the old version is left to be taken up, and the
-// pool has no base in between.
+// statements plays a Chooser's statements about one pool.
+type statements struct {
+	t       *testing.T
+	chooser *Chooser
+	current Base
+	now     time.Duration
+}
+
+// play advances the time in steps, with endpoints of some versions, until a statement is made or a length of time
+// has passed. It returns when the statement was made.
+func (s *statements) play(length time.Duration, versions map[string]Presence) (at time.Duration, made bool) {
+	s.t.Helper()
+	const step = 500 * time.Millisecond
+	for end := s.now + length; s.now < end; s.now += step {
+		b, ok := s.chooser.Next(start.Add(s.now), "p", versions, s.current, s.current.Revision > 0, Log{})
+		if !ok {
+			continue
+		}
+		if b.Revision <= s.current.Revision {
+			s.t.Fatalf("got revision %d after %d", b.Revision, s.current.Revision)
+		}
+		s.current = b
+		return s.now, true
+	}
+	return 0, false
+}
+
+// The base is taken away soon after its last endpoint has left, so that the log says so; the next version is
+// announced, and becomes the base only when nothing of any other version is left to be taken up.
 func TestBaseFollowsAReleaseLate(t *testing.T) {
-	c := NewChooser(start, true)
-	at := func(after time.Duration, versions map[string]int, current Base) (Base, bool) {
-		return c.Next(start.Add(after), "p", versions, current, current.Revision > 0, Log{})
+	s := &statements{t: t, chooser: NewChooser(start, true)}
+	old, both, released := map[string]Presence{"v1": {Endpoints: 6}}, map[string]Presence{"v1": {Endpoints: 1}, "v2": {Endpoints: 5}}, map[string]Presence{"v2": {Endpoints: 6}}
+	if s.play(time.Second, old); s.current.Version != "v1" {
+		t.Fatalf("got base %+v at the first start, want v1", s.current)
+	}
+	if _, made := s.play(2*time.Minute, both); made {
+		t.Errorf("got base %+v while both versions serve, want none", s.current)
+	}
+	if _, made := s.play(goneFor-time.Second, released); made {
+		t.Errorf("got base %+v while endpoints of v1 may come back, want none", s.current)
+	}
+	if s.play(2*time.Second, released); s.current.Version != "" || s.current.Next != "" {
+		t.Fatalf("got base %+v after the release, want none and none announced", s.current)
+	}
+	closed := s.now
+	if at, made := s.play(time.Hour, released); !made || s.current.Version != "" || s.current.Next != "v2" || at-closed < StatementLifetime {
+		t.Fatalf("got base %+v after %v, want v2 announced after %v", s.current, at-closed, StatementLifetime)
+	}
+	announced := s.now
+	if at, made := s.play(time.Hour, released); !made || s.current.Version != "v2" || at-announced < StatementLifetime+Retention {
+		t.Fatalf("got base %+v after %v, want v2 after %v", s.current, at-announced, StatementLifetime+Retention)
+	}
+}
+
+// A pool whose base has no endpoint keeps it as long as no other version serves: its streams can be taken up only
+// at endpoints that come back.
+func TestBaseStaysWhileNoOtherVersionServes(t *testing.T) {
+	s := &statements{t: t, chooser: NewChooser(start, true)}
+	s.play(time.Second, map[string]Presence{"v1": {Endpoints: 6}})
+	if _, made := s.play(10*time.Minute, nil); made {
+		t.Errorf("got base %+v without endpoints, want none", s.current)
 	}
-	old := map[string]int{"v1": 6}
-	both := map[string]int{"v1": 1, "v2": 5}
-	released := map[string]int{"v2": 6}
-	first, ok := at(0, old, Base{})
-	if !ok || first.Version != "v1" {
-		t.Fatalf("got base %+v, %v at the first start, want v1", first, ok)
+}
+
+// Endpoints that have said that they will stop don't come back: the base is taken away with the last of them.
+func TestBaseIsTakenAwayWithTheLastEndpointThatLeaves(t *testing.T) {
+	s := &statements{t: t, chooser: NewChooser(start, true)}
+	s.play(time.Second, map[string]Presence{"v1": {Endpoints: 2}})
+	leaving := map[string]Presence{"v1": {Endpoints: 2, Leaving: 2}, "v2": {Endpoints: 2}}
+	if _, made := s.play(time.Minute, leaving); made {
+		t.Fatalf("got base %+v while streams of v1 are served, want none", s.current)
 	}
-	if b, ok := at(time.Minute, both, first); ok {
-		t.Errorf("got base %+v while both versions serve, want none", b)
+	if s.play(time.Second, map[string]Presence{"v2": {Endpoints: 2}}); s.current.Version != "" {
+		t.Errorf("got base %+v once the last endpoint has left, want none", s.current)
 	}
-	if b, ok := at(2*time.Minute-time.Second, released, first); ok {
-		t.Errorf("got base %+v while streams of v1 may be taken up, want none", b)
+}
+
+// An announced version that leaves does not become the base, however long ago it was announced: streams that
+// began at another one meanwhile may have lost their records.
+func TestAnnouncedVersionThatLeavesIsNotTheBase(t *testing.T) {
+	s := &statements{t: t, chooser: NewChooser(start, true)}
+	s.play(time.Second, map[string]Presence{"v1": {Endpoints: 6}})
+	s.play(time.Minute, map[string]Presence{"v2": {Endpoints: 6}})
+	if s.play(time.Minute, map[string]Presence{"v2": {Endpoints: 6}}); s.current.Next != "v2" {
+		t.Fatalf("got base %+v, want v2 announced", s.current)
 	}
-	closed, ok := at(2*time.Minute+time.Second, released, first)
-	if !ok || closed.Version != "" || closed.Revision <= first.Revision {
-		t.Fatalf("got base %+v, %v after the release, want no version", closed, ok)
+	if s.play(time.Minute, map[string]Presence{"v1": {Endpoints: 6}}); s.current.Next != "" || s.current.Version != "" {
+		t.Fatalf("got base %+v after the announced version has left, want none and none announced", s.current)
 	}
-	if b, ok := at(2*time.Minute+20*time.Second, released, closed); ok {
-		t.Errorf("got base %+v while instances may go by the old one, want none", b)
+	if s.play(time.Hour, map[string]Presence{"v1": {Endpoints: 6}}); s.current.Next != "v1" {
+		t.Fatalf("got base %+v, want v1 announced", s.current)
 	}
-	next, ok := at(2*time.Minute+time.Second+closedFor+time.Second, released, closed)
-	if !ok || next.Version != "v2" {
-		// the first look at the closed pool is where the time begins
-		next, ok = at(3*time.Minute+closedFor, released, closed)
+}
+
+// What a missing record proves rests on the log alone, as all instances may be killed: only streams of the base
+// or of the announced version may be sent before the log has their records, or all while there is no base.
+func TestStreamsThatAMissingRecordWouldMisplaceNeedTheLog(t *testing.T) {
+	tests := []struct {
+		name    string
+		base    Base
+		version string
+		stale   bool
+		want    bool
+	}{
+		{"base", Base{Version: "v1"}, "v1", false, false},
+		{"base, stale", Base{Version: "v1"}, "v1", true, false},
+		{"other than the base", Base{Version: "v1"}, "v2", false, true},
+		{"unreadable version", Base{Version: "v1"}, "", false, true},
+		{"no base", Base{}, "v2", false, false},
+		{"no base, unreadable version", Base{}, "", false, false},
+		{"no base, stale", Base{}, "v2", true, true},
+		{"announced", Base{Next: "v2"}, "v2", false, false},
+		{"announced, stale", Base{Next: "v2"}, "v2", true, true},
+		{"other than the announced", Base{Next: "v2"}, "v1", false, true},
+		{"unreadable beside an announced one", Base{Next: "v2"}, "", false, true},
+	}
+	for _, tt := range tests {
+		table := NewTable()
+		tt.base.Pool, tt.base.Revision = "p", 1
+		table.SetBases([]Base{tt.base})
+		if got := table.NeedsLog("p", tt.version, !tt.stale); got != tt.want {
+			t.Errorf("%s: needs the log %v, want %v", tt.name, got, tt.want)
+		}
 	}
-	if !ok || next.Version != "v2" || next.Revision <= closed.Revision {
-		t.Errorf("got base %+v, %v at last, want v2", next, ok)
+	if !NewTable().NeedsLog("p", "v1", true) {
+		t.Error("without a statement, a stream may be sent before the log has its record")
 	}
 }
 
 func TestUnknownPastGetsABaseLate(t *testing.T) {
 	c := NewChooser(start, false)
 	c.Observe(start, 0)
-	versions := map[string]int{"v1": 2}
+	versions := map[string]Presence{"v1": {Endpoints: 2}}
 	if b, ok := c.Next(start.Add(Retention), "p", versions, Base{}, false, Log{}); ok {
 		t.Errorf("got base %+v while streams of an unknown past may be taken up, want none", b)
 	}
@@ -124,7 +216,7 @@
 
 // A base is confirmed once the log lacks no record, or none that can still be asked for.
 func TestBaseIsConfirmedOnceNothingIsMissing(t *testing.T) {
-	versions := map[string]int{"v1": 2, "v2": 3}
+	versions := map[string]Presence{"v1": {Endpoints: 2}, "v2": {Endpoints: 3}}
 	stated := Base{Pool: "p", Version: "v1", Revision: 4}
 	tests := []struct {
 		name   string
--- a/internal/core/origin/table.go
+++ b/internal/core/origin/table.go
@@ -31,6 +31,8 @@
 	Pool entity.PoolID `json:"p"`
 	// Version is empty if all streams that begin are recorded.
 	Version string `json:"v"`
+	// Next is the version that becomes the base after a time without one, empty if none is announced yet.
+	Next string `json:"x,omitempty"`
 	// Revision orders the statements about the pool of one era.
 	Revision uint64 `json:"r"`
 	// Era is the era of the log, see storeera, in which the statement was made or confirmed. In a later
@@ -140,6 +142,22 @@
 	return !ok || version != base
 }
 
+// NeedsLog reports whether a stream that begins at a version of a pool may be sent to its caller only once
+// the log has its record; otherwise it suffices that instances hold it, which all may be killed. fresh is
+// set if the statements were read from the log lately, so that no instance goes by one two statements later.
+func (t *Table) NeedsLog(pool entity.PoolID, version string, fresh bool) bool {
+	b, ok := t.bases[pool]
+	switch {
+	case !ok:
+		return true // another instance may know of a base
+	case b.Version != "":
+		return version != b.Version
+	case b.Next != "":
+		return version != b.Next || !fresh
+	}
+	return !fresh
+}
+
 // DiffersFromBase reports whether a version may be another one than a pool's base, confirmed or not.
 func (t *Table) DiffersFromBase(pool entity.PoolID, version string) bool {
 	b := t.bases[pool]
--- a/internal/gateway/originbases.go
+++ b/internal/gateway/originbases.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/medlarhold/medlarhold/internal/core/catalog"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/core/origin"
 	"github.com/medlarhold/medlarhold/internal/telemetry"
@@ -68,9 +69,15 @@
 
 // refreshBases asks a keeper for the bases.
 func (o *origins) refreshBases(ctx context.Context, k originKeeper) {
+	asked := bootTime()
 	// After an error the bases known before are used: a record too many is written.
-	if found, err := o.findAt(ctx, k, findOrigins{}); err == nil {
-		o.addBases(found.Bases, found.Era)
+	found, err := o.findAt(ctx, k, findOrigins{})
+	if err != nil {
+		return
+	}
+	o.addBases(found.Bases, found.Era)
+	if found.Read {
+		o.basesReadAt(asked - found.ReadBefore)
 	}
 }
 
@@ -84,6 +91,9 @@
 	}
 	_, bases := o.log.find(nil)
 	o.addBases(bases, o.log.era())
+	if before, read := o.log.readBefore(bootTime()); read {
+		o.basesReadAt(bootTime() - before)
+	}
 	changed := o.nextBases(ctx, pools)
 	if len(changed) > 0 && o.log.read(ctx) == nil && o.log.setBases(ctx, changed) == nil {
 		o.addBases(changed, o.log.era())
@@ -105,14 +115,24 @@
 	var changed []origin.Base
 	endpoints := o.g.state.endpoints.Load()
 	for _, p := range pools {
-		versions := make(map[string]int)
-		for _, e := range endpoints.Pool(p) {
-			versions[e.Version]++
-		}
 		current, stated := o.log.base(p)
-		if next, ok := o.chooser.Next(time.Now(), p, versions, current, stated, log); ok {
+		if next, ok := o.chooser.Next(time.Now(), p, presentVersions(endpoints.Pool(p)), current, stated, log); ok {
 			changed = append(changed, next)
 		}
 	}
 	return changed
 }
+
+// presentVersions counts endpoints by version.
+func presentVersions(endpoints []*catalog.Endpoint) map[string]origin.Presence {
+	versions := make(map[string]origin.Presence)
+	for _, e := range endpoints {
+		p := versions[e.Version]
+		p.Endpoints++
+		if e.Leaving {
+			p.Leaving++
+		}
+		versions[e.Version] = p
+	}
+	return versions
+}
--- a/internal/gateway/originrecord.go
+++ b/internal/gateway/originrecord.go
@@ -129,19 +129,13 @@
 }
 
 // needsStore reports whether a stream may begin only once the store has its record. If all instances were
-// killed before, it would go on at the base, if an endpoint of that version serves, or at the version of the
+// killed before, it could go on at the base, whose endpoints may be away only for now, or at the version of the
 // record that its own corrects.
 func (o *origins) needsStore(u *unsent) bool {
 	o.mu.Lock()
-	base, ok := o.table.Base(u.Pool)
-	o.mu.Unlock()
-	switch {
-	case !ok, u.corrects:
-		return true // another instance may know of a base
-	case base.Version == "", base.Version == u.Version:
-		return false
-	}
-	return len(ofVersion(o.g.state.endpoints.Load().Pool(u.Pool), base.Version)) > 0
+	defer o.mu.Unlock()
+	fresh := o.basesAsOf > 0 && bootTime()-o.basesAsOf <= origin.StatementLifetime
+	return u.corrects || o.table.NeedsLog(u.Pool, u.Version, fresh)
 }
 
 // toldKeepers is the number of keepers that are told of records that are not in the store.
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -105,6 +105,9 @@
 	departed []time.Time
 	// table holds what this instance itself has recorded or was told.
 	table *origin.Table
+	// basesAsOf is a time, on the clock of bootTime, since which the log was read for the bases in table; 0 for
+	// never.
+	basesAsOf time.Duration
 	// restoring holds the records that are appended again in the log's present era.
 	restoring []*unsent
 	// recent holds the streams that were lately sent to each endpoint, by incarnation.
@@ -173,6 +176,14 @@
 	return o.keepers, o.chooses
 }
 
+// basesReadAt records that the log was read for the bases that are known, by a read that began at a time on the
+// clock of bootTime.
+func (o *origins) basesReadAt(at time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.basesAsOf = max(o.basesAsOf, at)
+}
+
 // addBases adds statements about bases that were made or known in an era of the log.
 func (o *origins) addBases(bases []origin.Base, era int64) {
 	for _, b := range bases {
--- a/internal/gateway/originversion.go
+++ b/internal/gateway/originversion.go
@@ -12,20 +12,6 @@
 	return !ok || now.Incarnation == e.Incarnation && now.Version == e.Version
 }
 
-// ofVersion returns the endpoints of a software version, all if it is empty.
-func ofVersion(endpoints []*catalog.Endpoint, version string) []*catalog.Endpoint {
-	if version == "" {
-		return endpoints
-	}
-	var out []*catalog.Endpoint
-	for _, e := range endpoints {
-		if e.Version == version {
-			out = append(out, e)
-		}
-	}
-	return out
-}
-
 // versionGone returns the error sent to a caller whose stream was begun by a version that no
 // endpoint has.
 func versionGone(r edge.SlotRequest) *verdict.Error {
