Ends: a reset that only the writer learns of is no end of an answer

Callers got the part as a whole answer.

Cause: the kernel tells the error of a reset once. If the write of the upload gets it, the read of the answer sees a regular end, which counted as that of the answer. The same in a tunnel through another instance, which passed the end on as a regular one.

Change: package framing keeps track of what is written to a connection. The end of one is the end of an answer only if all writes have ended without an error; the client of endpoints and the tunnels go by it.

An early answer of an engine that reads on later is whole as before (TestEarlyAnswerIsWhole).

--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/medlarhold/medlarhold/internal/framing"
 )
 
 const (
@@ -116,29 +118,33 @@
 // instance's connection ends regularly only if the endpoint's did: it is reset otherwise, also by the kernel
 // if this process is killed.
 func join(instance, endpoint net.Conn) {
+	var writes framing.Writes // to the endpoint
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		// Whatever ends this direction: the instance wants no more of the response.
-		_ = pass(endpoint, instance)
+		_ = pass(endpoint, instance, &writes)
 		endpoint.Close()
 	}()
-	if pass(instance, endpoint) == nil {
+	if pass(instance, endpoint, new(framing.Writes)) == nil && writes.CheckEnd() == nil {
 		endOnClose(instance)
 	}
 	instance.Close()
 	<-done
 }
 
-// pass copies bytes until the source ends, and returns the error unless it ended regularly.
-func pass(to, from net.Conn) error {
+// pass copies bytes until the source ends, and returns the error unless it ended regularly. It records the writes.
+func pass(to, from net.Conn, writes *framing.Writes) error {
 	buffer := buffers.Get().(*[bufferBytes]byte)
 	defer buffers.Put(buffer)
 	for {
 		n, err := from.Read(buffer[:])
 		if n > 0 {
 			_ = to.SetWriteDeadline(time.Now().Add(stallTimeout)) // fails only for a closed connection
-			if _, err := to.Write(buffer[:n]); err != nil {
+			written := writes.Begin()
+			_, err := to.Write(buffer[:n])
+			written(err)
+			if err != nil {
 				return err
 			}
 		}
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -286,3 +286,46 @@
 		t.Error("got no error for an object of 64 KB")
 	}
 }
+
+// An endpoint answers an upload before it has read it, and resets the connection after a part of its answer. The
+// error of the reset may go to the write of the upload, of which the server has taken all: the tunnel is reset all the
+// same (MIXED).
+func TestResetDuringAnUploadIsNoEnd(t *testing.T) {
+	const tunnels = 200
+	endpoint := startEndpoint(t, func(conn *net.TCPConn) {
+		_ = conn.SetReadBuffer(4 << 10)
+		_, _ = io.WriteString(conn, strings.Repeat("a part ", 500))
+		time.Sleep(20 * time.Millisecond)
+		_ = conn.SetLinger(0)
+	})
+	s := newServer()
+	s.MaxOpen = tunnels
+	s.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := dialTCP(ctx, address)
+		if err == nil {
+			_ = conn.(*net.TCPConn).SetWriteBuffer(8 << 10)
+		}
+		return conn, err
+	}
+	server, _ := startServer(t, s)
+	ends := make(chan error, tunnels)
+	for n := range tunnels {
+		// What the endpoint's host and the server's take between them is not known: some uploads just exceed it.
+		upload := bytes.Repeat([]byte("x"), (1+n)<<10)
+		conn := dialTunnel(t, server, endpoint)
+		go func() {
+			_, _ = conn.Write(upload)
+			_, err := io.Copy(io.Discard, conn)
+			ends <- err
+		}()
+	}
+	regular := 0
+	for range tunnels {
+		if <-ends == nil {
+			regular++
+		}
+	}
+	if regular > 0 {
+		t.Errorf("%d of %d tunnels ended regularly, want none", regular, tunnels)
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/framing"
 )
 
 const (
@@ -45,6 +46,8 @@
 	address string
 	source  *headLimiter
 	reader  *bufio.Reader // reads from source
+	// writes are those of the requests.
+	writes framing.Writes
 	// exchanges counts the requests written to the connection.
 	exchanges int
 	// usableUntil is the time after which the endpoint may close the idle connection.
--- a/internal/upstream/ends.go
+++ b/internal/upstream/ends.go
@@ -74,6 +74,9 @@
 	if r, ok := k.Conn.(Relayed); ok && !r.ReportsEnd() {
 		return errEndUnreported
 	}
+	if err := k.writes.CheckEnd(); err != nil {
+		return err
+	}
 	if err := pause(ctx, endpointEndTime); err != nil {
 		return err
 	}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -109,12 +108,13 @@
 	c.opts.HeaderCodec.SetDispatchHeaders(r.Header, r.To.ID, r.Remaining, r.LastEventID)
 	head := requestHead(r)
 	k.exchanges++
-	written := new(atomic.Bool)
+	written := k.writes.Begin()
 	if len(head)+len(r.Body) <= maxInlineWrite {
-		if _, err := k.Write(append(head, r.Body...)); err != nil {
+		_, err := k.Write(append(head, r.Body...))
+		written(err)
+		if err != nil {
 			return nil, err
 		}
-		written.Store(true)
 	} else {
 		if len(r.Body) > longBodyBytes {
 			k.allowUnacknowledged(longWriteTimeout)
@@ -122,20 +122,19 @@
 		}
 		go writeRequest(k, head, r.Body, written)
 	}
-	response, err := c.readResponse(k, r, written)
+	response, err := c.readResponse(k, r)
 	if err == nil {
 		response.ctx = ctx
 	}
 	return response, err
 }
 
-// writeRequest writes a request and sets written once all of it is. A failed write shows as an error
-// when the response is read.
-func writeRequest(k *conn, head, body []byte, written *atomic.Bool) {
+// writeRequest writes a request and reports the end of that. A failed write shows as an error when the response is
+// read, or in the end of the connection.
+func writeRequest(k *conn, head, body []byte, written func(error)) {
 	buffers := net.Buffers{head, body}
-	if _, err := buffers.WriteTo(k.Conn); err == nil {
-		written.Store(true)
-	}
+	_, err := buffers.WriteTo(k.Conn)
+	written(err)
 }
 
 // requestHead returns the request line and the headers.
@@ -171,7 +170,7 @@
 }
 
 // readResponse reads response headers until one belongs to the request.
-func (c *Client) readResponse(k *conn, r Request, written *atomic.Bool) (*Response, error) {
+func (c *Client) readResponse(k *conn, r Request) (*Response, error) {
 	for foreign := 0; ; {
 		//nolint:bodyclose // the Response reads the body and closes the connection
 		resp, err := readHead(k, r.Method)
@@ -183,7 +182,7 @@
 			if r.Method != http.MethodHead && resp.ContentLength > r.maxBodyBytes() {
 				return nil, limitError{LimitBody}
 			}
-			return c.newResponse(k, resp, meta, &r, written), nil
+			return c.newResponse(k, resp, meta, &r), nil
 		}
 		if foreign++; foreign > maxForeignResponses {
 			return nil, errForeign
@@ -236,7 +235,7 @@
 // that can't be skipped.
 var errForeign = errors.New("the connection carries answers to other requests")
 
-func (c *Client) newResponse(k *conn, resp *http.Response, meta Meta, r *Request, written *atomic.Bool) *Response {
+func (c *Client) newResponse(k *conn, resp *http.Response, meta Meta, r *Request) *Response {
 	if r, ok := k.Conn.(Relayed); ok {
 		meta.Through = r.Relay()
 	}
@@ -245,7 +244,7 @@
 	out := &Response{
 		Status: resp.StatusCode, Header: resp.Header, Meta: meta, Length: resp.ContentLength,
 		EndsWithConnection: endsWithConnection(resp),
-		client:             c, conn: k, began: time.Now(), requestWritten: written, lastOnConn: resp.Close || idle <= 0,
+		client:             c, conn: k, began: time.Now(), lastOnConn: resp.Close || idle <= 0,
 	}
 	out.Body = &bodyReader{response: out, body: resp.Body, left: r.maxBodyBytes()}
 	return out
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 )
 
@@ -25,14 +24,13 @@
 	// Body returns an error once the response exceeds the limit of the request.
 	Body io.Reader
 
-	client         *Client
-	conn           *conn
-	ctx            context.Context // of the exchange
-	began          time.Time       // when the header had arrived
-	requestWritten *atomic.Bool
-	lastOnConn     bool        // the connection can't be reused after this response
-	bodyComplete   bool        // the body was read to its end
-	stopCancel     func() bool // keeps the end of the context from closing the connection
+	client       *Client
+	conn         *conn
+	ctx          context.Context // of the exchange
+	began        time.Time       // when the header had arrived
+	lastOnConn   bool            // the connection can't be reused after this response
+	bodyComplete bool            // the body was read to its end
+	stopCancel   func() bool     // keeps the end of the context from closing the connection
 }
 
 // idleTimeout returns how long the connection may be idle before it is no longer reused,
@@ -93,7 +91,7 @@
 	if r.stopCancel != nil && !r.stopCancel() {
 		return // the context has ended, which closed the connection
 	}
-	if r.bodyComplete && !r.lastOnConn && r.requestWritten.Load() && r.conn.reader.Buffered() == 0 {
+	if r.bodyComplete && !r.lastOnConn && r.conn.writes.Complete() && r.conn.reader.Buffered() == 0 {
 		r.client.putIdle(r.conn)
 		return
 	}
