Heads: bytes that are no head of an answer fail at once, wherever answers are read

With status 000, 099 or +20, or a blank before the colon of the length, on a connection that stays open, the caller got nothing until its time had run out.

Cause: net/http's reader takes names with blanks, statuses that Atoi takes, and other forms; the client took a status below 200 for an informational response and waited for the next one.

Change: framing.HeadCheck checks each byte of a head as it arrives; the first that can't belong to one fails the exchange, with the new reason answer_malformed (502, may have run). Bodies in chunks are read by framing.ChunkedBody, which checks the trailer section by the same rule. Plain services, streams, resumed ones and those through tunnels have this reader.

--- a/internal/cli/advice.go
+++ b/internal/cli/advice.go
@@ -31,6 +31,7 @@
 	verdict.ReasonEndpointFailed:   "The endpoint failed: look for event 6001 of the same endpoint in the logs of all instances at that time.",
 	verdict.ReasonConnectionLost:   "The connection to the endpoint was lost: look for event 6001 of the same endpoint, and for 6007, in the logs of all instances.",
 	verdict.ReasonAnswerIncomplete: "The answer broke off: look for event 6001 of the same endpoint at that moment; many say that it has crashed.",
+	verdict.ReasonAnswerMalformed:  "The endpoint sent bytes that are no response; look at the endpoint.",
 	verdict.ReasonAnswerTooLarge:   "The endpoint sent more than an answer may have: medlarhold_endpoint_limits_exceeded_total says which limit; look at the endpoint.",
 	verdict.ReasonEndpointLimit:    "The endpoints of the pool state how many requests a second they take, and more came: events 6014 say which limits, 6015 when they ended.",
 	verdict.ReasonEndpointMemory:   "The request is larger than the memory that the configuration states for the engines of the pool: prompt_tokens and answer_tokens say how large.",
--- a/internal/edge/dispatch.go
+++ b/internal/edge/dispatch.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/medlarhold/medlarhold/internal/core/catalog"
+	"github.com/medlarhold/medlarhold/internal/framing"
 	"github.com/medlarhold/medlarhold/internal/hopbyhop"
 	"github.com/medlarhold/medlarhold/internal/sse"
 	"github.com/medlarhold/medlarhold/internal/telemetry"
@@ -305,6 +306,9 @@
 	if _, ok := upstream.ExceededLimit(err); ok {
 		reason = verdict.ReasonAnswerTooLarge
 	}
+	if errors.Is(err, framing.ErrMalformed) {
+		reason = verdict.ReasonAnswerMalformed
+	}
 	return mayHaveRunError(reason, message+": "+err.Error())
 }
 
--- a/internal/edge/ends_test.go
+++ b/internal/edge/ends_test.go
@@ -24,9 +24,9 @@
 	cutInBlank  = "id: 1\ndata: a\n\nid: 2\ndata: b\n"
 )
 
-// framing writes a response whose body is delimited in one way. If broken is set, the
+// framed writes a response whose body is delimited in one way. If broken is set, the
 // response ends before its framing does.
-type framing func(conn net.Conn, body string, broken bool)
+type framed func(conn net.Conn, body string, broken bool)
 
 const endHead = "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Type: text/event-stream\r\n" + proof
 
@@ -64,13 +64,13 @@
 }
 
 func TestStreamThatBreaksOffNeverLooksComplete(t *testing.T) {
-	framings := map[string]framing{"length": withLength, "chunks": withChunks, "connection": withConnection, "HTTP/1.0": withOldConnection}
+	framings := map[string]framed{"length": withLength, "chunks": withChunks, "connection": withConnection, "HTTP/1.0": withOldConnection}
 	bodies := map[string]string{"whole": wholeEvents, "in data": cutInData, "in the blank line": cutInBlank}
-	for framed, write := range framings {
+	for name, write := range framings {
 		for cut, body := range bodies {
 			for _, broken := range []bool{false, true} {
 				for _, path := range []string{"/stream/", "/resumable/"} {
-					t.Run(fmt.Sprint(framed, " ", cut, " broken=", broken, path), func(t *testing.T) {
+					t.Run(fmt.Sprint(name, " ", cut, " broken=", broken, path), func(t *testing.T) {
 						e := startEndpoint(t, func(conn net.Conn, _ *http.Request, _ string) { write(conn, body, broken) })
 						checkBothCallers(t, e, path, body, cut == "whole" && !broken)
 					})
@@ -82,7 +82,7 @@
 
 func TestStreamWithoutAnEventIsNotComplete(t *testing.T) {
 	for framed, tt := range map[string]struct {
-		write    framing
+		write    framed
 		complete bool
 	}{"chunks": {withChunksOnly, true}, "connection": {withConnection, false}, "HTTP/1.0": {withOldConnection, false}} {
 		for _, path := range []string{"/stream/", "/resumable/"} {
@@ -96,10 +96,10 @@
 
 // An answer that is held until its end is known is delivered whole or not at all.
 func TestBufferedAnswerThatBreaksOffIsNotDelivered(t *testing.T) {
-	for framed, write := range map[string]framing{"length": withLength, "chunks": withChunks, "connection": withConnection, "HTTP/1.0": withOldConnection} {
+	for name, write := range map[string]framed{"length": withLength, "chunks": withChunks, "connection": withConnection, "HTTP/1.0": withOldConnection} {
 		for _, broken := range []bool{false, true} {
 			for _, path := range []string{"/safe/", "/unsafe/"} {
-				t.Run(fmt.Sprint(framed, " broken=", broken, path), func(t *testing.T) {
+				t.Run(fmt.Sprint(name, " broken=", broken, path), func(t *testing.T) {
 					e := startEndpoint(t, func(conn net.Conn, _ *http.Request, _ string) { write(conn, "answer", broken) })
 					checkBothCallers(t, e, path, "answer", !broken)
 				})
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -44,7 +44,7 @@
 type conn struct {
 	net.Conn
 	address string
-	source  *headLimiter
+	source  *headReader
 	reader  *bufio.Reader // reads from source
 	// writes are those of the requests.
 	writes framing.Writes
@@ -65,7 +65,7 @@
 }
 
 func newConn(raw net.Conn, address string) *conn {
-	source := &headLimiter{source: raw}
+	source := &headReader{source: raw}
 	return &conn{Conn: raw, address: address, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}
 }
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -13,6 +13,7 @@
 
 	"github.com/medlarhold/medlarhold/internal/core/catalog"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/framing"
 	"github.com/medlarhold/medlarhold/internal/verdict"
 )
 
@@ -93,15 +94,15 @@
 	}
 	r.Carriers.add(k)
 	stop := context.AfterFunc(ctx, func() { k.Close() })
-	response, err := c.exchange(ctx, k, r)
+	resp, err := c.exchange(ctx, k, r)
 	if err != nil {
 		stop()
 		k.Close()
 		c.reportExceeded(err)
 		return nil, noResponse(r.To, err)
 	}
-	response.stopCancel = stop
-	return response, nil
+	resp.stopCancel = stop
+	return resp, nil
 }
 
 func (c *Client) exchange(ctx context.Context, k *conn, r Request) (*Response, error) {
@@ -122,11 +123,11 @@
 		}
 		go writeRequest(k, head, r.Body, written)
 	}
-	response, err := c.readResponse(k, r)
+	resp, err := c.readResponse(k, r)
 	if err == nil {
-		response.ctx = ctx
+		resp.ctx = ctx
 	}
-	return response, err
+	return resp, err
 }
 
 // writeRequest writes a request and reports the end of that. A failed write shows as an error when the response is
@@ -214,19 +215,26 @@
 // readHead reads the status line and the headers of the next response that is not
 // informational.
 func readHead(k *conn, method string) (*http.Response, error) {
-	k.source.startHead()
+	begun, _ := k.reader.Peek(k.reader.Buffered()) // can't fail: they are there
+	if err := k.source.startHead(begun); err != nil {
+		return nil, err
+	}
 	defer k.source.endHead()
 	for range maxInformational + 1 {
 		resp, err := http.ReadResponse(k.reader, &http.Request{Method: method})
-		if k.source.exceeded {
-			return nil, limitError{LimitHead}
+		if k.source.failed != nil {
+			return nil, k.source.failed
 		}
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
+		if resp.StatusCode < http.StatusOK {
+			continue
+		}
+		if len(resp.TransferEncoding) > 0 && resp.Body != http.NoBody {
+			resp.Body = framing.NewChunkedBody(k.reader)
 		}
+		return resp, nil
 	}
 	return nil, limitError{LimitInformational}
 }
@@ -265,6 +273,9 @@
 	if _, ok := ExceededLimit(err); ok {
 		reason = verdict.ReasonAnswerTooLarge
 	}
+	if errors.Is(err, framing.ErrMalformed) {
+		reason = verdict.ReasonAnswerMalformed
+	}
 	return failedExchange{
 		error: verdict.New(verdict.MayHaveRun, reason, 0, "no answer from endpoint %s at %s: %v", to.ID, to.Address, err),
 		cause: err,
--- a/internal/upstream/limits.go
+++ b/internal/upstream/limits.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"io"
+
+	"github.com/medlarhold/medlarhold/internal/framing"
 )
 
 // Limit names a limit on what an endpoint may send. An endpoint in trouble may send
@@ -45,33 +47,42 @@
 	return e.limit, ok
 }
 
-// headLimiter reads from a connection. While it is limited, it fails once maxHeadBytes
-// were read.
-type headLimiter struct {
-	source  io.Reader
-	limited bool
+// headReader reads from a connection. While it reads a head, it fails once maxHeadBytes were read, or as soon as the
+// bytes can't belong to one.
+type headReader struct {
+	source io.Reader
+	// reading is set while a head is read, which may begin with bytes that were read before.
+	reading bool
 	left    int
-	// exceeded is set once a read has failed because of the limit. The parser of headers
-	// may report another error then.
-	exceeded bool
+	check   framing.HeadCheck
+	// failed is the error with which a read of the head has failed. The parser may report another one then.
+	failed error
 }
 
-// startHead limits the bytes read from now on.
-func (h *headLimiter) startHead() { h.limited, h.left = true, maxHeadBytes }
+// startHead begins a head, of which some bytes may have been read already.
+func (h *headReader) startHead(begun []byte) error {
+	h.reading, h.left, h.check, h.failed = true, maxHeadBytes, framing.HeadCheck{}, nil
+	h.failed = h.check.Feed(begun)
+	return h.failed
+}
 
-// endHead removes the limit.
-func (h *headLimiter) endHead() { h.limited = false }
+// endHead ends the head.
+func (h *headReader) endHead() { h.reading = false }
 
 // Read implements io.Reader.
-func (h *headLimiter) Read(p []byte) (int, error) {
-	if !h.limited {
+func (h *headReader) Read(p []byte) (int, error) {
+	if !h.reading {
 		return h.source.Read(p)
 	}
 	if h.left <= 0 {
-		h.exceeded = true
-		return 0, limitError{LimitHead}
+		h.failed = limitError{LimitHead}
+		return 0, h.failed
 	}
 	n, err := h.source.Read(p[:min(len(p), h.left)])
 	h.left -= n
+	if failed := h.check.Feed(p[:n]); failed != nil {
+		h.failed = failed
+		return 0, failed
+	}
 	return n, err
 }
--- a/internal/upstream/limits_test.go
+++ b/internal/upstream/limits_test.go
@@ -172,6 +172,9 @@
 		"HTTP/1.1 503 X\r\nId: r1\r\nRetry-After: -1\r\n\r\n",
 		"HTTP/1.0 200 OK\r\nId: r1\r\n\r\nno length",
 		"this is no response",
+		"HTTP/1.1 000 X\r\nId: r1\r\nContent-Length: 4\r\n\r\nfine",
+		"HTTP/1.1 200 OK\r\nId: r1\r\nX Odd: 1\r\nContent-Length: 4\r\n\r\nfine",
+		"HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n",
 	} {
 		f.Add([]byte(seed))
 	}
@@ -193,6 +196,14 @@
 		if response.Meta.RequestID != "r1" {
 			t.Fatalf("got a response to request %q, want r1", response.Meta.RequestID)
 		}
+		if response.Status < 200 || response.Status > 599 {
+			t.Errorf("got status %d, want one of a final response", response.Status)
+		}
+		for name := range response.Header {
+			if strings.ContainsAny(name, " \t\r\n\x00\x7f:()") {
+				t.Errorf("got a field named %q", name)
+			}
+		}
 		n, err := io.Copy(io.Discard, response.Body)
 		if n > 64<<10 {
 			t.Errorf("read %d bytes of a body limited to 1024, error %v", n, err)
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -62,6 +62,7 @@
 	ReasonConnectionLost   Reason = "connection_lost"
 	ReasonAnswerIncomplete Reason = "answer_incomplete"
 	ReasonAnswerTooLarge   Reason = "answer_too_large"
+	ReasonAnswerMalformed  Reason = "answer_malformed"
 	ReasonQuarantined      Reason = "quarantined"
 	ReasonEndpointLimit    Reason = "endpoint_limit"
 	ReasonEndpointMemory   Reason = "endpoint_memory"
@@ -104,6 +105,7 @@
 	ReasonConnectionLost:   http.StatusBadGateway,
 	ReasonAnswerIncomplete: http.StatusBadGateway,
 	ReasonAnswerTooLarge:   http.StatusBadGateway,
+	ReasonAnswerMalformed:  http.StatusBadGateway,
 	ReasonQuarantined:      http.StatusServiceUnavailable,
 	ReasonEndpointLimit:    http.StatusServiceUnavailable,
 	ReasonEndpointMemory:   http.StatusServiceUnavailable,
