Store and services: answers are read by the same rule as those of endpoints

The clients of the store, of the platform's services and of the product's own engines read answers with net/http, which takes the same bytes for an answer as the reader of endpoints did. framing.Checked and framing.Conn check the heads that arrive on their connections, and take no end of a connection for one of an answer that was cut off during a write.

--- a/internal/daemon/register.go
+++ b/internal/daemon/register.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/medlarhold/medlarhold/internal/core/node"
+	"github.com/medlarhold/medlarhold/internal/framing"
 	"github.com/medlarhold/medlarhold/internal/platform"
 	"github.com/medlarhold/medlarhold/internal/telemetry"
 )
@@ -81,16 +82,16 @@
 // platformClient returns an HTTP client of the platform's services whose traffic
 // t counts.
 func (d *Daemon) platformClient(t telemetry.Traffic) *http.Client {
-	return &http.Client{Transport: redialAfterFailure{&http.Transport{
+	return &http.Client{Transport: redialAfterFailure{framing.Checked(&http.Transport{
 		TLSClientConfig: d.certs.client(), MaxIdleConnsPerHost: platformConns, DialContext: t.DialContext,
-	}}}
+	})}}
 }
 
 // redialAfterFailure is a transport that closes its idle connections after an
 // exchange that failed: they may be unresponsive as well. The next exchange then
 // dials a new connection.
 type redialAfterFailure struct {
-	next *http.Transport
+	next *framing.Transport
 }
 
 // CloseIdleConnections closes the idle connections.
--- a/internal/endpoint/conn.go
+++ b/internal/endpoint/conn.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/medlarhold/medlarhold/internal/framing"
 )
 
 // errSealed is the error of a write to a sealed connection.
@@ -25,7 +27,7 @@
 // conn is a connection whose reads and writes time out when it makes no
 // progress for noProgress, and which can prove that nothing was written to it.
 type conn struct {
-	net.Conn
+	*framing.Conn
 	noProgress time.Duration
 	state      atomic.Int32
 }
@@ -78,14 +80,14 @@
 		raw = d.wrap(raw)
 	}
 	if d.tls == nil {
-		return &conn{Conn: raw, noProgress: d.noProgress}, nil
+		return &conn{Conn: framing.NewConn(raw), noProgress: d.noProgress}, nil
 	}
 	secure := tls.Client(raw, d.tlsConfigFor(address))
 	if err := secure.HandshakeContext(ctx); err != nil {
 		raw.Close()
 		return nil, trace.Wrap(err)
 	}
-	return &conn{Conn: secure, noProgress: d.noProgress}, nil
+	return &conn{Conn: framing.NewConn(secure), noProgress: d.noProgress}, nil
 }
 
 func (d *dialer) tlsConfigFor(address string) *tls.Config {
--- a/internal/endpoint/conn_test.go
+++ b/internal/endpoint/conn_test.go
@@ -6,6 +6,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/medlarhold/medlarhold/internal/framing"
 )
 
 // pipeConn returns a conn whose writes are read and discarded.
@@ -20,7 +22,7 @@
 			}
 		}
 	}()
-	return &conn{Conn: near, noProgress: time.Minute}
+	return &conn{Conn: framing.NewConn(near), noProgress: time.Minute}
 }
 
 func TestSealedConnRejectsWrites(t *testing.T) {
@@ -77,7 +79,7 @@
 	defer near.Close()
 	defer far.Close()
 	deadlines := &deadlineRecorder{Conn: near}
-	c := &conn{Conn: deadlines, noProgress: time.Minute}
+	c := &conn{Conn: framing.NewConn(deadlines), noProgress: time.Minute}
 	go func() { _, _ = far.Read(make([]byte, 1)) }()
 	before := time.Now()
 	if _, err := c.Write([]byte("x")); err != nil {
--- a/internal/endpoint/control.go
+++ b/internal/endpoint/control.go
@@ -14,6 +14,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/framing"
 	"github.com/medlarhold/medlarhold/internal/verdict"
 )
 
@@ -102,7 +103,7 @@
 	if err != nil {
 		return nil, err
 	}
-	resp, err := t.RoundTrip(req.WithContext(ctx))
+	resp, err := t.RoundTrip(req.WithContext(framing.ExpectHeads(ctx)))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/endpoint/exchange.go
+++ b/internal/endpoint/exchange.go
@@ -44,6 +44,7 @@
 	hooks := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*conn); ok {
 			x.conn.Store(c)
+			c.ExpectHead()
 		}
 	}}
 	req = req.WithContext(httptrace.WithClientTrace(req.Context(), hooks))
