Streams: a running answer goes on only while its origin stands

Cause: a restart that becomes known takes the records of the streams back that were lately sent to the endpoint, but a running call keeps the version that it copied when it began.

Change: before an answer goes on at another endpoint, the scheduler is asked whether the origin stands; if not, the answer breaks off.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -75,6 +75,8 @@
 	origins  map[entity.RequestID]string
 	// restarted lists the endpoints that have restarted since they were chosen.
 	restarted []entity.EndpointID
+	// inDoubt is set if it is not certain any more which version began the streams.
+	inDoubt bool
 }
 
 // fixtureVersion is the software version of all endpoints.
@@ -91,6 +93,8 @@
 	return "", refusal(verdict.ReasonOriginUnknown, 0, "unknown")
 }
 
+func (s *fakeScheduler) OriginStands(entity.PoolID, entity.RequestID, string) bool { return !s.inDoubt }
+
 func (s *fakeScheduler) IsCurrent(e *catalog.Endpoint) bool {
 	return !slices.Contains(s.restarted, e.ID)
 }
--- a/internal/edge/origin.go
+++ b/internal/edge/origin.go
@@ -55,6 +55,12 @@
 	return nil
 }
 
+// originStands reports whether the stream may go on at the version that is taken to have begun it, if one has.
+func (c *call) originStands() bool {
+	version := c.slotRequest.Version
+	return version == "" || c.server.opts.Scheduler.OriginStands(c.slotRequest.Pool, c.streamID(), version)
+}
+
 // awaitRecord waits until the origin of a stream is recorded. It gives up when the request's time
 // has run out or its caller has gone.
 func (c *call) awaitRecord(a *attempt) error {
--- a/internal/edge/origin_test.go
+++ b/internal/edge/origin_test.go
@@ -93,3 +93,18 @@
 		t.Errorf("asked for slots at versions %q, want any and then that of the first endpoint", versions)
 	}
 }
+
+// The endpoint that began a stream turns out to have restarted with another version meanwhile: the running answer
+// goes on nowhere (ORDER).
+func TestAnswerWhoseOriginIsInDoubtGoesOnNowhere(t *testing.T) {
+	first := startEndpoint(t, respondChunked(false, "id: 1\n\n"))
+	sched := newFakeScheduler(first, startEndpoint(t, respondChunked(true, "id: 2\n\n")))
+	sched.inDoubt = true
+	r := send(t, sched, "/resumable/", "", nil)
+	if r.err == nil || r.body != "id: 1\n\n" {
+		t.Errorf("got body %q and error %v, want the first event and an answer that breaks off", r.body, r.err)
+	}
+	if len(sched.slotRequests) != 1 {
+		t.Errorf("asked for %d slots, want 1", len(sched.slotRequests))
+	}
+}
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -89,7 +89,7 @@
 // resume dispatches the request to another endpoint to continue the stream after the
 // last event that was sent to the caller. It returns nil if the stream can't be resumed.
 func (c *call) resume(ctx context.Context, events *sse.Splitter, v *verdict.Error) *attempt {
-	if events == nil || c.originUnreadable {
+	if events == nil || c.originUnreadable || !c.originStands() {
 		return nil
 	}
 	events.DiscardPartial()
--- a/internal/edge/types.go
+++ b/internal/edge/types.go
@@ -164,6 +164,9 @@
 	RecordOrigin(r SlotRequest, e *catalog.Endpoint, dispatch int) <-chan struct{}
 	// OriginOf returns the software version that began the stream of another request of a pool.
 	OriginOf(ctx context.Context, pool entity.PoolID, stream entity.RequestID) (version string, v *verdict.Error)
+	// OriginStands reports whether nothing is known that puts in doubt that a software version began the stream
+	// of a request.
+	OriginStands(pool entity.PoolID, stream entity.RequestID, version string) bool
 	// IsCurrent reports whether an endpoint's incarnation is the newest one that is known.
 	IsCurrent(e *catalog.Endpoint) bool
 	// MayRetryLost reports whether a request that was lost with its endpoint may be sent to
--- a/internal/gateway/origins_test.go
+++ b/internal/gateway/origins_test.go
@@ -114,6 +114,11 @@
 	if got := originOf("uncertain"); got != "" {
 		t.Errorf("got origin %q after a restart at another version, want none", got)
 	}
+	for id, want := range map[entity.RequestID]bool{"uncertain": false, "of another instance": true} {
+		if got := g.OriginStands("p", id, "v1"); got != want {
+			t.Errorf("the origin of the running stream %q stands: %v, want %v", id, got, want)
+		}
+	}
 	begin("after")
 	if got := originOf("after"); got != "v2" {
 		t.Errorf("got origin %q for a stream sent after that, want v2", got)
--- a/internal/gateway/originversion.go
+++ b/internal/gateway/originversion.go
@@ -2,6 +2,8 @@
 
 import (
 	"github.com/medlarhold/medlarhold/internal/core/catalog"
+	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/core/origin"
 	"github.com/medlarhold/medlarhold/internal/edge"
 	"github.com/medlarhold/medlarhold/internal/verdict"
 )
@@ -12,6 +14,16 @@
 	return !ok || now.Incarnation == e.Incarnation && now.Version == e.Version
 }
 
+// OriginStands implements edge.Scheduler. A restart of an endpoint that becomes known late puts the origins of the
+// streams in doubt that were sent to it lately.
+func (g *Instance) OriginStands(pool entity.PoolID, stream entity.RequestID, version string) bool {
+	o := g.origins
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	r, ok := o.table.Find(origin.Stream{Pool: pool, Request: stream})
+	return !ok || r.Version == version
+}
+
 // versionGone returns the error sent to a caller whose stream was begun by a version that no
 // endpoint has.
 func versionGone(r edge.SlotRequest) *verdict.Error {
