Ends: the other connections of an endpoint have to stay open for 300 ms

Cause: the end of such an answer counts if the endpoint ends none of its other connections, which was looked at once, after 15 ms. A lost end is sent again after 200 ms.

Change: where a new connection isn't kept, the others have to stay open for 300 ms.

--- a/internal/upstream/ends.go
+++ b/internal/upstream/ends.go
@@ -15,9 +15,14 @@
 // A response without a length ends with its connection. The kernel ends the connections of a process that was
 // killed in the same way, so such an end counts only if the endpoint lives on.
 
-// endpointEndTime is within what time an endpoint that was killed has closed its listener and its connections, and
-// something in between that has accepted a connection for it notices that there is none.
-const endpointEndTime = 15 * time.Millisecond
+const (
+	// endpointEndTime is within what time an endpoint that was killed has closed its listener and its connections, and
+	// something in between that has accepted a connection for it notices that there is none.
+	endpointEndTime = 15 * time.Millisecond
+	// lostEndTime is within what time the ends of an endpoint's connections have arrived, if links lose packets: TCP
+	// sends a lost one again after 200 ms and more.
+	lostEndTime = 300 * time.Millisecond
+)
 
 // Reasons why the end of a connection is not the end of a response.
 var (
@@ -84,10 +89,16 @@
 	if err != nil || accepts {
 		return err
 	}
-	if !c.keepsOthers(k) {
-		return errEndpointGone
+	// The endpoint may have gone, and the ends of its other connections may have been lost on the way.
+	for until := time.Now().Add(lostEndTime); c.keepsOthers(k); {
+		if time.Now().After(until) {
+			return nil
+		}
+		if err := pause(ctx, endpointEndTime); err != nil {
+			return err
+		}
 	}
-	return nil
+	return errEndpointGone
 }
 
 // pause waits for d. It returns an error if ctx ends before.
--- a/internal/upstream/ends_test.go
+++ b/internal/upstream/ends_test.go
@@ -77,6 +77,14 @@
 	p.closeConns(1)
 }
 
+// killOverLossyLink ends the endpoint. The end of the connection that was opened first is lost on the way, and TCP sends
+// it again.
+func (p *process) killOverLossyLink() {
+	const sentAgainAfter = 200 * time.Millisecond
+	p.killSlowly()
+	time.AfterFunc(sentAgainAfter, func() { p.closeConns(0) })
+}
+
 // killBehindProxy ends the endpoint; a proxy in front of it still accepts connections, and closes them.
 func (p *process) killBehindProxy() {
 	p.full.Store(true)
@@ -108,6 +116,7 @@
 		{"endpoint is killed", 0, func(p *process, _ net.Conn) { p.kill() }, false},
 		{"endpoint is killed, other connections", 2, func(p *process, _ net.Conn) { p.kill() }, false},
 		{"endpoint is killed, the end of another connection is late", 2, func(p *process, _ net.Conn) { p.killSlowly() }, false},
+		{"endpoint is killed, the end of the only other connection is lost", 1, func(p *process, _ net.Conn) { p.killOverLossyLink() }, false},
 		{"endpoint is killed behind a proxy", 0, func(p *process, _ net.Conn) { p.killBehindProxy() }, false},
 		{"endpoint is killed behind a proxy, other connections", 2, func(p *process, _ net.Conn) { p.killBehindProxy() }, false},
 		{"response ends, too many connections", 2, func(p *process, conn net.Conn) {
