--- a/cmd/medlarholdd/platform.go
+++ b/cmd/medlarholdd/platform.go
@@ -79,6 +79,7 @@
 	}
 	log, flush := telemetry.NewBoundedLogger(os.Stdout)
 	defer flush()
+	settings.Budget().LimitHeap()
 	headers := platform.Headers{}
 	adapter := gateway.Adapter{
 		Store:   platform.NewStore(settings.Store),
--- a/internal/core/backlog/table_test.go
+++ b/internal/core/backlog/table_test.go
@@ -30,7 +30,7 @@
 	for i := range 10 {
 		crowd = append(crowd, slowExchange(t, table, "crowd", 140<<10, start.Add(time.Duration(-i)*time.Second)))
 	}
-	letGo, ok := table.Grow(start.Add(minSlow), table.Open("third"), 100<<10)
+	letGo, ok := table.Grow(start.Add(MinSlow), table.Open("third"), 100<<10)
 	if !ok || len(letGo) != 2 {
 		t.Fatalf("got %d callers to let go, ok %v, want 2 and true: 100 KB and a sixteenth of the limit are needed", len(letGo), ok)
 	}
@@ -47,10 +47,10 @@
 	table := New(100 + 2*SlowOverhead)
 	other := slowExchange(t, table, "other", 30, start.Add(-time.Minute))
 	growing := slowExchange(t, table, "crowd", 70, start)
-	if letGo, ok := table.Grow(start.Add(minSlow), growing, 10); ok || len(letGo) > 0 {
+	if letGo, ok := table.Grow(start.Add(MinSlow), growing, 10); ok || len(letGo) > 0 {
 		t.Errorf("got %d callers let go, ok %v, want none and false", len(letGo), ok)
 	}
-	if _, ok := table.Grow(start.Add(minSlow+ChoiceInterval), other, 10); !ok || !growing.letGo {
+	if _, ok := table.Grow(start.Add(MinSlow+ChoiceInterval), other, 10); !ok || !growing.letGo {
 		t.Error("the organisation that holds less must get room from the one that holds more")
 	}
 }
@@ -59,7 +59,7 @@
 	table := New(100 + 2*SlowOverhead)
 	slowExchange(t, table, "org", 30, start.Add(-time.Minute))
 	large := slowExchange(t, table, "org", 70, start)
-	letGo, ok := table.Grow(start.Add(minSlow), table.Open("org"), 10)
+	letGo, ok := table.Grow(start.Add(MinSlow), table.Open("org"), 10)
 	if !ok || len(letGo) != 1 || letGo[0] != large {
 		t.Errorf("got %v, ok %v, want the exchange that holds the most", letGo, ok)
 	}
@@ -82,7 +82,7 @@
 	for _, tt := range tests {
 		table := New(limit)
 		tt.setup(table)
-		if letGo, ok := table.Grow(start.Add(minSlow/2), table.Open("org"), tt.need); ok || len(letGo) > 0 {
+		if letGo, ok := table.Grow(start.Add(MinSlow/2), table.Open("org"), tt.need); ok || len(letGo) > 0 {
 			t.Errorf("%s: got %d callers let go, ok %v, want none and false", tt.name, len(letGo), ok)
 		}
 	}
@@ -144,7 +144,7 @@
 				table.Shrink(e, rng.Int63n(SlowOverhead))
 			default:
 				letGo, _ := table.Grow(now, e, rng.Int63n(4*SlowOverhead))
-				check(letGo, minSlow)
+				check(letGo, MinSlow)
 			}
 			for victim := range gone {
 				table.Close(victim)
--- a/internal/edge/body.go
+++ b/internal/edge/body.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/medlarhold/medlarhold/internal/core/catalog"
+	"github.com/medlarhold/medlarhold/internal/intake"
 	"github.com/medlarhold/medlarhold/internal/verdict"
 )
 
@@ -35,12 +36,9 @@
 	if c.r.ContentLength == 0 {
 		return nil
 	}
-	if !c.countBuffered(max(0, c.r.ContentLength)) {
-		c.stopReadingBody()
-		return bodyError(errBufferFull)
-	}
 	c.setReadDeadline(c.arrivedAt.Add(bodyTimeout(c.config.Bounds)))
-	data, err := c.readSized(http.MaxBytesReader(c.w, c.r.Body, limit))
+	held := c.holding()
+	data, err := intake.ReadBody(http.MaxBytesReader(c.w, c.r.Body, limit), c.r.ContentLength, limit, held.grow, held.shrink)
 	if err != nil {
 		c.stopReadingBody()
 		return bodyError(err)
@@ -58,15 +56,6 @@
 	return b.BodyBytes
 }
 
-// errBufferFull is returned for a body that does not fit into the memory for bodies.
-var errBufferFull = errors.New("too many bodies are held")
-
-// countBuffered counts bytes of the body as buffered. It returns false if there is no
-// memory for them.
-func (c *call) countBuffered(n int64) bool {
-	return n == 0 || c.holding().grow(n)
-}
-
 // bodyTimeout returns how long a caller may take to send a body: ten times the header
 // timeout, as bodies are larger.
 func bodyTimeout(b catalog.ClientBounds) time.Duration {
@@ -82,7 +71,7 @@
 	var tooLarge *http.MaxBytesError
 	var network net.Error
 	switch {
-	case errors.Is(err, errBufferFull):
+	case errors.Is(err, intake.ErrNoMemory) || errors.Is(err, intake.ErrRefused):
 		return refusal(verdict.ReasonOverload, memoryRetryAfter, err.Error())
 	case errors.As(err, &tooLarge):
 		return refusal(verdict.ReasonBodyTooLarge, 0, "the body is over the limit")
@@ -106,32 +95,6 @@
 	_ = http.NewResponseController(c.w).SetReadDeadline(at)
 }
 
-// readSized reads a body into a buffer of its size. If the size is not known, the bytes
-// are counted as buffered while they arrive.
-func (c *call) readSized(r io.Reader) ([]byte, error) {
-	if c.r.ContentLength < 0 {
-		return io.ReadAll(&countingReader{call: c, source: r})
-	}
-	data := make([]byte, c.r.ContentLength)
-	_, err := io.ReadFull(r, data)
-	return data, err
-}
-
-// countingReader counts what it reads as buffered, and fails if there is no memory for it.
-type countingReader struct {
-	call   *call
-	source io.Reader
-}
-
-// Read implements io.Reader.
-func (r *countingReader) Read(p []byte) (int, error) {
-	n, err := r.source.Read(p)
-	if !r.call.countBuffered(int64(n)) {
-		return n, errBufferFull
-	}
-	return n, err
-}
-
 // discardBody reads on for a while after a response to a request whose body was not read.
 // If the connection were closed at once, the unread bytes would reset it, and the caller
 // would often lose the response.
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -120,9 +120,6 @@
 	if !ok {
 		return c.refuseUnknown(verdict.ReasonUnknownPool, "no route has this host and path")
 	}
-	if limit := c.config.Bounds.HeaderBytes; limit > 0 && headerBytes(c.r) > limit {
-		return refusal(verdict.ReasonHeaderTooLarge, 0, "the header is over the limit")
-	}
 	if c.meta.ID == "" {
 		return refusal(verdict.ReasonBadRequest, 0, "the request has no id")
 	}
@@ -167,18 +164,6 @@
 // explainConfig adds to the request's log line what is known of the configuration that decided.
 func (c *call) explainConfig() { c.explanation = c.server.opts.Scheduler.ConfigStanding().Fields() }
 
-// headerBytes returns the size of a request's line and header fields as they were sent.
-func headerBytes(r *http.Request) int64 {
-	const lineExtra, fieldExtra = len("  HTTP/1.1\r\n"), len(": \r\n")
-	n := len(r.Method) + len(r.RequestURI) + lineExtra + len("Host") + len(r.Host) + fieldExtra
-	for name, values := range r.Header {
-		for _, v := range values {
-			n += len(name) + len(v) + fieldExtra
-		}
-	}
-	return int64(n)
-}
-
 // charge charges the request to its organisation's limit.
 func (c *call) charge() *verdict.Error {
 	if c.org == nil || !c.org.Limited {
@@ -300,6 +285,7 @@
 		h.Set("Retry-After", strconv.FormatFloat(c.retryAfter(v).Seconds(), 'f', 3, 64))
 	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
+	c.setWriteDeadline(http.NewResponseController(c.w))
 	c.w.WriteHeader(status)
 	// The error is ignored: a disconnected caller cancels the request's context.
 	_, _ = io.WriteString(c.w, v.Message+"\n")
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -21,6 +21,7 @@
 	"github.com/medlarhold/medlarhold/internal/core/catalog"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/core/quota"
+	"github.com/medlarhold/medlarhold/internal/intake"
 	"github.com/medlarhold/medlarhold/internal/telemetry"
 	"github.com/medlarhold/medlarhold/internal/testbed/loopback"
 	"github.com/medlarhold/medlarhold/internal/upstream"
@@ -231,7 +232,7 @@
 // newServer returns a Server that uses sched.
 func newServer(sched *fakeScheduler) *Server {
 	return NewServer(Options{Scheduler: sched, HeaderCodec: testCodec{}, Client: upstream.New(upstream.Options{HeaderCodec: testCodec{}}),
-		Log: logr.Discard(), Metrics: telemetry.NewMetrics(), MaxBuffered: 1 << 20})
+		Log: logr.Discard(), Metrics: telemetry.NewMetrics(), Account: intake.NewAccount(1 << 20)})
 }
 
 // send posts a request with body to a new server and returns the response. change may
@@ -244,7 +245,7 @@
 // sendTo is like send with a given server.
 func sendTo(t *testing.T, server *Server, path, body string, change func(*http.Request)) reply {
 	t.Helper()
-	web := httptest.NewServer(server)
+	web := startWeb(server)
 	defer web.Close()
 	req, err := http.NewRequest(http.MethodPost, web.URL+path, strings.NewReader(body))
 	if err != nil {
--- a/internal/edge/headerwait_test.go
+++ b/internal/edge/headerwait_test.go
@@ -7,6 +7,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/medlarhold/medlarhold/internal/intake"
 )
 
 // gatedListener passes on connections whose reads after the first one wait.
@@ -114,21 +116,6 @@
 	conn, responses := dial(t, address)
 	fmt.Fprint(conn, fullRequest[:20])
 	fmt.Fprint(conn, fullRequest[20:])
-	time.AfterFunc(4*headerGrace, func() { close(awake) })
+	time.AfterFunc(4*intake.HeadGrace, func() { close(awake) })
 	expectStatus(t, responses, http.StatusOK, false)
 }
-
-// The end of a header is found however its bytes are divided over reads.
-func TestEndOfHeaderIsFoundInAnyParts(t *testing.T) {
-	for _, header := range []string{"GET / HTTP/1.1\r\nHost: h\r\n\r\n", "GET / HTTP/1.1\nHost: h\n\n", "GET / HTTP/1.1\r\nHost: h\r\n\n"} {
-		for size := 1; size <= len(header); size++ {
-			h := headerWait{awaited: true}
-			for at := 0; at < len(header); at += size {
-				end := min(at+size, len(header))
-				if got, want := h.add([]byte(header[at:end])), end == len(header); got != want {
-					t.Errorf("%q in parts of %d: after %d bytes got end %v, want %v", header, size, end, got, want)
-				}
-			}
-		}
-	}
-}
--- a/internal/edge/limitevent_test.go
+++ b/internal/edge/limitevent_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-logr/logr/funcr"
 
+	"github.com/medlarhold/medlarhold/internal/intake"
 	"github.com/medlarhold/medlarhold/internal/telemetry"
 	"github.com/medlarhold/medlarhold/internal/upstream"
 )
@@ -20,7 +21,7 @@
 	sched := newFakeScheduler()
 	sched.limit = 0
 	server := NewServer(Options{Scheduler: sched, HeaderCodec: testCodec{}, Client: upstream.New(upstream.Options{HeaderCodec: testCodec{}}),
-		Log: log, Metrics: telemetry.NewMetrics(), MaxBuffered: 1 << 20})
+		Log: log, Metrics: telemetry.NewMetrics(), Account: intake.NewAccount(1 << 20)})
 	req := httptest.NewRequest(http.MethodPost, "/safe/x", nil)
 	req.Host = "h"
 	req.Header.Set("Id", "r1")
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -9,6 +9,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/medlarhold/medlarhold/internal/core/catalog"
+	"github.com/medlarhold/medlarhold/internal/intake"
 	"github.com/medlarhold/medlarhold/internal/telemetry"
 	"github.com/medlarhold/medlarhold/internal/upstream"
 )
@@ -20,9 +21,10 @@
 	Client      *upstream.Client
 	Log         logr.Logger
 	Metrics     *telemetry.Metrics
-	// MaxBuffered is the maximum number of bytes of request bodies and unread answers held in
-	// memory at the same time.
-	MaxBuffered int64
+	// Account has what is held for callers and all other clients of the process.
+	Account *intake.Account
+	// MaxConns is the number of callers' connections that may be open.
+	MaxConns int
 	// WriteTimeout is how long a caller may read nothing of what is written to it,
 	// 0 for DefaultWriteTimeout.
 	WriteTimeout time.Duration
@@ -34,7 +36,7 @@
 // Server is the HTTP handler of transparent routes.
 type Server struct {
 	opts           Options
-	account        *account
+	account        *intake.Account
 	inFlight       atomic.Int64
 	callerTimeouts callerTimeoutTracker
 }
@@ -44,7 +46,7 @@
 	if o.WriteTimeout == 0 {
 		o.WriteTimeout = DefaultWriteTimeout
 	}
-	return &Server{opts: o, account: newAccount(o.MaxBuffered)}
+	return &Server{opts: o, account: o.Account}
 }
 
 // InFlight returns the number of requests whose response is not complete.
@@ -52,9 +54,6 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if conn, ok := r.Context().Value(callerConnKey{}).(*callerConn); ok && conn.isRefused() {
-		panic(http.ErrAbortHandler) // the caller was told that the request is not run
-	}
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	c := &call{server: s, w: w, r: r, arrivedAt: time.Now()}
--- a/internal/edge/slow.go
+++ b/internal/edge/slow.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/medlarhold/medlarhold/internal/intake"
 	"github.com/medlarhold/medlarhold/internal/telemetry"
 	"github.com/medlarhold/medlarhold/internal/verdict"
 )
@@ -19,16 +20,14 @@
 // holding returns what is held for the request.
 func (c *call) holding() *holding {
 	if c.held == nil {
-		c.held = c.server.account.open(c.orgID(), c.abortWrite)
+		c.held = c.server.newHolding(intake.ConnOf(c.r), c.abortWrite)
+		c.held.SetOrg(c.orgID())
 	}
 	return c.held
 }
 
 // abortWrite makes the present and all further writes to the caller fail.
 func (c *call) abortWrite() {
-	if conn, ok := c.r.Context().Value(callerConnKey{}).(*callerConn); ok {
-		conn.abort()
-	}
 	// The error is ignored: only response writers in tests don't support deadlines.
 	_ = http.NewResponseController(c.w).SetWriteDeadline(time.Unix(1, 0))
 }
@@ -37,7 +36,7 @@
 // if it is set, takes what the endpoint sends.
 func (c *call) writeToCaller(out *http.ResponseController, p []byte, s *spool) error {
 	h := c.holding()
-	if h.letGoCause() != "" {
+	if h.LetGoCause() != "" {
 		return callerError{errLetGo}
 	}
 	c.beginWrite(h, s)
@@ -86,7 +85,7 @@
 	fast := time.Since(h.writingSince) < slowAfter
 	h.mu.Unlock()
 	if fast {
-		h.setReading()
+		h.SetReading()
 	}
 }
 
@@ -95,9 +94,9 @@
 func (c *call) slowOrGone(h *holding, err error) error {
 	var network net.Error
 	if errors.As(err, &network) && network.Timeout() {
-		h.letGo(letGoStopped)
+		h.LetGo(intake.CauseStopped)
 	}
-	if h.letGoCause() != "" {
+	if h.LetGoCause() != "" {
 		return errLetGo
 	}
 	return err
@@ -114,8 +113,8 @@
 // logLetGo logs that the caller was let go.
 func (c *call) logLetGo() {
 	h := c.holding()
-	held, slowFor := h.state()
-	c.server.opts.Metrics.CallerLetGo(string(h.letGoCause()))
-	telemetry.Log(c.server.opts.Log, telemetry.EventCallerLetGo, "request", c.meta.ID, "organisation", c.orgID(), "cause", h.letGoCause(),
+	held, slowFor := h.State()
+	c.server.opts.Metrics.CallerLetGo(string(h.LetGoCause()))
+	telemetry.Log(c.server.opts.Log, telemetry.EventCallerLetGo, "request", c.meta.ID, "organisation", c.orgID(), "cause", h.LetGoCause(),
 		"held_bytes", held, "slow_ms", slowFor.Milliseconds())
 }
--- a/internal/edge/slow_bench_test.go
+++ b/internal/edge/slow_bench_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/medlarhold/medlarhold/internal/core/catalog"
+	"github.com/medlarhold/medlarhold/internal/intake"
 )
 
 // stoppedCallersEnv makes the test binary a process of callers that read nothing: their number and the
@@ -71,7 +72,7 @@
 	sched.config.Index()
 	server := newServer(sched)
 	server.opts.WriteTimeout = time.Minute
-	server.account = newAccount(memory)
+	server.account = intake.NewAccount(memory)
 	address := startServer(b, server)
 	before := memoryInUse(b)
 	crowd := exec.Command(os.Args[0])
--- a/internal/edge/slow_test.go
+++ b/internal/edge/slow_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/medlarhold/medlarhold/internal/core/backlog"
 	"github.com/medlarhold/medlarhold/internal/core/catalog"
+	"github.com/medlarhold/medlarhold/internal/intake"
 	"github.com/medlarhold/medlarhold/internal/testbed/loopback"
 )
 
@@ -113,15 +114,15 @@
 	if data, err := io.ReadAll(res.Body); err != nil || len(data) != events<<10 {
 		t.Errorf("got %d bytes and error %v, want the complete answer", len(data), err)
 	}
-	awaitEmpty(t, server)
+	awaitEmpty(t, server, 1)
 }
 
-// awaitEmpty waits until nothing is held.
-func awaitEmpty(t *testing.T, server *Server) {
+// awaitEmpty waits until nothing is held beside a number of open connections.
+func awaitEmpty(t *testing.T, server *Server, open int64) {
 	t.Helper()
-	for end := time.Now().Add(testTimeout); server.Backlog().HeldBytes != 0; time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(testTimeout); server.Backlog().HeldBytes != open*intake.ConnBytes; time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
-			t.Fatalf("%+v is left after the end of all requests, want nothing held", server.Backlog())
+			t.Fatalf("%+v is left after the end of all requests, want nothing held beside %d connections", server.Backlog(), open)
 		}
 	}
 }
@@ -174,7 +175,7 @@
 	if o := awaitOutcomes(t, sched, 1)[0]; o.Failed || o.Lost || !o.Cancelled || sched.next != 1 {
 		t.Errorf("got outcome %+v after %d endpoints, want it cancelled after 1", o, sched.next)
 	}
-	awaitEmpty(t, server)
+	awaitEmpty(t, server, 0)
 }
 
 // The engine ends an answer without a length regularly because it stays unread, and then the caller reads on:
@@ -211,7 +212,7 @@
 	sched.config.Index()
 	server := newServer(sched)
 	server.opts.WriteTimeout = 10 * time.Second
-	server.account = newAccount(limit)
+	server.account = intake.Budget{AccountBytes: limit, ReserveBytes: limit / 4}.NewAccount()
 	address := startServer(t, server)
 	var high int64
 	stop := make(chan struct{})
@@ -301,7 +302,7 @@
 			sched := newFakeScheduler(e)
 			sched.config.Bounds.BodyBytes = 16 << 20
 			server := newServer(sched)
-			server.account = newAccount(32 << 20)
+			server.account = intake.NewAccount(32 << 20)
 			if r := sendTo(t, server, "/unsafe/", strings.Repeat("x", size), nil); r.status != http.StatusOK {
 				t.Errorf("got status %d, want 200", r.status)
 			}
--- a/internal/edge/spool.go
+++ b/internal/edge/spool.go
@@ -5,6 +5,8 @@
 	"io"
 	"sync"
 	"time"
+
+	"github.com/medlarhold/medlarhold/internal/intake"
 )
 
 const (
@@ -48,7 +50,7 @@
 func newSpool(a *attempt, h *holding) *spool {
 	s := &spool{attempt: a, held: h, done: make(chan struct{})}
 	s.changed = sync.NewCond(&s.mu)
-	h.spool.Store(s)
+	h.watch(s)
 	return s
 }
 
@@ -61,13 +63,13 @@
 	}
 	defer s.mu.Unlock()
 	if s.size == 0 && s.err == nil {
-		s.held.setReading() // the caller has taken all that there is
+		s.held.SetReading() // the caller has taken all that there is
 	}
-	for s.size == 0 && s.err == nil && s.held.letGoCause() == "" {
+	for s.size == 0 && s.err == nil && s.held.LetGoCause() == "" {
 		s.changed.Wait()
 	}
 	switch {
-	case s.held.letGoCause() != "":
+	case s.held.LetGoCause() != "":
 		return 0, callerError{errLetGo}
 	case s.size == 0:
 		return 0, s.err
@@ -144,7 +146,7 @@
 		full := time.Since(s.fullSince)
 		s.unread = s.unread || full >= fullPatience/4
 		if full >= fullPatience && s.size > maxSpoolBytes-streamBufferBytes {
-			s.held.letGo(letGoFull)
+			s.held.LetGo(intake.CauseFull)
 		}
 		poll := time.AfterFunc(roomPollInterval, s.changed.Broadcast)
 		s.changed.Wait()
--- a/internal/edge/status_test.go
+++ b/internal/edge/status_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/medlarhold/medlarhold/internal/core/catalog"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/intake"
 	"github.com/medlarhold/medlarhold/internal/telemetry"
 	"github.com/medlarhold/medlarhold/internal/upstream"
 )
@@ -22,7 +23,7 @@
 	e := &catalog.Endpoint{Endpoint: entity.Endpoint{ID: "silent", Address: "127.0.0.1:1", Pool: "p"}}
 	server := NewServer(Options{
 		Scheduler: newFakeScheduler(e, e, e, e), HeaderCodec: testCodec{}, Client: upstream.New(upstream.Options{HeaderCodec: testCodec{}, Dial: noAnswer}),
-		Log: logr.Discard(), Metrics: telemetry.NewMetrics(), MaxBuffered: 1 << 20,
+		Log: logr.Discard(), Metrics: telemetry.NewMetrics(), Account: intake.NewAccount(1 << 20),
 	})
 	r := sendTo(t, server, "/unsafe/x", "", nil)
 	if r.status != http.StatusServiceUnavailable || r.header.Get("Retry-After") == "" {
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/medlarhold/medlarhold/internal/core/catalog"
+	"github.com/medlarhold/medlarhold/internal/intake"
 	"github.com/medlarhold/medlarhold/internal/sse"
 	"github.com/medlarhold/medlarhold/internal/upstream"
 	"github.com/medlarhold/medlarhold/internal/verdict"
@@ -156,7 +157,7 @@
 		case errors.Is(err, io.EOF) && !endedUnread:
 			return c.finishStream(out, a, events)
 		case err != nil && s.isUnread():
-			c.holding().letGo(letGoFull)
+			c.holding().LetGo(intake.CauseFull)
 			return errors.Join(errUnread, errLetGo, err)
 		case err != nil:
 			return err
--- a/internal/gateway/instance.go
+++ b/internal/gateway/instance.go
@@ -19,6 +19,7 @@
 	"github.com/medlarhold/medlarhold/internal/core/quarantine"
 	"github.com/medlarhold/medlarhold/internal/core/quota"
 	"github.com/medlarhold/medlarhold/internal/edge"
+	"github.com/medlarhold/medlarhold/internal/intake"
 	"github.com/medlarhold/medlarhold/internal/peer"
 	"github.com/medlarhold/medlarhold/internal/telemetry"
 	"github.com/medlarhold/medlarhold/internal/tunnel"
@@ -32,12 +33,6 @@
 	readHeaderTimeout = time.Minute
 	// callerIdleTimeout is longer than any caller keeps an idle connection open.
 	callerIdleTimeout = 2 * time.Minute
-	// maxHeaderBytes bounds the size of a request header, also where the
-	// configuration allows more.
-	maxHeaderBytes = 256 << 10
-	// bodyMemoryDivisor sets the memory for request bodies and unread answers:
-	// MaxMemory divided by this.
-	bodyMemoryDivisor = 5
 	// proofMargin is how much younger than RevokeWithin a freshness proof must be
 	// for keys to be accepted.
 	proofMargin = 500 * time.Millisecond
@@ -62,10 +57,13 @@
 // Instance is one instance of the scheduler. Its methods are safe for concurrent
 // use; Run must be called once only.
 type Instance struct {
-	settings   Settings
-	adapter    Adapter
-	log        logr.Logger
-	metrics    *telemetry.Metrics
+	settings Settings
+	adapter  Adapter
+	log      logr.Logger
+	metrics  *telemetry.Metrics
+	// budget is what the instance may use for its clients, account has what it does.
+	budget     intake.Budget
+	account    *intake.Account
 	state      localState
 	follower   *follower
 	newest     newestKnown
@@ -104,6 +102,8 @@
 func New(s Settings, a Adapter, log logr.Logger, m *telemetry.Metrics) *Instance {
 	g := &Instance{settings: s, adapter: a, log: log, metrics: m, stop: make(chan struct{}), storeReplaced: make(chan struct{}, 1), quarantineChanged: make(chan struct{}, 1)}
 	g.state.endpoints.Store(catalog.NewEndpoints(nil))
+	g.budget = s.Budget()
+	g.account = g.budget.NewAccount()
 	g.links = newLinks(g)
 	g.tunnels = g.newTunnelServer()
 	g.client = upstream.New(upstream.Options{
@@ -128,7 +128,7 @@
 	g.control.send = g.transport.Send
 	g.follower = newFollower(g)
 	g.edge = edge.NewServer(edge.Options{
-		Scheduler: g, HeaderCodec: a.Callers, Client: g.client, Log: log, Metrics: m, MaxBuffered: max(s.MaxMemory, 64<<20) / bodyMemoryDivisor,
+		Scheduler: g, HeaderCodec: a.Callers, Client: g.client, Log: log, Metrics: m, Account: g.account, MaxConns: g.budget.Callers,
 	})
 	return g
 }
@@ -203,15 +203,30 @@
 		if err != nil {
 			return nil, trace.Wrap(err, "listening on %s", h.address)
 		}
-		out = append(out, &server{listener: l, http: &http.Server{
-			Handler: h.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		}})
+		out = append(out, &server{listener: l, http: &http.Server{Handler: h.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout}})
 	}
 	callers := out[0]
 	callers.listener = g.edge.WrapListener(callers.listener, callers.http)
+	for _, s := range out[1:] {
+		s.bound(g.account, g.budget.Others)
+	}
 	return out, nil
 }
 
+// Bounds of what clients of the listeners for readiness checks and metrics may do. They send no bodies.
+const (
+	maxCheckHeadBytes = 16 << 10
+	checkTimeout      = 5 * time.Second
+)
+
+// bound makes a server for readiness checks or metrics hold no more than the account and a number of connections allow.
+func (s *server) bound(a *intake.Account, maxConns int) {
+	s.http.ReadTimeout, s.http.WriteTimeout = checkTimeout, checkTimeout
+	s.listener = intake.Listen(s.listener, s.http, intake.Options{
+		Account: a, MaxConns: maxConns, HeadBytes: func() int64 { return maxCheckHeadBytes }, RetryAfter: checkTimeout,
+	})
+}
+
 // metricsHandler returns the handler of the metrics address, which serves the
 // metrics and the state snapshot.
 func (g *Instance) metricsHandler() http.Handler {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -7,6 +7,7 @@
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/core/quota"
 	"github.com/medlarhold/medlarhold/internal/core/rollout"
+	"github.com/medlarhold/medlarhold/internal/intake"
 )
 
 // Settings configures an instance that serves transparent routes.
@@ -28,6 +29,8 @@
 	FirstStart bool
 	// MaxMemory is the memory that the process may use, in bytes.
 	MaxMemory int64
+	// MaxDescriptors is the number of descriptors that the process may use, 0 for what its limit allows.
+	MaxDescriptors int
 	// Cores is the processor time that the process may use, in cores.
 	Cores float64
 	// GracePeriod is the time that the process has to exit after the stop signal.
@@ -57,6 +60,9 @@
 	LimitWindow time.Duration
 }
 
+// Budget returns what the instance may use for its clients.
+func (s *Settings) Budget() intake.Budget { return intake.NewBudget(s.MaxMemory, s.MaxDescriptors) }
+
 // Instances can't know each other's present usage, so operators tolerate some excess
 // over an organisation's limit. A part of that tolerance is added to the limit that
 // the instances enforce; the rest covers what they can't know.
