--- a/internal/edge/key_test.go
+++ b/internal/edge/key_test.go
@@ -45,3 +45,14 @@
 		}
 	}
 }
+
+// A target may name the scheme and the host as well: the route and the endpoint are those of its path.
+func TestAbsoluteTargetsBecomePaths(t *testing.T) {
+	for target, want := range map[string]string{
+		"/a/b?c": "/a/b?c", "http://h/a/b?c": "/a/b?c", "http://h:80/": "/", "http://h": "/", "http://h?c": "/?c", "/a?u=http://h/b": "/a?u=http://h/b", "*": "*",
+	} {
+		if got := originForm(target); got != want {
+			t.Errorf("%q: got %q, want %q", target, got, want)
+		}
+	}
+}
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -56,6 +57,7 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
+	r.RequestURI = originForm(r.RequestURI)
 	c := &call{server: s, w: w, r: r, arrivedAt: time.Now()}
 	if s.opts.Scheduler.Leaving() {
 		w.Header().Set("Connection", "close")
@@ -63,6 +65,18 @@
 	c.serve()
 }
 
+// originForm returns the path and query of a request target, which may name scheme and host as well.
+func originForm(target string) string {
+	_, rest, absolute := strings.Cut(target, "://")
+	if !absolute || strings.HasPrefix(target, "/") {
+		return target
+	}
+	if i := strings.IndexAny(rest, "/?"); i >= 0 {
+		return "/" + strings.TrimPrefix(rest[i:], "/")
+	}
+	return "/"
+}
+
 // callerTimeoutVariation is the relative difference between the longest and the shortest
 // time that callers of one route wait for a first attempt.
 const callerTimeoutVariation = 0.17
