--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -186,7 +186,7 @@
 // newTunnelServer returns the server of tunnels for other instances.
 func (g *Instance) newTunnelServer() *tunnel.Server {
 	return &tunnel.Server{
-		Key: g.peerKeys()[0], MaxOpen: maxTunnels, CutOff: g.links.isCutOff, Dial: g.links.direct, Tune: upstream.Tune,
+		Key: g.peerKeys()[0], MaxOpen: int64(min(maxTunnels, g.budget.Tunnels)), CutOff: g.links.isCutOff, Dial: g.links.direct, Tune: upstream.Tune,
 		Allows: func(address string) bool { return g.state.endpoints.Load().HasAddress(address) },
 	}
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -17,6 +17,7 @@
 	"github.com/medlarhold/medlarhold/internal/core/membership"
 	"github.com/medlarhold/medlarhold/internal/core/reserve"
 	"github.com/medlarhold/medlarhold/internal/core/zone"
+	"github.com/medlarhold/medlarhold/internal/intake"
 	"github.com/medlarhold/medlarhold/internal/peer"
 	"github.com/medlarhold/medlarhold/internal/tunnel"
 )
@@ -174,6 +175,6 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "listening on %s", g.settings.Peers)
 	}
-	shared := tunnel.Split(g.ctx, l, g.tunnels)
+	shared := tunnel.Split(g.ctx, intake.NewGate(l, g.account, g.budget.Handshakes), g.tunnels)
 	return func() error { return g.transport.Serve(shared) }, nil
 }
--- a/internal/peer/accept.go
+++ b/internal/peer/accept.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/intake"
 	"github.com/medlarhold/medlarhold/internal/telemetry"
 )
 
@@ -28,6 +29,7 @@
 // connection's reading goroutine, except for HandleQuery and its reply.
 type acceptedConn struct {
 	t                      *Transport
+	conn                   net.Conn
 	peer                   entity.Instance
 	dialNonce, acceptNonce string
 	authenticated          bool
@@ -36,7 +38,7 @@
 }
 
 func (t *Transport) accept(conn net.Conn) {
-	c := &acceptedConn{t: t, querySlots: make(chan struct{}, maxQueriesPerConn)}
+	c := &acceptedConn{t: t, conn: conn, querySlots: make(chan struct{}, maxQueriesPerConn)}
 	c.handshakeTimer = time.AfterFunc(handshakeTimeout, func() { conn.Close() })
 	t.newConn(conn, c, c.frameLimit, acceptedIdleTimeout)
 }
@@ -109,6 +111,7 @@
 		result, err := c.handleProve(req)
 		if err == nil {
 			c.handshakeTimer.Stop()
+			intake.Proved(c.conn)
 			c.t.addInbound(c.peer)
 			go func() {
 				<-conn.DisconnectNotify()
--- a/internal/tunnel/listener.go
+++ b/internal/tunnel/listener.go
@@ -77,6 +77,9 @@
 	first []byte
 }
 
+// NetConn returns the connection itself.
+func (c *prefixedConn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn.
 func (c *prefixedConn) Read(p []byte) (int, error) {
 	if len(c.first) > 0 && len(p) > 0 {
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/medlarhold/medlarhold/internal/framing"
+	"github.com/medlarhold/medlarhold/internal/intake"
 )
 
 const (
@@ -74,6 +75,7 @@
 	if failed != nil {
 		resp.Error = &jsonrpc2.Error{Code: int64(failed.Code), Message: failed.Message}
 	} else {
+		intake.Proved(conn)
 		defer endpoint.Close()
 		resetOnClose(conn)                               // until the endpoint has ended its connection
 		_ = resp.SetResult(openResult{ReportsEnd: true}) // it can be encoded
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -82,7 +82,10 @@
 
 // Tune makes the end of a TCP connection that another host has opened noticed as those of DialTCP.
 func Tune(conn net.Conn) {
-	tcp, ok := conn.(*net.TCPConn)
+	tcp, ok := conn.(interface {
+		syscall.Conn
+		SetKeepAliveConfig(net.KeepAliveConfig) error
+	})
 	if !ok {
 		return
 	}
