--- a/cmd/medlarholdd/main.go
+++ b/cmd/medlarholdd/main.go
@@ -64,6 +64,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	d.LimitHeap()
 	// The first line on stdout gives the addresses that the process listens on, so
 	// that the parent process can find ports that the system chose.
 	if err := json.NewEncoder(os.Stdout).Encode(d.Addresses()); err != nil {
--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -3,15 +3,16 @@
 import (
 	"encoding/json"
 	"errors"
-	"io"
 	"math"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/gravitational/trace"
 
 	"github.com/medlarhold/medlarhold/internal/callerapi"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
+	"github.com/medlarhold/medlarhold/internal/intake"
 	"github.com/medlarhold/medlarhold/internal/telemetry"
 	"github.com/medlarhold/medlarhold/internal/verdict"
 )
@@ -53,16 +54,28 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
-// readBody reads a body of at most limit bytes. Its errors are refusals for the caller.
+// readBody reads a body of at most limit bytes, which are held until the request ends. Its errors are refusals for the
+// caller.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	hold := intake.HoldOf(r)
+	body, err := intake.ReadBody(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit, hold.Grow, hold.Shrink)
 	var large *http.MaxBytesError
-	if errors.As(err, &large) {
+	switch {
+	case errors.As(err, &large):
 		w.Header().Set("Connection", "close") // the rest of the body is not read
 		return nil, inputError(verdict.ReasonBodyTooLarge, "the body is larger than %d bytes", limit)
-	}
-	if err != nil {
+	case errors.Is(err, intake.ErrNoMemory) || errors.Is(err, intake.ErrRefused):
+		w.Header().Set("Connection", "close")
+		return nil, noMemoryError()
+	case err != nil:
 		return nil, trace.Wrap(inputError(verdict.ReasonBadRequest, "the body could not be read: %v", err))
 	}
 	return body, nil
 }
+
+// memoryRetryAfter is when a caller may come back for whose body there was no memory.
+const memoryRetryAfter = time.Second
+
+func noMemoryError() error {
+	return verdict.New(verdict.NotRun, verdict.ReasonOverload, memoryRetryAfter, "too much is held for callers")
+}
--- a/internal/caller/completions.go
+++ b/internal/caller/completions.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"strings"
@@ -10,6 +11,7 @@
 	"github.com/medlarhold/medlarhold/internal/config"
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/core/request"
+	"github.com/medlarhold/medlarhold/internal/intake"
 	"github.com/medlarhold/medlarhold/internal/prefix"
 	"github.com/medlarhold/medlarhold/internal/verdict"
 )
@@ -63,6 +65,9 @@
 	if err != nil {
 		return request.Arrival{}, body, ident, trace.Wrap(err)
 	}
+	if !intake.HoldOf(r).Grow(parsedBytes(raw)) {
+		return request.Arrival{}, body, ident, noMemoryError()
+	}
 	if body, err = parseCompletion(raw); err != nil {
 		return request.Arrival{}, body, ident, trace.Wrap(err)
 	}
@@ -70,6 +75,18 @@
 	return request.Arrival{Work: work}, body, ident, trace.Wrap(err)
 }
 
+// What a body takes in memory once parsed, in bytes: each object in it, and each byte, which is held as parsed, joined
+// into the prompt and written to the engine.
+const (
+	objectBytes = 96
+	copies      = 3
+)
+
+// parsedBytes bounds what a body takes in memory once it is parsed.
+func parsedBytes(raw []byte) int64 {
+	return int64(copies*len(raw) + objectBytes*bytes.Count(raw, []byte{'{'}))
+}
+
 // parseCompletion decodes and validates the body. If there is no prompt, it joins
 // the messages of the conversation into one.
 func parseCompletion(raw []byte) (completionBody, error) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/hex"
 	"errors"
 	mathrand "math/rand"
@@ -24,10 +25,12 @@
 	"github.com/medlarhold/medlarhold/internal/core/node"
 	"github.com/medlarhold/medlarhold/internal/core/steward"
 	"github.com/medlarhold/medlarhold/internal/endpoint"
+	"github.com/medlarhold/medlarhold/internal/intake"
 	"github.com/medlarhold/medlarhold/internal/peer"
 	"github.com/medlarhold/medlarhold/internal/platform"
 	"github.com/medlarhold/medlarhold/internal/settings"
 	"github.com/medlarhold/medlarhold/internal/telemetry"
+	"github.com/medlarhold/medlarhold/internal/verdict"
 )
 
 const (
@@ -45,12 +48,15 @@
 
 // Daemon is one instance of the system.
 type Daemon struct {
-	settings     settings.Settings
-	self         entity.Instance
-	log          logr.Logger
-	metrics      *telemetry.Metrics
-	keys         *settings.KeyRing
-	certs        *certificates
+	settings settings.Settings
+	self     entity.Instance
+	log      logr.Logger
+	metrics  *telemetry.Metrics
+	keys     *settings.KeyRing
+	certs    *certificates
+	// budget is what the process may use for its clients, account has what it does.
+	budget       intake.Budget
+	account      *intake.Account
 	listeners    listeners
 	transport    *peer.Transport
 	loop         *control.Loop
@@ -94,6 +100,8 @@
 		return nil, trace.Wrap(err)
 	}
 	d := &Daemon{settings: s, log: log, metrics: telemetry.NewMetrics(), keys: keys, certs: certs, listeners: ls, leaving: make(chan struct{})}
+	d.budget = intake.NewBudget(s.Limits.MemoryMB<<20, s.Limits.Descriptors)
+	d.account = d.budget.NewAccount()
 	d.self = entity.Instance{
 		ID: newInstanceID(s.Name), Zone: s.Zone, Region: s.Region, PeerAddress: advertised(s.AdvertisePeers, ls.peers),
 		AdminAddress: advertised(s.AdvertiseAdmin, ls.admin),
@@ -181,9 +189,11 @@
 	callers := d.httpServer(d.caller.Handler())
 	admin := d.httpServer(d.adminHandler())
 	failed := make(chan error, 3)
-	go func() { failed <- serveHTTP(callers, d.listeners.callers, d.certs) }()
-	go func() { failed <- serveHTTP(admin, d.listeners.admin, d.certs) }()
-	go func() { failed <- d.transport.Serve(d.listeners.peers) }()
+	go func() { failed <- d.serveHTTP(callers, d.listeners.callers, d.budget.Callers) }()
+	go func() { failed <- d.serveHTTP(admin, d.listeners.admin, d.budget.Others) }()
+	go func() {
+		failed <- d.transport.Serve(intake.NewGate(d.listeners.peers, d.account, d.budget.Handshakes))
+	}()
 	var err error
 	select {
 	case err = <-failed:
@@ -217,28 +227,36 @@
 }
 
 func (d *Daemon) httpServer(h http.Handler) *http.Server {
-	return &http.Server{
-		Handler: h, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: d.settings.Requests.MaxHeaderBytes,
-	}
+	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout}
 }
 
-// serveHTTP serves ln, with TLS if there is a certificate, until the server is
+// refusedRetryAfter is when a client that was refused for want of room may come back.
+const refusedRetryAfter = time.Second
+
+// serveHTTP serves up to maxConns connections of ln, with TLS if there is a certificate, until the server is
 // closed. It returns nil after Close or Shutdown.
-func serveHTTP(s *http.Server, ln net.Listener, certs *certificates) error {
-	var err error
-	if cfg := certs.server(); cfg != nil {
-		s.TLSConfig = cfg
-		err = s.ServeTLS(ln, "", "")
-	} else {
-		err = s.Serve(ln)
+func (d *Daemon) serveHTTP(s *http.Server, ln net.Listener, maxConns int) error {
+	if cfg := d.certs.server(); cfg != nil {
+		ln = tls.NewListener(ln, cfg)
 	}
+	err := s.Serve(intake.Listen(ln, s, intake.Options{
+		Account: d.account, MaxConns: maxConns, HeadBytes: func() int64 { return int64(d.settings.Requests.MaxHeaderBytes) },
+		WholeBodies: true, RetryAfter: refusedRetryAfter, Refused: d.recordRefusal,
+	}))
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return trace.Wrap(err)
 }
 
+// recordRefusal counts a request that was refused before it was whole.
+func (d *Daemon) recordRefusal(reason verdict.Reason, _ string, _ net.Addr) {
+	d.metrics.Refused(reason, verdict.NotRun)
+}
+
+// LimitHeap makes the runtime keep the heap within the memory of the process.
+func (d *Daemon) LimitHeap() { d.budget.LimitHeap() }
+
 // listen opens the three listening sockets. It stops at the first one that fails.
 func listen(l settings.Listen) (listeners, error) {
 	var ls listeners
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -31,6 +31,7 @@
 	Platform       Platform  `json:"platform"`
 	Keys           Keys      `json:"keys"`
 	TLS            TLS       `json:"tls"`
+	Limits         Limits    `json:"limits"`
 	Requests       Requests  `json:"requests"`
 	Endpoints      Endpoints `json:"endpoints"`
 	Stop           Stop      `json:"stop"`
@@ -68,6 +69,14 @@
 	CAFile string `json:"ca_file"`
 }
 
+// Limits holds what the process may use, 0 for what the machine and the limits of the process allow.
+type Limits struct {
+	// MemoryMB is the memory of the process, in MiB. By default it is what GOMEMLIMIT says, or half of the machine's.
+	MemoryMB int64 `json:"memory_mb"`
+	// Descriptors is the number of descriptors.
+	Descriptors int `json:"descriptors"`
+}
+
 // Requests holds the limits of callers' requests.
 type Requests struct {
 	DefaultDeadlineMs int64 `json:"default_deadline_ms"`
@@ -176,6 +185,9 @@
 			return trace.BadParameter("%s must be above zero", p.path)
 		}
 	}
+	if s.Limits.MemoryMB < 0 || s.Limits.Descriptors < 0 {
+		return trace.BadParameter("limits.memory_mb and limits.descriptors must not be below zero")
+	}
 	if s.Requests.PrefixBlockTokens%s.Requests.EngineBlockTokens != 0 {
 		return trace.BadParameter("requests.prefix_block_tokens must be a multiple of requests.engine_block_tokens")
 	}
