--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -42,7 +42,9 @@
 	route  *catalog.Route
 	org    *catalog.Organisation
 	meta   Meta
-	cost   float64 // charged against the organisation's limit
+	// id and resumes are the ids of meta as instances pass them on to each other.
+	id, resumes entity.RequestID
+	cost        float64 // charged against the organisation's limit
 	// explanation has the fields of the last event that explain a refusal.
 	explanation []any
 	slotRequest SlotRequest
@@ -97,6 +99,7 @@
 // admit checks the request and charges the organisation's limit.
 func (c *call) admit() *verdict.Error {
 	c.meta = c.server.opts.HeaderCodec.ReadRequest(c.r.Header)
+	c.id, c.resumes = shortID(c.meta.ID), shortID(c.meta.Resumes)
 	c.server.opts.Scheduler.AwaitStart(c.r.Context())
 	for _, step := range []func() *verdict.Error{c.findRoute, c.findOrganisation, c.readBody, c.checkOpen, c.charge} {
 		if v := step(); v != nil {
@@ -204,7 +207,7 @@
 	c.deadline = c.arrivedAt.Add(timeout)
 	pool := c.route.PoolFor(c.streamID())
 	c.slotRequest = SlotRequest{
-		ID: c.meta.ID, Pool: pool, Route: c.route.Name, Kind: entity.KindService, Rank: c.rank(),
+		ID: c.id, Pool: pool, Route: c.route.Name, Kind: entity.KindService, Rank: c.rank(),
 		PromptTokens: c.meta.PromptTokens, AnswerTokens: c.meta.MaxTokens, PromptParts: c.meta.PromptParts,
 		Target: c.arrivedAt.Add(c.route.Target - elapsed), Deadline: c.deadline, IsRetry: elapsed > 0,
 	}
@@ -319,7 +322,7 @@
 
 // logEnd writes the log line for the end of a request.
 func (c *call) logEnd(keysAndValues ...any) {
-	fields := []any{"request", c.meta.ID, "ms", time.Since(c.arrivedAt).Milliseconds(), "tried", c.tried}
+	fields := []any{"request", c.id, "ms", time.Since(c.arrivedAt).Milliseconds(), "tried", c.tried}
 	if c.route != nil {
 		fields = append(fields, "route", c.route.Name, "organisation", c.orgID(), "config", c.config.Version, "rank", c.rank(), "cost", c.cost,
 			"prompt_tokens", c.slotRequest.PromptTokens, "answer_tokens", c.slotRequest.AnswerTokens, "target_ms", c.slotRequest.Target.Sub(c.arrivedAt).Milliseconds(), "returned", c.slotRequest.IsRetry)
--- a/internal/edge/dispatch.go
+++ b/internal/edge/dispatch.go
@@ -238,7 +238,7 @@
 
 // logFailedAttempt logs a dispatch that yielded no response to forward.
 func (c *call) logFailedAttempt(a *attempt, v *verdict.Error) {
-	telemetry.Log(c.server.opts.Log, telemetry.EventEndpointFailed, "request", c.meta.ID, "endpoint", a.slot.Endpoint.ID,
+	telemetry.Log(c.server.opts.Log, telemetry.EventEndpointFailed, "request", c.id, "endpoint", a.slot.Endpoint.ID,
 		"verdict", v.Verdict, "reason", v.Reason, "ms", time.Since(a.sentAt).Milliseconds(), "why", v.Message)
 }
 
@@ -257,8 +257,12 @@
 
 // forwardBuffered reads a response to its end before it forwards it. If the response
 // breaks off, the request is sent to another endpoint or the caller gets an error status.
-// A response that is too large to be held is forwarded as it arrives.
+// A response that is too large to be held, or for which there is no memory, is forwarded as it arrives.
 func (c *call) forwardBuffered(ctx context.Context, a *attempt) {
+	if !c.holding().grow(bufferedBytes(a.response.Length)) {
+		c.forwardStream(ctx, a)
+		return
+	}
 	body, err := io.ReadAll(io.LimitReader(a.response.Body, maxBufferedResponse+1))
 	a.recordFirstByte()
 	switch {
@@ -276,6 +280,15 @@
 	}
 }
 
+// bufferedBytes returns what a response takes that is read to its end before it is forwarded, in bytes; its length is -1
+// if it is not known.
+func bufferedBytes(length int64) int64 {
+	if length < 0 {
+		return maxBufferedResponse
+	}
+	return length
+}
+
 // writeBody writes a complete body to the caller.
 func (c *call) writeBody(body []byte) {
 	err := c.writeToCaller(http.NewResponseController(c.w), body, nil)
--- a/internal/edge/key.go
+++ b/internal/edge/key.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"encoding/hex"
 	"net/http"
 
 	"github.com/medlarhold/medlarhold/internal/core/entity"
@@ -13,6 +14,18 @@
 // with the same key.
 const requestKeyBytes = 16
 
+// maxIDBytes is the length up to which the id of a request is passed on to other instances as it is.
+const maxIDBytes = 128
+
+// shortID returns a short id that stands for a caller's in all instances: the id itself, or a digest of a long one.
+func shortID(id entity.RequestID) entity.RequestID {
+	if len(id) <= maxIDBytes {
+		return id
+	}
+	sum := sha256.Sum256([]byte(id))
+	return entity.RequestID("digest-" + hex.EncodeToString(sum[:]))
+}
+
 // requestKey returns the key that is the same for all requests of an organisation with the same
 // method, host, path, query and body. Without an organisation, callers can't be told apart.
 func requestKey(r *http.Request, org entity.OrgID, body []byte) entity.PartID {
--- a/internal/edge/key_test.go
+++ b/internal/edge/key_test.go
@@ -56,3 +56,14 @@
 		}
 	}
 }
+
+// Ids of any length are told apart, and what other instances get of them is short.
+func TestLongIDsAreShort(t *testing.T) {
+	long := entity.RequestID(strings.Repeat("a", 30_000))
+	if got := shortID(long); len(got) > maxIDBytes || got == shortID(long+"b") || got != shortID(long) {
+		t.Errorf("got %q for a long id, want a short one of its own", got)
+	}
+	if got := shortID("id-1"); got != "id-1" {
+		t.Errorf("got %q for a short id, want it unchanged", got)
+	}
+}
--- a/internal/edge/origin.go
+++ b/internal/edge/origin.go
@@ -16,10 +16,10 @@
 
 // streamID returns the request that began the stream that the call is about.
 func (c *call) streamID() entity.RequestID {
-	if c.takesUp() && c.meta.Resumes != "" {
-		return c.meta.Resumes
+	if c.takesUp() && c.resumes != "" {
+		return c.resumes
 	}
-	return c.meta.ID
+	return c.id
 }
 
 // takesUp reports whether the caller goes on with a stream that an earlier request began.
@@ -33,7 +33,7 @@
 	if !c.takesUp() {
 		return nil
 	}
-	version, v := c.server.opts.Scheduler.OriginOf(ctx, c.slotRequest.Pool, c.meta.Resumes)
+	version, v := c.server.opts.Scheduler.OriginOf(ctx, c.slotRequest.Pool, c.resumes)
 	c.slotRequest.Version = version
 	return v
 }
--- a/internal/edge/slow.go
+++ b/internal/edge/slow.go
@@ -115,6 +115,6 @@
 	h := c.holding()
 	held, slowFor := h.State()
 	c.server.opts.Metrics.CallerLetGo(string(h.LetGoCause()))
-	telemetry.Log(c.server.opts.Log, telemetry.EventCallerLetGo, "request", c.meta.ID, "organisation", c.orgID(), "cause", h.LetGoCause(),
+	telemetry.Log(c.server.opts.Log, telemetry.EventCallerLetGo, "request", c.id, "organisation", c.orgID(), "cause", h.LetGoCause(),
 		"held_bytes", held, "slow_ms", slowFor.Milliseconds())
 }
