--- a/internal/core/backlog/table.go
+++ b/internal/core/backlog/table.go
@@ -257,9 +257,12 @@
 	t.SetWhole(e)
 }
 
-// Held returns the bytes that are held, Limit how many may be held.
+// Held returns the bytes that are held.
 func (t *Table) Held() int64 { return t.total }
 
+// Leaving returns the bytes that are held for clients that are being let go.
+func (t *Table) Leaving() int64 { return t.leaving }
+
 // Limit returns how many bytes may be held.
 func (t *Table) Limit() int64 { return t.limit }
 
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -13,6 +13,7 @@
 	"github.com/medlarhold/medlarhold/internal/core/entity"
 	"github.com/medlarhold/medlarhold/internal/core/quota"
 	"github.com/medlarhold/medlarhold/internal/hopbyhop"
+	"github.com/medlarhold/medlarhold/internal/intake"
 	"github.com/medlarhold/medlarhold/internal/telemetry"
 	"github.com/medlarhold/medlarhold/internal/upstream"
 	"github.com/medlarhold/medlarhold/internal/verdict"
@@ -273,7 +274,7 @@
 	c.refund()
 	// A body read that times out cancels the request's context too, although the caller
 	// is still connected.
-	if c.r.Context().Err() != nil && v.Reason != verdict.ReasonRequestTimeout {
+	if c.r.Context().Err() != nil && v.Reason != verdict.ReasonRequestTimeout && !c.connRefused() {
 		v = &verdict.Error{Verdict: v.Verdict, Reason: verdict.ReasonCallerGone, Message: "the caller closed its connection"}
 	}
 	c.server.opts.Metrics.Refused(v.Reason, v.Verdict)
@@ -295,6 +296,12 @@
 	c.discardBody()
 }
 
+// connRefused reports whether the caller's connection was let go before the request was whole.
+func (c *call) connRefused() bool {
+	conn := intake.ConnOf(c.r)
+	return conn != nil && conn.IsRefused()
+}
+
 // retryAfter returns the Retry-After for the caller, which leaves time to serve the
 // retry before the request's deadline.
 func (c *call) retryAfter(v *verdict.Error) time.Duration {
--- a/internal/edge/listener.go
+++ b/internal/edge/listener.go
@@ -19,6 +19,7 @@
 	return intake.Listen(l, h, intake.Options{
 		Account: s.account, MaxConns: s.opts.MaxConns, HeadBytes: s.headerBytes, HeadTimeout: s.headerTimeout, WholeBodies: true,
 		WriteTimeout: s.opts.WriteTimeout, RetryAfter: memoryRetryAfter, Refused: s.recordRefusal,
+		LetGo: func(cause intake.Cause) { s.opts.Metrics.CallerLetGo(string(cause)) },
 	})
 }
 
--- a/internal/gateway/instance.go
+++ b/internal/gateway/instance.go
@@ -216,14 +216,16 @@
 // Bounds of what clients of the listeners for readiness checks and metrics may do. They send no bodies.
 const (
 	maxCheckHeadBytes = 16 << 10
-	checkTimeout      = 5 * time.Second
+	checkReadTimeout  = 5 * time.Second
+	checkWriteTimeout = 30 * time.Second
+	checkRetryAfter   = time.Second
 )
 
 // bound makes a server for readiness checks or metrics hold no more than the account and a number of connections allow.
 func (s *server) bound(a *intake.Account, maxConns int) {
-	s.http.ReadTimeout, s.http.WriteTimeout = checkTimeout, checkTimeout
+	s.http.ReadTimeout, s.http.WriteTimeout = checkReadTimeout, checkWriteTimeout
 	s.listener = intake.Listen(s.listener, s.http, intake.Options{
-		Account: a, MaxConns: maxConns, HeadBytes: func() int64 { return maxCheckHeadBytes }, RetryAfter: checkTimeout,
+		Account: a, MaxConns: maxConns, HeadBytes: func() int64 { return maxCheckHeadBytes }, RetryAfter: checkRetryAfter,
 	})
 }
 
--- a/internal/intake/account.go
+++ b/internal/intake/account.go
@@ -48,8 +48,9 @@
 
 // Standing is the state of an account at one moment.
 type Standing struct {
-	// HeldBytes is what is held, LimitBytes how much there may be.
-	HeldBytes, LimitBytes int64
+	// HeldBytes is what is held, LeavingBytes the part of it that is held for clients that are being let go, and
+	// LimitBytes how much there may be.
+	HeldBytes, LeavingBytes, LimitBytes int64
 	// SlowCallers is the number of callers that keep a write waiting.
 	SlowCallers int
 	// LetGo is the number of clients that were let go since the start.
@@ -60,7 +61,7 @@
 func (a *Account) Standing() Standing {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return Standing{HeldBytes: a.table.Held(), LimitBytes: a.table.Limit(), SlowCallers: a.table.Slow(), LetGo: a.letGo}
+	return Standing{HeldBytes: a.table.Held(), LeavingBytes: a.table.Leaving(), LimitBytes: a.table.Limit(), SlowCallers: a.table.Slow(), LetGo: a.letGo}
 }
 
 // Holding is what is held for one client. Its methods are safe for concurrent use.
@@ -182,7 +183,7 @@
 	return h.exchange.Held(), h.exchange.SlowFor(time.Now())
 }
 
-// Close ends the holding: nothing is held any more.
+// Close ends the holding: nothing is held any more. Only the first call has an effect.
 func (h *Holding) Close() {
 	h.account.mu.Lock()
 	defer h.account.mu.Unlock()
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -72,8 +72,7 @@
 	// ahead is the number of bytes of the next request that were read before it was known that no body comes.
 	ahead int
 	// last is set if no further request can be read.
-	last   bool
-	closed bool
+	last bool
 	// aborted is set once no write is to be completed any more.
 	aborted atomic.Bool
 }
@@ -209,7 +208,7 @@
 func (c *Conn) headEnded() error {
 	c.wait.end()
 	c.meter.part = partUndecided
-	c.phase, c.begun, c.ahead = phaseBody, false, 0
+	c.phase, c.ahead = phaseBody, 0
 	if !c.charge(requestBytes) {
 		return c.refuse(noMemory, refusalWriteTimeout)
 	}
@@ -301,17 +300,19 @@
 	_ = c.Conn.SetWriteDeadline(time.Unix(1, 0))
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. The HTTP server calls it once it has let go of all that it held for the connection.
 func (c *Conn) Close() error {
+	err := c.closeSocket()
+	c.holding.Close()
+	return err
+}
+
+// closeSocket ends the connection while the HTTP server may still hold a part of a request.
+func (c *Conn) closeSocket() error {
 	c.mu.Lock()
-	first := !c.closed
-	c.closed = true
 	c.wait.end()
 	c.mu.Unlock()
-	if first {
-		c.listener.room.remove(c)
-		c.holding.Close()
-	}
+	c.listener.room.remove(c)
 	return c.Conn.Close()
 }
 
@@ -328,7 +329,7 @@
 	}
 	// A body that was not read to its end, or no handler: it isn't known what follows.
 	c.last = c.last || c.meter.part != partHead
-	c.phase, c.since, c.served, c.answered, c.blankBytes = phaseIdle, time.Now(), true, false, 0
+	c.phase, c.since, c.served, c.begun, c.answered, c.blankBytes = phaseIdle, time.Now(), true, false, false, 0
 	c.holding.Shrink(c.charged + c.held)
 	c.charged, c.held = 0, 0
 	c.holding.setUnfinished()
@@ -370,6 +371,7 @@
 		return false
 	}
 	_ = c.refuse(r, evictionWriteTimeout)
+	c.listener.opts.letGo(r)
 	return true
 }
 
--- a/internal/intake/headwait.go
+++ b/internal/intake/headwait.go
@@ -36,7 +36,7 @@
 // be about to pass on what has arrived meanwhile.
 func (c *Conn) headTimedOut() {
 	if c.refuseLateHead() {
-		c.Close()
+		_ = c.closeSocket() // the error is ignored: it has ended then
 	}
 }
 
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -31,6 +31,8 @@
 	RetryAfter time.Duration
 	// Refused, if set, is told of each request that a connection refuses itself.
 	Refused func(reason verdict.Reason, why string, from net.Addr)
+	// LetGo, if set, is told of each client that is let go although it owes a request.
+	LetGo func(cause Cause)
 }
 
 func (o *Options) refused(r refusal, from net.Addr) {
@@ -39,6 +41,17 @@
 	}
 }
 
+func (o *Options) letGo(r refusal) {
+	if o.LetGo == nil {
+		return
+	}
+	cause := CauseMemory
+	if r == noConnection {
+		cause = CauseConnections
+	}
+	o.LetGo(cause)
+}
+
 // Listener accepts clients' connections for an HTTP server, as many as may be open, each within the limits.
 type Listener struct {
 	net.Listener
--- a/internal/intake/refuse.go
+++ b/internal/intake/refuse.go
@@ -63,11 +63,13 @@
 		c.last = true // what comes after the request that runs is not read
 		return ErrRefused
 	}
-	tells := c.phase == phaseHead || c.phase == phaseIdle && r == headTooLarge ||
-		c.phase == phaseBody && !c.answered && (!c.begun || c.listener.opts.WholeBodies)
+	asked := c.phase == phaseHead || c.phase == phaseBody || r == headTooLarge
+	tells := asked && (!c.begun || !c.answered && c.listener.opts.WholeBodies)
+	if asked && !c.begun { // otherwise the handler says what becomes of the request
+		c.listener.opts.refused(r, c.RemoteAddr())
+	}
 	c.phase = phaseRefused
 	c.wait.end()
-	c.listener.opts.refused(r, c.RemoteAddr())
 	if tells {
 		// Errors are ignored: the connection is closed whether or not the client reads the response.
 		_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
@@ -83,7 +85,7 @@
 		c.linger()
 	}
 	l.lingering.Add(-1)
-	c.Close()
+	_ = c.closeSocket() // the error is ignored: it has ended then
 }
 
 // linger lets a client that is still sending read the refusal.
@@ -100,15 +102,15 @@
 // letGo ends what the client makes the process hold: an unfinished request is refused, and a response that isn't read
 // breaks off.
 func (c *Conn) letGo() {
-	if !c.refuseUnfinished(noMemory) && !c.isRefused() {
+	if !c.refuseUnfinished(noMemory) && !c.IsRefused() {
 		c.Abort()
 		return
 	}
-	c.Close()
+	_ = c.closeSocket() // the error is ignored: it has ended then
 }
 
-// isRefused reports whether the connection was refused.
-func (c *Conn) isRefused() bool {
+// IsRefused reports whether the connection was refused, or let go, before its request was whole.
+func (c *Conn) IsRefused() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.phase == phaseRefused
