--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -6,12 +6,9 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"github.com/medlarhold/medlarhold/internal/core/backlog"
 )
 
 const (
@@ -244,78 +241,6 @@
 	return true
 }
 
-// Write implements net.Conn. The write deadline bounds how long the client may read nothing: it is extended while the
-// client reads.
-func (c *Conn) Write(b []byte) (int, error) {
-	if !c.beginWrite(b) {
-		return 0, ErrRefused
-	}
-	defer c.endWrite()
-	written := 0
-	for {
-		n, err := c.Conn.Write(b[written:])
-		written += n
-		if c.listener.opts.WriteTimeout == 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
-			return written, err
-		}
-		if n == 0 || c.aborted.Load() {
-			// The HTTP server closes the connection next: what the kernel holds is freed at once.
-			c.SetLinger(lingerReset)
-			return written, err
-		}
-		// The error is ignored: the next write shows it.
-		_ = c.SetWriteDeadline(time.Now().Add(c.listener.opts.WriteTimeout))
-	}
-}
-
-// beginWrite records that a response is begun. It returns false if the connection was refused.
-func (c *Conn) beginWrite(b []byte) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.answered = c.answered || !isInformational(b)
-	c.writingSince = time.Now()
-	return c.phase != phaseRefused
-}
-
-// endWrite records that what was written has been taken.
-func (c *Conn) endWrite() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.writingSince = time.Time{}
-}
-
-// SetWriteDeadline implements net.Conn. It has no effect on a connection that was aborted.
-func (c *Conn) SetWriteDeadline(t time.Time) error {
-	err := c.Conn.SetWriteDeadline(t)
-	if c.aborted.Load() {
-		return c.Conn.SetWriteDeadline(time.Unix(1, 0))
-	}
-	return err
-}
-
-// Abort makes the present write and all further ones fail.
-func (c *Conn) Abort() {
-	c.aborted.Store(true)
-	// The error is ignored: a connection that has ended is not written to.
-	_ = c.Conn.SetWriteDeadline(time.Unix(1, 0))
-}
-
-// Close implements net.Conn. The HTTP server calls it once it has let go of all that it held for the connection.
-func (c *Conn) Close() error {
-	err := c.closeSocket()
-	c.holding.Close()
-	return err
-}
-
-// closeSocket ends the connection while the HTTP server may still hold a part of a request.
-func (c *Conn) closeSocket() error {
-	c.mu.Lock()
-	c.wait.end()
-	c.mu.Unlock()
-	c.listener.room.remove(c)
-	return c.Conn.Close()
-}
-
 // setState is told the state of the connection by the HTTP server. It begins the wait for a request when a response has
 // ended.
 func (c *Conn) setState(state http.ConnState) {
@@ -338,78 +263,3 @@
 		c.startWait()
 	}
 }
-
-// claim implements member.
-func (c *Conn) claim() (claim, time.Time) {
-	if !c.mu.TryLock() {
-		return claimRunning, time.Now() // bytes have just arrived, or it is being refused
-	}
-	defer c.mu.Unlock()
-	switch {
-	case c.phase < phaseWhole && c.served:
-		return claimServed, c.since
-	case c.phase < phaseWhole:
-		return claimNone, c.since
-	case !c.writingSince.IsZero():
-		return claimSlow, c.writingSince
-	}
-	return claimRunning, time.Now()
-}
-
-// evict implements member. It does nothing if a request runs by now.
-func (c *Conn) evict() {
-	if c.refuseUnfinished(noConnection) || c.isUnread() {
-		c.holding.LetGo(CauseConnections)
-	}
-}
-
-// refuseUnfinished refuses the request unless it is whole, and reports whether it did.
-func (c *Conn) refuseUnfinished(r refusal) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.phase >= phaseWhole {
-		return false
-	}
-	_ = c.refuse(r, evictionWriteTimeout)
-	c.listener.opts.letGo(r)
-	return true
-}
-
-// isUnread reports whether the client has kept a write waiting for long.
-func (c *Conn) isUnread() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return !c.writingSince.IsZero() && time.Since(c.writingSince) >= backlog.MinSlow
-}
-
-// Hold is what a handler holds for a request. It ends with the request. The zero value counts nothing.
-type Hold struct{ conn *Conn }
-
-// HoldOf returns what the handler of a request holds for it. It counts nothing if the request came through no Listener.
-func HoldOf(r *http.Request) Hold { return Hold{ConnOf(r)} }
-
-// Grow counts n more bytes, and reports whether there is room for them.
-func (h Hold) Grow(n int64) bool {
-	if h.conn == nil {
-		return true
-	}
-	h.conn.mu.Lock()
-	defer h.conn.mu.Unlock()
-	if !h.conn.holding.Grow(n) {
-		return false
-	}
-	h.conn.held += n
-	return true
-}
-
-// Shrink counts n bytes less.
-func (h Hold) Shrink(n int64) {
-	if h.conn == nil {
-		return
-	}
-	h.conn.mu.Lock()
-	defer h.conn.mu.Unlock()
-	n = min(n, h.conn.held)
-	h.conn.held -= n
-	h.conn.holding.Shrink(n)
-}
--- a/internal/intake/refuse.go
+++ b/internal/intake/refuse.go
@@ -25,12 +25,6 @@
 	maxLingering  = 16
 )
 
-// Values for net.TCPConn.SetLinger.
-const (
-	lingerReset   = 0  // closing the connection resets it
-	lingerDefault = -1 // closing the connection sends what is left
-)
-
 // refusal is why a connection refuses a request itself.
 type refusal struct {
 	status  int
@@ -116,40 +110,6 @@
 	return c.phase == phaseRefused
 }
 
-// isInformational reports whether what is written is a response that another one follows.
-func isInformational(b []byte) bool {
-	const begin = "HTTP/1.1 1"
-	return len(b) >= len(begin) && string(b[:len(begin)]) == begin
-}
-
-// SetLinger sets how the connection ends when it is closed, as net.TCPConn.SetLinger does.
-func (c *Conn) SetLinger(seconds int) {
-	if tcp, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
-		// The error is ignored: it is returned only for a closed connection.
-		_ = tcp.SetLinger(seconds)
-	}
-}
-
-// maxUnsentBytes is how much the kernel holds of what was written to a client and can't be sent yet,
-// because the client does not read. What is beyond it waits in the process, which counts it.
-const maxUnsentBytes = 16 << 10
-
-// limitUnsent sets maxUnsentBytes for a connection.
-func limitUnsent(conn net.Conn) {
-	tcp, ok := conn.(*net.TCPConn)
-	if !ok {
-		return
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return
-	}
-	// Errors are ignored: without the option the kernel holds more.
-	_ = raw.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, maxUnsentBytes)
-	})
-}
-
 // hasUnread reports whether bytes have arrived on a connection that were not read yet.
 func hasUnread(conn net.Conn) bool {
 	tcp, ok := conn.(syscall.Conn)
--- a/internal/intake/room.go
+++ b/internal/intake/room.go
@@ -129,3 +129,46 @@
 	}
 	return out
 }
+
+// claim implements member.
+func (c *Conn) claim() (claim, time.Time) {
+	if !c.mu.TryLock() {
+		return claimRunning, time.Now() // bytes have just arrived, or it is being refused
+	}
+	defer c.mu.Unlock()
+	switch {
+	case c.phase < phaseWhole && c.served:
+		return claimServed, c.since
+	case c.phase < phaseWhole:
+		return claimNone, c.since
+	case !c.writingSince.IsZero():
+		return claimSlow, c.writingSince
+	}
+	return claimRunning, time.Now()
+}
+
+// evict implements member. It does nothing if a request runs by now.
+func (c *Conn) evict() {
+	if c.refuseUnfinished(noConnection) || c.isUnread() {
+		c.holding.LetGo(CauseConnections)
+	}
+}
+
+// refuseUnfinished refuses the request unless it is whole, and reports whether it did.
+func (c *Conn) refuseUnfinished(r refusal) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase >= phaseWhole {
+		return false
+	}
+	_ = c.refuse(r, evictionWriteTimeout)
+	c.listener.opts.letGo(r)
+	return true
+}
+
+// isUnread reports whether the client has kept a write waiting for long.
+func (c *Conn) isUnread() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.writingSince.IsZero() && time.Since(c.writingSince) >= backlog.MinSlow
+}
