--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -12,11 +12,11 @@
 // ErrNoMemory is returned for a body for which there is no memory.
 var ErrNoMemory = errors.New("too much is held for clients")
 
-// Charge counts n more bytes as held, and reports whether there is room for them. Uncharge counts n bytes less.
-type (
-	Charge   func(n int64) bool
-	Uncharge func(n int64)
-)
+// Charge counts n more bytes as held, and reports whether there is room for them.
+type Charge func(n int64) bool
+
+// Uncharge counts n bytes less as held.
+type Uncharge func(n int64)
 
 // ReadBody reads a body to its end. length is its length, negative if it is not known; r fails beyond limit. The buffers
 // are charged before they are allocated; what is returned stays charged by its capacity.
--- a/internal/intake/refuse.go
+++ b/internal/intake/refuse.go
@@ -89,7 +89,7 @@
 		return
 	}
 	// Errors are ignored: the connection is closed in any case.
-	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
 	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
 }
 
--- a/internal/standin/crowd/client.go
+++ b/internal/standin/crowd/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"strconv"
@@ -60,8 +61,8 @@
 }
 
 func isTimeout(err error) bool {
-	network, ok := err.(net.Error)
-	return ok && network.Timeout()
+	var network net.Error
+	return errors.As(err, &network) && network.Timeout()
 }
 
 // manyNames returns header lines of a total length, each with another name and no blank after the colon.
