--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -16,4 +16,4 @@
 go=${GO:-go}
 alone=$("$go" list ./platform/clients)
 "$go" list ./... | grep -vxF "$alone" | xargs "$go" test -count=1 "${skip[@]}"
-exec "$go" test -count=1 "${skip[@]}" "$alone"
+exec "$go" test -count=1 -timeout 30m "${skip[@]}" "$alone"
