--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -189,8 +189,10 @@
 	callers := d.httpServer(d.caller.Handler())
 	admin := d.httpServer(d.adminHandler())
 	failed := make(chan error, 3)
-	go func() { failed <- d.serveHTTP(callers, d.listeners.callers, d.budget.Callers) }()
-	go func() { failed <- d.serveHTTP(admin, d.listeners.admin, d.budget.Others) }()
+	go func() {
+		failed <- d.serveHTTP(callers, d.listeners.callers, intake.Options{MaxConns: d.budget.Callers, WholeBodies: true})
+	}()
+	go func() { failed <- d.serveHTTP(admin, d.listeners.admin, intake.Options{MaxConns: d.budget.Others}) }()
 	go func() {
 		failed <- d.transport.Serve(intake.NewGate(d.listeners.peers, d.account, d.budget.Handshakes))
 	}()
@@ -233,16 +235,15 @@
 // refusedRetryAfter is when a client that was refused for want of room may come back.
 const refusedRetryAfter = time.Second
 
-// serveHTTP serves up to maxConns connections of ln, with TLS if there is a certificate, until the server is
+// serveHTTP serves ln, with TLS if there is a certificate and within the instance's limits, until the server is
 // closed. It returns nil after Close or Shutdown.
-func (d *Daemon) serveHTTP(s *http.Server, ln net.Listener, maxConns int) error {
+func (d *Daemon) serveHTTP(s *http.Server, ln net.Listener, o intake.Options) error {
 	if cfg := d.certs.server(); cfg != nil {
 		ln = tls.NewListener(ln, cfg)
 	}
-	err := s.Serve(intake.Listen(ln, s, intake.Options{
-		Account: d.account, MaxConns: maxConns, HeadBytes: func() int64 { return int64(d.settings.Requests.MaxHeaderBytes) },
-		WholeBodies: true, RetryAfter: refusedRetryAfter, Refused: d.recordRefusal,
-	}))
+	o.Account, o.RetryAfter, o.Refused = d.account, refusedRetryAfter, d.recordRefusal
+	o.HeadBytes = func() int64 { return int64(d.settings.Requests.MaxHeaderBytes) }
+	err := s.Serve(intake.Listen(ln, s, o))
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
