--- a/review/lab-3/case11.go
+++ b/review/lab-3/case11.go
@@ -31,11 +31,11 @@
 	}
 	l.publishEngines(9, longRoute)
 	for i, version := range []string{"v2", "v2", "v1", "v1", "v1"} {
-		if _, err := l.addEndpoint(fmt.Sprintf("i-%d", i+1), "llm", "za", version, 9, handle); err != nil {
+		if _, err := l.addEndpoint(fmt.Sprintf("i-%d", i+1), "llm", version, 9, handle); err != nil {
 			return false, err
 		}
 	}
-	if err := l.startInstances("za", "za", "za"); err != nil {
+	if err := l.startInstances(); err != nil {
 		return false, err
 	}
 	way, err := relay.Start("127.0.0.1:0", l.instances[0].front)
--- a/review/lab-3/case12.go
+++ b/review/lab-3/case12.go
@@ -52,11 +52,11 @@
 	}
 	l.publishEngines(9, narrativeRoute)
 	for i := range deadlyEngines {
-		if _, err := l.addEndpoint(fmt.Sprintf("i-%d", i+1), "llm", "za", "v1", 9, handle); err != nil {
+		if _, err := l.addEndpoint(fmt.Sprintf("i-%d", i+1), "llm", "v1", 9, handle); err != nil {
 			return false, err
 		}
 	}
-	if err := l.startInstances("za", "za", "za"); err != nil {
+	if err := l.startInstances(); err != nil {
 		return false, err
 	}
 	var all sync.WaitGroup
--- a/review/lab-3/case13.go
+++ b/review/lab-3/case13.go
@@ -43,11 +43,11 @@
 	}
 	l.publishEngines(2, reviewRoute)
 	for i := range 2 {
-		if _, err := l.addEndpoint(fmt.Sprintf("i-%d", i+1), "llm", "za", "v1", 2, handle); err != nil {
+		if _, err := l.addEndpoint(fmt.Sprintf("i-%d", i+1), "llm", "v1", 2, handle); err != nil {
 			return false, err
 		}
 	}
-	if err := l.startInstances("za", "za", "za"); err != nil {
+	if err := l.startInstances(); err != nil {
 		return false, err
 	}
 	lost := 0
--- a/review/lab-3/case14.go
+++ b/review/lab-3/case14.go
@@ -32,16 +32,16 @@
 		time.Sleep(payWork)
 		fmt.Fprint(w, "booked")
 	}
-	l.publishPlain(payRoute)
+	l.publishPlain(payRoute, oneTenant)
 	var list []*endpoint
 	for i := range 2 {
-		e, err := l.addEndpoint(fmt.Sprintf("i-%d", i+1), "desk", "za", "v1", 6, handle)
+		e, err := l.addEndpoint(fmt.Sprintf("i-%d", i+1), "desk", "v1", 6, handle)
 		if err != nil {
 			return false, err
 		}
 		list = append(list, e)
 	}
-	if err := l.startInstances("za", "za", "za"); err != nil {
+	if err := l.startInstances(); err != nil {
 		return false, err
 	}
 	statuses := make(map[int]int)
@@ -51,7 +51,7 @@
 		for i := 0; time.Now().Before(end); i++ {
 			in := l.instances[i%len(l.instances)]
 			all.Go(func() {
-				r := request{id: newRequestID(), method: http.MethodPost, path: "/pay/x", body: fmt.Sprint("fee ", i), deadline: payLimit}
+				r := request{id: newRequestID(), method: http.MethodPost, path: "/pay/x", body: fmt.Sprint("fee ", i), deadline: payLimit, header: map[string]string{"Authorization": "Token " + heldKey}}
 				a := in.send(r)
 				l.note("%s at %s: status %d", r.id, in.name, a.status)
 				mu.Lock()
--- a/review/lab-3/case15.go
+++ b/review/lab-3/case15.go
@@ -4,64 +4,95 @@
 	"fmt"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 )
 
 const (
-	recoverS     = 12 * time.Second
-	calmLength   = 4 * time.Second
-	judgedLength = 10 * time.Second
-	probeEvery   = 100 * time.Millisecond
-	probeLimit   = 5 * time.Second
+	heldKey = "key1"
+	// madeUpKey is one that no configuration ever held.
+	madeUpKey   = "no-such-key"
+	revokeTime  = 5 * time.Second
+	keysEvery   = 50 * time.Millisecond
+	keysCalm    = 3 * time.Second
+	keysChecked = 8 * time.Second
 )
 
-// zoneWithoutInstances ends the only instance in the zone of all engines for good.
-func zoneWithoutInstances(l *lab) (broken bool, err error) {
+// lastTenantLeaves publishes a configuration without the only tenant.
+func lastTenantLeaves(l *lab) (broken bool, err error) {
+	var mu sync.Mutex
+	ran := make(map[string]bool)
 	handle := func(e *endpoint, w http.ResponseWriter, r *http.Request) {
-		e.streamEvents(w, r, answerEvents, answerInterval)
+		mu.Lock()
+		ran[requestID(r)] = true
+		mu.Unlock()
+		l.note("%s runs %s of tenant %q", e.id, requestID(r), r.Header.Get("Medlarhold-Tenant"))
+		e.stamp(w)
+		time.Sleep(payWork)
+		fmt.Fprint(w, "booked")
 	}
-	l.publishEngines(9, narrativeRoute)
-	for i := range 3 {
-		if _, err := l.addEndpoint(fmt.Sprintf("i-%d", i+1), "llm", "zb", "v1", 9, handle); err != nil {
+	l.publishPlain(payRoute, oneTenant)
+	for i := range 2 {
+		if _, err := l.addEndpoint(fmt.Sprintf("i-%d", i+1), "desk", "v1", 6, handle); err != nil {
 			return false, err
 		}
 	}
-	if err := l.startInstances("za", "za", "zb"); err != nil {
+	if err := l.startInstances(); err != nil {
 		return false, err
 	}
-	before, sentBefore := l.probe("before the fault", calmLength)
+	before := l.sendKeys("while the tenant is there", keysCalm)
 	if troubled() {
-		l.note("SIGKILL to %s, which doesn't come back", l.instances[2].name)
-		_ = l.instances[2].cmd.Process.Signal(syscall.SIGKILL) // its end shows in the record
+		l.publishPlain(payRoute, noTenant)
+		l.note("a configuration without the tenant is acknowledged")
+	}
+	time.Sleep(revokeTime)
+	after := l.sendKeys("later than revoke-ms after that", keysChecked)
+	mu.Lock()
+	defer mu.Unlock()
+	revoked, unknown := countRun(ran, after[heldKey]), countRun(ran, after[madeUpKey])
+	if !troubled() {
+		revoked = 0 // the key is in force
 	}
-	l.probe("within recover-s", recoverS)
-	after, sentAfter := l.probe("later than recover-s", judgedLength)
-	return 4*before >= sentBefore && 4*after < sentAfter, nil
+	unknown += countRun(ran, before[madeUpKey])
+	l.say("%d of %d requests ran whose key had been taken away, %d of %d whose key no configuration ever held; 0 are allowed",
+		revoked, len(after[heldKey]), unknown, len(after[madeUpKey])+len(before[madeUpKey]))
+	return revoked+unknown > 0, nil
 }
 
-// probe sends requests to the first two instances for a while, and returns how many of them were served.
-func (l *lab) probe(when string, length time.Duration) (served, sent int) {
+func countRun(ran map[string]bool, ids []string) (n int) {
+	for _, id := range ids {
+		if ran[id] {
+			n++
+		}
+	}
+	return n
+}
+
+// sendKeys sends requests with both keys to the instances by turns, and returns their ids by key.
+func (l *lab) sendKeys(when string, length time.Duration) map[string][]string {
 	var mu sync.Mutex
 	var all sync.WaitGroup
-	statuses := make(map[int]int)
-	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(probeEvery) {
-		in := l.instances[sent%2]
-		sent++
+	ids, statuses := make(map[string][]string), make(map[string]map[int]int)
+	end := time.Now().Add(length)
+	for i := 0; time.Now().Before(end); i++ {
+		in, key := l.instances[i/2%len(l.instances)], []string{heldKey, madeUpKey}[i%2]
+		r := request{
+			id: newRequestID(), method: http.MethodPost, path: "/pay/x", body: fmt.Sprint("fee ", i), deadline: payLimit,
+			header: map[string]string{"Authorization": "Token " + key},
+		}
+		ids[key] = append(ids[key], r.id)
 		all.Go(func() {
-			r := request{id: newRequestID(), method: http.MethodPost, path: "/narrative/x", body: "visit", deadline: probeLimit}
-			r.header = promptHeaders(100, 6*answerEvents, "5afe0001:60,"+r.id+":40")
 			a := in.send(r)
-			l.note("%s at %s: status %d, %d events", r.id, in.name, a.status, len(a.events))
+			l.note("%s at %s, key %s: status %d", r.id, in.name, key, a.status)
 			mu.Lock()
 			defer mu.Unlock()
-			statuses[a.status]++
-			if a.status == http.StatusOK && a.complete && len(a.events) == answerEvents {
-				served++
+			if statuses[key] == nil {
+				statuses[key] = make(map[int]int)
 			}
+			statuses[key][a.status]++
 		})
+		time.Sleep(keysEvery)
 	}
 	all.Wait()
-	l.say("%s: %d of %d requests served, answers by status: %v", when, served, sent, statuses)
-	return served, sent
+	l.say("%s: answers by key and status %v", when, statuses)
+	return ids
 }
--- a/review/lab-3/endpoint.go
+++ b/review/lab-3/endpoint.go
@@ -16,10 +16,10 @@
 
 // endpoint is a stand-in for an engine or a plain service. It answers at one address, in one lifetime after the other.
 type endpoint struct {
-	l                 *lab
-	id, service, zone string
-	slots             int
-	address           string
+	l           *lab
+	id, service string
+	slots       int
+	address     string
 	// handle answers a request that is meant for the endpoint.
 	handle func(e *endpoint, w http.ResponseWriter, r *http.Request)
 
@@ -35,12 +35,12 @@
 }
 
 // addEndpoint starts an endpoint.
-func (l *lab) addEndpoint(id, service, zone, version string, slots int, handle func(e *endpoint, w http.ResponseWriter, r *http.Request)) (*endpoint, error) {
+func (l *lab) addEndpoint(id, service, version string, slots int, handle func(e *endpoint, w http.ResponseWriter, r *http.Request)) (*endpoint, error) {
 	port, err := freePorts(1)
 	if err != nil {
 		return nil, err
 	}
-	e := &endpoint{l: l, id: id, service: service, zone: zone, slots: slots, address: fmt.Sprintf("127.0.0.1:%d", port), handle: handle}
+	e := &endpoint{l: l, id: id, service: service, slots: slots, address: fmt.Sprintf("127.0.0.1:%d", port), handle: handle}
 	return e, e.start(version)
 }
 
@@ -102,7 +102,7 @@
 	defer e.mu.Unlock()
 	e.seq++
 	value, err := json.Marshal(map[string]any{
-		"service": e.service, "addr": e.address, "zone": e.zone, "version": e.version, "slots": e.slots, "state": state,
+		"service": e.service, "addr": e.address, "zone": theZone, "version": e.version, "slots": e.slots, "state": state,
 		"warmup-left-ms": 0, "seq": e.seq, "born": e.born,
 	})
 	if err != nil {
--- a/review/lab-3/lab.go
+++ b/review/lab-3/lab.go
@@ -40,6 +40,7 @@
 	store     *standin.Store
 	instances []*instance
 	begun     time.Time
+	version   int // of the configuration
 
 	mu     sync.Mutex
 	record *os.File
@@ -47,9 +48,9 @@
 
 // instance is one process of the system.
 type instance struct {
-	name, zone, front, ready, settings, log string
-	cmd                                     *exec.Cmd
-	exited                                  chan struct{}
+	name, front, ready, settings, log string
+	cmd                               *exec.Cmd
+	exited                            chan struct{}
 }
 
 // newLab returns a lab that writes its record to a file.
@@ -123,7 +124,6 @@
 heartbeat-ms = 1200
 [zones]
 za = "r"
-zb = "r"
 [listen]
 front = %q
 ready = %q
@@ -166,19 +166,22 @@
 form = "log"
 `
 
-// addInstance starts an instance in a zone.
-func (l *lab) addInstance(zone string) error {
+// theZone is the availability zone of all instances and endpoints.
+const theZone = "za"
+
+// addInstance starts an instance.
+func (l *lab) addInstance() error {
 	port, err := freePorts(18)
 	if err != nil {
 		return err
 	}
-	name := fmt.Sprintf("front-%s-%d", zone, len(l.instances)+1)
+	name := fmt.Sprintf("front-%s-%d", theZone, len(l.instances)+1)
 	in := &instance{
-		name: name, zone: zone, front: fmt.Sprintf("127.0.0.1:%d", port+16), ready: fmt.Sprintf("127.0.0.1:%d", port+17),
+		name: name, front: fmt.Sprintf("127.0.0.1:%d", port+16), ready: fmt.Sprintf("127.0.0.1:%d", port+17),
 		settings: filepath.Join(l.dir, name+".toml"), log: filepath.Join(l.dir, name+".log"),
 	}
 	l.instances = append(l.instances, in)
-	text := fmt.Sprintf(settings, name, zone, port, port+15, true, in.front, in.ready, l.store.Address())
+	text := fmt.Sprintf(settings, name, theZone, port, port+15, true, in.front, in.ready, l.store.Address())
 	if err := os.WriteFile(in.settings, []byte(text), 0o600); err != nil {
 		return err
 	}
@@ -220,10 +223,13 @@
 	return nil
 }
 
-// startInstances starts an instance in each of the zones, and waits until all are ready and know each other.
-func (l *lab) startInstances(zones ...string) error {
-	for _, zone := range zones {
-		if err := l.addInstance(zone); err != nil {
+// instancesStarted is the number of instances of a deployment.
+const instancesStarted = 3
+
+// startInstances starts the instances, and waits until all are ready and know each other.
+func (l *lab) startInstances() error {
+	for range instancesStarted {
+		if err := l.addInstance(); err != nil {
 			return err
 		}
 	}
@@ -262,7 +268,7 @@
 	"12": deadlyPart,
 	"13": plannedStop,
 	"14": lastEndpointsLeave,
-	"15": zoneWithoutInstances,
+	"15": lastTenantLeaves,
 }
 
 func main() {
